--- /dev/null
+++ b/packages/core/src/lacewingspar_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision logic of the lacewingspar router fleet."""
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -0,0 +1,205 @@
+"""Service documents: the only means by which operators steer a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated, Any
+
+import pyjson5
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as schema_dataclass
+from returns.result import Failure, Result, Success
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+_STRICT = ConfigDict(extra="forbid")
+
+
+class ServiceKind(StrEnum):
+    """Protocol that the upstreams of a service speak."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class Upstream:
+    """One upstream of a service.
+
+    Attributes:
+        id: Name, unique within the service.
+        data_centre: Data centre that holds the upstream.
+        address: Base URL.
+        slots: Largest number of requests that run at once.
+        models: Models that the upstream serves; empty for plain services.
+        vm: Name of the upstream's VM in the platform's VM list, if any.
+    """
+
+    id: Name
+    data_centre: Name
+    address: Annotated[str, Field(pattern=r"^https?://[^/\s]+$")]
+    slots: Annotated[int, Field(ge=1, le=4096)]
+    models: tuple[str, ...] = ()
+    vm: str | None = None
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class Workspace:
+    """A workspace that may use the service.
+
+    Attributes:
+        name: Name of the workspace.
+        token_sha256: SHA-256 hashes of its bearer tokens, in hexadecimal.
+        weight: Its share relative to the other workspaces.
+        queue_limit: Largest number of requests that wait at one router.
+    """
+
+    name: Name
+    token_sha256: tuple[Sha256Hex, ...]
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 100
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class RequestClass:
+    """A class of requests with its own urgency.
+
+    Attributes:
+        name: Name that callers give in `X-Request-Class`.
+        priority: Classes with a lower number go first within a workspace.
+        deadline_seconds: Time from arrival to the start of the answer at the
+            latest, unless the caller gives a deadline of its own.
+        max_wait_seconds: After this wait a request goes before all others of
+            its workspace, so that a low priority does not starve it.
+    """
+
+    name: Name
+    priority: Annotated[int, Field(ge=0, le=100)] = 10
+    deadline_seconds: Annotated[float, Field(gt=0, le=86_400)] = 60.0
+    max_wait_seconds: Annotated[float, Field(gt=0, le=86_400)] = 30.0
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class NonIdempotentRoute:
+    """Calls that must run at most once, whether or not they carry a key.
+
+    Attributes:
+        method: HTTP method in upper case.
+        path_prefix: Prefix of the path below the service's name.
+    """
+
+    method: Annotated[str, Field(pattern=r"^[A-Z]+$")]
+    path_prefix: Annotated[str, Field(pattern=r"^/")]
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class Limits:
+    """Limits of one service.
+
+    Attributes:
+        body_bytes: Largest request body.
+        silent_after_seconds: An answer that delivers nothing for this long
+            counts as failed.
+        attempts: Largest number of times that one request is sent.
+    """
+
+    body_bytes: Annotated[int, Field(ge=1, le=1 << 30)] = 4 * 1024 * 1024
+    silent_after_seconds: Annotated[float, Field(gt=0, le=3600)] = 30.0
+    attempts: Annotated[int, Field(ge=1, le=10)] = 3
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class ServiceDocument:
+    """The document that describes one service.
+
+    Attributes:
+        service: Name of the service.
+        kind: Protocol of its upstreams.
+        upstreams: The pool.
+        workspaces: Who may use it.
+        request_classes: Classes of requests; the first is the default.
+        non_idempotent: Calls that run at most once.
+        limits: Limits of the service.
+    """
+
+    service: Name
+    kind: ServiceKind
+    upstreams: tuple[Upstream, ...]
+    workspaces: tuple[Workspace, ...]
+    request_classes: tuple[RequestClass, ...] = (RequestClass(name="default"),)
+    non_idempotent: tuple[NonIdempotentRoute, ...] = ()
+    limits: Limits = Limits()
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentProblem:
+    """One reason why a document is refused.
+
+    Attributes:
+        path: Place in the document, such as `upstreams[0].slots`.
+        value: The value found there, shortened.
+        allowed: What would be allowed.
+    """
+
+    path: str
+    value: str
+    allowed: str
+
+
+_ADAPTER = TypeAdapter(ServiceDocument)
+_SHOWN_VALUE_CHARACTERS = 80
+
+
+def parse_document(
+    text: str,
+) -> Result[ServiceDocument, tuple[DocumentProblem, ...]]:
+    """Parse a service document written in JSON with comments.
+
+    Returns:
+        The document, or every problem that it has.
+    """
+    try:
+        value = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        problem = DocumentProblem("", "", f"valid JSON with comments: {error}")
+        return Failure((problem,))
+    return validate_document(value)
+
+
+def validate_document(
+    value: Any,
+) -> Result[ServiceDocument, tuple[DocumentProblem, ...]]:
+    """Check a decoded document against the schema.
+
+    Returns:
+        The document, or every problem that it has.
+    """
+    try:
+        document = _ADAPTER.validate_python(value)
+    except ValidationError as error:
+        return Failure(tuple(_problem(item) for item in error.errors()))
+    return Success(document)
+
+
+def dump_document(document: ServiceDocument) -> dict[str, Any]:
+    """Return a document as plain JSON values."""
+    value: dict[str, Any] = _ADAPTER.dump_python(document, mode="json")
+    return value
+
+
+def _problem(item: Any) -> DocumentProblem:
+    """Return the problem that one validation error describes."""
+    path = ""
+    for part in item["loc"]:
+        if isinstance(part, int):
+            path += f"[{part}]"
+        else:
+            path += f".{part}" if path else str(part)
+    shown = "" if item["type"] == "missing" else repr(item["input"])
+    return DocumentProblem(
+        path=path,
+        value=shown[:_SHOWN_VALUE_CHARACTERS],
+        allowed=item["msg"],
+    )
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -0,0 +1,13 @@
+"""Errors of the decision logic."""
+
+
+class CoreError(Exception):
+    """Base class of all errors raised by the core package."""
+
+
+class MessageDecodeError(CoreError):
+    """A peer message is not valid MessagePack or has an unknown type."""
+
+
+class ChartError(CoreError):
+    """A state chart file is inconsistent."""
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/identity.py
@@ -0,0 +1,33 @@
+"""Identities of routers and of their process lifetimes."""
+
+import msgspec
+
+
+class RouterLife(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One process lifetime of a router.
+
+    Attributes:
+        router_id: Name of the router from its settings.
+        incarnation: Start time in milliseconds since the Unix epoch, shifted
+            left by 12 bits, plus 12 random bits. A restarted router is a
+            different writer, and a later life of the same router sorts after
+            an earlier one.
+    """
+
+    router_id: str
+    incarnation: int
+
+
+_RANDOM_BITS = 12
+
+
+def new_incarnation(now_unix_seconds: float, random_bits: int) -> int:
+    """Return an incarnation number for a router that starts now.
+
+    Args:
+        now_unix_seconds: Wall-clock time in seconds since the Unix epoch.
+        random_bits: Random integer, of which the low 12 bits are used.
+    """
+    milliseconds = int(now_unix_seconds * 1000)
+    mask = (1 << _RANDOM_BITS) - 1
+    return (milliseconds << _RANDOM_BITS) | (random_bits & mask)
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -0,0 +1,320 @@
+"""Messages between routers, encoded as MessagePack."""
+
+from enum import StrEnum
+
+import msgspec
+
+from lacewingspar_core.errors import MessageDecodeError
+from lacewingspar_core.identity import RouterLife
+
+
+class RouterState(StrEnum):
+    """Life-cycle state that a router announces to its peers."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class PeerMessage(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base class of all messages between routers."""
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What one router knows about another.
+
+    Attributes:
+        life: The process lifetime that the record describes.
+        data_centre: Data centre of the router.
+        address: ZeroMQ endpoint of the router, such as `tcp://10.0.0.1:7000`.
+        state: Announced life-cycle state.
+        heartbeat: Number of heartbeats that this life has sent.
+        applied_offset: First configuration offset not yet applied.
+    """
+
+    life: RouterLife
+    data_centre: str
+    address: str
+    state: RouterState
+    heartbeat: int
+    applied_offset: int
+
+
+class Heartbeat(PeerMessage, frozen=True, tag="hb"):
+    """Member table of the sender, the sender's own record first."""
+
+    members: tuple[MemberRecord, ...]
+
+
+class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one workspace that wait at one holder.
+
+    Attributes:
+        workspace: Name of the workspace.
+        model: Model that the requests need, or "" for any upstream.
+        waiting: Number of requests that wait.
+        oldest_wait_seconds: Time that the oldest of them has waited.
+        estimate_seconds: Expected slot time of the next request from measured
+            costs, in seconds, or 0 if nothing was measured.
+    """
+
+    workspace: str
+    model: str
+    waiting: int
+    oldest_wait_seconds: float
+    estimate_seconds: float
+
+
+class Demand(PeerMessage, frozen=True, tag="demand"):
+    """Waiting requests of one service at the sender.
+
+    Attributes:
+        service: Name of the service.
+        sequence: Grows with every message of this sender and service; an
+            owner ignores an older one.
+        full: Whether entries that are not listed are zero.
+        entries: Changed entries, or all of them if `full`.
+    """
+
+    service: str
+    sequence: int
+    full: bool
+    entries: tuple[DemandEntry, ...]
+
+
+class Offer(PeerMessage, frozen=True, tag="offer"):
+    """A free slot that an owner offers to a workspace at one holder.
+
+    Attributes:
+        service: Name of the service.
+        slot: Identity of the slot use that is offered.
+        upstream_id: Upstream that has the free slot.
+        workspace: Workspace whose request may use the slot.
+        model: Model of the demand entry that the offer answers.
+    """
+
+    service: str
+    slot: "SlotId"
+    upstream_id: str
+    workspace: str
+    model: str
+
+
+class OfferAccepted(PeerMessage, frozen=True, tag="accept"):
+    """The holder has bound a request to the offered slot."""
+
+    service: str
+    slot: "SlotId"
+    estimate_seconds: float
+
+
+class OfferDeclined(PeerMessage, frozen=True, tag="decline"):
+    """The holder has no request for the offered slot."""
+
+    service: str
+    slot: "SlotId"
+    workspace: str
+    model: str
+
+
+class SlotOutcome(StrEnum):
+    """How the use of a slot ended, as far as the upstream is concerned."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_REFUSED = "upstream_refused"
+
+
+class SlotReleased(PeerMessage, frozen=True, tag="release"):
+    """A slot is free again.
+
+    Attributes:
+        service: Name of the service.
+        slot: Identity of the slot use.
+        upstream_id: Upstream that had the slot.
+        workspace: Workspace that used the slot.
+        used_seconds: Slot time from binding to release, in seconds.
+        tokens: Tokens that the upstream reported, or 0.
+        outcome: How the use ended.
+    """
+
+    service: str
+    slot: "SlotId"
+    upstream_id: str
+    workspace: str
+    used_seconds: float
+    tokens: int
+    outcome: SlotOutcome
+
+
+class SlotId(msgspec.Struct, frozen=True, array_like=True):
+    """Identity of one use of a slot: the granting life and its offer number."""
+
+    owner: RouterLife
+    offer_id: int
+
+
+class ActiveSlot(msgspec.Struct, frozen=True, array_like=True):
+    """A slot in use at a holder.
+
+    Attributes:
+        slot: Identity of the slot use.
+        upstream_id: Upstream that has the slot.
+        workspace: Workspace that uses the slot.
+        used_seconds: Slot time since binding, in seconds.
+        estimate_seconds: Expected slot time when it was bound, in seconds.
+    """
+
+    slot: SlotId
+    upstream_id: str
+    workspace: str
+    used_seconds: float
+    estimate_seconds: float
+
+
+class SlotReport(PeerMessage, frozen=True, tag="slots"):
+    """All slots of one service that the sender uses; renews their leases."""
+
+    service: str
+    active: tuple[ActiveSlot, ...]
+
+
+class SlotReportRequest(PeerMessage, frozen=True, tag="slots?"):
+    """Asks a router for its slot report; sent by a new owner."""
+
+    service: str
+
+
+class CounterEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Service that one workspace received from one router life.
+
+    Attributes:
+        workspace: Name of the workspace.
+        served_seconds: Slot time granted since the life began, in seconds;
+            it only grows.
+        pending_seconds: Estimated slot time still to come for requests that
+            run now, in seconds; the latest value counts.
+        waiting: Requests of the workspace that wait in the sender's data
+            centre; the latest value counts.
+    """
+
+    workspace: str
+    served_seconds: float
+    pending_seconds: float
+    waiting: int
+
+
+class Counters(PeerMessage, frozen=True, tag="counters"):
+    """Service counters of one life for one service.
+
+    Attributes:
+        life: Router life that granted the service.
+        service: Name of the service.
+        data_centre: Data centre of that life.
+        sequence: Grows with every message about this life and service.
+        slots: Slots that the life owns for this service.
+        entries: Changed counters.
+    """
+
+    life: RouterLife
+    service: str
+    data_centre: str
+    sequence: int
+    slots: int
+    entries: tuple[CounterEntry, ...]
+
+
+class CountersRequest(PeerMessage, frozen=True, tag="counters?"):
+    """Asks a peer for all service counters that it knows of one service."""
+
+    service: str
+
+
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A record of a log stream.
+
+    Attributes:
+        offset: Position in the stream, from 0.
+        time_ms: Time at which the log service stored the record, in
+            milliseconds since the Unix epoch.
+        data: The record as it was appended.
+    """
+
+    offset: int
+    time_ms: int
+    data: bytes
+
+
+class LogRecordsRequest(PeerMessage, frozen=True, tag="log?"):
+    """Asks a peer for the records of a stream from an offset on."""
+
+    stream: str
+    from_offset: int
+
+
+class LogRecords(PeerMessage, frozen=True, tag="log"):
+    """Consecutive records of a stream, read from the log service.
+
+    Attributes:
+        stream: Name of the stream.
+        first_retained: First offset that the log service still had.
+        records: Consecutive records.
+    """
+
+    stream: str
+    first_retained: int
+    records: tuple[LogRecord, ...]
+
+
+class Quarantine(PeerMessage, frozen=True, tag="quarantine"):
+    """Crash suspicions of request fingerprints.
+
+    Attributes:
+        service: Name of the service.
+        crashes_by_fingerprint: Pairs of a fingerprint and the crash ids at
+            which it was in flight.
+    """
+
+    service: str
+    crashes_by_fingerprint: tuple[tuple[str, tuple[str, ...]], ...]
+
+
+AnyPeerMessage = (
+    Heartbeat
+    | Demand
+    | Offer
+    | OfferAccepted
+    | OfferDeclined
+    | SlotReleased
+    | SlotReport
+    | SlotReportRequest
+    | Counters
+    | CountersRequest
+    | LogRecordsRequest
+    | LogRecords
+    | Quarantine
+)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[AnyPeerMessage] = msgspec.msgpack.Decoder(
+    AnyPeerMessage
+)
+
+
+def encode_message(message: AnyPeerMessage) -> bytes:
+    """Return the MessagePack form of a peer message."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> AnyPeerMessage:
+    """Return the peer message that the bytes hold.
+
+    Raises:
+        MessageDecodeError: The bytes are not a known message.
+    """
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageDecodeError(f"invalid peer message: {error}") from error
