--- /dev/null
+++ b/packages/router/src/lacewingspar_router/__init__.py
@@ -0,0 +1,1 @@
+"""The lacewingspar router daemon."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/application.py
@@ -0,0 +1,153 @@
+"""The application object: components, tasks and life-cycle."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Generic, TypeVar, cast
+
+import structlog
+
+from lacewingspar_core.identity import RouterLife, new_incarnation
+from lacewingspar_router.errors import (
+    ComponentNotReadyError,
+    ComponentSetupError,
+)
+from lacewingspar_router.settings import Settings
+
+_T = TypeVar("_T")
+_LOGGER = structlog.get_logger(__name__)
+
+SETUP_RETRY_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ComponentKey(Generic[_T]):
+    """Typed name under which a component is found in the application."""
+
+    name: str
+
+
+class LifeCycle(StrEnum):
+    """Life-cycle of the application."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+SetupFunction = Callable[["Application"], Awaitable[None]]
+Hook = Callable[[], Awaitable[None]]
+
+
+class Application:
+    """Owns components, tasks and shutdown of one router.
+
+    Args:
+        settings: Settings of this router.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.random = random.Random()
+        self.life = RouterLife(
+            settings.router_id,
+            new_incarnation(time.time(), self.random.getrandbits(12)),
+        )
+        self.life_cycle = LifeCycle.STARTING
+        self._component_by_name: dict[str, Any] = {}
+        self._unload_hooks: list[tuple[str, Hook]] = []
+        self._drain_hooks: list[tuple[str, Hook]] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def now(self) -> float:
+        """Return the boot-time clock in seconds; it runs during suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def register(self, key: ComponentKey[_T], component: _T) -> None:
+        """Make a component available to the others."""
+        self._component_by_name[key.name] = component
+
+    def get(self, key: ComponentKey[_T]) -> _T:
+        """Return a component that has been set up."""
+        return cast(_T, self._component_by_name[key.name])
+
+    def on_drain(self, name: str, hook: Hook) -> None:
+        """Call a hook when a graceful shutdown begins, in set-up order.
+
+        A hook returns when its component has finished its work in flight.
+        """
+        self._drain_hooks.append((name, hook))
+
+    def on_unload(self, name: str, hook: Hook) -> None:
+        """Call a hook when the application stops, in reverse set-up order."""
+        self._unload_hooks.append((name, hook))
+
+    def create_task(
+        self, coroutine: Coroutine[Any, Any, _T], name: str
+    ) -> asyncio.Task[_T]:
+        """Run a coroutine until it ends or the application stops."""
+        task = asyncio.create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    async def async_start(
+        self, setup_functions: list[tuple[str, SetupFunction]]
+    ) -> None:
+        """Set up all components in order.
+
+        Raises:
+            ComponentSetupError: A component cannot be set up at all.
+        """
+        for name, setup in setup_functions:
+            await self._async_setup(name, setup)
+        self.life_cycle = LifeCycle.SERVING
+        _LOGGER.info("router started", router_id=self.life.router_id)
+
+    async def async_drain(self) -> None:
+        """Stop taking new work and wait for the work in flight."""
+        self.life_cycle = LifeCycle.DRAINING
+        _LOGGER.info("drain started")
+        for name, hook in self._drain_hooks:
+            await hook()
+            _LOGGER.debug("component drained", component=name)
+
+    async def async_stop(self) -> None:
+        """Unload all components and end all tasks."""
+        for name, hook in reversed(self._unload_hooks):
+            try:
+                await hook()
+            except Exception:
+                _LOGGER.exception("component unload failed", component=name)
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.life_cycle = LifeCycle.STOPPED
+        _LOGGER.info("router stopped")
+
+    async def _async_setup(self, name: str, setup: SetupFunction) -> None:
+        while True:
+            try:
+                await setup(self)
+            except ComponentNotReadyError as error:
+                _LOGGER.warning(
+                    "component not ready", component=name, error=str(error)
+                )
+                await asyncio.sleep(SETUP_RETRY_SECONDS)
+            except OSError as error:
+                raise ComponentSetupError(f"{name}: {error}") from error
+            else:
+                return
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            _LOGGER.error("task failed", task=task.get_name(), exc_info=error)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/__init__.py
@@ -0,0 +1,1 @@
+"""Components of the router daemon, one folder each."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/admin_api/errors.py
@@ -0,0 +1,1 @@
+"""Errors of the admin api component."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/errors.py
@@ -0,0 +1,1 @@
+"""Errors of the caller api component."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/peers/errors.py
@@ -0,0 +1,1 @@
+"""Errors of the peers component."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -0,0 +1,52 @@
+"""Interface of the peers component."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import (
+    AnyPeerMessage,
+    MemberRecord,
+    PeerMessage,
+)
+from lacewingspar_router.application import ComponentKey
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedMessage:
+    """A message from another router, or from this one to itself.
+
+    Attributes:
+        sender: Life of the sender.
+        data_centre: Data centre of the sender.
+        message: The message.
+    """
+
+    sender: RouterLife
+    data_centre: str
+    message: AnyPeerMessage
+
+
+class PeerNetwork(Protocol):
+    """Messages between routers and the view of who is alive."""
+
+    def send(self, router_id: str, message: AnyPeerMessage) -> None:
+        """Send a message; it may be lost, repeated or reordered."""
+
+    def subscribe(
+        self,
+        message_type: type[PeerMessage],
+        handler: Callable[[ReceivedMessage], None],
+    ) -> None:
+        """Call a function for every received message of a type."""
+
+    @property
+    def alive_by_router_id(self) -> Mapping[str, MemberRecord]:
+        """Return the routers that are alive, this one included."""
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after every change of who is alive."""
+
+
+PEERS: ComponentKey[PeerNetwork] = ComponentKey("peers")
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/vm_list/errors.py
@@ -0,0 +1,1 @@
+"""Errors of the vm list component."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -0,0 +1,104 @@
+"""Settings of a router, read from JSON with comments."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import pyjson5
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as schema_dataclass
+
+from lacewingspar_core.documents import Name
+from lacewingspar_router.errors import SettingsError
+
+_STRICT = ConfigDict(extra="forbid")
+
+HostPort = Annotated[str, Field(pattern=r"^[^\s:/]+:\d{1,5}$")]
+HttpUrl = Annotated[str, Field(pattern=r"^https?://[^\s]+$")]
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class PeerSettings:
+    """A router that this one contacts first.
+
+    Attributes:
+        router_id: Name of the router.
+        data_centre: Data centre of the router.
+        address: Host and port of its peer socket.
+    """
+
+    router_id: Name
+    data_centre: Name
+    address: HostPort
+
+
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class Settings:
+    """Settings of one router.
+
+    Attributes:
+        router_id: Name of this router, unique in the fleet.
+        data_centre: Data centre of this router.
+        caller_address: Host and port for callers.
+        admin_address: Host and port for operators, the platform's balancer
+            and metrics.
+        peer_address: Host and port for other routers.
+        admin_token_sha256: SHA-256 hash of the administration token.
+        log_service_url: Base URL of the platform's log service.
+        vm_list_url: Base URL of the platform's VM list.
+        peers: Routers that this one contacts first.
+        address_map: Replaces `host:port` of an outgoing connection by another
+            one, for networks that translate addresses.
+        drain_limit_seconds: Longest time that a graceful shutdown waits for
+            requests in flight.
+        log_level: Lowest level of log lines.
+        trace_file: File that spans are appended to as JSON lines.
+        trace_url: OTLP/HTTP address that spans are sent to.
+        event_record_file: File that events and decisions are appended to, for
+            replay.
+    """
+
+    router_id: Name
+    data_centre: Name
+    caller_address: HostPort
+    admin_address: HostPort
+    peer_address: HostPort
+    admin_token_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    log_service_url: HttpUrl
+    vm_list_url: HttpUrl
+    peers: tuple[PeerSettings, ...] = ()
+    address_map: dict[HostPort, HostPort] = Field(default_factory=dict)
+    drain_limit_seconds: Annotated[float, Field(ge=0, le=86_400)] = 600.0
+    log_level: Annotated[
+        str, Field(pattern=r"^(debug|info|warning|error)$")
+    ] = "info"
+    trace_file: str | None = None
+    trace_url: HttpUrl | None = None
+    event_record_file: str | None = None
+
+
+_ADAPTER = TypeAdapter(Settings)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read settings from a file of JSON with comments.
+
+    Raises:
+        SettingsError: The file is unreadable or invalid; the message lists
+            every problem.
+    """
+    try:
+        value: Any = pyjson5.decode(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"cannot read {path}: {error.strerror}") from error
+    except pyjson5.Json5Exception as error:
+        raise SettingsError(f"{path} is not valid JSON: {error}") from error
+    try:
+        return _ADAPTER.validate_python(value)
+    except ValidationError as error:
+        lines = [
+            f"{'.'.join(str(part) for part in item['loc'])}: {item['msg']}"
+            for item in error.errors()
+        ]
+        raise SettingsError("\n".join(lines)) from error
