--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of `python -m lacewingspar_standins`."""
+
+from lacewingspar_standins.main import run
+
+run()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/engine.py
@@ -0,0 +1,274 @@
+"""Stand-in for a model engine with an OpenAI-style interface."""
+
+import asyncio
+import os
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lacewingspar_standins.asgi import BadRequestError, Request, decode_json
+from lacewingspar_standins.batching import Batch, BatchOptions, Generation
+from lacewingspar_standins.chat import (
+    END_OF_STREAM,
+    AnswerFormat,
+    ChatRequest,
+    draw_token_count,
+    usage,
+)
+from lacewingspar_standins.faults import Faults, StandIn
+from lacewingspar_standins.prefix_cache import CacheOptions, PrefixCache
+
+CRASH_STATUS = 3
+MAX_TOKENS = 1_000_000
+WRONG_ID = "id-of-another-request"
+HEADER_REQUEST_ID = "x-request-id"
+
+
+class EngineFaults(Faults):
+    """Faults of the engine.
+
+    Attributes:
+        crash_marker: A request whose prompt contains this text ends the
+            process when it starts to run.
+        silent: Set to true, it silences all requests that exist now; later
+            ones work, so it is always read as false.
+        refuse: Answer new requests with 503.
+        wrong_id: Number of next answers that carry another request's id.
+        cut_after: Close streams after this number of token events.
+        leave: The VM is about to leave: `/health` answers 503. Requests are
+            still admitted, and `/stats` counts them.
+    """
+
+    crash_marker: str | None = None
+    silent: bool = False
+    refuse: bool = False
+    wrong_id: int = 0
+    cut_after: int | None = None
+    leave: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Options of the engine.
+
+    Attributes:
+        models: Names of the models.
+        batch: Options of the batch.
+        cache: Options of the prompt cache.
+        median_tokens: Median of the drawn number of tokens.
+        sigma: Standard deviation of its logarithm.
+        seed: Seed of the draws.
+    """
+
+    models: tuple[str, ...] = ("model",)
+    batch: BatchOptions = field(default_factory=BatchOptions)
+    cache: CacheOptions = field(default_factory=CacheOptions)
+    median_tokens: float = 64.0
+    sigma: float = 0.7
+    seed: int = 1
+
+
+@dataclass(eq=False, slots=True)
+class _Call:
+    """A chat request that is being answered."""
+
+    request: Request
+    chat: ChatRequest
+    request_id: str
+    generation: Generation
+    closed: asyncio.Task[None]
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class EngineStats:
+    """Counters since the start of the engine."""
+
+    arrived: int = 0
+    started: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    tokens: int = 0
+    cached_tokens: int = 0
+    arrived_after_leave: int = 0
+    last_arrival_after_leave_seconds: float = 0.0
+    slot_seconds: float = 0.0
+    runs_by_request_id: Counter[str] = field(default_factory=Counter)
+
+
+class Engine(StandIn[EngineFaults]):
+    """HTTP interface of the engine."""
+
+    def __init__(self, options: EngineOptions, faults: EngineFaults) -> None:
+        super().__init__(faults)
+        self._options = options
+        self._cache = PrefixCache(options.cache)
+        self._batch = Batch(options.batch, self._cache, self._started)
+        self._call_by_generation: dict[Generation, _Call] = {}
+        self._leave_at: float | None = None
+        self.stats = EngineStats()
+
+    def faults_changed(self) -> None:
+        """Silence the requests that exist, and note when leaving begins."""
+        if self.faults.silent:
+            self.faults.silent = False
+            for call in self._call_by_generation.values():
+                call.is_silent = True
+        if not self.faults.leave:
+            self._leave_at = None
+        elif self._leave_at is None:
+            self._leave_at = asyncio.get_running_loop().time()
+
+    async def handle(self, request: Request) -> None:
+        """Answer a request."""
+        match request.method, request.path:
+            case "POST", "/v1/chat/completions":
+                await self._chat(request)
+            case "GET", "/v1/models":
+                await request.reply(200, self._models())
+            case "GET", "/load":
+                await request.reply(200, self._batch.load())
+            case "GET", "/health":
+                await self._health(request)
+            case "GET", "/cache_events":
+                start = request.query_int("from", 0)
+                await request.reply(200, self._cache.events_from(start))
+            case "GET", "/stats":
+                self.stats.slot_seconds = self._batch.slot_seconds
+                await request.reply(200, self.stats)
+            case _:
+                await request.reply(404, {"error": "no such resource"})
+
+    def _models(self) -> dict[str, object]:
+        models = [{"id": m, "object": "model"} for m in self._options.models]
+        return {"object": "list", "data": models}
+
+    async def _health(self, request: Request) -> None:
+        if self.faults.refuse or self.faults.leave:
+            status = "leaving" if self.faults.leave else "failing"
+            await request.reply(503, {"status": status})
+            return
+        await request.reply(200, {"status": "ok"})
+
+    async def _chat(self, request: Request) -> None:
+        chat = decode_json(await request.body(), ChatRequest)
+        self._count_arrival()
+        if self.faults.refuse:
+            await request.reply(503, {"error": "engine refuses requests"})
+            return
+        if chat.model not in self._options.models:
+            await request.reply(404, {"error": f"no model {chat.model!r}"})
+            return
+        call = self._new_call(request, chat)
+        call.closed.add_done_callback(lambda _: self._end(call))
+        try:
+            self._call_by_generation[call.generation] = call
+            self._batch.submit(call.generation)
+            await (self._stream(call) if chat.stream else self._whole(call))
+            if call.is_silent:
+                await call.closed
+        finally:
+            self._end(call)
+            call.closed.cancel()
+
+    def _new_call(self, request: Request, chat: ChatRequest) -> _Call:
+        count = chat.max_tokens
+        if count is None:
+            count = draw_token_count(
+                self._options.seed,
+                chat.marker(),
+                self._options.median_tokens,
+                self._options.sigma,
+            )
+        if not 1 <= count <= MAX_TOKENS or not 0 <= chat.resume_from < count:
+            raise BadRequestError("max_tokens or resume_from is out of range")
+        return _Call(
+            request=request,
+            chat=chat,
+            request_id=request.headers.get(HEADER_REQUEST_ID, uuid.uuid4().hex),
+            generation=Generation(chat.words(), chat.resume_from, count),
+            closed=asyncio.create_task(request.wait_closed()),
+        )
+
+    def _started(self, generation: Generation) -> None:
+        call = self._call_by_generation[generation]
+        crash_marker = self.faults.crash_marker
+        if crash_marker and any(
+            crash_marker in message.content for message in call.chat.messages
+        ):
+            os._exit(CRASH_STATUS)
+        self.stats.started += 1
+        self.stats.runs_by_request_id[call.request_id] += 1
+
+    def _end(self, call: _Call) -> None:
+        if self._call_by_generation.pop(call.generation, None) is None:
+            return
+        generation = call.generation
+        self._batch.cancel(generation)
+        self.stats.cancelled += generation.is_cancelled
+        self.stats.finished += generation.is_finished
+        self.stats.tokens += generation.produced - generation.first_token
+        self.stats.cached_tokens += generation.cached_words
+
+    def _count_arrival(self) -> None:
+        self.stats.arrived += 1
+        if self._leave_at is not None:
+            now = asyncio.get_running_loop().time()
+            self.stats.arrived_after_leave += 1
+            self.stats.last_arrival_after_leave_seconds = now - self._leave_at
+
+    def _answer_id(self, call: _Call) -> str:
+        if self.faults.wrong_id <= 0:
+            return call.request_id
+        self.faults.wrong_id -= 1
+        return WRONG_ID
+
+    async def _whole(self, call: _Call) -> None:
+        generation = call.generation
+        await generation.wait_beyond(generation.token_count - 1)
+        if generation.is_cancelled or call.is_silent:
+            return
+        answer_id = self._answer_id(call)
+        answer = AnswerFormat(answer_id, call.chat.model, call.chat.marker())
+        value = answer.whole(
+            generation.first_token, generation.token_count, _usage(generation)
+        )
+        await call.request.reply(200, value, ((HEADER_REQUEST_ID, answer_id),))
+
+    async def _stream(self, call: _Call) -> None:
+        generation = call.generation
+        answer_id = self._answer_id(call)
+        answer = AnswerFormat(answer_id, call.chat.model, call.chat.marker())
+        sent = generation.first_token
+        await generation.wait_beyond(sent)
+        while not (generation.is_cancelled or call.is_silent):
+            if not call.request.started:
+                await call.request.start_events(
+                    ((HEADER_REQUEST_ID, answer_id),)
+                )
+            end = self._end_of_part(generation)
+            events = answer.token_events(sent, end)
+            sent = end
+            is_last = sent >= generation.token_count
+            if is_last:
+                events += [answer.last_event(_usage(generation)), END_OF_STREAM]
+            await call.request.write(b"".join(events), more=not is_last)
+            if is_last:
+                return
+            if sent < generation.produced:
+                await call.request.drop()
+                return
+            await generation.wait_beyond(sent)
+
+    def _end_of_part(self, generation: Generation) -> int:
+        """Return the number of the token before which to stop sending."""
+        if self.faults.cut_after is None:
+            return generation.produced
+        cut_at = generation.first_token + self.faults.cut_after
+        return min(generation.produced, cut_at)
+
+
+def _usage(generation: Generation) -> dict[str, object]:
+    return usage(
+        len(generation.words), generation.cached_words, generation.token_count
+    )
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/main.py
@@ -0,0 +1,127 @@
+"""Command line of the stand-ins."""
+
+from collections.abc import Callable, Coroutine
+from typing import Annotated, Any, TypeVar
+
+import typer
+import uvloop
+
+from lacewingspar_standins.asgi import AsgiApp, decode_json
+from lacewingspar_standins.batching import BatchOptions
+from lacewingspar_standins.engine import Engine, EngineFaults, EngineOptions
+from lacewingspar_standins.faults import Faults, merge_faults
+from lacewingspar_standins.log import LogFaults, LogOptions, LogService
+from lacewingspar_standins.plain import PlainFaults, PlainOptions, PlainService
+from lacewingspar_standins.prefix_cache import CacheOptions
+from lacewingspar_standins.server import serve
+from lacewingspar_standins.vms import VmListService, VmsFaults
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+Host = Annotated[str, typer.Option(help="Address to listen on.")]
+Port = Annotated[int, typer.Option(help="Port; 0 takes a free one.")]
+FaultJson = Annotated[
+    str, typer.Option("--faults", help="Faults from the start, as JSON.")
+]
+F = TypeVar("F", bound=Faults)
+
+
+def _faults(kind: type[F], text: str) -> F:
+    return merge_faults(kind(), decode_json(text.encode(), dict[str, Any]))
+
+
+def _serve(build: Callable[[], AsgiApp], host: str, port: int) -> None:
+    async def main() -> None:
+        await serve(build(), host, port)
+
+    run_loop(main())
+
+
+def run_loop(main: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine on uvloop until it ends or is interrupted."""
+    try:
+        uvloop.run(main)
+    except KeyboardInterrupt:
+        raise typer.Exit(130) from None
+
+
+@app.command()
+def log(
+    host: Host = "127.0.0.1",
+    port: Port = 0,
+    appends_per_second: float = 300,
+    retention_seconds: float = 3600,
+    faults: FaultJson = "{}",
+) -> None:
+    """Run the log service."""
+    options = LogOptions(appends_per_second, retention_seconds)
+    _serve(lambda: LogService(options, _faults(LogFaults, faults)), host, port)
+
+
+@app.command()
+def vms(
+    host: Host = "127.0.0.1",
+    port: Port = 0,
+    lag_ms: float = 500,
+    faults: FaultJson = "{}",
+) -> None:
+    """Run the VM list."""
+    fault_set = merge_faults(_faults(VmsFaults, faults), {"lag_ms": lag_ms})
+    _serve(lambda: VmListService(fault_set), host, port)
+
+
+@app.command()
+def engine(
+    host: Host = "127.0.0.1",
+    port: Port = 0,
+    model: Annotated[list[str], typer.Option()] = ["model"],  # noqa: B006
+    slots: int = 16,
+    step_ms: float = 10,
+    prompt_token_ms: float = 0.2,
+    load_lag_ms: float = 200,
+    cache_blocks: int = 4096,
+    median_tokens: float = 64,
+    sigma: float = 0.7,
+    seed: int = 1,
+    faults: FaultJson = "{}",
+) -> None:
+    """Run a model engine."""
+    options = EngineOptions(
+        models=tuple(model),
+        batch=BatchOptions(
+            slots=slots,
+            step_seconds=step_ms / 1000,
+            prompt_token_seconds=prompt_token_ms / 1000,
+            load_lag_seconds=load_lag_ms / 1000,
+        ),
+        cache=CacheOptions(blocks=cache_blocks, seed=seed),
+        median_tokens=median_tokens,
+        sigma=sigma,
+        seed=seed,
+    )
+    _serve(lambda: Engine(options, _faults(EngineFaults, faults)), host, port)
+
+
+@app.command()
+def plain(
+    host: Host = "127.0.0.1",
+    port: Port = 0,
+    slots: int = 8,
+    work_ms: float = 20,
+    load_lag_ms: float = 200,
+    faults: FaultJson = "{}",
+) -> None:
+    """Run a plain service."""
+    options = PlainOptions(slots, work_ms / 1000, load_lag_ms / 1000)
+    _serve(
+        lambda: PlainService(options, _faults(PlainFaults, faults)), host, port
+    )
+
+
+def run() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -0,0 +1,196 @@
+"""Stand-in for a plain service that counts how often each call runs."""
+
+import asyncio
+import hashlib
+import os
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lacewingspar_core.platform import LoadReport
+from lacewingspar_standins.asgi import BadRequestError, Request
+from lacewingspar_standins.faults import Faults, StandIn
+from lacewingspar_standins.lagged import Lagged
+
+CRASH_STATUS = 3
+HEADER_REQUEST_ID = "x-request-id"
+HEADER_KEY = "idempotency-key"
+HEADER_WORK_MS = "x-work-ms"
+
+
+class PlainFaults(Faults):
+    """Faults of the plain service.
+
+    Attributes:
+        refuse: Answer new calls with 503 without running them.
+        silent: Set to true, it silences all calls that exist now; later ones
+            work, so it is always read as false.
+        crash_marker: A call whose body contains this text ends the process
+            when it starts to run.
+        lose_replies: Number of next calls that run but whose connection is
+            closed without a reply.
+        delay_ms: Time between the end of the work and the reply.
+    """
+
+    refuse: bool = False
+    silent: bool = False
+    crash_marker: str | None = None
+    lose_replies: int = 0
+    delay_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlainOptions:
+    """Options of the plain service.
+
+    Attributes:
+        slots: Calls that run at once.
+        work_seconds: Time that a call runs unless `X-Work-Ms` says otherwise.
+        load_lag_seconds: Age of load reports.
+    """
+
+    slots: int = 8
+    work_seconds: float = 0.02
+    load_lag_seconds: float = 0.2
+
+
+@dataclass(slots=True)
+class Runs:
+    """Number of runs by what identifies a call."""
+
+    total: int = 0
+    by_key: Counter[str] = field(default_factory=Counter)
+    by_digest: Counter[str] = field(default_factory=Counter)
+    by_request_id: Counter[str] = field(default_factory=Counter)
+
+
+class PlainService(StandIn[PlainFaults]):
+    """HTTP interface of the plain service."""
+
+    def __init__(self, options: PlainOptions, faults: PlainFaults) -> None:
+        super().__init__(faults)
+        self._options = options
+        self._slots = asyncio.Semaphore(options.slots)
+        self._running = 0
+        self._waiting = 0
+        self._load = Lagged((0, 0), options.load_lag_seconds)
+        self._silence_count = 0
+        self.runs = Runs()
+
+    def faults_changed(self) -> None:
+        """Silence the calls that exist."""
+        if self.faults.silent:
+            self.faults.silent = False
+            self._silence_count += 1
+
+    async def handle(self, request: Request) -> None:
+        """Answer a call."""
+        match request.method, request.path:
+            case "GET", "/_runs":
+                await request.reply(200, self.runs)
+            case "GET", "/load":
+                await request.reply(200, self._load_report())
+            case "GET", "/health":
+                status = 503 if self.faults.refuse else 200
+                await request.reply(status, {"status": status})
+            case _:
+                await self._call(request)
+
+    def _load_report(self) -> LoadReport:
+        running, waiting = self._load.get()
+        age_ms = round(self._options.load_lag_seconds * 1000)
+        return LoadReport(running, waiting, age_ms)
+
+    async def _call(self, request: Request) -> None:
+        silence_count = self._silence_count
+        body = await request.body()
+        work_seconds = self._work_seconds(request)
+        if self.faults.refuse:
+            await request.reply(503, {"error": "service refuses calls"})
+            return
+        closed = asyncio.create_task(request.wait_closed())
+        try:
+            run = await self._run(request, body, work_seconds, closed)
+            if run is None:
+                return
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+            if silence_count != self._silence_count:
+                await closed
+                return
+        finally:
+            closed.cancel()
+        await self._reply(request, body, run)
+
+    def _work_seconds(self, request: Request) -> float:
+        text = request.headers.get(HEADER_WORK_MS)
+        if text is None:
+            return self._options.work_seconds
+        try:
+            return max(0.0, float(text) / 1000)
+        except ValueError as error:
+            raise BadRequestError("X-Work-Ms must be a number") from error
+
+    async def _run(
+        self,
+        request: Request,
+        body: bytes,
+        work_seconds: float,
+        closed: asyncio.Task[None],
+    ) -> int | None:
+        """Run a call and return its number, or None if it did not run."""
+        self._change_load(0, 1)
+        try:
+            await self._slots.acquire()
+        finally:
+            self._change_load(0, -1)
+        try:
+            # A call whose client has gone while it waited does not run; once
+            # it runs it is not interrupted.
+            if closed.done():
+                return None
+            self._change_load(1, 0)
+            number = self._count_run(request, body)
+            await asyncio.sleep(work_seconds)
+            self._change_load(-1, 0)
+            return number
+        finally:
+            self._slots.release()
+
+    def _count_run(self, request: Request, body: bytes) -> int:
+        marker = self.faults.crash_marker
+        if marker and marker.encode() in body:
+            os._exit(CRASH_STATUS)
+        self.runs.total += 1
+        self.runs.by_digest[_digest(body)] += 1
+        for header, runs in (
+            (HEADER_KEY, self.runs.by_key),
+            (HEADER_REQUEST_ID, self.runs.by_request_id),
+        ):
+            if header in request.headers:
+                runs[request.headers[header]] += 1
+        return self.runs.total
+
+    def _change_load(self, running: int, waiting: int) -> None:
+        self._running += running
+        self._waiting += waiting
+        self._load.set((self._running, self._waiting))
+
+    async def _reply(self, request: Request, body: bytes, run: int) -> None:
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            await request.drop()
+            return
+        value = {
+            "method": request.method,
+            "path": request.path,
+            "digest": _digest(body),
+            "run": run,
+            "finished_at_ms": time.time_ns() // 1_000_000,
+        }
+        request_id = request.headers.get(HEADER_REQUEST_ID)
+        headers = ((HEADER_REQUEST_ID, request_id),) if request_id else ()
+        await request.reply(200, value, headers)
+
+
+def _digest(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/server.py
@@ -0,0 +1,114 @@
+"""Runs an ASGI application on uvicorn with faults at connection level."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable, Iterator
+from typing import Any, cast
+
+import msgspec
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from lacewingspar_standins.asgi import EXTENSION_TRANSPORT, AsgiApp
+
+# Longer than a router keeps idle connections, so that the stand-in is never
+# the side that closes a connection which is about to be reused.
+KEEP_ALIVE_SECONDS = 75
+GRACEFUL_SECONDS = 1
+BACKLOG = 2048
+
+
+class TransportProtocol(HttpToolsProtocol):
+    """Hands the transport to the application, which may close it."""
+
+    def on_headers_complete(self) -> None:
+        """Add the transport to the ASGI scope."""
+        scope = cast(dict[str, Any], self.scope)
+        scope["extensions"] = {EXTENSION_TRANSPORT: self.transport}
+        super().on_headers_complete()
+
+
+class StandInServer(uvicorn.Server):
+    """A uvicorn server that tells when it listens."""
+
+    def __init__(
+        self, app: AsgiApp, on_listen: Callable[[], None], *, signals: bool
+    ) -> None:
+        super().__init__(
+            uvicorn.Config(
+                cast(Any, app),
+                http=TransportProtocol,
+                lifespan="off",
+                log_level="warning",
+                access_log=False,
+                backlog=BACKLOG,
+                server_header=False,
+                timeout_keep_alive=KEEP_ALIVE_SECONDS,
+                timeout_graceful_shutdown=GRACEFUL_SECONDS,
+            )
+        )
+        self._on_listen = on_listen
+        self._signals = signals
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to listen."""
+        await super().startup(sockets=sockets)
+        self._on_listen()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Handle signals only when the server owns the process."""
+        if not self._signals:
+            yield
+            return
+        with super().capture_signals():
+            yield
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; port 0 takes a free one."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, port))
+    return bound
+
+
+def address_of(bound: socket.socket) -> str:
+    """Return a socket's address as `host:port`."""
+    host, port = bound.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def announce(**addresses: str) -> None:
+    """Print the addresses of this process as one JSON line."""
+    print(msgspec.json.encode(addresses).decode(), flush=True)
+
+
+async def serve(app: AsgiApp, host: str, port: int) -> None:
+    """Serve until a signal arrives; announce the address when listening."""
+    bound = bind(host, port)
+    server = StandInServer(
+        app, lambda: announce(address=address_of(bound)), signals=True
+    )
+    await server.serve(sockets=[bound])
+
+
+@contextlib.asynccontextmanager
+async def running(app: AsgiApp, host: str = "127.0.0.1") -> AsyncIterator[str]:
+    """Serve in this event loop on a free port.
+
+    Yields:
+        The address as `host:port`.
+    """
+    bound = bind(host, 0)
+    listening = asyncio.Event()
+    server = StandInServer(app, listening.set, signals=False)
+    task = asyncio.create_task(server.serve(sockets=[bound]))
+    await listening.wait()
+    try:
+        yield address_of(bound)
+    finally:
+        server.should_exit = True
+        server.force_exit = True
+        await task
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/vms.py
@@ -0,0 +1,54 @@
+"""Stand-in for the platform's list of VMs."""
+
+import asyncio
+
+from lacewingspar_core.platform import VmList
+from lacewingspar_standins.asgi import Request, decode_json
+from lacewingspar_standins.faults import Faults, StandIn
+from lacewingspar_standins.lagged import Lagged
+
+
+class VmsFaults(Faults):
+    """Faults of the VM list.
+
+    Attributes:
+        outage: Answer 503 at once.
+        refuse: Close connections without an answer.
+        lag_ms: Time until a change of the list becomes visible.
+        delay_ms: Time before an answer.
+    """
+
+    outage: bool = False
+    refuse: bool = False
+    lag_ms: float = 0
+    delay_ms: float = 0
+
+
+class VmListService(StandIn[VmsFaults]):
+    """HTTP interface of the VM list."""
+
+    def __init__(self, faults: VmsFaults) -> None:
+        super().__init__(faults)
+        self._list = Lagged(VmList(()), faults.lag_ms / 1000)
+
+    def faults_changed(self) -> None:
+        """Apply the lag."""
+        self._list.lag_seconds = self.faults.lag_ms / 1000
+
+    async def handle(self, request: Request) -> None:
+        """Answer a read or a change of the list."""
+        if request.path != "/vms" or request.method not in {"GET", "PUT"}:
+            await request.reply(404, {"error": "no such resource"})
+            return
+        if request.method == "PUT":
+            self._list.set(decode_json(await request.body(), VmList))
+            await request.reply(200, {})
+            return
+        if self.faults.refuse:
+            await request.drop()
+            return
+        if self.faults.outage:
+            await request.reply(503, {"error": "VM list is down"})
+            return
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        await request.reply(200, self._list.get())
