--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/engine_options.py
@@ -0,0 +1,68 @@
+"""Options, faults and counters of the engine stand-in."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lacewingspar_standins.batching import BatchOptions
+from lacewingspar_standins.faults import Faults
+from lacewingspar_standins.prefix_cache import CacheOptions
+
+
+class EngineFaults(Faults):
+    """Faults of the engine.
+
+    Attributes:
+        crash_marker: A request whose prompt contains this text ends the
+            process when it starts to run.
+        silent: Set to true, it silences all requests that exist now; later
+            ones work, so it is always read as false.
+        refuse: Answer new requests with 503.
+        wrong_id: Number of next answers that carry another request's id.
+        cut_after: Close streams after this number of token events.
+        leave: The VM is about to leave: `/health` answers 503. Requests are
+            still admitted, and `/stats` counts them.
+    """
+
+    crash_marker: str | None = None
+    silent: bool = False
+    refuse: bool = False
+    wrong_id: int = 0
+    cut_after: int | None = None
+    leave: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Options of the engine.
+
+    Attributes:
+        models: Names of the models.
+        batch: Options of the batch.
+        cache: Options of the prompt cache.
+        median_tokens: Median of the drawn number of tokens.
+        sigma: Standard deviation of its logarithm.
+        seed: Seed of the draws.
+    """
+
+    models: tuple[str, ...] = ("model",)
+    batch: BatchOptions = field(default_factory=BatchOptions)
+    cache: CacheOptions = field(default_factory=CacheOptions)
+    median_tokens: float = 64.0
+    sigma: float = 0.7
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class EngineStats:
+    """Counters since the start of the engine."""
+
+    arrived: int = 0
+    started: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    tokens: int = 0
+    cached_tokens: int = 0
+    arrived_after_leave: int = 0
+    last_arrival_after_leave_seconds: float = 0.0
+    slot_seconds: float = 0.0
+    runs_by_request_id: Counter[str] = field(default_factory=Counter)
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -0,0 +1,176 @@
+"""Stand-in for a network link: a TCP relay with faults."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+from lacewingspar_standins.asgi import Request
+from lacewingspar_standins.faults import Faults, StandIn
+from lacewingspar_standins.server import address_of, bind
+
+READ_BYTES = 64 * 1024
+# Bounds the bytes that are in flight on a link with a long delay.
+MAX_CHUNKS_IN_FLIGHT = 256
+
+
+class LinkFaults(Faults):
+    """Faults of the link.
+
+    Attributes:
+        cut: Reset existing connections and every new one.
+        silent: Set to true, it makes existing connections swallow the bytes
+            of both directions without closing; later ones work, so it is
+            always read as false.
+        delay_ms: Delay of each direction.
+    """
+
+    cut: bool = False
+    silent: bool = False
+    delay_ms: float = 0
+
+
+class _Connection:
+    """A relayed connection."""
+
+    def __init__(
+        self, caller: asyncio.StreamWriter, target: asyncio.StreamWriter
+    ) -> None:
+        self.is_silent = False
+        self._writers = (caller, target)
+
+    def abort(self) -> None:
+        """Reset both sides."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+class Link(StandIn[LinkFaults]):
+    """Relays TCP connections to a target.
+
+    Args:
+        target: Host and port of the target.
+        faults: Faults from the start.
+    """
+
+    def __init__(self, target: str, faults: LinkFaults) -> None:
+        super().__init__(faults)
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._connections: set[_Connection] = set()
+
+    @contextlib.asynccontextmanager
+    async def listening(self, host: str, port: int) -> AsyncIterator[str]:
+        """Accept connections.
+
+        Yields:
+            The address as `host:port`.
+        """
+        bound = bind(host, port)
+        server = await asyncio.start_server(self._relay, sock=bound)
+        try:
+            yield address_of(bound)
+        finally:
+            server.close()
+            self._abort_all()
+
+    def faults_changed(self) -> None:
+        """Apply a cut and silence to the connections that exist."""
+        if self.faults.silent:
+            self.faults.silent = False
+            for connection in self._connections:
+                connection.is_silent = True
+        if self.faults.cut:
+            self._abort_all()
+
+    async def handle(self, request: Request) -> None:
+        """Answer on the control address; only faults are served there."""
+        await request.reply(404, {"error": "no such resource"})
+
+    def _abort_all(self) -> None:
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults.cut:
+            writer.transport.abort()
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                *self._target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        _disable_nagle(writer)
+        _disable_nagle(target_writer)
+        connection = _Connection(writer, target_writer)
+        self._connections.add(connection)
+        try:
+            await asyncio.gather(
+                self._pump(connection, reader, target_writer),
+                self._pump(connection, target_reader, writer),
+            )
+        finally:
+            self._connections.discard(connection)
+            connection.abort()
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Relay one direction until its end."""
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(
+            MAX_CHUNKS_IN_FLIGHT
+        )
+        delivery = asyncio.create_task(_deliver(connection, chunks, writer))
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                data = await reader.read(READ_BYTES)
+                due_at = loop.time() + self.faults.delay_ms / 1000
+                if not connection.is_silent:
+                    await chunks.put((due_at, data))
+                if not data:
+                    break
+            await delivery
+        except OSError:
+            if connection.is_silent:
+                await delivery
+            connection.abort()
+        finally:
+            delivery.cancel()
+
+
+async def _deliver(
+    connection: _Connection,
+    chunks: asyncio.Queue[tuple[float, bytes]],
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Write chunks when they are due; an empty chunk is the end.
+
+    On a silent connection it never returns, because the other side must not
+    notice that this one has closed.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at, data = await chunks.get()
+        await asyncio.sleep(max(0.0, due_at - loop.time()))
+        if connection.is_silent:
+            continue
+        if not data:
+            if writer.can_write_eof():
+                writer.write_eof()
+            return
+        writer.write(data)
+        with contextlib.suppress(OSError):
+            await writer.drain()
+
+
+def _disable_nagle(writer: asyncio.StreamWriter) -> None:
+    connected: socket.socket = writer.get_extra_info("socket")
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/load.py
@@ -0,0 +1,173 @@
+"""Load generator: sends requests to routers and checks the answers."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from lacewingspar_standins.http_client import ClientError, ConnectionPool
+from lacewingspar_standins.load_check import (
+    ErrorBody,
+    ErrorEventError,
+    WrongAnswerError,
+)
+from lacewingspar_standins.load_exchange import Exchange, RefusedError
+from lacewingspar_standins.load_options import (
+    LoadOptions,
+    PlannedRequest,
+    WorkspaceLoad,
+    plan_request,
+)
+from lacewingspar_standins.load_result import (
+    LoadResult,
+    Recorder,
+    WorkspaceRecorder,
+)
+
+OUTCOME_OK = "ok"
+OUTCOME_TIMEOUT = "timeout"
+OUTCOME_NOT_SENT = "not_sent"
+RUN_NOT_RUN = "not_run"
+
+
+@dataclass(frozen=True, slots=True)
+class _Ending:
+    """End of one attempt.
+
+    Attributes:
+        outcome: Name under which it is counted.
+        retry_after_seconds: How long the client must wait, if refused.
+        may_repeat: Whether the same request may be sent again.
+    """
+
+    outcome: str
+    retry_after_seconds: float = 0.0
+    may_repeat: bool = False
+
+
+class LoadGenerator:
+    """One run of the load generator."""
+
+    def __init__(self, options: LoadOptions) -> None:
+        self._options = options
+        self._pool = ConnectionPool()
+        self._recorder = Recorder(tuple(w.name for w in options.workspaces))
+        self._address_draw = random.Random(options.seed)
+        self._ends_at = 0.0
+        self._in_flight = 0
+
+    async def run(self) -> LoadResult:
+        """Send all requests and return the result."""
+        started_at = time.monotonic()
+        self._ends_at = started_at + self._options.max_seconds
+        try:
+            async with asyncio.TaskGroup() as group:
+                for workspace in self._options.workspaces:
+                    group.create_task(self._run_workspace(workspace))
+        finally:
+            self._pool.close()
+        return self._recorder.result(time.monotonic() - started_at)
+
+    async def _run_workspace(self, workspace: WorkspaceLoad) -> None:
+        numbers = iter(range(self._options.max_requests))
+        async with asyncio.TaskGroup() as group:
+            for _ in range(workspace.concurrency):
+                group.create_task(self._run_client(workspace, numbers))
+            if workspace.rate > 0:
+                group.create_task(self._run_open_loop(workspace, numbers))
+
+    async def _run_client(
+        self, workspace: WorkspaceLoad, numbers: Iterator[int]
+    ) -> None:
+        for number in numbers:
+            now = time.monotonic()
+            if now >= self._ends_at:
+                return
+            await self._run_request(workspace, number, now)
+
+    async def _run_open_loop(
+        self, workspace: WorkspaceLoad, numbers: Iterator[int]
+    ) -> None:
+        draw = random.Random(f"{workspace.name}/{self._options.seed}")
+        due_at = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for number in numbers:
+                due_at += draw.expovariate(workspace.rate)
+                if due_at >= self._ends_at:
+                    return
+                await asyncio.sleep(max(0.0, due_at - time.monotonic()))
+                if self._in_flight >= self._options.max_in_flight:
+                    recorder = self._recorder.by_workspace[workspace.name]
+                    recorder.finals[OUTCOME_NOT_SENT] += 1
+                    continue
+                group.create_task(self._run_request(workspace, number, due_at))
+
+    async def _run_request(
+        self, workspace: WorkspaceLoad, number: int, started_at: float
+    ) -> None:
+        planned = plan_request(self._options, workspace, number)
+        recorder = self._recorder.by_workspace[workspace.name]
+        self._in_flight += 1
+        ending = _Ending(OUTCOME_NOT_SENT)
+        for _ in range(self._options.max_attempts):
+            ending = await self._attempt(planned, workspace, started_at)
+            recorder.attempts[ending.outcome] += 1
+            remaining = max(0.0, self._ends_at - time.monotonic())
+            await asyncio.sleep(min(ending.retry_after_seconds, remaining))
+            if not ending.may_repeat or time.monotonic() >= self._ends_at:
+                break
+        self._in_flight -= 1
+        recorder.finals[ending.outcome] += 1
+        if ending.outcome == OUTCOME_OK:
+            recorder.record_latency(time.monotonic() - started_at)
+
+    async def _attempt(
+        self,
+        planned: PlannedRequest,
+        workspace: WorkspaceLoad,
+        started_at: float,
+    ) -> _Ending:
+        """Send a request once."""
+        recorder = self._recorder.by_workspace[workspace.name]
+        address = self._address_draw.choice(self._options.addresses)
+        exchange = Exchange(
+            planned, workspace.token, address, started_at, recorder
+        )
+        try:
+            async with asyncio.timeout(self._options.timeout_seconds):
+                request_id = await exchange.run(self._pool)
+        except TimeoutError:
+            return _Ending(OUTCOME_TIMEOUT)
+        except RefusedError as refusal:
+            self._record_error(recorder, refusal.error)
+            is_repeatable = refusal.error.run == RUN_NOT_RUN
+            return _Ending(
+                refusal.outcome,
+                refusal.retry_after_seconds,
+                is_repeatable or planned.key is not None,
+            )
+        except ErrorEventError as event:
+            self._record_error(recorder, event.error)
+            return _Ending(event.outcome)
+        except WrongAnswerError as problem:
+            self._recorder.record_problem(f"{planned.marker}: {problem}")
+            return _Ending(problem.outcome)
+        except ClientError as failure:
+            return _Ending(failure.outcome)
+        self._recorder.record_answered(request_id)
+        if planned.key is not None:
+            self._recorder.answered_keys.append(planned.key)
+        return _Ending(OUTCOME_OK)
+
+    def _record_error(
+        self, recorder: WorkspaceRecorder, error: ErrorBody
+    ) -> None:
+        recorder.runs[error.run] += 1
+        if error.run == RUN_NOT_RUN:
+            self._recorder.record_not_run(error.request_id)
+
+
+async def run_load(options: LoadOptions) -> LoadResult:
+    """Run the load generator once."""
+    return await LoadGenerator(options).run()
--- a/packages/standins/src/lacewingspar_standins/main.py
+++ b/packages/standins/src/lacewingspar_standins/main.py
@@ -1,15 +1,21 @@
 """Command line of the stand-ins."""
 
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
+import msgspec
 import typer
 import uvloop
 
 from lacewingspar_standins.asgi import AsgiApp, decode_json
 from lacewingspar_standins.batching import BatchOptions
-from lacewingspar_standins.engine import Engine, EngineFaults, EngineOptions
+from lacewingspar_standins.engine import Engine
+from lacewingspar_standins.engine_options import EngineFaults, EngineOptions
 from lacewingspar_standins.faults import Faults, merge_faults
+from lacewingspar_standins.link import Link, LinkFaults
+from lacewingspar_standins.load import run_load
+from lacewingspar_standins.load_options import LoadOptions
 from lacewingspar_standins.log import LogFaults, LogOptions, LogService
 from lacewingspar_standins.plain import PlainFaults, PlainOptions, PlainService
 from lacewingspar_standins.prefix_cache import CacheOptions
@@ -118,6 +124,44 @@
     )
 
 
+@app.command()
+def link(
+    target: Annotated[str, typer.Option(help="HOST:PORT to relay to.")],
+    host: Host = "127.0.0.1",
+    port: Port = 0,
+    control_port: Annotated[int, typer.Option(help="Port of /faults.")] = 0,
+    delay_ms: float = 0,
+    faults: FaultJson = "{}",
+) -> None:
+    """Run a TCP relay."""
+    fault_set = _faults(LinkFaults, faults)
+    if delay_ms:
+        fault_set.delay_ms = delay_ms
+
+    async def main() -> None:
+        relay = Link(target, fault_set)
+        async with relay.listening(host, port) as address:
+            await serve(
+                relay, host, control_port, "control_address", address=address
+            )
+
+    run_loop(main())
+
+
+@app.command()
+def load(
+    options: Annotated[Path, typer.Argument(help="LoadOptions as JSON.")],
+    output: Annotated[Path | None, typer.Option(help="Result file.")] = None,
+) -> None:
+    """Send load to routers and print the result as JSON."""
+    parsed = msgspec.json.decode(options.read_bytes(), type=LoadOptions)
+    result = msgspec.json.encode(uvloop.run(run_load(parsed)))
+    if output is None:
+        typer.echo(result.decode())
+    else:
+        output.write_bytes(result)
+
+
 def run() -> None:
     """Run the command line."""
     app()
--- a/packages/standins/src/lacewingspar_standins/server.py
+++ b/packages/standins/src/lacewingspar_standins/server.py
@@ -85,11 +85,18 @@
     print(msgspec.json.encode(addresses).decode(), flush=True)
 
 
-async def serve(app: AsgiApp, host: str, port: int) -> None:
+async def serve(
+    app: AsgiApp,
+    host: str,
+    port: int,
+    announce_as: str = "address",
+    **other_addresses: str,
+) -> None:
     """Serve until a signal arrives; announce the address when listening."""
     bound = bind(host, port)
+    own_address = {announce_as: address_of(bound)}
     server = StandInServer(
-        app, lambda: announce(address=address_of(bound)), signals=True
+        app, lambda: announce(**other_addresses, **own_address), signals=True
     )
     await server.serve(sockets=[bound])
 
