--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -5,6 +5,7 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from lacewingspar_core.platform import LoadReport
@@ -65,11 +66,23 @@
 
 
 class PlainService(StandIn[PlainFaults]):
-    """HTTP interface of the plain service."""
+    """HTTP interface of the plain service.
 
-    def __init__(self, options: PlainOptions, faults: PlainFaults) -> None:
+    Args:
+        options: Options.
+        faults: Faults from the start.
+        work: Does a call's work, given its time in seconds.
+    """
+
+    def __init__(
+        self,
+        options: PlainOptions,
+        faults: PlainFaults,
+        work: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
         super().__init__(faults)
         self._options = options
+        self._work = work
         self._slots = asyncio.Semaphore(options.slots)
         self._running = 0
         self._waiting = 0
@@ -150,7 +163,7 @@
                 return None
             self._change_load(1, 0)
             number = self._count_run(request, body)
-            await asyncio.sleep(work_seconds)
+            await self._work(work_seconds)
             self._change_load(-1, 0)
             return number
         finally:
--- /dev/null
+++ b/tests/standins/conftest.py
@@ -0,0 +1,90 @@
+"""Fixtures for the tests of the stand-ins."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any
+
+import httpx
+import pytest
+
+from lacewingspar_standins.asgi import AsgiApp
+from lacewingspar_standins.server import running
+
+Serve = Callable[[AsgiApp], AbstractAsyncContextManager["Client"]]
+
+
+class Client:
+    """Talks JSON to a stand-in."""
+
+    def __init__(self, http: httpx.AsyncClient, address: str) -> None:
+        self.http = http
+        self.address = address
+        self.url = f"http://{address}"
+
+    async def send(
+        self, method: str, path: str, value: Any = None, **headers: str
+    ) -> httpx.Response:
+        return await self.http.request(
+            method, self.url + path, json=value, headers=headers
+        )
+
+    async def get(self, path: str) -> Any:
+        answer = await self.send("GET", path)
+        assert answer.status_code == 200, answer.text
+        return answer.json()
+
+    async def inject(self, **faults: Any) -> None:
+        answer = await self.send("POST", "/faults", faults)
+        assert answer.status_code == 200, answer.text
+
+    async def wait_for(self, path: str, **expected: Any) -> None:
+        """Read a resource until it has the expected values."""
+        while True:
+            value = await self.get(path)
+            if expected.items() <= value.items():
+                return
+            await asyncio.sleep(0.005)
+
+
+class FakeClock:
+    """A clock that moves only when a test says so."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock() -> FakeClock:
+    return FakeClock()
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[httpx.AsyncClient]:
+    async with httpx.AsyncClient(timeout=60, trust_env=False) as client:
+        yield client
+
+
+@pytest.fixture
+def serve(http: httpx.AsyncClient) -> Serve:
+    @asynccontextmanager
+    async def context(app: AsgiApp) -> AsyncIterator[Client]:
+        async with running(app) as address:
+            yield Client(http, address)
+
+    return context
+
+
+@pytest.fixture
+def stays_pending() -> Callable[["asyncio.Task[Any]"], Awaitable[None]]:
+    async def check(task: "asyncio.Task[Any]") -> None:
+        """Check that a task does not end, and cancel it."""
+        await asyncio.sleep(0.1)
+        assert not task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    return check
--- /dev/null
+++ b/tests/standins/test_fleet.py
@@ -0,0 +1,92 @@
+"""Fleet harness."""
+
+import os
+from pathlib import Path
+
+import httpx
+import msgspec
+import pytest
+
+from lacewingspar_router.settings import load_settings
+from lacewingspar_standins.fleet import Fleet
+from lacewingspar_standins.fleet_settings import RouterPlan, router_settings
+from lacewingspar_standins.process import FleetError
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+async def test_all_processes_end_with_the_fleet(tmp_path: Path) -> None:
+    """Guards against processes that outlive a failed test."""
+    pids: list[int] = []
+
+    async def use_fleet() -> None:
+        async with Fleet(tmp_path) as fleet:
+            log = await fleet.start_standin("log")
+            frozen = await fleet.start_standin("vms", lag_ms=0)
+            link = await fleet.start_standin("link", target=log.address)
+            pids.extend(p.process.pid for p in (log, frozen, link))
+            frozen.stop()
+            raise KeyError
+
+    with pytest.raises(KeyError):
+        await use_fleet()
+    assert [pid for pid in pids if is_alive(pid)] == []
+
+
+async def test_standins_work_as_processes(tmp_path: Path) -> None:
+    async with Fleet(tmp_path) as fleet:
+        plain = await fleet.start_standin("plain", faults={"delay_ms": 1})
+        link = await fleet.start_standin("link", target=plain.address)
+        assert (await plain.inject(refuse=True))["delay_ms"] == 1
+        async with httpx.AsyncClient(trust_env=False) as client:
+            assert (await client.get(f"{link.url}/health")).status_code == 503
+            await link.inject(cut=True)
+            with pytest.raises(httpx.TransportError):
+                await client.get(f"{link.url}/health")
+        plain.kill()
+        assert await plain.wait() == -9
+
+
+async def test_crash_marker_ends_the_engine(tmp_path: Path) -> None:
+    async with Fleet(tmp_path) as fleet:
+        engine = await fleet.start_standin(
+            "engine", model=["a", "b"], faults={"crash_marker": "boom"}
+        )
+        messages = [{"role": "user", "content": "go boom"}]
+        async with httpx.AsyncClient(trust_env=False) as client:
+            with pytest.raises(httpx.TransportError):
+                await client.post(
+                    f"{engine.url}/v1/chat/completions",
+                    json={"model": "b", "messages": messages},
+                )
+        assert await engine.wait() == 3
+
+
+async def test_standin_that_cannot_start_is_an_error(tmp_path: Path) -> None:
+    async with Fleet(tmp_path) as fleet:
+        with pytest.raises(FleetError, match="nonsense"):
+            await fleet.start_standin("log", nonsense=1)
+
+
+def test_settings_match_the_schema_of_the_router(tmp_path: Path) -> None:
+    """Guards against settings that every router refuses."""
+    plans = [
+        RouterPlan(f"r{n}", "dc", *(f"127.0.0.1:{n}{p}" for p in (1, 2, 3)))
+        for n in range(1, 4)
+    ]
+    settings_file = tmp_path / "settings.json"
+    extra = {"log_level": "debug"}
+    settings_file.write_bytes(
+        msgspec.json.encode(
+            router_settings(plans[0], "http://l", "http://v", plans, extra)
+        )
+    )
+    settings = load_settings(settings_file)
+    assert [peer.router_id for peer in settings.peers] == ["r2", "r3"]
+    assert settings.log_level == "debug"
--- /dev/null
+++ b/tests/standins/test_lagged.py
@@ -0,0 +1,21 @@
+"""Lagging values."""
+
+from typing import Any
+
+import pytest
+
+from lacewingspar_standins.lagged import Lagged
+
+
+@pytest.mark.parametrize(
+    ("seconds", "expected"), [(0, "a"), (1.9, "a"), (2, "b"), (2.5, "c")]
+)
+def test_change_becomes_visible_after_the_lag(
+    clock: Any, seconds: float, expected: str
+) -> None:
+    lagged = Lagged("a", 2.0, clock)
+    lagged.set("b")
+    clock.now += 0.5
+    lagged.set("c")
+    clock.now += seconds - 0.5
+    assert lagged.get() == expected
--- /dev/null
+++ b/tests/standins/test_load_check.py
@@ -0,0 +1,102 @@
+"""Checks of answers."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from lacewingspar_standins.chat import END_OF_STREAM, AnswerFormat, usage
+from lacewingspar_standins.http_client import ClientError
+from lacewingspar_standins.load_check import (
+    ErrorEventError,
+    StreamCheck,
+    check_plain,
+    check_whole_chat,
+)
+from lacewingspar_standins.load_options import PlannedRequest
+
+PLANNED = PlannedRequest("m", "/", {}, b"body", tokens=4, is_stream=True)
+GOOD = AnswerFormat("r1", "model", "m")
+OTHER_ID = AnswerFormat("r2", "model", "m")
+OTHER_MARKER = AnswerFormat("r1", "model", "other")
+USAGE = usage(3, 0, 4)
+WITH_USAGE = GOOD.last_event(USAGE)
+LAST = [WITH_USAGE, END_OF_STREAM]
+ERROR = b'data: {"error": {"code": "cut", "run": "unknown"}}\n\n'
+
+
+def tokens(first: int, end: int, answer: AnswerFormat = GOOD) -> list[bytes]:
+    return answer.token_events(first, end)
+
+
+def outcome_of(events: list[bytes], part_bytes: int) -> str:
+    check = StreamCheck(PLANNED, "r1")
+    data = b"".join(events)
+    try:
+        for start in range(0, len(data), part_bytes):
+            check.feed(data[start : start + part_bytes])
+        check.finish()
+    except ClientError as error:
+        return error.outcome
+    return "ok"
+
+
+@pytest.mark.parametrize("part_bytes", [1, 100, 100_000])
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        ([*tokens(0, 4), *LAST], "ok"),
+        ([*tokens(0, 3), *LAST], "wrong_answer"),
+        ([*tokens(0, 5), *LAST], "wrong_answer"),
+        ([*tokens(1, 4), *LAST], "wrong_answer"),
+        ([*tokens(0, 2), *tokens(1, 4), *LAST], "wrong_answer"),
+        ([*tokens(0, 3), *tokens(3, 4, OTHER_MARKER), *LAST], "wrong_answer"),
+        ([*tokens(0, 3), *tokens(3, 4, OTHER_ID), *LAST], "wrong_answer"),
+        ([*tokens(0, 4), WITH_USAGE], "wrong_answer"),
+        ([*tokens(0, 4), END_OF_STREAM], "wrong_answer"),
+        ([*tokens(0, 4), *LAST, WITH_USAGE], "wrong_answer"),
+        ([*tokens(0, 4), *LAST, b"data: "], "wrong_answer"),
+        ([b"data: {\n\n"], "wrong_answer"),
+        ([*tokens(0, 2), ERROR], "error_event:cut"),
+    ],
+)
+def test_only_the_whole_stream_of_the_request_passes(
+    events: list[bytes], expected: str, part_bytes: int
+) -> None:
+    """Guards against a generator that overlooks mixed or cut answers."""
+    assert outcome_of(events, part_bytes) == expected
+
+
+def test_error_event_carries_the_run_state() -> None:
+    check = StreamCheck(PLANNED, "r1")
+    with pytest.raises(ErrorEventError) as caught:
+        check.feed(ERROR)
+    assert caught.value.error.run == "unknown"
+
+
+@pytest.mark.parametrize(
+    ("value", "is_right"),
+    [
+        (GOOD.whole(0, 4, USAGE), True),
+        (GOOD.whole(0, 3, USAGE), False),
+        (GOOD.whole(0, 4, usage(3, 0, 3)), False),
+        (OTHER_ID.whole(0, 4, USAGE), False),
+        (OTHER_MARKER.whole(0, 4, USAGE), False),
+        ({}, False),
+    ],
+)
+def test_only_the_whole_answer_of_the_request_passes(
+    value: Any, is_right: bool
+) -> None:
+    body = msgspec.json.encode(value)
+    if is_right:
+        check_whole_chat(PLANNED, "r1", body)
+        return
+    with pytest.raises(ClientError):
+        check_whole_chat(PLANNED, "r1", body)
+
+
+@pytest.mark.parametrize("body", [b"{}", b"[]", b'{"digest": "0"}', b""])
+def test_plain_answer_to_another_body_is_wrong(body: bytes) -> None:
+    with pytest.raises(ClientError):
+        check_plain(PLANNED, body)
--- /dev/null
+++ b/tests/standins/test_ports.py
@@ -0,0 +1,30 @@
+"""Reserved ports."""
+
+import socket
+
+from lacewingspar_standins.ports import PortReservations
+from lacewingspar_standins.server import bind
+
+
+def test_reserved_port_can_be_listened_on_again_and_again() -> None:
+    """Guards against a router that cannot start again on its ports."""
+    reservations = PortReservations()
+    host, _, port = reservations.reserve().rpartition(":")
+    for _ in range(2):
+        listener = bind(host, int(port))
+        listener.listen()
+        socket.create_connection((host, int(port))).close()
+        listener.close()
+    reservations.close()
+
+
+def test_reserved_ports_are_handed_out_once() -> None:
+    reservations = PortReservations()
+    addresses = [reservations.reserve() for _ in range(200)]
+    others = [bind("127.0.0.1", 0) for _ in range(200)]
+    free = {f"127.0.0.1:{other.getsockname()[1]}" for other in others}
+    assert len(set(addresses)) == 200
+    assert free.isdisjoint(addresses)
+    for other in others:
+        other.close()
+    reservations.close()
--- /dev/null
+++ b/tests/standins/test_vms.py
@@ -0,0 +1,25 @@
+"""Stand-in for the VM list."""
+
+from typing import Any
+
+import pytest
+
+from lacewingspar_standins.vms import VmListService, VmsFaults
+
+LIST = {"vms": [{"name": "vm-1", "data_centre": "dc-1", "state": "leaving"}]}
+
+
+async def test_change_is_visible_only_after_the_lag(serve: Any) -> None:
+    async with serve(VmListService(VmsFaults(lag_ms=1e9))) as client:
+        await client.send("PUT", "/vms", LIST)
+        before = await client.get("/vms")
+        await client.inject(lag_ms=0)
+        assert (before, await client.get("/vms")) == ({"vms": []}, LIST)
+
+
+@pytest.mark.parametrize("state", ["LEAVING", "dead", None])
+async def test_unknown_state_is_refused(serve: Any, state: Any) -> None:
+    entry = {"name": "vm-1", "data_centre": "dc-1", "state": state}
+    async with serve(VmListService(VmsFaults())) as client:
+        answer = await client.send("PUT", "/vms", {"vms": [entry]})
+    assert answer.status_code == 400
