--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -90,7 +90,10 @@
         slot: Identity of the slot use that is offered.
         upstream_id: Upstream that has the free slot.
         workspace: Workspace whose request may use the slot.
-        model: Model of the demand entry that the offer answers.
+        model: Model of the demand entry that the offer answers, or "" for
+            any that the upstream serves.
+        is_forwarded: Whether an owner has passed the offer on to one of its
+            holders.
     """
 
     service: str
@@ -98,6 +101,7 @@
     upstream_id: str
     workspace: str
     model: str
+    is_forwarded: bool
 
 
 class OfferAccepted(PeerMessage, frozen=True, tag="accept"):
@@ -225,12 +229,6 @@
     entries: tuple[CounterEntry, ...]
 
 
-class CountersRequest(PeerMessage, frozen=True, tag="counters?"):
-    """Asks a peer for all service counters that it knows of one service."""
-
-    service: str
-
-
 class LogRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record of a log stream.
 
@@ -290,7 +288,6 @@
     | SlotReport
     | SlotReportRequest
     | Counters
-    | CountersRequest
     | LogRecordsRequest
     | LogRecords
     | Quarantine
--- a/packages/core/src/lacewingspar_core/ownership.py
+++ b/packages/core/src/lacewingspar_core/ownership.py
@@ -1,7 +1,8 @@
 """Assignment of upstream shards to routers by rendezvous hashing."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 import xxhash
 
@@ -44,5 +45,92 @@
     return ordered.index(router_id) if router_id in ordered else len(ordered)
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceOwnership:
+    """Who hands out the slots of one service.
+
+    Attributes:
+        owner_by_upstream: Router id by upstream id, over all data centres.
+        owners_by_data_centre: Router ids of the owners of the upstreams in
+            each data centre.
+    """
+
+    owner_by_upstream: Mapping[str, str]
+    owners_by_data_centre: Mapping[str, frozenset[str]]
+
+    @property
+    def owners(self) -> frozenset[str]:
+        """Return the router ids of all owners of the service."""
+        return frozenset(self.owner_by_upstream.values())
+
+    def demand_receivers(
+        self, service: str, data_centre: str
+    ) -> frozenset[str]:
+        """Return the owners that holders of a data centre tell their demand.
+
+        These are the owners of the data centre's own upstreams or, without
+        any, those of one other data centre.
+        """
+        local = self.owners_by_data_centre.get(data_centre)
+        if local:
+            return local
+        substitute = max(
+            self.owners_by_data_centre,
+            key=lambda other: _hash(f"{service}/{data_centre}/{other}"),
+            default=None,
+        )
+        if substitute is None:
+            return frozenset()
+        return self.owners_by_data_centre[substitute]
+
+
+def assign_owners(
+    service: str,
+    data_centre_by_upstream: Mapping[str, str],
+    data_centre_by_router: Mapping[str, str],
+) -> ServiceOwnership:
+    """Assign the upstreams of a service to the routers that serve.
+
+    An upstream belongs to a router of its own data centre. If no router of
+    that data centre serves, any other may own it, so that its capacity does
+    not idle while all entry VMs there are down.
+    """
+    upstreams_by_data_centre: dict[str, list[str]] = {}
+    for upstream_id, data_centre in data_centre_by_upstream.items():
+        upstreams_by_data_centre.setdefault(data_centre, []).append(upstream_id)
+    routers_by_data_centre: dict[str, list[str]] = {}
+    for router_id, data_centre in data_centre_by_router.items():
+        routers_by_data_centre.setdefault(data_centre, []).append(router_id)
+    owner_by_upstream: dict[str, str] = {}
+    owners_by_data_centre: dict[str, frozenset[str]] = {}
+    for data_centre, upstreams in upstreams_by_data_centre.items():
+        routers = routers_by_data_centre.get(data_centre)
+        owners = _assign_data_centre(
+            f"{service}/{data_centre}",
+            upstreams,
+            routers or list(data_centre_by_router),
+        )
+        owner_by_upstream.update(owners)
+        if owners:
+            owners_by_data_centre[data_centre] = frozenset(owners.values())
+    return ServiceOwnership(owner_by_upstream, owners_by_data_centre)
+
+
+def _assign_data_centre(
+    key: str, upstreams: Sequence[str], routers: Sequence[str]
+) -> dict[str, str]:
+    shards = shard_count(len(upstreams))
+    owner_by_shard = {
+        shard: owner
+        for shard in range(shards)
+        if (owner := owner_of(key, shard, routers)) is not None
+    }
+    return {
+        upstream_id: owner_by_shard[shard]
+        for upstream_id in upstreams
+        if (shard := shard_of(upstream_id, shards)) in owner_by_shard
+    }
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/peers/__init__.py
@@ -0,0 +1,30 @@
+"""Messages between routers over ZeroMQ, and membership."""
+
+from lacewingspar_core.membership import Membership, Seed
+from lacewingspar_core.messages import MemberRecord, RouterState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.peers.network import ZmqPeerNetwork
+
+
+async def async_setup(app: Application) -> None:
+    """Set up the peer sockets and start heartbeats."""
+    settings = app.settings
+    own = MemberRecord(
+        life=app.life,
+        data_centre=settings.data_centre,
+        address=f"tcp://{settings.peer_address}",
+        state=RouterState.STARTING,
+        heartbeat=0,
+        applied_offset=0,
+    )
+    seeds = [
+        Seed(peer.router_id, peer.data_centre, f"tcp://{peer.address}")
+        for peer in settings.peers
+    ]
+    network = ZmqPeerNetwork(app, Membership(own, seeds, app.random))
+    network.bind()
+    app.register(PEERS, network)
+    app.create_task(network.async_receive(), "peers receive")
+    app.create_task(network.async_beat(), "peers heartbeat")
+    app.on_unload("peers", network.async_unload)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -0,0 +1,233 @@
+"""Sockets between routers and the view of who is alive."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import msgspec
+import structlog
+import zmq
+import zmq.asyncio
+
+from lacewingspar_core.errors import MessageDecodeError
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.membership import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    Membership,
+)
+from lacewingspar_core.messages import (
+    AnyPeerMessage,
+    Heartbeat,
+    MemberRecord,
+    PeerMessage,
+    RouterState,
+    decode_message,
+    encode_message,
+)
+from lacewingspar_router.application import Application, LifeCycle
+from lacewingspar_router.components.peers import const
+from lacewingspar_router.components.peers.errors import PeerBindError
+from lacewingspar_router.components.peers.models import ReceivedMessage
+
+_LOGGER = structlog.get_logger(__name__)
+
+Handler = Callable[[ReceivedMessage], None]
+
+_STATE_BY_LIFE_CYCLE = {
+    LifeCycle.STARTING: RouterState.STARTING,
+    LifeCycle.SERVING: RouterState.SERVING,
+    LifeCycle.DRAINING: RouterState.DRAINING,
+    LifeCycle.STOPPED: RouterState.DRAINING,
+}
+
+
+class _Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """First frame of a message: who sends it."""
+
+    sender: RouterLife
+    data_centre: str
+
+
+class ZmqPeerNetwork:
+    """Peer network over one PULL socket and one PUSH socket for each peer.
+
+    Args:
+        app: The application.
+        membership: Member table of this router.
+    """
+
+    def __init__(self, app: Application, membership: Membership) -> None:
+        self._app = app
+        self._membership = membership
+        self._context = zmq.Context()
+        self._receiver: zmq.asyncio.Socket | None = None
+        self._socket_by_address: dict[str, zmq.Socket[bytes]] = {}
+        self._handlers_by_type: dict[type[PeerMessage], list[Handler]] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._alive_by_router_id: dict[str, MemberRecord] = {}
+        self._announced: dict[str, tuple[RouterLife, RouterState]] = {}
+        self._envelope = msgspec.msgpack.encode(
+            _Envelope(app.life, app.settings.data_centre)
+        )
+        self._envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.sent_bytes_by_type: dict[str, int] = {}
+        self._read_applied_offset: Callable[[], int] = lambda: 0
+        self._refresh_alive()
+
+    def bind(self) -> None:
+        """Open the socket on which other routers reach this one.
+
+        Raises:
+            PeerBindError: The address is in use or not available.
+        """
+        receiver = zmq.asyncio.Context.shadow(self._context).socket(zmq.PULL)
+        self._set_options(receiver)
+        address = f"tcp://{self._app.settings.peer_address}"
+        try:
+            receiver.bind(address)
+        except zmq.ZMQError as error:
+            raise PeerBindError(f"cannot bind {address}: {error}") from error
+        self._receiver = receiver
+
+    def set_applied_offset_source(self, read: Callable[[], int]) -> None:
+        """Set the function that gives the applied configuration offset."""
+        self._read_applied_offset = read
+
+    def send(self, router_id: str, message: AnyPeerMessage) -> None:
+        """Send a message; it may be lost, repeated or reordered."""
+        if router_id == self._app.life.router_id:
+            self._deliver_to_self(message)
+            return
+        address = self._membership.address_of(router_id)
+        if address is None:
+            return
+        data = encode_message(message)
+        try:
+            self._socket(address).send_multipart(
+                (self._envelope, data), flags=zmq.NOBLOCK
+            )
+        except zmq.ZMQError:
+            _LOGGER.debug("peer message dropped", router_id=router_id)
+            return
+        size = len(self._envelope) + len(data)
+        self.sent_bytes += size
+        name = type(message).__name__
+        known = self.sent_bytes_by_type.get(name, 0)
+        self.sent_bytes_by_type[name] = known + size
+
+    def subscribe(
+        self, message_type: type[PeerMessage], handler: Handler
+    ) -> None:
+        """Call a function for every received message of a type."""
+        self._handlers_by_type.setdefault(message_type, []).append(handler)
+
+    @property
+    def alive_by_router_id(self) -> Mapping[str, MemberRecord]:
+        """Return the routers that are alive, this one included."""
+        return self._alive_by_router_id
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after every change of who is alive."""
+        self._listeners.append(listener)
+
+    async def async_receive(self) -> None:
+        """Receive messages until cancelled."""
+        assert self._receiver is not None
+        while True:
+            frames = await self._receiver.recv_multipart()
+            self._receive(frames)
+
+    async def async_beat(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.beat()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+
+    def beat(self) -> None:
+        """Send one heartbeat and update who is alive."""
+        self._membership.set_own(
+            _STATE_BY_LIFE_CYCLE[self._app.life_cycle],
+            self._read_applied_offset(),
+        )
+        heartbeat, receivers = self._membership.beat(self._app.now())
+        for router_id in receivers:
+            self.send(router_id, heartbeat)
+        self._refresh_alive()
+
+    async def async_unload(self) -> None:
+        """Close all sockets."""
+        for socket in self._socket_by_address.values():
+            socket.close(linger=0)
+        if self._receiver is not None:
+            self._receiver.close(linger=0)
+        self._context.term()
+
+    def _receive(self, frames: list[bytes]) -> None:
+        try:
+            envelope_data, data = frames
+            envelope = self._envelope_decoder.decode(envelope_data)
+            message = decode_message(data)
+        except (ValueError, msgspec.MsgspecError, MessageDecodeError) as error:
+            _LOGGER.warning("invalid peer message", error=str(error))
+            return
+        self.received_bytes += len(envelope_data) + len(data)
+        if isinstance(message, Heartbeat):
+            self._membership.merge(message, self._app.now())
+            self._refresh_alive()
+        received = ReceivedMessage(
+            envelope.sender, envelope.data_centre, message
+        )
+        self._deliver(received)
+
+    def _deliver(self, received: ReceivedMessage) -> None:
+        for handler in self._handlers_by_type.get(type(received.message), ()):
+            handler(received)
+
+    def _deliver_to_self(self, message: AnyPeerMessage) -> None:
+        received = ReceivedMessage(
+            self._app.life, self._app.settings.data_centre, message
+        )
+        asyncio.get_running_loop().call_soon(self._deliver, received)
+
+    def _refresh_alive(self) -> None:
+        self._alive_by_router_id = self._membership.alive(self._app.now())
+        announced = {
+            router_id: (record.life, record.state)
+            for router_id, record in self._alive_by_router_id.items()
+        }
+        if announced == self._announced:
+            return
+        self._announced = announced
+        for listener in self._listeners:
+            listener()
+
+    def _socket(self, address: str) -> "zmq.Socket[bytes]":
+        socket = self._socket_by_address.get(address)
+        if socket is None:
+            socket = self._context.socket(zmq.PUSH)
+            self._set_options(socket)
+            host_port = address.removeprefix("tcp://")
+            mapped = self._app.settings.address_map.get(host_port, host_port)
+            socket.connect(f"tcp://{mapped}")
+            self._socket_by_address[address] = socket
+        return socket
+
+    def _set_options(
+        self, socket: "zmq.Socket[bytes] | zmq.asyncio.Socket"
+    ) -> None:
+        options = {
+            zmq.LINGER: 0,
+            zmq.SNDHWM: const.SEND_QUEUE_MESSAGES,
+            zmq.HEARTBEAT_IVL: _ms(const.PING_INTERVAL_SECONDS),
+            zmq.HEARTBEAT_TIMEOUT: _ms(const.PING_TIMEOUT_SECONDS),
+            zmq.RECONNECT_IVL: _ms(const.RECONNECT_INTERVAL_SECONDS),
+            zmq.RECONNECT_IVL_MAX: _ms(const.RECONNECT_MAX_INTERVAL_SECONDS),
+            zmq.MAXMSGSIZE: const.LARGEST_MESSAGE_BYTES,
+        }
+        for option, value in options.items():
+            socket.setsockopt(option, value)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/scheduler/__init__.py
@@ -0,0 +1,19 @@
+"""Fair hand-out of slots over the whole fleet."""
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.configuration.models import CONFIGURATION
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.scheduler.models import SCHEDULER
+from lacewingspar_router.components.scheduler.scheduler import FleetScheduler
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+
+
+async def async_setup(app: Application) -> None:
+    """Set up the scheduler and start its periodic work."""
+    scheduler = FleetScheduler(
+        app, app.get(PEERS), app.get(CONFIGURATION), app.get(UPSTREAMS)
+    )
+    app.register(SCHEDULER, scheduler)
+    scheduler.reconfigure()
+    app.create_task(scheduler.async_tick(), "scheduler tick")
+    app.on_drain("scheduler", scheduler.async_drain)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -0,0 +1,331 @@
+"""The scheduler: holder and owner roles of all services at this router."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from lacewingspar_core.dispatch import SlotOwner
+from lacewingspar_core.documents import ServiceDocument
+from lacewingspar_core.events import (
+    MessageReceived,
+    OwnerEvent,
+    RouterGone,
+    Send,
+    TimePassed,
+    UpstreamsChanged,
+)
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import (
+    AnyPeerMessage,
+    Counters,
+    Demand,
+    Offer,
+    OfferAccepted,
+    OfferDeclined,
+    PeerMessage,
+    RouterState,
+    SlotOutcome,
+    SlotReleased,
+    SlotReport,
+    SlotReportRequest,
+)
+from lacewingspar_core.ownership import ServiceOwnership, assign_owners
+from lacewingspar_core.slots import OwnedUpstream
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.configuration.models import (
+    ConfigurationStore,
+)
+from lacewingspar_router.components.peers.models import (
+    PeerNetwork,
+    ReceivedMessage,
+)
+from lacewingspar_router.components.scheduler import const
+from lacewingspar_router.components.scheduler.holder import Holder
+from lacewingspar_router.components.scheduler.models import (
+    SlotGrant,
+    SlotRequest,
+)
+from lacewingspar_router.components.upstreams.models import UpstreamPool
+from lacewingspar_router.errors import RequestRefusedError
+
+_OWNER_MESSAGES: tuple[type[PeerMessage], ...] = (
+    Demand,
+    OfferAccepted,
+    OfferDeclined,
+    SlotReleased,
+    SlotReport,
+    Counters,
+)
+_STATES_WITH_NEW_WORK = frozenset({"unknown", "healthy"})
+
+
+class FleetScheduler:
+    """Gives slots to requests by the fleet's protocol.
+
+    Args:
+        app: The application.
+        peers: Messages to other routers.
+        configuration: Service documents in force.
+        upstreams: Status of the upstreams.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        peers: PeerNetwork,
+        configuration: ConfigurationStore,
+        upstreams: UpstreamPool,
+    ) -> None:
+        self._app = app
+        self._peers = peers
+        self._configuration = configuration
+        self._upstreams = upstreams
+        self._holder_by_service: dict[str, Holder] = {}
+        self._owner_by_service: dict[str, SlotOwner] = {}
+        self._ownership_by_service: dict[str, ServiceOwnership] = {}
+        self._document_by_service: dict[str, ServiceDocument] = {}
+        self._known_lives: dict[str, RouterLife] = {}
+        for message_type in _OWNER_MESSAGES:
+            peers.subscribe(message_type, self._receive_as_owner)
+        peers.subscribe(Offer, self._receive_offer)
+        peers.subscribe(SlotReportRequest, self._receive_report_request)
+        peers.add_listener(self._routers_changed)
+        configuration.add_listener(self.reconfigure)
+        upstreams.add_listener(self._upstreams_changed)
+
+    async def async_acquire(self, request: SlotRequest) -> SlotGrant:
+        """Wait for a slot; cancelling the call withdraws the request.
+
+        Raises:
+            RequestRefusedError: The request is refused; it was not sent.
+        """
+        document = self._document_by_service.get(request.service)
+        if document is None:
+            raise RequestRefusedError(
+                404,
+                "unknown_service",
+                f"service {request.service!r} does not exist",
+            )
+        return await self._holder_by_service[request.service].async_acquire(
+            request, default_class=document.request_classes[0].name
+        )
+
+    def release(
+        self, grant: SlotGrant, outcome: SlotOutcome, tokens: int = 0
+    ) -> None:
+        """Give a slot back."""
+        self._holder_by_service[grant.service].release(grant, outcome, tokens)
+
+    def reconfigure(self) -> None:
+        """Take over documents, routers and upstream states."""
+        documents = self._configuration.documents_by_service
+        for service in self._document_by_service.keys() - documents.keys():
+            self._holder_by_service[service].refuse_all()
+        self._document_by_service = dict(documents)
+        for service, document in documents.items():
+            self._reconfigure_service(service, document)
+
+    async def async_tick(self) -> None:
+        """Check deadlines and leases and send reports until cancelled."""
+        ticks = 0
+        while True:
+            await asyncio.sleep(const.TICK_SECONDS)
+            ticks += 1
+            self.tick(ticks)
+
+    def tick(self, ticks: int) -> None:
+        """Do the periodic work of one tick."""
+        for holder in self._holder_by_service.values():
+            holder.refuse_expired()
+            if ticks % const.TICKS_PER_REPORT == 0:
+                holder.send_full_demand()
+                holder.send_reports()
+        for service in self._owner_by_service:
+            self._handle(service, TimePassed())
+            if ticks % const.TICKS_PER_COUNTERS == 0:
+                is_full = ticks % const.TICKS_PER_FULL_COUNTERS == 0
+                self._publish_counters(service, full=is_full)
+
+    async def async_drain(self) -> None:
+        """Wait until no request waits for a slot or uses one."""
+        while self._is_busy():  # noqa: ASYNC110
+            await asyncio.sleep(const.TICK_SECONDS)
+        for service in self._owner_by_service:
+            self._publish_counters(service, full=True)
+
+    def status_snapshot(self) -> dict[str, Any]:
+        """Return slots and backlog as JSON values, for operators."""
+        return {
+            service: {
+                "owner_by_upstream": dict(
+                    self._ownership_by_service[service].owner_by_upstream
+                ),
+                "slots_in_use_here": holder.active_slots,
+                "waiting_here": holder.waiting_by_workspace,
+                "owned_uses": self._owned_uses(service),
+            }
+            for service, holder in self._holder_by_service.items()
+        }
+
+    def accounts_snapshot(self) -> dict[str, Any]:
+        """Return the slot time granted by this life, as JSON values."""
+        return {
+            service: owner.ledger.own_served_by_workspace()
+            for service, owner in self._owner_by_service.items()
+        }
+
+    def _is_busy(self) -> bool:
+        return any(
+            holder.active_slots or holder.waiting_by_workspace
+            for holder in self._holder_by_service.values()
+        )
+
+    def _owned_uses(self, service: str) -> Mapping[str, int]:
+        owner = self._owner_by_service.get(service)
+        return owner.uses_by_upstream if owner else {}
+
+    def _reconfigure_service(
+        self, service: str, document: ServiceDocument
+    ) -> None:
+        holder = self._holder_by_service.get(service)
+        if holder is None:
+            holder = Holder(self._app, service, self._peers.send)
+            self._holder_by_service[service] = holder
+        ownership = assign_owners(
+            service,
+            {item.id: item.data_centre for item in document.upstreams},
+            self._serving_routers(),
+        )
+        is_changed = ownership != self._ownership_by_service.get(service)
+        self._ownership_by_service[service] = ownership
+        self._update_owner(service, document, ownership)
+        holder.configure(document, ownership)
+        if is_changed:
+            self._publish_counters(service, full=True)
+
+    def _update_owner(
+        self,
+        service: str,
+        document: ServiceDocument,
+        ownership: ServiceOwnership,
+    ) -> None:
+        own_id = self._app.life.router_id
+        upstream_by_id = {
+            item.id: self._owned_upstream(service, item.id, item)
+            for item in document.upstreams
+            if ownership.owner_by_upstream.get(item.id) == own_id
+        }
+        if service not in self._owner_by_service:
+            if not upstream_by_id:
+                return
+            self._owner_by_service[service] = SlotOwner(
+                service, self._app.life, self._app.settings.data_centre
+            )
+        event = UpstreamsChanged(
+            upstream_by_id=upstream_by_id,
+            weight_by_workspace={
+                item.name: item.weight for item in document.workspaces
+            },
+            routers=frozenset(self._known_lives.values()),
+        )
+        self._handle(service, event)
+
+    def _owned_upstream(
+        self, service: str, upstream_id: str, item: Any
+    ) -> OwnedUpstream:
+        status = self._upstreams.status_by_upstream.get((service, upstream_id))
+        return OwnedUpstream(
+            upstream_id=upstream_id,
+            slots=min(item.slots, status.slots) if status else item.slots,
+            models=frozenset(item.models),
+            accepts_work=(
+                status is None or status.state in _STATES_WITH_NEW_WORK
+            ),
+        )
+
+    def _serving_routers(self) -> dict[str, str]:
+        return {
+            router_id: record.data_centre
+            for router_id, record in self._peers.alive_by_router_id.items()
+            if record.state is RouterState.SERVING
+        }
+
+    def _routers_changed(self) -> None:
+        alive = {
+            router_id: record.life
+            for router_id, record in self._peers.alive_by_router_id.items()
+        }
+        gone = [
+            life
+            for router_id, life in self._known_lives.items()
+            if alive.get(router_id) != life
+        ]
+        self._known_lives = alive
+        for life in gone:
+            for service in self._owner_by_service:
+                self._handle(service, RouterGone(life))
+        self.reconfigure()
+
+    def _upstreams_changed(self) -> None:
+        for service, document in self._document_by_service.items():
+            ownership = self._ownership_by_service[service]
+            self._update_owner(service, document, ownership)
+
+    def _publish_counters(self, service: str, *, full: bool) -> None:
+        owner = self._owner_by_service.get(service)
+        if owner is None:
+            return
+        counters = owner.publish(self._app.now(), full=full)
+        if counters is None:
+            return
+        own_id = self._app.life.router_id
+        for router_id in self._ownership_by_service[service].owners - {own_id}:
+            self._peers.send(router_id, counters)
+
+    def _receive_as_owner(self, received: ReceivedMessage) -> None:
+        service: str = received.message.service  # type: ignore[union-attr]
+        if service in self._owner_by_service:
+            event = MessageReceived(received.sender, received.message)
+            self._handle(service, event)
+
+    def _receive_offer(self, received: ReceivedMessage) -> None:
+        offer = received.message
+        assert isinstance(offer, Offer)
+        holder = self._holder_by_service.get(offer.service)
+        if holder is not None and holder.take_offer(offer):
+            return
+        owner = self._owner_by_service.get(offer.service)
+        is_own = offer.slot.owner == self._app.life
+        if owner is None or offer.is_forwarded or is_own or holder is None:
+            self._decline(received, offer)
+            return
+        self._handle(offer.service, MessageReceived(received.sender, offer))
+
+    def _decline(self, received: ReceivedMessage, offer: Offer) -> None:
+        holder = self._holder_by_service.get(offer.service)
+        if holder is not None:
+            holder.decline(offer)
+            return
+        declined = OfferDeclined(
+            offer.service, offer.slot, offer.workspace, offer.model
+        )
+        self._peers.send(received.sender.router_id, declined)
+
+    def _receive_report_request(self, received: ReceivedMessage) -> None:
+        request = received.message
+        assert isinstance(request, SlotReportRequest)
+        holder = self._holder_by_service.get(request.service)
+        if holder is None:
+            report = SlotReport(request.service, ())
+            self._peers.send(received.sender.router_id, report)
+            return
+        holder.send_report_to(received.sender.router_id)
+
+    def _handle(self, service: str, event: OwnerEvent) -> None:
+        owner = self._owner_by_service[service]
+        for action in owner.handle(event, self._app.now()):
+            self._perform(action)
+
+    def _perform(self, action: Send) -> None:
+        message: AnyPeerMessage = action.message
+        self._peers.send(action.receiver.router_id, message)
