--- a/packages/core/src/lacewingspar_core/errors.py
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -11,3 +11,7 @@
 
 class ChartError(CoreError):
     """A state chart file is inconsistent."""
+
+
+class RecordGapError(CoreError):
+    """Records of a log stream are missing before the one to apply."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/configuration/__init__.py
@@ -0,0 +1,28 @@
+"""Service documents in force at this router."""
+
+from lacewingspar_core.messages import LogRecords, LogRecordsRequest
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.configuration.models import CONFIGURATION
+from lacewingspar_router.components.configuration.store import (
+    LogConfigurationStore,
+)
+from lacewingspar_router.components.peers.models import PEERS
+
+
+async def async_setup(app: Application) -> None:
+    """Start to follow the configuration; it is ready some time later."""
+    store = LogConfigurationStore(app)
+    peers = app.get(PEERS)
+    peers.subscribe(LogRecords, store.handle_records)
+    peers.subscribe(LogRecordsRequest, store.handle_request)
+    tasks = (
+        app.create_task(store.async_read_log(), "configuration reader"),
+        app.create_task(store.async_exchange(), "configuration exchange"),
+    )
+    app.register(CONFIGURATION, store)
+
+    async def async_unload() -> None:
+        for task in tasks:
+            task.cancel()
+
+    app.on_unload("configuration", async_unload)
--- /dev/null
+++ b/tests/router/components/test_configuration.py
@@ -0,0 +1,167 @@
+"""Configuration that follows the log and peers."""
+
+import asyncio
+from typing import Any
+
+import httpx
+import pytest
+
+from lacewingspar_core.messages import LogRecords
+from lacewingspar_router.components.configuration import async_setup, store
+from lacewingspar_router.components.configuration.errors import (
+    InvalidDocumentError,
+)
+from lacewingspar_router.components.configuration.models import (
+    CONFIGURATION,
+    PublishAccepted,
+    PublishConflict,
+    PublishUnknown,
+)
+from lacewingspar_router.components.peers.models import PEERS
+
+
+def document(slots: int = 4) -> dict[str, Any]:
+    upstream = {
+        "id": "u1",
+        "data_centre": "dc1",
+        "address": "http://10.0.0.1:80",
+        "slots": slots,
+        "vm": None,
+    }
+    return {
+        "service": "chat",
+        "kind": "plain",
+        "upstreams": [upstream],
+        "workspaces": [],
+    }
+
+
+def publish(app, edit_id: str, base: int, value: dict[str, Any]) -> Any:
+    return app.get(CONFIGURATION).async_publish(
+        edit_id=edit_id,
+        service="chat",
+        base_version=base,
+        document=value,
+        author="ann",
+    )
+
+
+@pytest.fixture(autouse=True)
+def short_periods(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(store, "READ_RETRY_SECONDS", 0.005)
+    monkeypatch.setattr(store, "PEER_EXCHANGE_SECONDS", 0.005)
+
+
+async def started(app):
+    await async_setup(app)
+    return app.get(CONFIGURATION)
+
+
+async def test_publish_is_in_force_and_idempotent(make_app, until) -> None:
+    app = make_app()
+    configuration = await started(app)
+    await until(lambda: configuration.is_ready)
+    calls: list[int] = []
+    configuration.add_listener(lambda: calls.append(1))
+    assert await publish(app, "e1", 0, document()) == PublishAccepted(1)
+    assert configuration.documents_by_service["chat"].upstreams[0].slots == 4
+    assert calls == [1]
+    second = await publish(app, "e2", 1, document(5))
+    assert second == PublishAccepted(2)
+    assert await publish(app, "e1", 0, document()) == PublishAccepted(1)
+    assert await publish(app, "e3", 1, document(6)) == PublishConflict(
+        2, "e2", "ann"
+    )
+
+
+async def test_racing_edits_of_two_routers(make_app, until) -> None:
+    """Guards against two edits accepted on one base version."""
+    apps = [make_app("r1"), make_app("r2")]
+    for app in apps:
+        configuration = await started(app)
+        await until(lambda c=configuration: c.is_ready)
+    results = await asyncio.gather(
+        *(publish(app, app.life.router_id, 0, document()) for app in apps)
+    )
+    assert sorted(type(r).__name__ for r in results) == [
+        "PublishAccepted",
+        "PublishConflict",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("is_written", "fault", "expected"),
+    [
+        (True, httpx.ReadTimeout("lost"), PublishAccepted(1)),
+        (False, httpx.ReadTimeout("lost"), PublishUnknown("e1")),
+        (False, 503, PublishUnknown("e1")),
+    ],
+)
+async def test_lost_append_reply(
+    make_app, until, fake_log, monkeypatch, is_written, fault, expected
+) -> None:
+    """Guards against an edit that is reported lost though it is in force."""
+    app = make_app()
+    configuration = await started(app)
+    await until(lambda: configuration.is_ready)
+    if not is_written:
+        monkeypatch.setattr(store, "PUBLISH_TIMEOUT_SECONDS", 0.05)
+    fake_log.append_fault, fake_log.is_written = fault, is_written
+    assert await publish(app, "e1", 0, document()) == expected
+
+
+async def test_invalid_document_is_refused(make_app, fake_log) -> None:
+    app = make_app()
+    await started(app)
+    with pytest.raises(InvalidDocumentError):
+        await publish(app, "e1", 0, document(slots=0))
+    with pytest.raises(InvalidDocumentError):
+        await publish(app, "e1", 0, {**document(), "service": "other"})
+    assert not fake_log.records_by_stream.get("configuration")
+
+
+async def test_new_router_starts_from_a_peer(make_app, until, fake_log) -> None:
+    """Guards against a router that stays unready while the log is down."""
+    first = make_app("r1")
+    configuration = await started(first)
+    await until(lambda: configuration.is_ready)
+    await publish(first, "e1", 0, document())
+    fake_log.is_down = True
+    second = await started(make_app("r2"))
+    await until(lambda: second.is_ready)
+    assert second.version_by_service == {"chat": 1}
+
+
+async def test_records_are_passed_on_to_a_peer_behind(make_app, until) -> None:
+    """Guards against a router that keeps an old configuration unnoticed."""
+    first, second = make_app("r1"), make_app("r2")
+    configuration = await started(first)
+    await until(lambda: configuration.is_ready)
+    await publish(first, "e1", 0, document())
+    await publish(first, "e2", 1, document(5))
+    peers: Any = first.get(PEERS)
+    peers.offset_by_router_id = {"r1": 2, second.life.router_id: 1}
+
+    def passed_on() -> list[Any]:
+        return [m for _, m in peers.sent if isinstance(m, LogRecords)]
+
+    await until(passed_on)
+    assert [record.offset for record in passed_on()[0].records] == [1]
+
+
+async def test_snapshot_replaces_expired_records(
+    make_app, until, fake_log
+) -> None:
+    """Guards against a configuration that is lost with its old records."""
+    first = make_app("r1")
+    configuration = await started(first)
+    await until(lambda: configuration.is_ready)
+    fake_log.now_ms -= fake_log.retention_ms // 2
+    await publish(first, "e1", 0, document())
+    fake_log.now_ms += fake_log.retention_ms // 2
+    records = fake_log.records_by_stream["configuration"]
+    await until(lambda: len(records) > 1)
+    fake_log.first_retained = 1
+    second = await started(make_app("r2"))
+    await until(lambda: second.is_ready)
+    assert second.version_by_service == {"chat": 1}
