--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/claims/registry.py
@@ -0,0 +1,316 @@
+"""Claims of non-idempotent calls in the claim stream."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from lacewingspar_core.claims import (
+    OUTCOME_BODY_BYTES,
+    SEND_LIMIT_SECONDS,
+    WINDOW_FRACTION,
+    Claim,
+    ClaimEntry,
+    ClaimRecord,
+    ClaimState,
+    Outcome,
+    OwnClaim,
+    Release,
+    apply_claim_record,
+    claim_key,
+    decode_record,
+    encode_record,
+    is_key_expired,
+    may_send,
+)
+from lacewingspar_core.messages import LogRecord
+from lacewingspar_core.platform import STREAM_CLAIMS
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.claims.const import (
+    CLAIM_TIMEOUT_SECONDS,
+    FLUSH_TIMEOUT_SECONDS,
+    LONG_POLL_SECONDS,
+    METRIC_CLAIM_ENTRIES,
+    METRIC_CLAIMS,
+    RELEASE_TIMEOUT_SECONDS,
+    RETRY_SECONDS,
+)
+from lacewingspar_router.components.claims.models import (
+    ClaimAnswered,
+    ClaimDecision,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimKeyExpired,
+    ClaimKeyReused,
+    ClaimUnavailable,
+    ClaimUnknown,
+)
+from lacewingspar_router.components.log_service.errors import (
+    LogAppendUnknownError,
+    LogServiceError,
+    LogUnavailableError,
+)
+from lacewingspar_router.components.log_service.models import (
+    LOG_SERVICE,
+    LogPage,
+)
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingClaim:
+    """A claim that has not been read back.
+
+    Attributes:
+        appended_at: Time before the append, in seconds of the application's
+            clock.
+        decision: Set when the claim is read back or certainly not written.
+    """
+
+    appended_at: float
+    decision: asyncio.Future[ClaimDecision]
+
+
+class LogClaimRegistry:
+    """Claims that are decided by the order of the claim stream.
+
+    Args:
+        app: Application with the log service and the peers.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._log = app.get(LOG_SERVICE)
+        self._peers = app.get(PEERS)
+        self._telemetry = app.get(TELEMETRY)
+        self._state = ClaimState(window_ms=0)
+        self._is_current = False
+        self._sequence = 0
+        self._waiting_by_sequence: dict[int, _WaitingClaim] = {}
+        self._unsent_by_offset: dict[int, OwnClaim] = {}
+        self._changed = asyncio.Event()
+        self._writers: set[asyncio.Task[None]] = set()
+
+    async def async_claim(
+        self, *, service: str, workspace: str, key: str, digest: bytes
+    ) -> ClaimDecision:
+        """Claim a key for one call."""
+        scoped_key = claim_key(service, workspace, key)
+        decision = self._decide_without_claim(scoped_key, key, digest)
+        if decision is None:
+            decision = await self._async_append_claim(scoped_key, digest)
+        self._telemetry.count(METRIC_CLAIMS, result=type(decision).__name__)
+        return decision
+
+    def may_send(self, claim: ClaimGranted) -> bool:
+        """Return whether the claim's time has not run out, and use it up."""
+        own = self._unsent_by_offset.pop(claim.claim_offset, None)
+        return own is not None and may_send(self._state, own, self._app.now())
+
+    async def async_release(self, claim: ClaimGranted) -> bool:
+        """Give a claim up before sending.
+
+        A claim that `may_send` has allowed to be sent is not released.
+        """
+        offset = claim.claim_offset
+        if self._unsent_by_offset.pop(offset, None) is None:
+            return False
+        writer = self._write_release(offset)
+        done, _ = await asyncio.wait({writer}, timeout=RELEASE_TIMEOUT_SECONDS)
+        return bool(done) and self._state.entry_at(offset) is None
+
+    def record_outcome(
+        self, claim: ClaimGranted, answer: ClaimAnswered
+    ) -> None:
+        """Record the first answer for later attempts, in the background."""
+        offset = claim.claim_offset
+        body = answer.body
+        if body is not None and len(body) > OUTCOME_BODY_BYTES:
+            body = None
+        self._write(
+            Outcome(offset, answer.status, answer.content_type, body),
+            lambda: (
+                (entry := self._state.entry_at(offset)) is None
+                or entry.outcome is not None
+            ),
+        )
+
+    async def async_read_log(self) -> None:
+        """Follow the stream for ever."""
+        while True:
+            # The first read asks only where the stream ends.
+            wait_seconds = LONG_POLL_SECONDS if self._is_current else 0.0
+            try:
+                page = await self._log.async_read(
+                    STREAM_CLAIMS,
+                    self._state.next_offset,
+                    wait_seconds=wait_seconds,
+                )
+            except LogUnavailableError as error:
+                if self._is_current:
+                    _LOGGER.warning("claims unreadable", error=str(error))
+                self._is_current = False
+                await asyncio.sleep(RETRY_SECONDS)
+            else:
+                self._add_page(page)
+
+    async def async_unload(self) -> None:
+        """Wait for outcomes and releases that are not written yet."""
+        if self._writers:
+            await asyncio.wait(self._writers, timeout=FLUSH_TIMEOUT_SECONDS)
+        if self._writers:
+            _LOGGER.warning("claims not settled", count=len(self._writers))
+
+    def _decide_without_claim(
+        self, scoped_key: bytes, key: str, digest: bytes
+    ) -> ClaimDecision | None:
+        """Return the decision on a key that needs no claim of its own."""
+        entry = self._state.entry_of(scoped_key)
+        if entry is not None:
+            return self._answer(entry, digest)
+        # The log's time counts too, in case this router's clock is behind.
+        now_ms = max(int(time.time() * 1000), self._state.newest_ms)
+        if not self._is_current:
+            return ClaimUnavailable()
+        if is_key_expired(key, now_ms, self._state.window_ms):
+            return ClaimKeyExpired()
+        return None
+
+    def _answer(self, entry: ClaimEntry, digest: bytes) -> ClaimDecision:
+        """Return the decision on another attempt of a claimed key."""
+        if entry.claim.digest != digest:
+            return ClaimKeyReused()
+        outcome = entry.outcome
+        if outcome is not None:
+            return ClaimAnswered(
+                outcome.status, outcome.content_type, outcome.body
+            )
+        life = entry.claim.life
+        member = self._peers.alive_by_router_id.get(life.router_id)
+        if life == self._app.life or (member and member.life == life):
+            return ClaimInProgress()
+        return ClaimUnknown()
+
+    async def _async_append_claim(
+        self, scoped_key: bytes, digest: bytes
+    ) -> ClaimDecision:
+        self._sequence += 1
+        sequence = self._sequence
+        future = asyncio.get_running_loop().create_future()
+        self._waiting_by_sequence[sequence] = _WaitingClaim(
+            self._app.now(), future
+        )
+        claim = Claim(scoped_key, digest, self._app.life, sequence)
+        self._app.create_task(
+            self._async_send_claim(claim, future), "append claim"
+        )
+        is_answered = False
+        try:
+            await asyncio.wait({future}, timeout=CLAIM_TIMEOUT_SECONDS)
+            is_answered = True
+        finally:
+            # From here on the reader releases the claim when it appears.
+            self._waiting_by_sequence.pop(sequence, None)
+            if not is_answered and future.done():
+                self._release_granted(future.result())
+        return future.result() if future.done() else ClaimUnavailable()
+
+    async def _async_send_claim(
+        self, claim: Claim, decision: asyncio.Future[ClaimDecision]
+    ) -> None:
+        try:
+            await self._log.async_append(STREAM_CLAIMS, [encode_record(claim)])
+        except LogUnavailableError:
+            if not decision.done():
+                decision.set_result(ClaimUnavailable())
+        except LogAppendUnknownError as error:
+            _LOGGER.warning("claim reply lost", error=str(error))
+
+    def _add_page(self, page: LogPage) -> None:
+        state = self._state
+        state.window_ms = int(page.retention_seconds * 1000 * WINDOW_FRACTION)
+        state.skip_to(page.first_retained)
+        for record in page.records:
+            self._apply(record)
+        self._is_current = state.next_offset >= page.next_offset
+        self._telemetry.gauge(METRIC_CLAIM_ENTRIES, len(state))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _apply(self, stored: LogRecord) -> None:
+        record = decode_record(stored.data)
+        if stored.offset < self._state.next_offset:
+            return
+        apply_claim_record(self._state, stored.offset, stored.time_ms, record)
+        if isinstance(record, Claim) and record.life == self._app.life:
+            self._settle_own_claim(stored.offset, record)
+
+    def _settle_own_claim(self, offset: int, claim: Claim) -> None:
+        """Decide on a claim of this router that has been read back."""
+        entry = self._state.entry_at(offset)
+        waiting = self._waiting_by_sequence.pop(claim.sequence, None)
+        is_wanted = waiting is not None and not waiting.decision.done()
+        if entry is None or not entry.has_won or not is_wanted:
+            self._write_release(offset)
+        if waiting is None or not is_wanted or entry is None:
+            return
+        if entry.has_won:
+            own = OwnClaim(self._app.life, offset, waiting.appended_at)
+            self._unsent_by_offset[offset] = own
+            send_before = waiting.appended_at + SEND_LIMIT_SECONDS
+            waiting.decision.set_result(ClaimGranted(offset, send_before))
+            return
+        holder = self._state.entry_of(claim.key) or entry
+        waiting.decision.set_result(self._answer(holder, claim.digest))
+
+    def _release_granted(self, decision: ClaimDecision) -> None:
+        """Release a claim that was granted to a caller who has gone."""
+        if not isinstance(decision, ClaimGranted):
+            return
+        if self._unsent_by_offset.pop(decision.claim_offset, None):
+            self._write_release(decision.claim_offset)
+
+    def _write_release(self, offset: int) -> asyncio.Task[None]:
+        return self._write(
+            Release(offset), lambda: self._state.entry_at(offset) is None
+        )
+
+    def _write(
+        self, record: ClaimRecord, is_settled: Callable[[], bool]
+    ) -> asyncio.Task[None]:
+        task = self._app.create_task(
+            self._async_write(encode_record(record), is_settled),
+            "settle claim",
+        )
+        self._writers.add(task)
+        task.add_done_callback(self._writers.discard)
+        return task
+
+    async def _async_write(
+        self, record: bytes, is_settled: Callable[[], bool]
+    ) -> None:
+        """Append a record until its effect is read back.
+
+        Only the first of several equal releases or outcomes has an effect.
+        """
+        while not is_settled():
+            try:
+                await self._log.async_append(STREAM_CLAIMS, [record])
+            except LogServiceError as error:
+                _LOGGER.warning("claim not settled yet", error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            deadline = self._app.now() + LONG_POLL_SECONDS
+            while not is_settled() and self._app.now() < deadline:
+                await self._async_wait_for_page()
+
+    async def _async_wait_for_page(self) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), LONG_POLL_SECONDS)
+        except TimeoutError:
+            return
