--- a/packages/router/src/lacewingspar_router/components/caller_api/errors.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/errors.py
@@ -1,1 +1,7 @@
-"""Errors of the caller api component."""
+"""Errors of the caller API component."""
+
+from lacewingspar_router.errors import RouterError
+
+
+class CallerGoneError(RouterError):
+    """The caller closed the connection before its request was complete."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/exchange.py
@@ -0,0 +1,170 @@
+"""One HTTP exchange with a caller."""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from lacewingspar_router.components.caller_api.const import (
+    BODY_IDLE_SECONDS,
+)
+from lacewingspar_router.components.caller_api.errors import CallerGoneError
+from lacewingspar_router.errors import RequestRefusedError, RunState
+from lacewingspar_router.http_headers import (
+    REQUEST_ID_HEADER,
+    TRACE_PARENT_HEADER,
+    RawHeaders,
+    header_value,
+)
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+
+_JSON = b"application/json"
+
+
+class Exchange:
+    """Reads the request and writes the answer of one exchange.
+
+    Attributes:
+        request_id: Identity of the request.
+        trace_parent: `traceparent` value of the answer.
+        is_started: Whether the head of the answer was sent.
+        is_finished: Whether the whole answer was sent.
+    """
+
+    def __init__(
+        self, scope: Any, receive: Receive, send: Send, request_id: str
+    ) -> None:
+        self.scope = scope
+        self.headers: RawHeaders = list(scope["headers"])
+        self.request_id = request_id
+        self.trace_parent = ""
+        self.is_started = False
+        self.is_finished = False
+        self._receive = receive
+        self._send = send
+        self._is_body_read = False
+
+    async def async_read_body(self, limit_bytes: int) -> bytes:
+        """Return the request body.
+
+        Raises:
+            RequestRefusedError: The body is too large or does not arrive.
+            CallerGoneError: The caller closed the connection.
+        """
+        announced = header_value(self.headers, b"content-length")
+        if announced and announced.isdigit() and int(announced) > limit_bytes:
+            raise _too_large(limit_bytes)
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._async_receive()
+            parts.append(message.get("body", b""))
+            size += len(parts[-1])
+            if size > limit_bytes:
+                raise _too_large(limit_bytes)
+            if not message.get("more_body", False):
+                self._is_body_read = True
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    async def async_wait_gone(self) -> None:
+        """Return when the caller has closed the connection."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def async_send_head(self, status: int, headers: RawHeaders) -> None:
+        """Send the head of an answer."""
+        self.is_started = True
+        added = [
+            (REQUEST_ID_HEADER, self.request_id.encode()),
+            (TRACE_PARENT_HEADER, self.trace_parent.encode()),
+        ]
+        if not self._is_body_read:
+            # The rest of the body would be taken for the next request.
+            added.append((b"connection", b"close"))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [*headers, *added],
+            }
+        )
+
+    async def async_send_part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def async_finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        self.is_finished = True
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": False}
+        )
+
+    async def async_answer(
+        self, status: int, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        await self.async_send_head(status, [*headers, length])
+        await self.async_finish(body)
+
+    async def async_answer_json(self, status: int, value: Any) -> None:
+        """Send a whole answer with a JSON body."""
+        await self.async_answer(
+            status, [(b"content-type", _JSON)], msgspec.json.encode(value)
+        )
+
+    async def async_refuse(self, error: RequestRefusedError) -> None:
+        """Send a refusal."""
+        headers = [(b"content-type", _JSON)]
+        if error.status == 401:
+            headers.append((b"www-authenticate", b"Bearer"))
+        if error.retry_after_seconds is not None:
+            seconds = max(1, math.ceil(error.retry_after_seconds))
+            headers.append((b"retry-after", b"%d" % seconds))
+        body = msgspec.json.encode(refusal_value(error, self.request_id))
+        await self.async_answer(error.status, headers, body)
+
+    async def _async_receive(self) -> Any:
+        try:
+            async with asyncio.timeout(BODY_IDLE_SECONDS):
+                message = await self._receive()
+        except TimeoutError as error:
+            raise RequestRefusedError(
+                408,
+                "body_timeout",
+                f"no part of the body arrived for {BODY_IDLE_SECONDS:g} s",
+            ) from error
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError("the caller closed the connection")
+        return message
+
+
+def refusal_value(error: RequestRefusedError, request_id: str) -> Any:
+    """Return the JSON value of a refusal."""
+    return {
+        "error": {
+            "code": error.code,
+            "message": error.message,
+            "run": error.run.value,
+            "retry_after_seconds": error.retry_after_seconds,
+            "request_id": request_id,
+        }
+    }
+
+
+def _too_large(limit_bytes: int) -> RequestRefusedError:
+    return RequestRefusedError(
+        413,
+        "body_too_large",
+        f"the body is larger than {limit_bytes} bytes",
+        run=RunState.NOT_RUN,
+    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/in_flight.py
@@ -0,0 +1,142 @@
+"""Requests in flight and the paths of recent requests."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from lacewingspar_router.components.caller_api.const import KEPT_PATHS
+from lacewingspar_router.errors import RunState
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class RequestTrack:
+    """Path of one request through this router.
+
+    Attributes:
+        request_id: Identity of the request.
+        method: HTTP method.
+        target: Path as the caller wrote it, without query.
+        arrived_at: Arrival in seconds of the application's clock.
+        service: Name of the service, once known.
+        workspace: Workspace of the caller, once known.
+        hops: Names of hops, their times in seconds of the application's
+            clock, and the upstream, if any.
+        run: What is known about the run of the request.
+        outcome: How the request ended, or "" while it is in flight.
+        is_cut: Whether the router ends the request before its answer.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    arrived_at: float
+    service: str = ""
+    workspace: str = ""
+    hops: list[tuple[str, float, str]] = field(default_factory=list)
+    run: RunState = RunState.NOT_RUN
+    outcome: str = ""
+    is_cut: bool = False
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the path as JSON values, with times since arrival."""
+        return {
+            "request_id": self.request_id,
+            "method": self.method,
+            "target": self.target,
+            "service": self.service,
+            "workspace": self.workspace,
+            "run": self.run.value,
+            "outcome": self.outcome or "in_flight",
+            "hops": [
+                {
+                    "hop": hop,
+                    "after_seconds": round(at - self.arrived_at, 6),
+                    "upstream": upstream,
+                }
+                for hop, at, upstream in self.hops
+            ],
+        }
+
+
+class InFlight:
+    """Requests in flight at this router and the last ones that ended.
+
+    Args:
+        now: Returns the time in seconds of the application's clock.
+
+    Attributes:
+        is_cut: Whether the router has ended the requests in flight.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.is_cut = False
+        self._now = now
+        self._tracks: OrderedDict[str, RequestTrack] = OrderedDict()
+        self._task_by_request: dict[str, asyncio.Task[Any]] = {}
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    @property
+    def count(self) -> int:
+        """Return the number of requests in flight."""
+        return len(self._task_by_request)
+
+    def enter(self, request_id: str, method: str, target: str) -> RequestTrack:
+        """Begin the path of a request that the current task handles."""
+        track = RequestTrack(request_id, method, target, self._now())
+        task = asyncio.current_task()
+        if task is None:
+            raise RuntimeError("requests are handled in tasks")
+        self._task_by_request[request_id] = task
+        self._empty.clear()
+        self._tracks[request_id] = track
+        if len(self._tracks) > KEPT_PATHS:
+            self._tracks.popitem(last=False)
+        return track
+
+    def hop(self, track: RequestTrack, name: str, upstream: str = "") -> None:
+        """Note that a request has reached a hop."""
+        track.hops.append((name, self._now(), upstream))
+
+    def leave(self, track: RequestTrack, outcome: str) -> None:
+        """End the path of a request."""
+        track.outcome = outcome
+        self.hop(track, "end")
+        self._task_by_request.pop(track.request_id, None)
+        if not self._task_by_request:
+            self._empty.set()
+
+    def path(self, request_id: str) -> dict[str, Any] | None:
+        """Return the path of a recent request as JSON values."""
+        track = self._tracks.get(request_id)
+        return None if track is None else track.as_json()
+
+    async def async_wait_empty(self) -> None:
+        """Wait until no request is in flight."""
+        await self._empty.wait()
+
+    async def async_cut(self) -> int:
+        """End all requests in flight, log each and return their number."""
+        self.is_cut = True
+        tasks = dict(self._task_by_request)
+        for request_id, task in tasks.items():
+            track = self._tracks.get(request_id)
+            if track is not None:
+                track.is_cut = True
+                _LOGGER.error(
+                    "request cut by shutdown",
+                    request_id=request_id,
+                    service=track.service,
+                    workspace=track.workspace,
+                    run=track.run,
+                    seconds=round(self._now() - track.arrived_at, 3),
+                )
+            task.cancel()
+        await asyncio.gather(*tasks.values(), return_exceptions=True)
+        return len(tasks)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
@@ -0,0 +1,207 @@
+"""ASGI application for all paths of callers."""
+
+import asyncio
+import uuid
+from typing import Any
+
+import structlog
+
+from lacewingspar_router.application import Application, LifeCycle
+from lacewingspar_router.components.caller_api.access import AccessIndex
+from lacewingspar_router.components.caller_api.calls import CallRunner
+from lacewingspar_router.components.caller_api.checks import (
+    async_check_request,
+    workspaces_of_caller,
+)
+from lacewingspar_router.components.caller_api.const import (
+    RETRY_AFTER_STATE_SECONDS,
+)
+from lacewingspar_router.components.caller_api.errors import CallerGoneError
+from lacewingspar_router.components.caller_api.exchange import (
+    Exchange,
+    Receive,
+    Send,
+)
+from lacewingspar_router.components.caller_api.in_flight import (
+    InFlight,
+    RequestTrack,
+)
+from lacewingspar_router.components.caller_api.targets import read_target
+from lacewingspar_router.components.configuration.models import (
+    CONFIGURATION,
+)
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.errors import RequestRefusedError, RunState
+from lacewingspar_router.http_headers import (
+    TRACE_PARENT_HEADER,
+    header_value,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class CallerProxy:
+    """Answers the requests of callers.
+
+    Args:
+        application: The application that holds the other components.
+    """
+
+    def __init__(self, application: Application) -> None:
+        self._application = application
+        self._configuration = application.get(CONFIGURATION)
+        self._telemetry = application.get(TELEMETRY)
+        self.in_flight = InFlight(application.now)
+        self._calls = CallRunner(application, self.in_flight)
+        self._index = AccessIndex({})
+
+    def apply_configuration(self) -> None:
+        """Take over the documents in force."""
+        self._index = AccessIndex(self._configuration.documents_by_service)
+
+    @property
+    def in_flight_count(self) -> int:
+        """Return the number of requests that have no complete answer yet."""
+        return self.in_flight.count
+
+    def request_path(self, request_id: str) -> dict[str, Any] | None:
+        """Return the path of a recent request as JSON values."""
+        return self.in_flight.path(request_id)
+
+    async def async_cut_requests(self) -> int:
+        """End all requests in flight, log each and return their number."""
+        return await self.in_flight.async_cut()
+
+    async def async_handle(
+        self, scope: Any, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, uuid.uuid4().hex)
+        track = self.in_flight.enter(
+            exchange.request_id, scope["method"], scope["path"]
+        )
+        outcome = "failed"
+        try:
+            with self._telemetry.span(
+                "caller",
+                trace_parent=header_value(
+                    exchange.headers, TRACE_PARENT_HEADER
+                ),
+                request_id=exchange.request_id,
+            ) as trace_parent:
+                exchange.trace_parent = trace_parent
+                outcome = await self._async_answer(exchange, track)
+        finally:
+            self.in_flight.leave(track, outcome)
+            self._telemetry.count(
+                "requests_total",
+                service=track.service,
+                workspace=track.workspace,
+                outcome=outcome,
+            )
+
+    async def _async_answer(
+        self, exchange: Exchange, track: RequestTrack
+    ) -> str:
+        """Answer one request and return how it ended."""
+        try:
+            return await self._async_checked(exchange, track)
+        except RequestRefusedError as error:
+            track.run = error.run
+            if not exchange.is_started:
+                await exchange.async_refuse(error)
+            return error.code
+        except CallerGoneError:
+            return "caller_gone"
+        except asyncio.CancelledError:
+            if not track.is_cut:
+                return "caller_gone"
+            if not exchange.is_started:
+                await exchange.async_refuse(_cut(track.run))
+            return "cut"
+        except Exception:
+            _LOGGER.exception("request failed", request_id=exchange.request_id)
+            if not exchange.is_started:
+                await exchange.async_refuse(_internal_error(track.run))
+            return "internal_error"
+
+    async def _async_checked(
+        self, exchange: Exchange, track: RequestTrack
+    ) -> str:
+        self._check_state()
+        target = read_target(exchange.scope)
+        index = self._index
+        workspaces = workspaces_of_caller(exchange, index)
+        if target.is_model_list:
+            await exchange.async_read_body(0)
+            await exchange.async_answer_json(
+                200, _model_list(index, workspaces)
+            )
+            return "completed"
+        request = await async_check_request(
+            exchange, target, index, workspaces, track.arrived_at
+        )
+        track.service = request.document.service
+        track.workspace = request.workspace.name
+        watcher = asyncio.create_task(
+            _async_cancel_when_gone(exchange, asyncio.current_task())
+        )
+        try:
+            return await self._calls.async_run(request, exchange, track)
+        finally:
+            watcher.cancel()
+
+    def _check_state(self) -> None:
+        """Refuse requests while the router does not serve."""
+        life_cycle = self._application.life_cycle
+        if life_cycle in (LifeCycle.DRAINING, LifeCycle.STOPPED):
+            raise RequestRefusedError(
+                503,
+                "draining",
+                "this router is shutting down",
+                retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
+            )
+        if life_cycle is LifeCycle.STARTING or not self._configuration.is_ready:
+            raise RequestRefusedError(
+                503,
+                "not_ready",
+                "this router has no configuration yet",
+                retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
+            )
+
+
+async def _async_cancel_when_gone(
+    exchange: Exchange, task: asyncio.Task[Any] | None
+) -> None:
+    await exchange.async_wait_gone()
+    if task is not None and not exchange.is_finished:
+        task.cancel()
+
+
+def _model_list(index: AccessIndex, workspaces: Any) -> dict[str, Any]:
+    return {
+        "object": "list",
+        "data": [
+            {"id": model, "object": "model", "owned_by": service}
+            for service in sorted(workspaces)
+            for model in index.models_of(service)
+        ],
+    }
+
+
+def _cut(run: RunState) -> RequestRefusedError:
+    return RequestRefusedError(
+        503,
+        "router_stopped",
+        "this router stopped before the answer was complete",
+        run=run,
+        retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
+    )
+
+
+def _internal_error(run: RunState) -> RequestRefusedError:
+    return RequestRefusedError(
+        500, "internal_error", "the router failed", run=run
+    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/telemetry/metrics.py
@@ -0,0 +1,45 @@
+"""Counters and gauges of the metrics page."""
+
+from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+_Labels = tuple[tuple[str, str], ...]
+_PREFIX = "lacewingspar_"
+
+
+class Metrics:
+    """Values of counters and gauges.
+
+    Values are kept in plain dictionaries and handed to the metrics library
+    when the page is rendered, since its collectors encode the labels as JSON
+    at each change.
+    """
+
+    def __init__(self) -> None:
+        self._counts_by_name: dict[str, dict[_Labels, float]] = {}
+        self._gauges_by_name: dict[str, dict[_Labels, float]] = {}
+
+    def count(self, name: str, amount: float, labels: dict[str, str]) -> None:
+        """Add to a counter."""
+        values = self._counts_by_name.setdefault(name, {})
+        key = tuple(sorted(labels.items()))
+        values[key] = values.get(key, 0) + amount
+
+    def gauge(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Set a gauge."""
+        key = tuple(sorted(labels.items()))
+        self._gauges_by_name.setdefault(name, {})[key] = value
+
+    def render(self) -> tuple[str, bytes]:
+        """Return content type and body of the metrics page."""
+        registry = Registry()
+        for name, values in self._counts_by_name.items():
+            counter = Counter(_PREFIX + name, name, registry=registry)
+            for labels, value in values.items():
+                counter.set(dict(labels), value)
+        for name, values in self._gauges_by_name.items():
+            gauge = Gauge(_PREFIX + name, name, registry=registry)
+            for labels, value in values.items():
+                gauge.set(dict(labels), value)
+        body, headers = render(registry, ["text/plain"])
+        return headers["Content-Type"], body
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/telemetry/trace_context.py
@@ -0,0 +1,57 @@
+"""The `traceparent` header of W3C Trace Context."""
+
+import random
+import re
+from dataclasses import dataclass
+
+_TRACE_PARENT = re.compile(
+    r"^(?!ff)[0-9a-f]{2}-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?$"
+)
+_NO_TRACE = "0" * 32
+_NO_SPAN = "0" * 16
+# Trace ids need to be unique but not secret.
+_RANDOM = random.Random()
+
+
+@dataclass(frozen=True, slots=True)
+class TraceContext:
+    """Identity of a span.
+
+    Attributes:
+        trace_id: 32 hexadecimal digits.
+        span_id: 16 hexadecimal digits.
+        is_sampled: Whether the trace is recorded.
+    """
+
+    trace_id: str
+    span_id: str
+    is_sampled: bool
+
+    def header(self) -> str:
+        """Return the value of the `traceparent` header."""
+        return f"00-{self.trace_id}-{self.span_id}-{self.is_sampled:02x}"
+
+
+def parse_trace_parent(value: str | None) -> TraceContext | None:
+    """Return the context that a header carries, or None if it is invalid."""
+    match = _TRACE_PARENT.match(value) if value else None
+    if match is None:
+        return None
+    trace_id, span_id, flags = match.group(1), match.group(2), match.group(3)
+    if trace_id == _NO_TRACE or span_id == _NO_SPAN:
+        return None
+    return TraceContext(trace_id, span_id, bool(int(flags, 16) & 1))
+
+
+def child_context(parent: TraceContext | None, sampled: bool) -> TraceContext:
+    """Return a new context in the parent's trace, or in a new trace.
+
+    Args:
+        parent: Context of the span above, if any.
+        sampled: Whether a new trace is recorded.
+    """
+    span_id = f"{_RANDOM.getrandbits(64) or 1:016x}"
+    if parent is None:
+        trace_id = f"{_RANDOM.getrandbits(128) or 1:032x}"
+        return TraceContext(trace_id, span_id, sampled)
+    return TraceContext(parent.trace_id, span_id, parent.is_sampled)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/upstreams/__init__.py
@@ -0,0 +1,17 @@
+"""Calls to upstreams and their health."""
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.configuration.models import (
+    CONFIGURATION,
+)
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+from lacewingspar_router.components.upstreams.pool import HttpUpstreamPool
+
+
+async def async_setup(application: Application) -> None:
+    """Set up the connections to upstreams."""
+    pool = HttpUpstreamPool(application)
+    pool.apply_configuration()
+    application.get(CONFIGURATION).add_listener(pool.apply_configuration)
+    application.register(UPSTREAMS, pool)
+    application.on_unload("upstreams", pool.async_close)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/upstreams/answer.py
@@ -0,0 +1,132 @@
+"""Answers of upstreams with checks of identity and completeness."""
+
+from collections.abc import AsyncIterator, Callable
+
+import httpx
+
+from lacewingspar_router.components.upstreams.const import (
+    HEADER_NOT_RUN,
+    STATUS_UNAVAILABLE,
+)
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamMismatchError,
+    UpstreamRefusedError,
+)
+from lacewingspar_router.components.upstreams.models import UpstreamCall
+from lacewingspar_router.errors import RunState
+from lacewingspar_router.http_headers import (
+    REQUEST_ID_HEADER,
+    end_to_end_headers,
+    header_value,
+)
+
+EVENT_STREAM = "text/event-stream"
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+OnEnd = Callable[[UpstreamError | None], None]
+
+
+class HttpAnswer:
+    """An answer whose head has been received and checked.
+
+    Args:
+        response: The answer, not read yet.
+        expected_bytes: Announced length of the body, or None.
+        on_end: Called once with the error, or with None after a complete body.
+    """
+
+    def __init__(
+        self,
+        response: httpx.Response,
+        expected_bytes: int | None,
+        on_end: OnEnd,
+    ) -> None:
+        self.status = response.status_code
+        self.headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in end_to_end_headers(response.headers.raw)
+        )
+        self._response = response
+        self._expected_bytes = expected_bytes
+        self._on_end = on_end
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Return the body in parts as they arrive.
+
+        Raises:
+            UpstreamError: The body ended early or went silent.
+        """
+        received = 0
+        try:
+            async for part in self._response.aiter_raw():
+                received += len(part)
+                yield part
+        except httpx.HTTPError as error:
+            raise self._failed(f"answer broke: {describe(error)}") from error
+        expected = self._expected_bytes
+        if expected is not None and received != expected:
+            raise self._failed(
+                f"answer has {received} bytes instead of {expected}"
+            )
+        self._on_end(None)
+
+    async def async_close(self) -> None:
+        """Close the call, which cancels it if it still runs."""
+        await self._response.aclose()
+
+    def _failed(self, message: str) -> UpstreamBrokenError:
+        error = UpstreamBrokenError(message, run=RunState.UNKNOWN)
+        self._on_end(error)
+        return error
+
+
+def check_head(call: UpstreamCall, response: httpx.Response) -> int | None:
+    """Check the identity and the framing of an answer.
+
+    Returns:
+        The announced length of the body, or None.
+
+    Raises:
+        UpstreamMismatchError: The answer is for another request.
+        UpstreamRefusedError: The upstream did not start the call.
+        UpstreamBrokenError: The end of the body could not be recognised.
+    """
+    headers = response.headers.raw
+    answered_id = header_value(headers, REQUEST_ID_HEADER)
+    if answered_id != call.request_id:
+        raise UpstreamMismatchError(
+            f"answer carries request id {answered_id!r}", run=RunState.UNKNOWN
+        )
+    if (
+        response.status_code == STATUS_UNAVAILABLE
+        and header_value(headers, HEADER_NOT_RUN) == "1"
+    ):
+        raise UpstreamRefusedError(
+            "upstream refused the call before running it", run=RunState.NOT_RUN
+        )
+    if call.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return None
+    return _expected_bytes(response)
+
+
+def describe(error: Exception) -> str:
+    """Return an error's class and message."""
+    return f"{type(error).__name__} {error}".strip()
+
+
+def _expected_bytes(response: httpx.Response) -> int | None:
+    headers = response.headers.raw
+    length = header_value(headers, b"content-length")
+    if length is not None and length.isascii() and length.isdigit():
+        return int(length)
+    is_chunked = header_value(headers, b"transfer-encoding") is not None
+    content_type = header_value(headers, b"content-type") or ""
+    # An event stream has an end marker of its own. Any other body that ends
+    # with the connection would look complete after a break.
+    if is_chunked or content_type.startswith(EVENT_STREAM):
+        return None
+    raise UpstreamBrokenError(
+        "answer announces neither its length nor chunks", run=RunState.UNKNOWN
+    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/upstreams/const.py
@@ -0,0 +1,17 @@
+"""Constants of the upstreams component."""
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+# A connection that has gone silent is noticed only when it is used, so idle
+# connections are closed after this time.
+IDLE_EXPIRY_SECONDS = 5.0
+WRITE_TIMEOUT_SECONDS = 30.0
+# Slots limit the calls per upstream; this limits the idle connections only.
+MAX_IDLE_CONNECTIONS = 256
+
+# An upstream sets this header on a 503 answer to a call that it did not start.
+HEADER_NOT_RUN = b"x-not-run"
+STATUS_UNAVAILABLE = 503
+
+FAILURES_UNTIL_FAILING = 3
+# A failing upstream gets work again after this time, to see whether it works.
+FAILING_SECONDS = 5.0
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/http_server.py
@@ -0,0 +1,112 @@
+"""HTTP servers of the router process."""
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+import uvicorn
+
+from lacewingspar_router.errors import ComponentSetupError
+
+# Longer than the idle time of common load balancers, so that the balancer
+# closes an idle connection first and no request meets a closing connection.
+IDLE_CONNECTION_SECONDS = 75
+LISTEN_BACKLOG = 2048
+# Time that answers have to leave after the server was told to abort.
+ABORT_SECONDS = 0.5
+
+# The server reports a body that was cut on purpose as an error of the
+# application; the caller API logs these cases itself.
+logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+
+
+def bind_address(address: str) -> socket.socket:
+    """Return a socket bound to `host:port`.
+
+    Raises:
+        ComponentSetupError: The address is invalid or in use.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        family, kind, protocol, _, name = socket.getaddrinfo(
+            host, int(port), type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+        )[0]
+        bound = socket.socket(family, kind, protocol)
+    except (OSError, OverflowError) as error:
+        raise ComponentSetupError(f"cannot use {address}: {error}") from error
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(name)
+    except (OSError, OverflowError) as error:
+        bound.close()
+        raise ComponentSetupError(f"cannot bind {address}: {error}") from error
+    bound.setblocking(False)
+    return bound
+
+
+class _Server(uvicorn.Server):
+    """A server that tells when it listens."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.is_listening = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.is_listening.set()
+
+
+class HttpServer:
+    """An ASGI application served on one address.
+
+    Args:
+        app: The ASGI application.
+        address: Host and port; port 0 lets the system choose.
+    """
+
+    def __init__(self, app: Any, address: str) -> None:
+        self._socket = bind_address(address)
+        self._server = _Server(
+            uvicorn.Config(
+                app,
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                proxy_headers=False,
+                server_header=False,
+                backlog=LISTEN_BACKLOG,
+                timeout_keep_alive=IDLE_CONNECTION_SECONDS,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return int(self._socket.getsockname()[1])
+
+    async def async_start(self) -> None:
+        """Accept connections."""
+        # `serve` would replace the signal handlers of the process.
+        self._task = asyncio.create_task(
+            self._server._serve([self._socket]), name="http server"
+        )
+        await self._server.is_listening.wait()
+
+    async def async_stop(self, *, abort: bool = False) -> None:
+        """Close the listener and all connections.
+
+        Args:
+            abort: Do not wait for answers that are still being sent.
+        """
+        if self._task is None:
+            self._socket.close()
+            return
+        self._server.force_exit = abort
+        self._server.should_exit = True
+        limit = ABORT_SECONDS if abort else None
+        await asyncio.wait({self._task}, timeout=limit)
+        self._task.cancel()
--- /dev/null
+++ b/tests/router/conftest.py
@@ -0,0 +1,225 @@
+"""In-process fakes and a router that serves on a port of the system."""
+
+import hashlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx
+
+from lacewingspar_core.documents import ServiceDocument, validate_document
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import SlotId, SlotOutcome
+from lacewingspar_router.application import Application, LifeCycle
+from lacewingspar_router.components import telemetry, upstreams
+from lacewingspar_router.components.caller_api import caller_app
+from lacewingspar_router.components.caller_api.proxy import CallerProxy
+from lacewingspar_router.components.claims.models import (
+    CLAIMS,
+    ClaimAnswered,
+    ClaimDecision,
+    ClaimGranted,
+)
+from lacewingspar_router.components.configuration.models import (
+    CONFIGURATION,
+    PublishAccepted,
+    PublishResult,
+)
+from lacewingspar_router.components.scheduler.models import (
+    SCHEDULER,
+    SlotGrant,
+    SlotRequest,
+)
+from lacewingspar_router.errors import RequestRefusedError
+from lacewingspar_router.http_server import HttpServer
+from lacewingspar_router.settings import Settings
+
+TOKEN = "token-of-alpha"
+OTHER_TOKEN = "token-of-beta"
+AUTHORIZED = {"authorization": f"Bearer {TOKEN}"}
+NO_PORT = "127.0.0.1:0"
+
+Upstream = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+def sha256(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def settings(**changes: Any) -> Settings:
+    values: dict[str, Any] = {
+        "router_id": "router-0",
+        "data_centre": "dc-a",
+        "caller_address": NO_PORT,
+        "admin_address": NO_PORT,
+        "peer_address": NO_PORT,
+        "admin_token_sha256": sha256("admin"),
+        "log_service_url": "http://127.0.0.1:9",
+        "vm_list_url": "http://127.0.0.1:9",
+    }
+    return Settings(**(values | changes))
+
+
+def document(service: str, kind: str, ports: list[int]) -> ServiceDocument:
+    models = ["small"] if kind == "model" else []
+    value = {
+        "service": service,
+        "kind": kind,
+        "upstreams": [
+            {
+                "id": f"upstream-{number}",
+                "data_centre": "dc-a",
+                "address": f"http://127.0.0.1:{port}",
+                "slots": 4,
+                "models": models,
+            }
+            for number, port in enumerate(ports)
+        ],
+        "workspaces": [{"name": "alpha", "token_sha256": [sha256(TOKEN)]}],
+        "non_idempotent": [{"method": "POST", "path_prefix": "/pay"}],
+        "limits": {"body_bytes": 1000, "silent_after_seconds": 5},
+    }
+    return validate_document(value).unwrap()
+
+
+@dataclass
+class FakeConfiguration:
+    documents_by_service: dict[str, ServiceDocument]
+    version_by_service: dict[str, int] = field(default_factory=dict)
+    is_ready: bool = True
+    applied_offset: int = 0
+    listeners: list[Callable[[], None]] = field(default_factory=list)
+    publish_result: PublishResult = field(
+        default_factory=lambda: PublishAccepted(7)
+    )
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        self.listeners.append(listener)
+
+    async def async_publish(self, **_edit: Any) -> PublishResult:
+        return self.publish_result
+
+
+class FakeScheduler:
+    """Grants the first upstream that is not excluded at once."""
+
+    def __init__(self, configuration: FakeConfiguration) -> None:
+        self.configuration = configuration
+        self.requests: list[SlotRequest] = []
+        self.released: list[tuple[str, SlotOutcome, int]] = []
+
+    async def async_acquire(self, request: SlotRequest) -> SlotGrant:
+        self.requests.append(request)
+        pool = self.configuration.documents_by_service[request.service]
+        for upstream in pool.upstreams:
+            if upstream.id not in request.excluded_upstreams:
+                slot = SlotId(RouterLife("router-0", 1), len(self.requests))
+                return SlotGrant(
+                    slot,
+                    request.service,
+                    request.workspace,
+                    upstream.id,
+                    request.request_class,
+                    0.0,
+                )
+        raise RequestRefusedError(503, "no_upstream", "no upstream is left")
+
+    def release(
+        self, grant: SlotGrant, outcome: SlotOutcome, tokens: int = 0
+    ) -> None:
+        self.released.append((grant.upstream_id, outcome, tokens))
+
+
+@dataclass
+class FakeClaims:
+    decision: ClaimDecision = field(
+        default_factory=lambda: ClaimGranted(3, float("inf"))
+    )
+    may: bool = True
+    release_confirmed: bool = True
+    released: int = 0
+    outcomes: list[ClaimAnswered] = field(default_factory=list)
+
+    async def async_claim(self, **_call: Any) -> ClaimDecision:
+        return self.decision
+
+    def may_send(self, _claim: ClaimGranted) -> bool:
+        return self.may
+
+    async def async_release(self, _claim: ClaimGranted) -> bool:
+        self.released += 1
+        return self.release_confirmed
+
+    def record_outcome(
+        self, _claim: ClaimGranted, answer: ClaimAnswered
+    ) -> None:
+        self.outcomes.append(answer)
+
+
+@dataclass
+class Router:
+    application: Application
+    configuration: FakeConfiguration
+    scheduler: FakeScheduler
+    claims: FakeClaims
+    proxy: CallerProxy
+    client: httpx.AsyncClient
+
+    async def chat(
+        self, headers: Mapping[str, str] | None = None
+    ) -> httpx.Response:
+        return await self.client.post(
+            "/v1/chat/completions",
+            json={"model": "small"},
+            headers={**AUTHORIZED, **(headers or {})},
+        )
+
+
+@asynccontextmanager
+async def served(app: Any) -> AsyncIterator[int]:
+    server = HttpServer(app, NO_PORT)
+    await server.async_start()
+    try:
+        yield server.port
+    finally:
+        await server.async_stop(abort=True)
+
+
+@asynccontextmanager
+async def routed(
+    *upstream_apps: Upstream, ports: tuple[int, ...] = ()
+) -> AsyncIterator[Router]:
+    """Run a router in front of the given upstreams and ports."""
+    async with AsyncExitStack() as stack:
+        used = [
+            *[await stack.enter_async_context(served(a)) for a in upstream_apps]
+        ]
+        used = [*ports, *used]
+        configuration = FakeConfiguration(
+            {
+                "chat": document("chat", "model", used),
+                "swap": document("swap", "plain", used),
+            },
+            {"chat": 1, "swap": 2},
+        )
+        application = Application(settings())
+        await telemetry.async_setup(application)
+        scheduler, claims = FakeScheduler(configuration), FakeClaims()
+        application.register(CONFIGURATION, configuration)
+        application.register(SCHEDULER, scheduler)
+        application.register(CLAIMS, claims)
+        await upstreams.async_setup(application)
+        proxy = CallerProxy(application)
+        proxy.apply_configuration()
+        application.life_cycle = LifeCycle.SERVING
+        stack.push_async_callback(application.async_stop)
+        port = await stack.enter_async_context(served(caller_app(proxy)))
+        client = await stack.enter_async_context(
+            httpx.AsyncClient(
+                base_url=f"http://127.0.0.1:{port}", trust_env=False
+            )
+        )
+        yield Router(
+            application, configuration, scheduler, claims, proxy, client
+        )
