--- a/packages/router/src/lacewingspar_router/components/caller_api/checks.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/checks.py
@@ -40,8 +40,6 @@
     end_to_end_headers,
 )
 
-# The key is not passed on: keys of different workspaces may be equal, and an
-# upstream that keeps answers by key would mix them up.
 _ROUTER_HEADERS = frozenset(
     {
         HEADER_AUTHORIZATION,
@@ -122,7 +120,9 @@
         ),
         method=target.method,
         target=target.target,
-        headers=_upstream_headers(exchange, document),
+        headers=_upstream_headers(
+            exchange, document, workspaces[document.service], options
+        ),
         body=body,
         trace_parent=exchange.trace_parent,
     )
@@ -226,11 +226,19 @@
 
 
 def _upstream_headers(
-    exchange: Exchange, document: ServiceDocument
+    exchange: Exchange,
+    document: ServiceDocument,
+    workspace: Workspace,
+    options: Options,
 ) -> tuple[tuple[str, str], ...]:
     is_model = document.kind is ServiceKind.MODEL
     removed = _MODEL_HEADERS if is_model else _ROUTER_HEADERS
     headers: list[Any] = end_to_end_headers(exchange.headers, removed)
+    if options.idempotency_key is not None:
+        # Workspaces may use equal keys. An upstream that keeps answers by key
+        # must not answer one workspace with the answer of another.
+        key = f"{workspace.name}/{options.idempotency_key}"
+        headers.append((HEADER_KEY, key.encode("latin-1")))
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in headers
