--- a/packages/core/src/lacewingspar_core/errors.py
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -11,3 +11,7 @@
 
 class ChartError(CoreError):
     """A state chart file is inconsistent."""
+
+
+class ChartEventError(CoreError):
+    """A state chart has no transition for an event in the current state."""
--- /dev/null
+++ b/tests/core/test_chart.py
@@ -0,0 +1,82 @@
+"""State charts and their load-time checks."""
+
+import json
+from typing import Any
+
+import pytest
+
+from lacewingspar_core.chart import load_chart, parse_chart
+from lacewingspar_core.errors import ChartError, ChartEventError
+
+VALID: dict[str, Any] = {
+    "initial": "a",
+    "final": ["b"],
+    "unmatched_event": "error",
+    "states": ["a", "b"],
+    "transitions": [{"event": "go", "from": ["a"], "to": "b"}],
+}
+GO = VALID["transitions"][0]
+
+
+@pytest.mark.parametrize(
+    ("change", "problem"),
+    [
+        ({"initial": "x"}, "unknown state 'x'"),
+        ({"final": ["b", "x"]}, "unknown state 'x'"),
+        ({"transitions": [GO, GO]}, "two transitions for 'go' in 'a'"),
+        ({"states": ["a", "b", "c"]}, "state 'c' cannot be reached"),
+        ({"states": ["a", "b", "b"]}, "listed twice"),
+        ({"final": []}, "state 'a' reaches no final state"),
+        ({"final": ["a", "b"]}, "leaves the final state 'a'"),
+        ({"unmatched_event": "maybe"}, "unmatched_event"),
+        ({"surplus": 1}, "surplus"),
+    ],
+)
+def test_inconsistent_charts_do_not_load(
+    change: dict[str, Any], problem: str
+) -> None:
+    """Guards against a chart file whose mistake shows up only in service."""
+    with pytest.raises(ChartError, match=problem):
+        parse_chart("test", json.dumps(VALID | change).encode())
+
+
+def test_unmatched_events_follow_the_chart() -> None:
+    """Guards against dropped events where the chart demands an error."""
+    strict = parse_chart("test", json.dumps(VALID).encode())
+    with pytest.raises(ChartEventError):
+        strict.next_state("b", "go")
+    lenient = load_chart("router_life_cycle")
+    assert lenient.next_state("stopped", "stop_signal") == "stopped"
+    with pytest.raises(ChartEventError):
+        lenient.next_state("stopped", "stop_signl")
+
+
+@pytest.mark.parametrize(
+    ("name", "events", "final"),
+    [
+        (
+            "request",
+            "claim enqueue bind answer_started answer_ended",
+            "completed",
+        ),
+        ("request", "enqueue bind retry bind refuse", "refused"),
+        (
+            "request",
+            "claim enqueue release_claim cancel claim_released",
+            "refused",
+        ),
+        ("request", "enqueue bind answer_started interrupted fail", "failed"),
+        ("router_life_cycle", "setup_done stop_signal drained", "stopped"),
+        ("router_life_cycle", "setup_done stop_signal stop_signal", "stopped"),
+        ("upstream", "connect_failure answer_ok load_report", "failing"),
+        ("upstream", "vm_leaving probe_succeeded load_report", "leaving"),
+        ("upstream", "vm_leaving vm_live probe_succeeded", "healthy"),
+        ("upstream", "load_report removed vm_live", "gone"),
+    ],
+)
+def test_shipped_charts(name: str, events: str, final: str) -> None:
+    chart = load_chart(name)
+    state = chart.initial
+    for event in events.split():
+        state = chart.next_state(state, event)
+    assert state == final
