--- a/packages/core/src/lacewingspar_core/errors.py
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -15,3 +15,7 @@
 
 class RecordGapError(CoreError):
     """Records of a log stream are missing before the one to apply."""
+
+
+class ChartEventError(CoreError):
+    """A state chart has no transition for an event in the current state."""
