Check names, tokens and models of service documents against each other

Every problem is listed at once with its path, value and what is allowed. Numbers given as text, booleans or NaN are refused. document_json_schema() returns the schema of single fields.

--- a/packages/core/src/lacewingspar_core/documents.py
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import dataclasses
 from enum import StrEnum
 from typing import Annotated, Any
 
@@ -11,9 +11,38 @@
 from pydantic.dataclasses import dataclass as schema_dataclass
 from returns.result import Failure, Result, Success
 
+from lacewingspar_core.document_checks import check_document
+from lacewingspar_core.document_problems import (
+    DocumentProblem,
+    problem_of_error,
+)
+
+__all__ = [
+    "DocumentProblem",
+    "Limits",
+    "Name",
+    "NonIdempotentRoute",
+    "RequestClass",
+    "ServiceDocument",
+    "ServiceKind",
+    "Sha256Hex",
+    "Upstream",
+    "Workspace",
+    "document_json_schema",
+    "dump_document",
+    "parse_document",
+    "validate_document",
+]
+
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
+ModelName = Annotated[str, Field(pattern=r"^\S+$", max_length=256)]
+# Numbers written as text or as true and false are mistakes, not numbers.
+Integer = Annotated[int, Field(strict=True)]
+# NaN would pass every comparison with a bound.
+Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
+
 _STRICT = ConfigDict(extra="forbid")
 
 
@@ -40,9 +69,9 @@
     id: Name
     data_centre: Name
     address: Annotated[str, Field(pattern=r"^https?://[^/\s]+$")]
-    slots: Annotated[int, Field(ge=1, le=4096)]
-    models: tuple[str, ...] = ()
-    vm: str | None = None
+    slots: Annotated[Integer, Field(ge=1, le=4096)]
+    models: tuple[ModelName, ...] = ()
+    vm: Annotated[str, Field(min_length=1)] | None = None
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -58,8 +87,8 @@
 
     name: Name
     token_sha256: tuple[Sha256Hex, ...]
-    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
-    queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 100
+    weight: Annotated[Number, Field(gt=0, le=1000)] = 1.0
+    queue_limit: Annotated[Integer, Field(ge=1, le=100_000)] = 100
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -76,9 +105,9 @@
     """
 
     name: Name
-    priority: Annotated[int, Field(ge=0, le=100)] = 10
-    deadline_seconds: Annotated[float, Field(gt=0, le=86_400)] = 60.0
-    max_wait_seconds: Annotated[float, Field(gt=0, le=86_400)] = 30.0
+    priority: Annotated[Integer, Field(ge=0, le=100)] = 10
+    deadline_seconds: Annotated[Number, Field(gt=0, le=86_400)] = 60.0
+    max_wait_seconds: Annotated[Number, Field(gt=0, le=86_400)] = 30.0
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -105,9 +134,9 @@
         attempts: Largest number of times that one request is sent.
     """
 
-    body_bytes: Annotated[int, Field(ge=1, le=1 << 30)] = 4 * 1024 * 1024
-    silent_after_seconds: Annotated[float, Field(gt=0, le=3600)] = 30.0
-    attempts: Annotated[int, Field(ge=1, le=10)] = 3
+    body_bytes: Annotated[Integer, Field(ge=1, le=1 << 30)] = 4 * 1024 * 1024
+    silent_after_seconds: Annotated[Number, Field(gt=0, le=3600)] = 30.0
+    attempts: Annotated[Integer, Field(ge=1, le=10)] = 3
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -128,28 +157,30 @@
     kind: ServiceKind
     upstreams: tuple[Upstream, ...]
     workspaces: tuple[Workspace, ...]
-    request_classes: tuple[RequestClass, ...] = (RequestClass(name="default"),)
+    request_classes: Annotated[
+        tuple[RequestClass, ...], Field(min_length=1)
+    ] = (RequestClass(name="default"),)
     non_idempotent: tuple[NonIdempotentRoute, ...] = ()
     limits: Limits = Limits()
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentProblem:
-    """One reason why a document is refused.
+_ADAPTER = TypeAdapter(ServiceDocument)
+# The schema nests five deep; the limit keeps hostile input off the stack.
+_MAX_NESTING = 32
 
-    Attributes:
-        path: Place in the document, such as `upstreams[0].slots`.
-        value: The value found there, shortened.
-        allowed: What would be allowed.
-    """
 
-    path: str
-    value: str
-    allowed: str
+def _field_names(schema: type[Any]) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(schema))
 
 
-_ADAPTER = TypeAdapter(ServiceDocument)
-_SHOWN_VALUE_CHARACTERS = 80
+_FIELDS_BY_SECTION = {
+    "": _field_names(ServiceDocument),
+    "upstreams": _field_names(Upstream),
+    "workspaces": _field_names(Workspace),
+    "request_classes": _field_names(RequestClass),
+    "non_idempotent": _field_names(NonIdempotentRoute),
+    "limits": _field_names(Limits),
+}
 
 
 def parse_document(
@@ -161,9 +192,10 @@
         The document, or every problem that it has.
     """
     try:
-        value = pyjson5.decode(text)
+        value = pyjson5.decode(text, _MAX_NESTING)
     except pyjson5.Json5Exception as error:
-        problem = DocumentProblem("", "", f"valid JSON with comments: {error}")
+        allowed = f"valid JSON with comments: {error.message}"
+        problem = DocumentProblem("", "", allowed)
         return Failure((problem,))
     return validate_document(value)
 
@@ -176,11 +208,16 @@
     Returns:
         The document, or every problem that it has.
     """
+    problems = check_document(value)
     try:
         document = _ADAPTER.validate_python(value)
     except ValidationError as error:
-        return Failure(tuple(_problem(item) for item in error.errors()))
-    return Success(document)
+        of_fields = tuple(
+            problem_of_error(item, _FIELDS_BY_SECTION)
+            for item in error.errors()
+        )
+        return Failure(of_fields + problems)
+    return Failure(problems) if problems else Success(document)
 
 
 def dump_document(document: ServiceDocument) -> dict[str, Any]:
@@ -189,17 +226,10 @@
     return value
 
 
-def _problem(item: Any) -> DocumentProblem:
-    """Return the problem that one validation error describes."""
-    path = ""
-    for part in item["loc"]:
-        if isinstance(part, int):
-            path += f"[{part}]"
-        else:
-            path += f".{part}" if path else str(part)
-    shown = "" if item["type"] == "missing" else repr(item["input"])
-    return DocumentProblem(
-        path=path,
-        value=shown[:_SHOWN_VALUE_CHARACTERS],
-        allowed=item["msg"],
-    )
+def document_json_schema() -> dict[str, Any]:
+    """Return the JSON schema of service documents.
+
+    It covers single fields; `validate_document` also checks names, tokens and
+    models against each other.
+    """
+    return _ADAPTER.json_schema()
