Add the operators' command line

lacewingsparctl checks, publishes, shows and compares service documents and reads a router's status, accounts and requests. A publish without a clear answer ends with the unknown exit code and the command that repeats the same edit; only a connection that was never made counts as not sent.

--- /dev/null
+++ b/packages/ctl/src/lacewingspar_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of the lacewingspar router fleet."""
--- /dev/null
+++ b/packages/ctl/src/lacewingspar_ctl/client.py
@@ -0,0 +1,226 @@
+"""Client of a router's administration API."""
+
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from lacewingspar_ctl.answers import (
+    Accepted,
+    Conflict,
+    ErrorAnswer,
+    HistoryAnswer,
+    Invalid,
+    PublishAnswer,
+    ServiceAnswer,
+    Unknown,
+)
+from lacewingspar_ctl.errors import (
+    BadInputError,
+    CtlError,
+    RefusedError,
+    RouterUnreachableError,
+    UnknownOutcomeError,
+)
+
+CONNECT_TIMEOUT_SECONDS = 3.0
+# A router answers a publish only after it has read the edit back from the log
+# service, which has slow periods.
+ANSWER_TIMEOUT_SECONDS = 30.0
+
+_T = TypeVar("_T")
+
+# The connection was never made, so the router cannot have seen the request.
+_NOT_SENT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+# A server that answers these has not acted. Other server errors may come from
+# a router that failed while it acted.
+_NO_EFFECT_STATUSES = frozenset({501, 503})
+_BAD_INPUT_STATUSES = frozenset({400, 404, 405, 413, 422})
+
+
+class AdminClient:
+    """Sends requests to the administration API of one router.
+
+    Args:
+        router_url: Base URL of the administration address.
+        token: Administration token.
+        transport: Replaces the network in tests.
+    """
+
+    def __init__(
+        self,
+        router_url: str,
+        token: str,
+        transport: httpx.BaseTransport | None = None,
+    ) -> None:
+        # Routers are reached directly; the environment's proxies must not
+        # receive the token.
+        self._client = httpx.Client(
+            base_url=router_url,
+            headers={"Authorization": f"Bearer {token}"},
+            timeout=httpx.Timeout(
+                ANSWER_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
+            ),
+            transport=transport,
+            trust_env=False,
+        )
+
+    def __enter__(self) -> "AdminClient":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._client.close()
+
+    def services(self) -> Any:
+        """Return the names and versions of all services."""
+        return self._read("/v1/services", Any)
+
+    def service(self, name: str) -> ServiceAnswer:
+        """Return the document of a service that is in force."""
+        return self._read(_service_path(name), ServiceAnswer)
+
+    def version(self, name: str) -> int:
+        """Return the version of a service that is in force, 0 for none."""
+        response = self._send("GET", _service_path(name))
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return 0
+        return _decode_success(response, ServiceAnswer).version
+
+    def history(self, name: str) -> HistoryAnswer:
+        """Return the edits of a service."""
+        return self._read(f"{_service_path(name)}/history", HistoryAnswer)
+
+    def status(self) -> Any:
+        """Return the status of the router."""
+        return self._read("/v1/status", Any)
+
+    def accounts(self) -> Any:
+        """Return the service that each workspace received."""
+        return self._read("/v1/accounts", Any)
+
+    def request(self, request_id: str) -> Any:
+        """Return what the router knows about a request."""
+        return self._read(f"/v1/requests/{quote(request_id, safe='')}", Any)
+
+    def drain(self) -> Any:
+        """Begin a graceful shutdown of the router."""
+        return _decode_change(self._send("POST", "/v1/drain"), Any)
+
+    def publish(
+        self,
+        service: str,
+        *,
+        edit_id: str,
+        base_version: int,
+        author: str,
+        document: Mapping[str, Any],
+    ) -> PublishAnswer:
+        """Publish a document.
+
+        Raises:
+            RouterUnreachableError: The edit was not sent.
+            RefusedError: The router refused the edit.
+        """
+        body = {
+            "edit_id": edit_id,
+            "base_version": base_version,
+            "author": author,
+            "document": document,
+        }
+        try:
+            response = self._send("PUT", _service_path(service), body)
+            return _publish_answer(response)
+        except UnknownOutcomeError as error:
+            return Unknown(edit_id, str(error))
+
+    def _read(self, path: str, answer_type: type[_T]) -> _T:
+        return _decode_success(self._send("GET", path), answer_type)
+
+    def _send(self, method: str, path: str, body: Any = None) -> httpx.Response:
+        try:
+            return self._client.request(method, path, json=body)
+        except (httpx.InvalidURL, httpx.UnsupportedProtocol) as error:
+            raise BadInputError("bad_router_url", str(error)) from error
+        except _NOT_SENT_ERRORS as error:
+            raise RouterUnreachableError("unreachable", str(error)) from error
+        except httpx.HTTPError as error:
+            reason = f"no answer from the router: {error}"
+            if method == "GET":
+                raise RouterUnreachableError("no_answer", reason) from error
+            raise UnknownOutcomeError("no_answer", reason) from error
+
+
+def _service_path(name: str) -> str:
+    return f"/v1/services/{quote(name, safe='')}"
+
+
+def _publish_answer(response: httpx.Response) -> PublishAnswer:
+    answer_types: dict[int, type[PublishAnswer]] = {
+        200: Accepted,
+        202: Unknown,
+        409: Conflict,
+        422: Invalid,
+    }
+    answer_type = answer_types.get(response.status_code)
+    if answer_type is None:
+        raise _change_error(response)
+    try:
+        return msgspec.json.decode(response.content, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise UnknownOutcomeError(
+            "invalid_answer", f"answer not understood: {error}"
+        ) from error
+
+
+def _decode_success(response: httpx.Response, answer_type: type[_T]) -> _T:
+    """Return the answer to a read."""
+    if not response.is_success:
+        raise _refusal(response)
+    try:
+        return msgspec.json.decode(response.content, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise RefusedError(
+            "invalid_answer", f"answer not understood: {error}"
+        ) from error
+
+
+def _decode_change(response: httpx.Response, answer_type: type[_T]) -> _T:
+    """Return the answer to a request that changes something."""
+    if not response.is_success:
+        raise _change_error(response)
+    if not response.content:
+        return msgspec.convert({}, answer_type)
+    return _decode_success(response, answer_type)
+
+
+def _change_error(response: httpx.Response) -> CtlError:
+    """Return the error of a change, unknown unless surely without effect."""
+    status = response.status_code
+    if status < 500 or status in _NO_EFFECT_STATUSES:
+        return _refusal(response)
+    detail = _refusal(response)
+    return UnknownOutcomeError(detail.code, str(detail))
+
+
+def _refusal(response: httpx.Response) -> CtlError:
+    status = response.status_code
+    try:
+        detail = msgspec.json.decode(response.content, type=ErrorAnswer).error
+        code, message = detail.code, detail.message
+    except msgspec.MsgspecError:
+        code, message = f"http_{status}", f"the router answered {status}"
+    if status in _BAD_INPUT_STATUSES:
+        return BadInputError(code, message)
+    return RefusedError(code, message)
--- /dev/null
+++ b/packages/ctl/src/lacewingspar_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- /dev/null
+++ b/packages/ctl/src/lacewingspar_ctl/commands/fleet.py
@@ -0,0 +1,46 @@
+"""Commands that show and drain a router."""
+
+from typing import Annotated
+
+import typer
+
+from lacewingspar_ctl.session import session_of
+
+
+def status(context: typer.Context) -> None:
+    """Show the status of the router."""
+    session = session_of(context)
+    with session.client() as client:
+        session.output.value("Status", client.status())
+
+
+def accounts(context: typer.Context) -> None:
+    """Show the service that each workspace received."""
+    session = session_of(context)
+    with session.client() as client:
+        session.output.value("Accounts", client.accounts())
+
+
+def drain(context: typer.Context) -> None:
+    """Begin a graceful shutdown of the router."""
+    session = session_of(context)
+    with session.client() as client:
+        answer = client.drain()
+    if session.output.as_json:
+        session.output.json(answer)
+    else:
+        session.output.line(f"drain started at {session.router}")
+
+
+def requests(
+    context: typer.Context,
+    request_id: Annotated[
+        str, typer.Argument(metavar="ID", help="Value of X-Request-Id.")
+    ],
+) -> None:
+    """Show what the router knows about a request."""
+    session = session_of(context)
+    with session.client() as client:
+        session.output.value(
+            f"Request {request_id}", client.request(request_id)
+        )
