--- a/packages/core/src/lacewingspar_core/documents.py
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -40,8 +40,7 @@
 ModelName = Annotated[str, Field(pattern=r"^\S+$", max_length=256)]
 # Numbers written as text or as true and false are mistakes, not numbers.
 Integer = Annotated[int, Field(strict=True)]
-# NaN would pass every comparison with a bound.
-Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
+Number = Annotated[float, Field(strict=True)]
 
 _STRICT = ConfigDict(extra="forbid")
 
