--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -25,8 +25,8 @@
     "peers",
     "configuration",
     "claims",
-    "scheduler",
     "upstreams",
+    "scheduler",
     "caller_api",
     "admin_api",
 )
