--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -267,17 +267,34 @@
     records: tuple[LogRecord, ...]
 
 
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One crash of an upstream and the requests in flight at it.
+
+    Attributes:
+        upstream_id: Upstream that crashed.
+        epoch: Number of its crashes known when the requests were sent.
+        age_seconds: Time since the crash.
+        suspects: Fingerprints of the requests in flight, as far as known.
+        cleared: Those of them that have since completed elsewhere.
+    """
+
+    upstream_id: str
+    epoch: int
+    age_seconds: float
+    suspects: tuple[str, ...]
+    cleared: tuple[str, ...]
+
+
 class Quarantine(PeerMessage, frozen=True, tag="quarantine"):
-    """Crash suspicions of request fingerprints.
+    """Crashes of the upstreams of one service.
 
     Attributes:
         service: Name of the service.
-        crashes_by_fingerprint: Pairs of a fingerprint and the crash ids at
-            which it was in flight.
+        crashes: Changed or all crash records of the sender.
     """
 
     service: str
-    crashes_by_fingerprint: tuple[tuple[str, tuple[str, ...]], ...]
+    crashes: tuple[CrashRecord, ...]
 
 
 AnyPeerMessage = (
