--- /dev/null
+++ b/packages/router/src/lacewingspar_router/addresses.py
@@ -0,0 +1,28 @@
+"""Translation of outgoing addresses by the setting `address_map`."""
+
+from collections.abc import Mapping
+
+import httpx
+
+_DEFAULT_PORT_BY_SCHEME = {"http": 80, "https": 443}
+
+
+def map_url(url: str, address_map: Mapping[str, str]) -> str:
+    """Return a URL with its `host:port` replaced if the map has it.
+
+    An invalid URL is returned as it is, so that its use reports the error.
+
+    Args:
+        url: Absolute HTTP or HTTPS URL.
+        address_map: Replacement `host:port` by original `host:port`.
+    """
+    try:
+        parsed = httpx.URL(url)
+    except httpx.InvalidURL:
+        return url
+    port = parsed.port or _DEFAULT_PORT_BY_SCHEME.get(parsed.scheme)
+    replacement = address_map.get(f"{parsed.host}:{port}")
+    if replacement is None:
+        return url
+    host, _, mapped_port = replacement.rpartition(":")
+    return str(parsed.copy_with(host=host, port=int(mapped_port)))
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/vm_list/poller.py
@@ -0,0 +1,104 @@
+"""Poller of the platform's VM list."""
+
+import asyncio
+from collections.abc import Callable
+
+import httpx
+import msgspec
+import structlog
+
+from lacewingspar_core.platform import VmList, VmState
+from lacewingspar_router.components.vm_list.const import (
+    MAXIMUM_DEPARTED_VMS,
+    POLL_INTERVAL_SECONDS,
+)
+from lacewingspar_router.components.vm_list.errors import VmListReadError
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class VmListPoller:
+    """Keeps the last VM list that the platform has answered with.
+
+    Args:
+        client: HTTP client with the timeout of one poll.
+        url: Address of the list.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, url: str) -> None:
+        self._client = client
+        self._url = url
+        self._listeners: list[Callable[[], None]] = []
+        self._leaving_vms: frozenset[str] = frozenset()
+        # Insertion order is the order of departure.
+        self._departed_vms: dict[str, None] = {}
+        self._is_answering = True
+
+    @property
+    def leaving_vms(self) -> frozenset[str]:
+        """Return the names of VMs that are about to leave or have left.
+
+        A VM that was leaving and is no longer listed stays in this set until
+        it is listed as live, so that its upstreams get no new work.
+        """
+        return self._leaving_vms
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after every change."""
+        self._listeners.append(listener)
+
+    async def async_run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.async_poll()
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def async_poll(self) -> None:
+        """Read the list once; keep the last one if that fails."""
+        try:
+            vm_list = await self._async_read()
+        except VmListReadError as error:
+            if self._is_answering:
+                _LOGGER.warning("VM list not readable", error=str(error))
+            self._is_answering = False
+            return
+        if not self._is_answering:
+            _LOGGER.info("VM list readable again")
+        self._is_answering = True
+        self._apply(vm_list)
+
+    async def _async_read(self) -> VmList:
+        try:
+            response = await self._client.get(self._url)
+            response.raise_for_status()
+            return msgspec.json.decode(response.content, type=VmList)
+        except (
+            httpx.HTTPError,
+            httpx.InvalidURL,
+            msgspec.MsgspecError,
+        ) as error:
+            reason = str(error) or type(error).__name__
+            raise VmListReadError(f"GET {self._url}: {reason}") from error
+
+    def _apply(self, vm_list: VmList) -> None:
+        leaving = {v.name for v in vm_list.vms if v.state is VmState.LEAVING}
+        listed = {vm.name for vm in vm_list.vms}
+        for name in listed:
+            self._departed_vms.pop(name, None)
+        for name in sorted(self._leaving_vms - listed):
+            self._departed_vms.setdefault(name)
+        while len(self._departed_vms) > MAXIMUM_DEPARTED_VMS:
+            del self._departed_vms[next(iter(self._departed_vms))]
+        leaving_vms = leaving.union(self._departed_vms)
+        if leaving_vms == self._leaving_vms:
+            return
+        self._leaving_vms = frozenset(leaving_vms)
+        _LOGGER.info("leaving VMs changed", leaving=sorted(leaving))
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in list(self._listeners):
+            try:
+                listener()
+            except Exception:
+                _LOGGER.exception("VM list listener failed")
