--- a/packages/router/src/lacewingspar_router/components/upstreams/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/__init__.py
@@ -6,6 +6,7 @@
 )
 from lacewingspar_router.components.upstreams.models import UPSTREAMS
 from lacewingspar_router.components.upstreams.pool import HttpUpstreamPool
+from lacewingspar_router.components.vm_list.models import VM_LIST
 
 
 async def async_setup(application: Application) -> None:
@@ -13,5 +14,6 @@
     pool = HttpUpstreamPool(application)
     pool.apply_configuration()
     application.get(CONFIGURATION).add_listener(pool.apply_configuration)
+    application.get(VM_LIST).add_listener(pool.apply_vm_list)
     application.register(UPSTREAMS, pool)
     application.on_unload("upstreams", pool.async_close)
--- a/packages/router/src/lacewingspar_router/components/upstreams/const.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/const.py
@@ -11,7 +11,3 @@
 # An upstream sets this header on a 503 answer to a call that it did not start.
 HEADER_NOT_RUN = b"x-not-run"
 STATUS_UNAVAILABLE = 503
-
-FAILURES_UNTIL_FAILING = 3
-# A failing upstream gets work again after this time, to see whether it works.
-FAILING_SECONDS = 5.0
