--- a/packages/router/src/lacewingspar_router/components/caller_api/answer_body.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/answer_body.py
@@ -2,15 +2,11 @@
 
 import re
 
-import msgspec
-
 from lacewingspar_router.components.caller_api.const import (
     END_MARKER,
     MAX_HELD_EVENT_BYTES,
     TAIL_BYTES,
 )
-from lacewingspar_router.components.caller_api.exchange import refusal_value
-from lacewingspar_router.errors import RequestRefusedError
 
 # Quotes inside text of a JSON value are escaped, so generated text cannot
 # match.
@@ -69,9 +65,3 @@
         """Return what is held."""
         held, self._held = self._held, b""
         return held
-
-
-def error_event(error: RequestRefusedError, request_id: str) -> bytes:
-    """Return the event that ends a stream that broke."""
-    value = msgspec.json.encode(refusal_value(error, request_id))
-    return b"data: " + value + b"\n\n"
--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -1,29 +1,29 @@
 """Path of a checked request from the queue to the end of its answer."""
 
+import asyncio
+from dataclasses import dataclass
+
 from lacewingspar_core.messages import SlotOutcome
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.caller_api.claimed import (
-    async_claim,
-    async_give_up,
+    CallClaims,
     async_replay,
 )
-from lacewingspar_router.components.caller_api.const import (
-    RETRY_AFTER_CLAIM_SECONDS,
-    RETRY_AFTER_FAILURE_SECONDS,
-)
 from lacewingspar_router.components.caller_api.exchange import Exchange
 from lacewingspar_router.components.caller_api.in_flight import (
     InFlight,
     RequestTrack,
 )
+from lacewingspar_router.components.caller_api.refusals import (
+    claim_expired,
+    slot_outcome,
+    upstream_refusal,
+)
 from lacewingspar_router.components.caller_api.requests import CallerRequest
 from lacewingspar_router.components.caller_api.retries import may_retry
 from lacewingspar_router.components.caller_api.slot_use import SlotUse
-from lacewingspar_router.components.caller_api.streaming import (
-    async_stream_answer,
-)
+from lacewingspar_router.components.caller_api.streaming import AnswerTransfer
 from lacewingspar_router.components.claims.models import (
-    CLAIMS,
     ClaimAnswered,
     ClaimGranted,
 )
@@ -32,25 +32,30 @@
     SlotRequest,
 )
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.components.upstreams.errors import (
-    UpstreamBrokenError,
-    UpstreamConnectError,
-    UpstreamError,
-    UpstreamMismatchError,
-    UpstreamRefusedError,
-)
+from lacewingspar_router.components.upstreams.errors import UpstreamError
 from lacewingspar_router.components.upstreams.models import (
     UPSTREAMS,
+    UpstreamAnswer,
     UpstreamCall,
 )
 from lacewingspar_router.errors import RequestRefusedError, RunState
 
-_CODE_BY_ERROR: dict[type[UpstreamError], tuple[int, str]] = {
-    UpstreamConnectError: (502, "upstream_unreachable"),
-    UpstreamRefusedError: (503, "upstream_refused"),
-    UpstreamBrokenError: (502, "upstream_broken"),
-    UpstreamMismatchError: (502, "answer_mismatch"),
-}
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request on its way.
+
+    Attributes:
+        request: The request.
+        exchange: Exchange with the caller.
+        track: Path of the request.
+        claim: Claim of its key, if it has one.
+    """
+
+    request: CallerRequest
+    exchange: Exchange
+    track: RequestTrack
+    claim: ClaimGranted | None
 
 
 class CallRunner:
@@ -62,7 +67,7 @@
     """
 
     def __init__(self, application: Application, in_flight: InFlight) -> None:
-        self._claims = application.get(CLAIMS)
+        self._claims = CallClaims(application)
         self._scheduler = application.get(SCHEDULER)
         self._upstreams = application.get(UPSTREAMS)
         self._telemetry = application.get(TELEMETRY)
@@ -79,64 +84,66 @@
         Raises:
             RequestRefusedError: The request gets a refusal.
         """
-        claim = await async_claim(self._claims, request)
+        claim = await self._claims.async_claim(request)
         if isinstance(claim, ClaimAnswered):
             track.run = RunState.RAN
             await async_replay(exchange, claim)
             return "replayed"
+        call = Call(request, exchange, track, claim)
         try:
-            return await self._async_attempts(request, exchange, track, claim)
+            return await self._async_attempts(call)
         except RequestRefusedError as error:
             # An earlier attempt may have run although the last one did not.
             if track.run is not RunState.NOT_RUN:
                 error.run = track.run
             elif claim is not None:
-                raise await async_give_up(self._claims, claim, error) from error
+                await self._claims.async_give_up(claim, error)
+            raise
+        except asyncio.CancelledError:
+            if claim is not None and track.run is RunState.NOT_RUN:
+                self._claims.release(claim)
+                track.run = RunState.UNKNOWN
             raise
 
-    async def _async_attempts(
-        self,
-        request: CallerRequest,
-        exchange: Exchange,
-        track: RequestTrack,
-        claim: ClaimGranted | None,
-    ) -> str:
+    async def _async_attempts(self, call: Call) -> str:
         """Send a request until an attempt succeeds or no more are allowed."""
+        request = call.request
         failed: set[str] = set()
         attempts = 0
         while True:
-            use = await self._async_acquire(request, track, claim, failed)
+            use = await self._async_acquire(call, failed)
             attempts += 1
             try:
-                return await self._async_send(
-                    request, exchange, track, use, claim
-                )
+                with self._telemetry.span(
+                    "slot",
+                    trace_parent=request.trace_parent,
+                    upstream=use.upstream_id,
+                ):
+                    return await self._async_attempt(call, use)
             except UpstreamError as error:
-                use.release(_slot_outcome(error))
+                use.release(slot_outcome(error))
                 failed.add(use.upstream_id)
-                self._in_flight.hop(track, "failed", use.upstream_id)
+                self._in_flight.hop(call.track, "failed", use.upstream_id)
+                if call.exchange.is_started:
+                    await call.exchange.async_interrupt(str(error))
+                    return "interrupted"
                 if not may_retry(
                     request.repeatability,
                     error.run,
                     attempts_made=attempts,
                     attempts_allowed=request.document.limits.attempts,
                 ):
-                    raise _refusal(error) from error
+                    raise upstream_refusal(error) from error
             finally:
                 use.release(SlotOutcome.CANCELLED)
 
-    async def _async_acquire(
-        self,
-        request: CallerRequest,
-        track: RequestTrack,
-        claim: ClaimGranted | None,
-        failed: set[str],
-    ) -> SlotUse:
-        self._in_flight.hop(track, "queue")
+    async def _async_acquire(self, call: Call, failed: set[str]) -> SlotUse:
+        """Wait for a slot of an upstream that has not failed."""
+        request = call.request
         deadline_at = request.deadline_at
-        if claim is not None:
+        if call.claim is not None:
             # After that time the slot could not be used.
-            deadline_at = min(deadline_at, claim.send_before)
+            deadline_at = min(deadline_at, call.claim.send_before)
         slot_request = SlotRequest(
             request_id=request.request_id,
             service=request.document.service,
@@ -147,84 +154,69 @@
             deadline_at=deadline_at,
             excluded_upstreams=frozenset(failed),
         )
+        self._in_flight.hop(call.track, "queue")
         with self._telemetry.span("queue", trace_parent=request.trace_parent):
             grant = await self._scheduler.async_acquire(slot_request)
-        self._in_flight.hop(track, "slot", grant.upstream_id)
+        self._in_flight.hop(call.track, "slot", grant.upstream_id)
         return SlotUse(self._scheduler, grant)
 
-    async def _async_send(
-        self,
-        request: CallerRequest,
-        exchange: Exchange,
-        track: RequestTrack,
-        use: SlotUse,
-        claim: ClaimGranted | None,
-    ) -> str:
-        """Send a request to one upstream and stream the answer."""
-        service = request.document.service
+    async def _async_attempt(self, call: Call, use: SlotUse) -> str:
+        """Send a request to one upstream and pass its answer on."""
+        answer = await self._async_send(call, use)
+        self._in_flight.hop(call.track, "head", use.upstream_id)
+        try:
+            with self._telemetry.span(
+                "stream", trace_parent=call.request.trace_parent
+            ):
+                await self._async_pass_on(call, use, answer)
+        finally:
+            await answer.async_close()
+        return "completed"
+
+    async def _async_send(self, call: Call, use: SlotUse) -> UpstreamAnswer:
+        """Send a request to one upstream and wait for the answer's head."""
+        request, track = call.request, call.track
         with self._telemetry.span(
             "upstream",
             trace_parent=request.trace_parent,
-            service=service,
+            service=request.document.service,
             upstream=use.upstream_id,
         ) as trace_parent:
-            call = UpstreamCall(
-                request_id=request.request_id,
-                method=request.method,
-                path=request.target,
-                headers=(*request.headers, ("traceparent", trace_parent)),
-                body=request.body,
-                silent_after_seconds=(
-                    request.document.limits.silent_after_seconds
-                ),
-            )
-            if claim is not None and not self._claims.may_send(claim):
-                raise _claim_expired()
-            before = track.run
-            track.run = RunState.UNKNOWN
+            upstream_call = _upstream_call(request, trace_parent)
+            if call.claim is not None:
+                if not self._claims.may_send(call.claim):
+                    raise claim_expired()
+                # The outcome is recorded for later attempts of the caller.
+                track.outlives_caller = True
+            run_before, track.run = track.run, RunState.UNKNOWN
             try:
-                answer = await self._upstreams.async_call(
-                    service, use.upstream_id, call
+                return await self._upstreams.async_call(
+                    request.document.service, use.upstream_id, upstream_call
                 )
             except UpstreamError as error:
                 if error.run is RunState.NOT_RUN:
-                    track.run = before
+                    track.run = run_before
                 raise
-        self._in_flight.hop(track, "head", use.upstream_id)
-        try:
-            outcome, kept = await async_stream_answer(
-                request, exchange, answer, use
-            )
-        finally:
-            await answer.async_close()
-        if kept is not None:
-            track.run = RunState.RAN
-            if claim is not None:
-                self._claims.record_outcome(claim, kept)
-        return outcome
-
-
-def _slot_outcome(error: UpstreamError) -> SlotOutcome:
-    if isinstance(error, UpstreamRefusedError):
-        return SlotOutcome.UPSTREAM_REFUSED
-    return SlotOutcome.UPSTREAM_FAILED
-
-
-def _refusal(error: UpstreamError) -> RequestRefusedError:
-    status, code = _CODE_BY_ERROR.get(type(error), (502, "upstream_failed"))
-    return RequestRefusedError(
-        status,
-        code,
-        str(error),
-        run=error.run,
-        retry_after_seconds=RETRY_AFTER_FAILURE_SECONDS,
-    )
-
 
-def _claim_expired() -> RequestRefusedError:
-    return RequestRefusedError(
-        503,
-        "claim_expired",
-        "the call waited longer than its claim allows and was not sent",
-        retry_after_seconds=RETRY_AFTER_CLAIM_SECONDS,
+    async def _async_pass_on(
+        self, call: Call, use: SlotUse, answer: UpstreamAnswer
+    ) -> None:
+        """Pass an answer on, give the slot back and record the outcome."""
+        transfer = AnswerTransfer(call.request, call.exchange, answer)
+        await transfer.async_run()
+        use.release(SlotOutcome.COMPLETED, transfer.tokens)
+        call.track.run = RunState.RAN
+        if call.claim is not None:
+            self._claims.record_outcome(call.claim, transfer.kept_answer())
+        await transfer.async_finish()
+
+
+def _upstream_call(request: CallerRequest, trace_parent: str) -> UpstreamCall:
+    return UpstreamCall(
+        request_id=request.request_id,
+        method=request.method,
+        path=request.target,
+        headers=(*request.headers, ("traceparent", trace_parent)),
+        body=request.body,
+        silent_after_seconds=request.document.limits.silent_after_seconds,
     )
--- a/packages/router/src/lacewingspar_router/components/caller_api/claimed.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/claimed.py
@@ -1,22 +1,25 @@
 """Claims of calls that carry an idempotency key."""
 
+import asyncio
 import hashlib
 
+from lacewingspar_router.application import Application
 from lacewingspar_router.components.caller_api.const import (
     HEADER_REPLAYED,
+    RELEASE_LIMIT_SECONDS,
     RETRY_AFTER_CLAIM_SECONDS,
     RETRY_AFTER_STATE_SECONDS,
 )
 from lacewingspar_router.components.caller_api.exchange import Exchange
 from lacewingspar_router.components.caller_api.requests import CallerRequest
 from lacewingspar_router.components.claims.models import (
+    CLAIMS,
     ClaimAnswered,
     ClaimDecision,
     ClaimGranted,
     ClaimInProgress,
     ClaimKeyExpired,
     ClaimKeyReused,
-    ClaimRegistry,
     ClaimUnavailable,
     ClaimUnknown,
 )
@@ -33,28 +36,94 @@
     return digest.digest()
 
 
-async def async_claim(
-    claims: ClaimRegistry, request: CallerRequest
-) -> ClaimGranted | ClaimAnswered | None:
-    """Claim the key of a request.
+class CallClaims:
+    """Claims keys for calls and gives up the claims that are not used.
 
-    Returns:
-        The claim, the first answer of the call, or None without a key.
-
-    Raises:
-        RequestRefusedError: The call must not be sent.
+    Args:
+        application: The application that holds the claims component.
     """
-    if request.idempotency_key is None:
-        return None
-    decision = await claims.async_claim(
-        service=request.document.service,
-        workspace=request.workspace.name,
-        key=request.idempotency_key,
-        digest=call_digest(request),
-    )
-    if isinstance(decision, ClaimGranted | ClaimAnswered):
-        return decision
-    raise _refusal(decision)
+
+    def __init__(self, application: Application) -> None:
+        self._application = application
+        self._claims = application.get(CLAIMS)
+
+    async def async_claim(
+        self, request: CallerRequest
+    ) -> ClaimGranted | ClaimAnswered | None:
+        """Claim the key of a request.
+
+        Returns:
+            The claim, the first answer of the call, or None without a key.
+
+        Raises:
+            RequestRefusedError: The call must not be sent.
+        """
+        if request.idempotency_key is None:
+            return None
+        task = self._application.create_task(
+            self._claims.async_claim(
+                service=request.document.service,
+                workspace=request.workspace.name,
+                key=request.idempotency_key,
+                digest=call_digest(request),
+            ),
+            "claim",
+        )
+        try:
+            async with asyncio.timeout(
+                request.deadline_at - self._application.now()
+            ):
+                decision = await asyncio.shield(task)
+        except TimeoutError as error:
+            self._release_when_granted(task)
+            raise _claim_timeout() from error
+        except asyncio.CancelledError:
+            self._release_when_granted(task)
+            raise
+        if isinstance(decision, ClaimGranted | ClaimAnswered):
+            return decision
+        raise _refusal(decision)
+
+    def may_send(self, claim: ClaimGranted) -> bool:
+        """Return whether the call may be sent now, and use the claim up."""
+        return self._claims.may_send(claim)
+
+    def record_outcome(
+        self, claim: ClaimGranted, answer: ClaimAnswered
+    ) -> None:
+        """Record the first answer of a call."""
+        self._claims.record_outcome(claim, answer)
+
+    def release(self, claim: ClaimGranted) -> asyncio.Task[bool]:
+        """Give up the claim of a call that was not sent, in the background."""
+        return self._application.create_task(
+            self._claims.async_release(claim), "claim release"
+        )
+
+    async def async_give_up(
+        self, claim: ClaimGranted, error: RequestRefusedError
+    ) -> None:
+        """Give up the claim of a call that was not sent and is refused.
+
+        The refusal says `unknown` unless the release is confirmed in time.
+        """
+        error.run = RunState.UNKNOWN
+        task = self.release(claim)
+        done, _ = await asyncio.wait({task}, timeout=RELEASE_LIMIT_SECONDS)
+        if done and task.exception() is None and task.result():
+            error.run = RunState.NOT_RUN
+
+    def _release_when_granted(self, task: asyncio.Task[ClaimDecision]) -> None:
+        """Give up a claim that is granted after its caller has its answer."""
+
+        def on_done(done: asyncio.Task[ClaimDecision]) -> None:
+            if done.cancelled() or done.exception() is not None:
+                return
+            decision = done.result()
+            if isinstance(decision, ClaimGranted):
+                self.release(decision)
+
+        task.add_done_callback(on_done)
 
 
 async def async_replay(exchange: Exchange, answer: ClaimAnswered) -> None:
@@ -77,18 +146,14 @@
     await exchange.async_answer(answer.status, headers, answer.body)
 
 
-async def async_give_up(
-    claims: ClaimRegistry, claim: ClaimGranted, error: RequestRefusedError
-) -> RequestRefusedError:
-    """Release the claim of a call that was not sent.
-
-    Returns:
-        The refusal, with run `unknown` unless the release is confirmed.
-    """
-    if await claims.async_release(claim):
-        return error
-    error.run = RunState.UNKNOWN
-    return error
+def _claim_timeout() -> RequestRefusedError:
+    return RequestRefusedError(
+        504,
+        "claim_timeout",
+        "the key was not claimed before the deadline of the request",
+        run=RunState.UNKNOWN,
+        retry_after_seconds=RETRY_AFTER_CLAIM_SECONDS,
+    )
 
 
 def _refusal(decision: ClaimDecision) -> RequestRefusedError:
--- a/packages/router/src/lacewingspar_router/components/caller_api/const.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/const.py
@@ -24,6 +24,10 @@
 RETRY_AFTER_FAILURE_SECONDS = 1.0
 RETRY_AFTER_CLAIM_SECONDS = 2.0
 
+# A refusal waits at most this long for the release of its claim, since refusals
+# are prompt. Without a confirmed release it says that the run is unknown.
+RELEASE_LIMIT_SECONDS = 1.0
+
 # The claim stream keeps answers up to this size (section 8 of the design).
 MAX_KEPT_ANSWER_BYTES = 8 * 1024
 
--- a/packages/router/src/lacewingspar_router/components/caller_api/exchange.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/exchange.py
@@ -9,6 +9,7 @@
 
 from lacewingspar_router.components.caller_api.const import (
     BODY_IDLE_SECONDS,
+    RETRY_AFTER_FAILURE_SECONDS,
 )
 from lacewingspar_router.components.caller_api.errors import CallerGoneError
 from lacewingspar_router.errors import RequestRefusedError, RunState
@@ -33,6 +34,8 @@
         trace_parent: `traceparent` value of the answer.
         is_started: Whether the head of the answer was sent.
         is_finished: Whether the whole answer was sent.
+        is_event_stream: Whether the answer is an event stream.
+        must_close: Whether the connection is closed after the answer.
     """
 
     def __init__(
@@ -44,9 +47,12 @@
         self.trace_parent = ""
         self.is_started = False
         self.is_finished = False
+        self.is_event_stream = False
+        # The rest of a body that was not read would be taken for the next
+        # request.
+        self.must_close = True
         self._receive = receive
         self._send = send
-        self._is_body_read = False
 
     async def async_read_body(self, limit_bytes: int) -> bytes:
         """Return the request body.
@@ -67,7 +73,7 @@
             if size > limit_bytes:
                 raise _too_large(limit_bytes)
             if not message.get("more_body", False):
-                self._is_body_read = True
+                self.must_close = False
                 return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def async_wait_gone(self) -> None:
@@ -84,8 +90,7 @@
             (REQUEST_ID_HEADER, self.request_id.encode()),
             (TRACE_PARENT_HEADER, self.trace_parent.encode()),
         ]
-        if not self._is_body_read:
-            # The rest of the body would be taken for the next request.
+        if self.must_close:
             added.append((b"connection", b"close"))
         await self._send(
             {
@@ -133,6 +138,24 @@
         body = msgspec.json.encode(refusal_value(error, self.request_id))
         await self.async_answer(error.status, headers, body)
 
+    async def async_interrupt(self, message: str) -> None:
+        """End an answer that broke after its head was sent.
+
+        The caller gets an error event if it reads events. The missing end of
+        the transfer makes the server close the connection.
+        """
+        if not self.is_event_stream:
+            return
+        error = RequestRefusedError(
+            502,
+            "stream_interrupted",
+            message,
+            run=RunState.UNKNOWN,
+            retry_after_seconds=RETRY_AFTER_FAILURE_SECONDS,
+        )
+        value = msgspec.json.encode(refusal_value(error, self.request_id))
+        await self.async_send_part(b"data: " + value + b"\n\n")
+
     async def _async_receive(self) -> Any:
         try:
             async with asyncio.timeout(BODY_IDLE_SECONDS):
--- a/packages/router/src/lacewingspar_router/components/caller_api/in_flight.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/in_flight.py
@@ -30,6 +30,7 @@
         run: What is known about the run of the request.
         outcome: How the request ended, or "" while it is in flight.
         is_cut: Whether the router ends the request before its answer.
+        outlives_caller: Whether the request runs on when the caller leaves.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     run: RunState = RunState.NOT_RUN
     outcome: str = ""
     is_cut: bool = False
+    outlives_caller: bool = False
 
     def as_json(self) -> dict[str, Any]:
         """Return the path as JSON values, with times since arrival."""
@@ -78,14 +80,14 @@
         self.is_cut = False
         self._now = now
         self._tracks: OrderedDict[str, RequestTrack] = OrderedDict()
-        self._task_by_request: dict[str, asyncio.Task[Any]] = {}
+        self._running: dict[str, tuple[RequestTrack, asyncio.Task[Any]]] = {}
         self._empty = asyncio.Event()
         self._empty.set()
 
     @property
     def count(self) -> int:
         """Return the number of requests in flight."""
-        return len(self._task_by_request)
+        return len(self._running)
 
     def enter(self, request_id: str, method: str, target: str) -> RequestTrack:
         """Begin the path of a request that the current task handles."""
@@ -93,12 +95,19 @@
         task = asyncio.current_task()
         if task is None:
             raise RuntimeError("requests are handled in tasks")
-        self._task_by_request[request_id] = task
+        self._running[request_id] = (track, task)
         self._empty.clear()
-        self._tracks[request_id] = track
+        return track
+
+    def keep(self, track: RequestTrack) -> None:
+        """Keep the path of a request that has passed the checks.
+
+        Requests without a valid token are not kept, so that they cannot push
+        the others out.
+        """
+        self._tracks[track.request_id] = track
         if len(self._tracks) > KEPT_PATHS:
             self._tracks.popitem(last=False)
-        return track
 
     def hop(self, track: RequestTrack, name: str, upstream: str = "") -> None:
         """Note that a request has reached a hop."""
@@ -108,8 +117,8 @@
         """End the path of a request."""
         track.outcome = outcome
         self.hop(track, "end")
-        self._task_by_request.pop(track.request_id, None)
-        if not self._task_by_request:
+        self._running.pop(track.request_id, None)
+        if not self._running:
             self._empty.set()
 
     def path(self, request_id: str) -> dict[str, Any] | None:
@@ -124,19 +133,18 @@
     async def async_cut(self) -> int:
         """End all requests in flight, log each and return their number."""
         self.is_cut = True
-        tasks = dict(self._task_by_request)
-        for request_id, task in tasks.items():
-            track = self._tracks.get(request_id)
-            if track is not None:
-                track.is_cut = True
-                _LOGGER.error(
-                    "request cut by shutdown",
-                    request_id=request_id,
-                    service=track.service,
-                    workspace=track.workspace,
-                    run=track.run,
-                    seconds=round(self._now() - track.arrived_at, 3),
-                )
+        running = list(self._running.values())
+        for track, task in running:
+            track.is_cut = True
+            _LOGGER.error(
+                "request cut by shutdown",
+                request_id=track.request_id,
+                service=track.service,
+                workspace=track.workspace,
+                run=track.run,
+                seconds=round(self._now() - track.arrived_at, 3),
+            )
             task.cancel()
-        await asyncio.gather(*tasks.values(), return_exceptions=True)
+        tasks = [task for _, task in running]
+        await asyncio.gather(*tasks, return_exceptions=True)
         return len(tasks)
--- a/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
@@ -26,6 +26,10 @@
     InFlight,
     RequestTrack,
 )
+from lacewingspar_router.components.caller_api.refusals import (
+    internal_error,
+    router_stopped,
+)
 from lacewingspar_router.components.caller_api.targets import read_target
 from lacewingspar_router.components.configuration.models import (
     CONFIGURATION,
@@ -118,13 +122,15 @@
         except asyncio.CancelledError:
             if not track.is_cut:
                 return "caller_gone"
-            if not exchange.is_started:
-                await exchange.async_refuse(_cut(track.run))
+            if exchange.is_started:
+                await exchange.async_interrupt("this router stopped")
+            else:
+                await exchange.async_refuse(router_stopped(track.run))
             return "cut"
         except Exception:
             _LOGGER.exception("request failed", request_id=exchange.request_id)
             if not exchange.is_started:
-                await exchange.async_refuse(_internal_error(track.run))
+                await exchange.async_refuse(internal_error(track.run))
             return "internal_error"
 
     async def _async_checked(
@@ -136,6 +142,7 @@
         workspaces = workspaces_of_caller(exchange, index)
         if target.is_model_list:
             await exchange.async_read_body(0)
+            track.run = RunState.RAN
             await exchange.async_answer_json(
                 200, _model_list(index, workspaces)
             )
@@ -145,8 +152,9 @@
         )
         track.service = request.document.service
         track.workspace = request.workspace.name
+        self.in_flight.keep(track)
         watcher = asyncio.create_task(
-            _async_cancel_when_gone(exchange, asyncio.current_task())
+            _async_cancel_when_gone(exchange, track, asyncio.current_task())
         )
         try:
             return await self._calls.async_run(request, exchange, track)
@@ -173,10 +181,12 @@
 
 
 async def _async_cancel_when_gone(
-    exchange: Exchange, task: asyncio.Task[Any] | None
+    exchange: Exchange, track: RequestTrack, task: asyncio.Task[Any] | None
 ) -> None:
+    """Cancel a request when its caller closes the connection."""
     await exchange.async_wait_gone()
-    if task is not None and not exchange.is_finished:
+    must_run_on = exchange.is_finished or track.outlives_caller
+    if task is not None and not must_run_on:
         task.cancel()
 
 
@@ -189,19 +199,3 @@
             for model in index.models_of(service)
         ],
     }
-
-
-def _cut(run: RunState) -> RequestRefusedError:
-    return RequestRefusedError(
-        503,
-        "router_stopped",
-        "this router stopped before the answer was complete",
-        run=run,
-        retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
-    )
-
-
-def _internal_error(run: RunState) -> RequestRefusedError:
-    return RequestRefusedError(
-        500, "internal_error", "the router failed", run=run
-    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
@@ -0,0 +1,86 @@
+"""Refusals of requests whose calls to upstreams failed."""
+
+from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_router.components.caller_api.const import (
+    RETRY_AFTER_CLAIM_SECONDS,
+    RETRY_AFTER_FAILURE_SECONDS,
+    RETRY_AFTER_STATE_SECONDS,
+)
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamBrokenError,
+    UpstreamConnectError,
+    UpstreamError,
+    UpstreamInvalidCallError,
+    UpstreamMismatchError,
+    UpstreamRefusedError,
+)
+from lacewingspar_router.errors import RequestRefusedError, RunState
+
+_REASON_BY_ERROR: dict[type[UpstreamError], tuple[int, str, SlotOutcome]] = {
+    UpstreamConnectError: (
+        502,
+        "upstream_unreachable",
+        SlotOutcome.UPSTREAM_FAILED,
+    ),
+    UpstreamRefusedError: (
+        503,
+        "upstream_refused",
+        SlotOutcome.UPSTREAM_REFUSED,
+    ),
+    UpstreamBrokenError: (502, "upstream_broken", SlotOutcome.UPSTREAM_FAILED),
+    UpstreamMismatchError: (
+        502,
+        "answer_mismatch",
+        SlotOutcome.UPSTREAM_FAILED,
+    ),
+    UpstreamInvalidCallError: (400, "bad_headers", SlotOutcome.CANCELLED),
+}
+_OTHER_REASON = (502, "upstream_failed", SlotOutcome.UPSTREAM_FAILED)
+
+
+def slot_outcome(error: UpstreamError) -> SlotOutcome:
+    """Return how a failed call ended for the upstream."""
+    return _REASON_BY_ERROR.get(type(error), _OTHER_REASON)[2]
+
+
+def upstream_refusal(error: UpstreamError) -> RequestRefusedError:
+    """Return the refusal of a request whose last call failed."""
+    status, code, _ = _REASON_BY_ERROR.get(type(error), _OTHER_REASON)
+    is_callers_fault = status == 400
+    return RequestRefusedError(
+        status,
+        code,
+        str(error),
+        run=error.run,
+        retry_after_seconds=(
+            None if is_callers_fault else RETRY_AFTER_FAILURE_SECONDS
+        ),
+    )
+
+
+def claim_expired() -> RequestRefusedError:
+    """Return the refusal of a call whose claim ran out before sending."""
+    return RequestRefusedError(
+        503,
+        "claim_expired",
+        "the call waited longer than its claim allows and was not sent",
+        retry_after_seconds=RETRY_AFTER_CLAIM_SECONDS,
+    )
+
+
+def router_stopped(run: RunState) -> RequestRefusedError:
+    """Return the refusal of a request that a shutdown cut."""
+    return RequestRefusedError(
+        503,
+        "router_stopped",
+        "this router stopped before the answer was complete",
+        run=run,
+        retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
+    )
+
+
+def internal_error(run: RunState) -> RequestRefusedError:
+    """Return the refusal of a request that failed in this router."""
+    return RequestRefusedError(
+        500, "internal_error", "the router failed", run=run
+    )
--- a/packages/router/src/lacewingspar_router/components/caller_api/streaming.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/streaming.py
@@ -1,31 +1,27 @@
 """Transfer of an upstream's answer to the caller."""
 
 from lacewingspar_core.documents import ServiceKind
-from lacewingspar_core.messages import SlotOutcome
 from lacewingspar_router.components.caller_api.answer_body import (
     AnswerTail,
     EventGate,
-    error_event,
 )
 from lacewingspar_router.components.caller_api.const import (
     MAX_KEPT_ANSWER_BYTES,
-    RETRY_AFTER_FAILURE_SECONDS,
 )
 from lacewingspar_router.components.caller_api.exchange import Exchange
 from lacewingspar_router.components.caller_api.requests import CallerRequest
-from lacewingspar_router.components.caller_api.slot_use import SlotUse
 from lacewingspar_router.components.claims.models import ClaimAnswered
 from lacewingspar_router.components.upstreams.errors import (
     UpstreamBrokenError,
-    UpstreamError,
 )
 from lacewingspar_router.components.upstreams.models import UpstreamAnswer
-from lacewingspar_router.errors import RequestRefusedError, RunState
+from lacewingspar_router.errors import RunState
 from lacewingspar_router.http_headers import RawHeaders
 
 _EVENT_STREAM = "text/event-stream"
 # The router writes these itself.
 _REPLACED_HEADERS = frozenset({"x-request-id", "traceparent", "date"})
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class AnswerTransfer:
@@ -47,7 +43,7 @@
         self._answer = answer
         self._content_type = dict(answer.headers).get("content-type", "")
         self._is_model = request.document.kind is ServiceKind.MODEL
-        self.is_event_stream = (
+        self._is_event_stream = (
             self._is_model
             and answer.status == 200
             and self._content_type.startswith(_EVENT_STREAM)
@@ -74,10 +70,10 @@
                 self._tail.add(part)
             if self._keeps:
                 self._keep(part)
-            ready = self._gate.push(part) if self.is_event_stream else part
+            ready = self._gate.push(part) if self._is_event_stream else part
             if ready:
                 await self._async_send(ready)
-        if not self.is_event_stream:
+        if not self._is_event_stream:
             return
         if not self._tail.has_end_marker:
             raise UpstreamBrokenError(
@@ -89,10 +85,7 @@
 
     async def async_finish(self) -> None:
         """Send the end of the body."""
-        if not self._exchange.is_started:
-            await self._exchange.async_send_head(
-                self._answer.status, self._head()
-            )
+        await self._async_send_head()
         await self._exchange.async_finish()
 
     def kept_answer(self) -> ClaimAnswered:
@@ -101,15 +94,23 @@
         return ClaimAnswered(self._answer.status, self._content_type, body)
 
     async def _async_send(self, data: bytes) -> None:
-        exchange = self._exchange
-        if not exchange.is_started:
-            await exchange.async_send_head(self._answer.status, self._head())
-        await exchange.async_send_part(data)
+        await self._async_send_head()
+        await self._exchange.async_send_part(data)
+
+    async def _async_send_head(self) -> None:
+        if self._exchange.is_started:
+            return
+        self._exchange.is_event_stream = self._is_event_stream
+        await self._exchange.async_send_head(self._answer.status, self._head())
 
     def _head(self) -> RawHeaders:
         removed = _REPLACED_HEADERS
-        if self.is_event_stream:
+        if (
             # An error event may follow, which would exceed the length.
+            self._is_event_stream
+            # The length is that of a body which is not sent.
+            or self._answer.status in _STATUSES_WITHOUT_BODY
+        ):
             removed = removed | {"content-length"}
         return [
             (name.encode("latin-1"), value.encode("latin-1"))
@@ -123,44 +124,3 @@
             self._kept = None
         if self._kept is not None:
             self._kept.append(part)
-
-
-async def async_stream_answer(
-    request: CallerRequest,
-    exchange: Exchange,
-    answer: UpstreamAnswer,
-    use: SlotUse,
-) -> tuple[str, ClaimAnswered | None]:
-    """Pass an answer on and give the slot back at its end.
-
-    Returns:
-        How the request ended, and the answer if it was complete.
-
-    Raises:
-        UpstreamError: The answer broke before any of it was sent.
-    """
-    transfer = AnswerTransfer(request, exchange, answer)
-    try:
-        await transfer.async_run()
-    except UpstreamError as error:
-        if not exchange.is_started:
-            raise
-        use.release(SlotOutcome.UPSTREAM_FAILED, transfer.tokens)
-        if transfer.is_event_stream:
-            await _async_interrupt(exchange, str(error))
-        # The missing end makes the server close the connection.
-        return "interrupted", None
-    use.release(SlotOutcome.COMPLETED, transfer.tokens)
-    await transfer.async_finish()
-    return "completed", transfer.kept_answer()
-
-
-async def _async_interrupt(exchange: Exchange, message: str) -> None:
-    error = RequestRefusedError(
-        502,
-        "stream_interrupted",
-        message,
-        run=RunState.UNKNOWN,
-        retry_after_seconds=RETRY_AFTER_FAILURE_SECONDS,
-    )
-    await exchange.async_send_part(error_event(error, exchange.request_id))
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -0,0 +1,50 @@
+"""Log lines in JSON."""
+
+import logging
+import sys
+
+import structlog
+
+_SHARED_PROCESSORS: list[structlog.typing.Processor] = [
+    structlog.contextvars.merge_contextvars,
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso", utc=True),
+    structlog.processors.dict_tracebacks,
+]
+
+
+def configure_log_lines(level: str, router_id: str) -> None:
+    """Write log lines as JSON to standard output.
+
+    Args:
+        level: Lowest level that is written, such as `info`.
+        router_id: Name of this router, part of every line.
+    """
+
+    def add_router(
+        _logger: object, _method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        event["router"] = router_id
+        return event
+
+    processors = [add_router, *_SHARED_PROCESSORS]
+    renderer = structlog.processors.JSONRenderer()
+    structlog.configure(
+        processors=[*processors, renderer],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+    )
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                renderer,
+            ],
+            foreign_pre_chain=processors,
+        )
+    )
+    # Libraries log through the standard module; only their problems matter.
+    logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/telemetry/spans.py
@@ -0,0 +1,40 @@
+"""Spans of this router."""
+
+from contextlib import AbstractContextManager, nullcontext
+from typing import Protocol
+
+from lacewingspar_router.components.telemetry.trace_context import (
+    new_context,
+    parse_trace_parent,
+)
+
+
+class SpanSource(Protocol):
+    """Makes spans."""
+
+    def span(
+        self, name: str, trace_parent: str | None, attributes: dict[str, str]
+    ) -> AbstractContextManager[str]:
+        """Return a span whose context manager yields its `traceparent`."""
+
+    async def async_close(self) -> None:
+        """Write the spans that wait, and end."""
+
+
+class UnrecordedSpans:
+    """Passes trace contexts on without recording spans."""
+
+    def span(
+        self,
+        name: str,  # noqa: ARG002
+        trace_parent: str | None,
+        attributes: dict[str, str],  # noqa: ARG002
+    ) -> AbstractContextManager[str]:
+        """Return the caller's context, or a new one without a caller's."""
+        # No span of this router appears in the trace, so the caller's context
+        # stays the parent of what follows.
+        context = parse_trace_parent(trace_parent) or new_context()
+        return nullcontext(context.header())
+
+    async def async_close(self) -> None:
+        """Do nothing."""
--- a/packages/router/src/lacewingspar_router/components/telemetry/telemetry.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/telemetry.py
@@ -1,19 +1,21 @@
 """The telemetry component."""
 
-from contextlib import AbstractContextManager, nullcontext
+from contextlib import AbstractContextManager
 
 from lacewingspar_router.components.telemetry.metrics import Metrics
-from lacewingspar_router.components.telemetry.trace_context import (
-    child_context,
-    parse_trace_parent,
-)
+from lacewingspar_router.components.telemetry.spans import SpanSource
 
 
 class RouterTelemetry:
-    """Counters, gauges and spans of this router."""
+    """Counters, gauges and spans of this router.
 
-    def __init__(self) -> None:
+    Args:
+        spans: Makes the spans.
+    """
+
+    def __init__(self, spans: SpanSource) -> None:
         self._metrics = Metrics()
+        self._spans = spans
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter of the metrics page."""
@@ -25,14 +27,13 @@
 
     def span(
         self,
-        name: str,  # noqa: ARG002
+        name: str,
         *,
         trace_parent: str | None = None,
-        **attributes: str,  # noqa: ARG002
+        **attributes: str,
     ) -> AbstractContextManager[str]:
         """Record a span around a block."""
-        parent = parse_trace_parent(trace_parent)
-        return nullcontext(child_context(parent, sampled=False).header())
+        return self._spans.span(name, trace_parent, attributes)
 
     def render(self) -> tuple[str, bytes]:
         """Return content type and body of the metrics page."""
--- a/packages/router/src/lacewingspar_router/components/telemetry/trace_context.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/trace_context.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 
 _TRACE_PARENT = re.compile(
-    r"^(?!ff)[0-9a-f]{2}-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?$"
+    r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?"
 )
+_CURRENT_VERSION = "00"
+_FORBIDDEN_VERSION = "ff"
 _NO_TRACE = "0" * 32
 _NO_SPAN = "0" * 16
 # Trace ids need to be unique but not secret.
@@ -34,24 +36,22 @@
 
 def parse_trace_parent(value: str | None) -> TraceContext | None:
     """Return the context that a header carries, or None if it is invalid."""
-    match = _TRACE_PARENT.match(value) if value else None
+    match = _TRACE_PARENT.fullmatch(value) if value else None
     if match is None:
         return None
-    trace_id, span_id, flags = match.group(1), match.group(2), match.group(3)
+    version, trace_id, span_id, flags, further = match.groups()
     if trace_id == _NO_TRACE or span_id == _NO_SPAN:
         return None
+    # Only later versions may append further fields.
+    if version == _FORBIDDEN_VERSION or (
+        version == _CURRENT_VERSION and further
+    ):
+        return None
     return TraceContext(trace_id, span_id, bool(int(flags, 16) & 1))
 
 
-def child_context(parent: TraceContext | None, sampled: bool) -> TraceContext:
-    """Return a new context in the parent's trace, or in a new trace.
-
-    Args:
-        parent: Context of the span above, if any.
-        sampled: Whether a new trace is recorded.
-    """
+def new_context() -> TraceContext:
+    """Return the context of a new trace that is not recorded."""
+    trace_id = f"{_RANDOM.getrandbits(128) or 1:032x}"
     span_id = f"{_RANDOM.getrandbits(64) or 1:016x}"
-    if parent is None:
-        trace_id = f"{_RANDOM.getrandbits(128) or 1:032x}"
-        return TraceContext(trace_id, span_id, sampled)
-    return TraceContext(parent.trace_id, span_id, parent.is_sampled)
+    return TraceContext(trace_id, span_id, is_sampled=False)
--- a/packages/router/src/lacewingspar_router/components/upstreams/connections.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/connections.py
@@ -21,6 +21,7 @@
     UpstreamBrokenError,
     UpstreamConnectError,
     UpstreamError,
+    UpstreamInvalidCallError,
 )
 from lacewingspar_router.components.upstreams.models import UpstreamCall
 from lacewingspar_router.errors import RunState
@@ -99,6 +100,10 @@
             raise UpstreamConnectError(
                 f"cannot connect: {describe(error)}", run=RunState.NOT_RUN
             ) from error
+        except httpx.LocalProtocolError as error:
+            raise UpstreamInvalidCallError(
+                f"call is not valid HTTP/1.1: {error}", run=RunState.NOT_RUN
+            ) from error
         except httpx.HTTPError as error:
             raise UpstreamBrokenError(
                 f"no answer: {describe(error)}", run=RunState.UNKNOWN
--- a/packages/router/src/lacewingspar_router/components/upstreams/errors.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/errors.py
@@ -29,3 +29,7 @@
 
 class UpstreamMismatchError(UpstreamError):
     """The answer carries the identity of another request."""
+
+
+class UpstreamInvalidCallError(UpstreamError):
+    """The call is not valid HTTP/1.1; it was not sent."""
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -19,6 +19,7 @@
 from lacewingspar_router.components.upstreams.errors import (
     UpstreamConnectError,
     UpstreamError,
+    UpstreamInvalidCallError,
     UpstreamMismatchError,
     UpstreamRefusedError,
 )
@@ -36,6 +37,9 @@
 
 _UpstreamKey = tuple[str, str]
 
+# A refusal says that the upstream works but has no room.
+_NO_FAULT_OF_UPSTREAM = (UpstreamRefusedError, UpstreamInvalidCallError)
+
 
 class HttpUpstreamPool:
     """Calls to upstreams and their health.
@@ -132,8 +136,7 @@
             self._telemetry.count(
                 "answer_mismatch_total", service=key[0], upstream=key[1]
             )
-        # A refusal says that the upstream works but has no room.
-        if health is None or isinstance(error, UpstreamRefusedError):
+        if health is None or isinstance(error, _NO_FAULT_OF_UPSTREAM):
             return
         before = health.state
         if error is None:
