--- a/packages/ctl/src/lacewingspar_ctl/client.py
+++ b/packages/ctl/src/lacewingspar_ctl/client.py
@@ -83,10 +83,6 @@
     ) -> None:
         self._client.close()
 
-    def services(self) -> Any:
-        """Return the names and versions of all services."""
-        return self._read("/v1/services", Any)
-
     def service(self, name: str) -> ServiceAnswer:
         """Return the document of a service that is in force."""
         return self._read(_service_path(name), ServiceAnswer)
@@ -116,7 +112,7 @@
 
     def drain(self) -> Any:
         """Begin a graceful shutdown of the router."""
-        return _decode_change(self._send("POST", "/v1/drain"), Any)
+        return _decode_change(self._send("POST", "/v1/drain"))
 
     def publish(
         self,
@@ -151,8 +147,6 @@
     def _send(self, method: str, path: str, body: Any = None) -> httpx.Response:
         try:
             return self._client.request(method, path, json=body)
-        except (httpx.InvalidURL, httpx.UnsupportedProtocol) as error:
-            raise BadInputError("bad_router_url", str(error)) from error
         except _NOT_SENT_ERRORS as error:
             raise RouterUnreachableError("unreachable", str(error)) from error
         except httpx.HTTPError as error:
@@ -196,13 +190,18 @@
         ) from error
 
 
-def _decode_change(response: httpx.Response, answer_type: type[_T]) -> _T:
+def _decode_change(response: httpx.Response) -> Any:
     """Return the answer to a request that changes something."""
     if not response.is_success:
         raise _change_error(response)
     if not response.content:
-        return msgspec.convert({}, answer_type)
-    return _decode_success(response, answer_type)
+        return {}
+    try:
+        return msgspec.json.decode(response.content)
+    except msgspec.MsgspecError as error:
+        raise UnknownOutcomeError(
+            "invalid_answer", f"answer not understood: {error}"
+        ) from error
 
 
 def _change_error(response: httpx.Response) -> CtlError:
--- a/packages/ctl/src/lacewingspar_ctl/session.py
+++ b/packages/ctl/src/lacewingspar_ctl/session.py
@@ -1,5 +1,6 @@
 """Options that all commands share."""
 
+import re
 from dataclasses import dataclass
 
 import httpx
@@ -13,6 +14,12 @@
 ENV_TOKEN = "LACEWINGSPAR_TOKEN"
 ENV_AUTHOR = "LACEWINGSPAR_AUTHOR"
 
+# Scheme, host name or address, port; an administration address has no path.
+_ROUTER_URL = re.compile(
+    r"https?://(\[[0-9A-Fa-f:.]+\]|[\w.-]+)(:(?P<port>\d{1,5}))?/?", re.ASCII
+)
+_MAX_PORT = 65_535
+
 
 @dataclass(frozen=True, slots=True)
 class Session:
@@ -42,13 +49,18 @@
         if not self.token:
             message = f"give --token or set {ENV_TOKEN}"
             raise BadInputError("no_token", message)
+        if not _is_router_url(self.router):
+            message = f"{self.router!r} is not like http://10.0.0.1:7001"
+            raise BadInputError("bad_router_url", message)
         if not self.token.isascii() or not self.token.isprintable():
             message = "the token has characters that a header cannot carry"
             raise BadInputError("bad_token", message)
-        try:
-            return AdminClient(self.router, self.token, self.transport)
-        except httpx.InvalidURL as error:
-            raise BadInputError("bad_router_url", str(error)) from error
+        return AdminClient(self.router, self.token, self.transport)
+
+
+def _is_router_url(text: str) -> bool:
+    match = _ROUTER_URL.fullmatch(text)
+    return match is not None and int(match["port"] or 0) <= _MAX_PORT
 
 
 def session_of(context: typer.Context) -> Session:
--- a/tests/core/test_documents.py
+++ b/tests/core/test_documents.py
@@ -1,9 +1,13 @@
 """Checks of service documents."""
 
-import copy
-import json
+import re
+from copy import deepcopy
+from functools import reduce
+from operator import getitem
+from pathlib import Path
 from typing import Any
 
+import pyjson5
 import pytest
 from returns.pipeline import is_successful
 
@@ -14,43 +18,48 @@
     validate_document,
 )
 
-VALID: dict[str, Any] = {
-    "service": "chat",
-    "kind": "model",
-    "upstreams": [
-        {
-            "id": f"engine-{number}",
-            "data_centre": "east",
-            "address": f"http://10.0.0.{number}:8000",
-            "slots": 8,
-            "models": ["m1"],
-        }
-        for number in (1, 2)
-    ],
-    "workspaces": [
-        {"name": "assembly", "token_sha256": ["a" * 64]},
-        {"name": "paint", "token_sha256": ["b" * 64, "c" * 64]},
-    ],
-    "request_classes": [{"name": "chat"}, {"name": "batch"}],
-    "non_idempotent": [{"method": "POST", "path_prefix": "/orders"}],
+EXAMPLES = Path(__file__).parents[2] / "examples"
+TEXT = {path.stem: path.read_text("utf-8") for path in EXAMPLES.glob("*")}
+MODEL = pyjson5.decode(TEXT["language-models"])
+PLAIN = pyjson5.decode(TEXT["plant-application"])
+TOKEN = MODEL["workspaces"][0]["token_sha256"][0]
+ABSENT = object()
+
+MISTAKES = {
+    "service": ["Not A Name", ABSENT],
+    "kind": ["other"],
+    "owner": ["me"],
+    "limits": [3],
+    "limits.attempts": [0],
+    "upstreams[0].slots": [0, "8", 1.5],
+    "upstreams[0].address": ["10.0.0.1"],
+    "upstreams[0].vm": [""],
+    "upstreams[0].models": [[], ABSENT],
+    "upstreams[0].models[0]": [""],
+    "upstreams[0].models[1]": [MODEL["upstreams"][0]["models"][0]],
+    "upstreams[1].id": [MODEL["upstreams"][0]["id"]],
+    "upstreams[1].address": [MODEL["upstreams"][0]["address"]],
+    "workspaces[0].queue_limit": [0, True],
+    "workspaces[0].weight": [0, float("nan")],
+    "workspaces[1].name": [MODEL["workspaces"][0]["name"]],
+    "workspaces[1].token_sha256[0]": [TOKEN],
+    "request_classes": [[]],
+    "request_classes[0].deadline_seconds": [0],
+    "request_classes[1].name": [MODEL["request_classes"][0]["name"]],
+    "non_idempotent[0].method": ["post"],
+    "non_idempotent[1]": [PLAIN["non_idempotent"][0]],
 }
-REMOVED = object()
 
 
-def changed(changes: dict[str, Any]) -> dict[str, Any]:
-    """Return the valid document with values replaced by dotted path."""
-    document = copy.deepcopy(VALID)
+def changed(document: Any, changes: dict[str, Any]) -> Any:
+    document = deepcopy(document)
     for path, value in changes.items():
-        *parents, last = [
-            int(part) if part.isdigit() else part for part in path.split("/")
-        ]
-        target: Any = document
-        for part in parents:
-            target = target[part]
-        if value is REMOVED:
+        keys = re.findall(r"\w+", path)
+        *parents, last = [int(k) if k.isdigit() else k for k in keys]
+        target = reduce(getitem, parents, document)
+        target[last] = value
+        if value is ABSENT:
             del target[last]
-        else:
-            target[last] = value
     return document
 
 
@@ -58,100 +67,39 @@
     return [item.path for item in validate_document(document).failure()]
 
 
-def test_valid_document_survives_dump_and_parse() -> None:
-    document = validate_document(VALID).unwrap()
-    text = "// comment\n" + json.dumps(dump_document(document))
-    assert parse_document(text).unwrap() == document
-
-
 @pytest.mark.parametrize(
-    ("changes", "path"),
-    [
-        ({"service": "Not A Name"}, "service"),
-        ({"service": REMOVED}, "service"),
-        ({"kind": "other"}, "kind"),
-        ({"owner": "me"}, "owner"),
-        ({"request_classes": []}, "request_classes"),
-        ({"limits": 3}, "limits"),
-        ({"limits": {"attempts": 0}}, "limits.attempts"),
-        ({"upstreams/0/slots": 0}, "upstreams[0].slots"),
-        ({"upstreams/0/slots": "8"}, "upstreams[0].slots"),
-        ({"upstreams/0/slots": 1.5}, "upstreams[0].slots"),
-        ({"upstreams/0/address": "10.0.0.1"}, "upstreams[0].address"),
-        ({"upstreams/0/vm": ""}, "upstreams[0].vm"),
-        ({"upstreams/0/models": [""]}, "upstreams[0].models[0]"),
-        ({"upstreams/0/models": []}, "upstreams[0].models"),
-        ({"upstreams/0/models": REMOVED}, "upstreams[0].models"),
-        ({"upstreams/1/models": ["a", "a"]}, "upstreams[1].models[1]"),
-        ({"upstreams/1/id": "engine-1"}, "upstreams[1].id"),
-        (
-            {"upstreams/1/address": "http://10.0.0.1:8000"},
-            "upstreams[1].address",
-        ),
-        ({"workspaces/1/name": "assembly"}, "workspaces[1].name"),
-        ({"workspaces/0/queue_limit": 0}, "workspaces[0].queue_limit"),
-        ({"workspaces/0/queue_limit": True}, "workspaces[0].queue_limit"),
-        ({"workspaces/0/weight": 0}, "workspaces[0].weight"),
-        ({"workspaces/0/weight": float("nan")}, "workspaces[0].weight"),
-        (
-            {"workspaces/1/token_sha256": ["a" * 64]},
-            "workspaces[1].token_sha256[0]",
-        ),
-        ({"request_classes/1/name": "chat"}, "request_classes[1].name"),
-        (
-            {"request_classes/0/deadline_seconds": 0},
-            "request_classes[0].deadline_seconds",
-        ),
-        ({"non_idempotent/0/method": "post"}, "non_idempotent[0].method"),
-        (
-            {"non_idempotent": VALID["non_idempotent"] * 2},
-            "non_idempotent[1]",
-        ),
-    ],
+    ("path", "value"),
+    [(path, value) for path, values in MISTAKES.items() for value in values],
 )
-def test_each_mistake_is_found(changes: dict[str, Any], path: str) -> None:
+def test_each_mistake_is_found(path: str, value: Any) -> None:
     """Guards against a mistake that is accepted or blamed on other fields."""
-    assert problem_paths(changed(changes)) == [path]
-
-
-def test_plain_service_has_no_models() -> None:
-    paths = problem_paths(changed({"kind": "plain"}))
-    assert paths == ["upstreams[0].models", "upstreams[1].models"]
+    base = PLAIN if path.startswith("non_idempotent") else MODEL
+    assert problem_paths(changed(base, {path: value})) == [path]
 
 
 def test_all_mistakes_are_listed_at_once() -> None:
     """Guards against checks that hide behind the first broken field."""
-    document = changed(
-        {
-            "kind": "plain",
-            "upstreams/0/slots": -1,
-            "upstreams/1/id": "engine-1",
-            "workspaces/1/token_sha256/1": "a" * 64,
-            "request_classes/0": "chat",
-        }
-    )
-    assert set(problem_paths(document)) == {
-        "upstreams[0].slots",
-        "upstreams[0].models",
-        "upstreams[1].models",
-        "upstreams[1].id",
-        "workspaces[1].token_sha256[1]",
-        "request_classes[0]",
+    changes = {
+        "upstreams[0].slots": -1,
+        "upstreams[0].models": ["m"],
+        "upstreams[1].id": PLAIN["upstreams"][0]["id"],
+        "workspaces[1].token_sha256[0]": TOKEN,
+        "request_classes[0]": "chat",
     }
+    found = problem_paths(changed(PLAIN, changes))
+    assert sorted(found) == sorted(changes)
 
 
 def test_problem_states_value_and_what_is_allowed() -> None:
-    problem = validate_document(changed({"kind": "other"})).failure()[0]
+    problem = validate_document(MODEL | {"kind": "other"}).failure()[0]
     assert problem.value == '"other"'
-    assert "model" in problem.allowed
-    assert "plain" in problem.allowed
+    assert {"model", "plain"} <= set(re.findall(r"\w+", problem.allowed))
 
 
 def test_token_in_place_of_its_hash_is_not_repeated() -> None:
     """Guards against a report that carries a secret into a log."""
-    secret = "secret-" * 4
-    document = changed({"workspaces/0/token_sha256/0": secret})
-    assert secret not in str(validate_document(document).failure())
+    document = changed(MODEL, {"workspaces[0].token_sha256[0]": "secret-" * 4})
+    assert "secret-secret" not in str(validate_document(document).failure())
 
 
 @pytest.mark.parametrize("text", ["", "{", "[]", "3", "[" * 100_000])
@@ -159,6 +107,22 @@
     assert not is_successful(parse_document(text))
 
 
-def test_schema_lists_every_field_of_a_dump() -> None:
-    dump = dump_document(validate_document(VALID).unwrap())
+@pytest.mark.parametrize(
+    ("service", "kind", "upstreams"),
+    [("language-models", "model", 6), ("plant-application", "plain", 4)],
+)
+def test_example_is_valid(service: str, kind: str, upstreams: int) -> None:
+    """Guards against examples that the current schema refuses."""
+    document = parse_document(TEXT[service]).unwrap()
+    assert (document.service, document.kind) == (service, kind)
+    assert len(document.upstreams) == upstreams
+    assert len({item.data_centre for item in document.upstreams}) == 4
+    dump = dump_document(document)
+    assert validate_document(dump).unwrap() == document
     assert set(document_json_schema()["properties"]) == set(dump)
+
+
+def test_examples_have_the_classes_of_deployment_b() -> None:
+    classes = MODEL["request_classes"] + PLAIN["request_classes"]
+    names = " ".join(sorted({item["name"] for item in classes}))
+    assert names == "batch-reviews chat label-checks stock-lookups"
--- a/tests/ctl/conftest.py
+++ b/tests/ctl/conftest.py
@@ -1,10 +1,8 @@
-"""A router's administration API that answers from a table."""
+"""The command line against an administration API that answers from a table."""
 
 import json
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import httpx
 import pytest
@@ -12,52 +10,8 @@
 
 from lacewingspar_ctl.main import app
 
-DOCUMENT: dict[str, Any] = {
-    "service": "chat",
-    "kind": "model",
-    "upstreams": [
-        {
-            "id": "engine-1",
-            "data_centre": "east",
-            "address": "http://10.0.0.1:8000",
-            "slots": 8,
-            "models": ["m1"],
-        }
-    ],
-    "workspaces": [{"name": "assembly", "token_sha256": ["a" * 64]}],
-}
-
-
-@dataclass
-class FakeRouter:
-    """Answers by "METHOD path"; an exception as answer is raised."""
 
-    answers: dict[str, tuple[int, Any] | Exception] = field(
-        default_factory=dict
-    )
-    requests: list[httpx.Request] = field(default_factory=list)
-
-    def handle(self, request: httpx.Request) -> httpx.Response:
-        self.requests.append(request)
-        path = request.url.raw_path.decode()
-        answer = self.answers.get(f"{request.method} {path}")
-        match answer:
-            case Exception():
-                raise answer
-            case (int(status), bytes(body)):
-                return httpx.Response(status, content=body)
-            case (int(status), body):
-                return httpx.Response(status, json=body)
-            case _:
-                error = {"code": "not_found", "message": "no such thing"}
-                return httpx.Response(404, json={"error": error})
-
-    def last_json(self) -> Any:
-        return json.loads(self.requests[-1].content)
-
-
-@dataclass(frozen=True)
-class Outcome:
+class Outcome(NamedTuple):
     code: int
     out: str
     err: str
@@ -66,30 +20,40 @@
         return json.loads(self.out)
 
 
-Run = Callable[..., Outcome]
+class FakeRouter:
+    """Answers by "METHOD path"; an exception as answer is raised."""
 
+    def __init__(self) -> None:
+        self.answers: dict[str, Any] = {}
+        self.requests: list[httpx.Request] = []
 
-@pytest.fixture
-def router() -> FakeRouter:
-    return FakeRouter()
+    def handle(self, request: httpx.Request) -> httpx.Response:
+        self.requests.append(request)
+        path = request.url.raw_path.decode()
+        answer = self.answers.get(f"{request.method} {path}", (404, b""))
+        if isinstance(answer, Exception):
+            raise answer
+        status, body = answer
+        kind = "content" if isinstance(body, bytes) else "json"
+        return httpx.Response(status, **{kind: body})
+
+    def run(self, *arguments: str) -> Outcome:
+        transport = httpx.MockTransport(self.handle)
+        result = CliRunner().invoke(app, list(arguments), obj=transport)
+        return Outcome(result.exit_code, result.stdout, result.stderr)
+
+    def last_body(self) -> Any:
+        return json.loads(self.requests[-1].content)
 
 
 @pytest.fixture
-def run(router: FakeRouter, monkeypatch: pytest.MonkeyPatch) -> Run:
+def router(monkeypatch: pytest.MonkeyPatch) -> FakeRouter:
     monkeypatch.setenv("LACEWINGSPAR_ROUTER", "http://10.0.0.9:7001")
     monkeypatch.setenv("LACEWINGSPAR_TOKEN", "secret-token")
     monkeypatch.setenv("LACEWINGSPAR_AUTHOR", "kim")
-
-    def invoke(*arguments: str) -> Outcome:
-        transport = httpx.MockTransport(router.handle)
-        result = CliRunner().invoke(app, list(arguments), obj=transport)
-        return Outcome(result.exit_code, result.stdout, result.stderr)
-
-    return invoke
+    return FakeRouter()
 
 
 @pytest.fixture
-def document_file(tmp_path: Path) -> str:
-    path = tmp_path / "chat.json"
-    path.write_text("// chat\n" + json.dumps(DOCUMENT), encoding="utf-8")
-    return str(path)
+def file() -> str:
+    return str(Path(__file__).parents[2] / "examples/language-models.json")
--- a/tests/ctl/test_publish.py
+++ b/tests/ctl/test_publish.py
@@ -7,65 +7,52 @@
 import httpx
 import pytest
 
-PUT = "PUT /v1/services/chat"
-GET = "GET /v1/services/chat"
+PUT = "PUT /v1/services/language-models"
+GET = "GET /v1/services/language-models"
+IN_FORCE = {"service": "language-models", "version": 5, "document": {}}
+BASE = "--base-version=7"
 
 
-def test_accepted_edit_carries_everything(
-    router: Any, run: Any, document_file: str
-) -> None:
+def test_accepted_edit_carries_everything(router: Any, file: str) -> None:
     router.answers[PUT] = (200, {"version": 8})
-    outcome = run(
-        "publish", document_file, "--base-version", "7", "--edit-id", "e1"
-    )
+    outcome = router.run("publish", file, BASE, "--edit-id=e1")
     assert (outcome.code, len(router.requests)) == (0, 1)
     assert "version 8" in outcome.out
-    body = router.last_json()
-    assert body["document"]["workspaces"][0]["queue_limit"] == 100
-    assert (body["edit_id"], body["base_version"]) == ("e1", 7)
-    assert body["author"] == "kim"
+    body = router.last_body()
+    assert body.pop("document")["limits"]["attempts"] == 3
+    assert body == {"edit_id": "e1", "base_version": 7, "author": "kim"}
     header = router.requests[0].headers["Authorization"]
     assert header == "Bearer secret-token"
 
 
 @pytest.mark.parametrize(
-    ("answer", "expected"),
-    [
-        ((200, {"service": "chat", "version": 5, "document": {}}), 5),
-        ((404, {"error": {"code": "x", "message": "y"}}), 0),
-    ],
+    ("answer", "expected"), [((200, IN_FORCE), 5), ((404, b""), 0)]
 )
 def test_missing_base_version_is_read_and_said(
-    router: Any, run: Any, document_file: str, answer: Any, expected: int
+    router: Any, file: str, answer: Any, expected: int
 ) -> None:
-    router.answers |= {GET: answer, PUT: (200, {"version": 9})}
-    outcome = run("publish", document_file)
+    router.answers = {GET: answer, PUT: (200, {"version": 9})}
+    outcome = router.run("publish", file)
     assert outcome.code == 0
     assert f"base version is {expected}" in outcome.err
-    assert router.last_json()["base_version"] == expected
+    assert router.last_body()["base_version"] == expected
 
 
-def test_conflict_names_the_other_edit(
-    router: Any, run: Any, document_file: str
-) -> None:
+def test_conflict_names_the_other_edit(router: Any, file: str) -> None:
+    """Guards against names that are taken for markup or control sequences."""
     conflict = {
         "current_version": 8,
         "other_edit_id": "e7",
         "other_author": "[b]lee\x1b[2J",
     }
     router.answers[PUT] = (409, conflict)
-    arguments = ("publish", document_file, "--base-version", "7")
-    outcome = run(*arguments)
+    outcome = router.run("publish", file, BASE)
     assert outcome.code == 3
-    assert "version 8" in outcome.out
-    assert "e7" in outcome.out
-    # Guards against names that are taken for markup or control the terminal.
-    assert "[b]lee\\u001b[2J" in outcome.out
-    assert run("--json", *arguments).json() == {
-        "outcome": "conflict",
-        "service": "chat",
-        **conflict,
-    }
+    for text in ("version 8", "e7", "[b]lee\\u001b[2J"):
+        assert text in outcome.out
+    shown = router.run("--json", "publish", file, BASE).json()
+    outcome_fields = {"outcome": "conflict", "service": "language-models"}
+    assert shown == outcome_fields | conflict
 
 
 @pytest.mark.parametrize(
@@ -81,23 +68,19 @@
     ],
 )
 def test_unknown_outcome_gives_a_safe_repeat(
-    router: Any, run: Any, document_file: str, answer: Any
+    router: Any, file: str, answer: Any
 ) -> None:
     """Guards against an edit that took effect but is reported as failed."""
-    router.answers[PUT] = answer
-    router.answers[GET] = (
-        200,
-        {"service": "chat", "version": 5, "document": {}},
-    )
-    outcome = run("--json", "publish", document_file, "--edit-id", "e1")
-    assert outcome.code == 4
+    router.answers = {PUT: answer, GET: (200, IN_FORCE)}
+    outcome = router.run("--json", "publish", file, "--edit-id=e1")
     report = outcome.json()
+    assert outcome.code == 4
     assert (report["outcome"], report["edit_id"]) == ("unknown", "e1")
     assert "secret-token" not in report["repeat"]
-    first = router.last_json()
+    first = router.last_body()
     router.answers = {PUT: (200, {"version": 6})}
-    assert run(*shlex.split(report["repeat"])[1:]).code == 0
-    assert router.last_json() == first
+    assert router.run(*shlex.split(report["repeat"])[1:]).code == 0
+    assert router.last_body() == first
 
 
 @pytest.mark.parametrize(
@@ -112,31 +95,28 @@
     ],
 )
 def test_edit_that_was_not_made_is_no_unknown(
-    router: Any, run: Any, document_file: str, answer: Any, code: int
+    router: Any, file: str, answer: Any, code: int
 ) -> None:
     router.answers[PUT] = answer
-    outcome = run("publish", document_file, "--base-version", "7")
-    assert outcome.code == code
+    assert router.run("publish", file, BASE).code == code
 
 
 def test_problems_found_by_the_router_are_listed(
-    router: Any, run: Any, document_file: str
+    router: Any, file: str
 ) -> None:
     problem = {"path": "upstreams[0].id", "value": '"x"', "allowed": "names"}
     router.answers[PUT] = (422, {"problems": [problem]})
-    arguments = ("publish", document_file, "--base-version", "7")
-    outcome = run("--json", *arguments)
+    outcome = router.run("--json", "publish", file, BASE)
     assert outcome.code == 2
     assert outcome.json()["error"]["problems"] == [problem]
-    assert 'upstreams[0].id is "x", allowed is names' in run(*arguments).err
+    text = 'upstreams[0].id is "x", allowed is names'
+    assert text in router.run("publish", file, BASE).err
 
 
-def test_bad_document_is_not_sent(
-    router: Any, run: Any, tmp_path: Path
-) -> None:
+def test_bad_document_is_not_sent(router: Any, tmp_path: Path) -> None:
     path = tmp_path / "bad.json"
     path.write_text('{"service": "chat", "kind": "other"}', encoding="utf-8")
-    outcome = run("publish", str(path))
+    outcome = router.run("publish", str(path))
     assert (outcome.code, router.requests) == (2, [])
     for place in ("kind", "upstreams", "workspaces"):
         assert f"  {place}" in outcome.err
