--- a/packages/core/src/lacewingspar_core/documents.py
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -164,8 +164,6 @@
 
 
 _ADAPTER = TypeAdapter(ServiceDocument)
-# The schema nests five deep; the limit keeps hostile input off the stack.
-_MAX_NESTING = 32
 
 
 def _field_names(schema: type[Any]) -> tuple[str, ...]:
@@ -191,7 +189,7 @@
         The document, or every problem that it has.
     """
     try:
-        value = pyjson5.decode(text, _MAX_NESTING)
+        value = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
         allowed = f"valid JSON with comments: {error.message}"
         problem = DocumentProblem("", "", allowed)
