Count service in integer milliseconds and bound the bytes of counter messages

Cause: with 16 workspaces and four owners, counters every 0.25 s as strings and floating-point numbers take about 35 bytes an entry. The interval now grows with what is sent, so that all counters of a router stay within a third of its control budget. Heartbeats now carry the applied configuration offset, which routers that cannot read the log depend on.

--- a/packages/core/src/lacewingspar_core/ledger.py
+++ b/packages/core/src/lacewingspar_core/ledger.py
@@ -13,8 +13,7 @@
 FORGET_LIFE_AFTER_SECONDS = 7200.0
 # Owners that sent no counters for this long do not count as choosing alike.
 ACTIVE_OWNER_SECONDS = 3.0
-# Below this, amounts left by rounding count as zero, in seconds.
-NEGLIGIBLE_SECONDS = 1e-9
+MS_PER_SECOND = 1000
 
 
 @dataclass(slots=True)
@@ -239,11 +238,12 @@
     ) -> None:
         workspace = entry.workspace
         known = counters.served_by_workspace.get(workspace, 0.0)
-        if entry.served_seconds <= known:
+        served = entry.served_ms / MS_PER_SECOND
+        if served <= known:
             return
-        counters.served_by_workspace[workspace] = entry.served_seconds
+        counters.served_by_workspace[workspace] = served
         if not is_base:
-            self._raise_score(workspace, entry.served_seconds - known)
+            self._raise_score(workspace, served - known)
 
     def _merge_gauges(
         self, counters: _LifeCounters, message: Counters, now: float
@@ -266,9 +266,9 @@
     ) -> None:
         workspace = entry.workspace
         known = counters.pending_by_workspace.get(workspace, 0.0)
-        counters.pending_by_workspace[workspace] = entry.pending_seconds
-        change = entry.pending_seconds - known
-        _add(self._pending_by_workspace, workspace, change)
+        pending = entry.pending_ms / MS_PER_SECOND
+        counters.pending_by_workspace[workspace] = pending
+        _add(self._pending_by_workspace, workspace, pending - known)
         if entry.waiting:
             counters.waiting_by_workspace[workspace] = entry.waiting
         else:
@@ -280,11 +280,12 @@
 
     def _own_entry(self, workspace: str) -> CounterEntry:
         own = self._own
+        served = own.served_by_workspace.get(workspace, 0.0)
         pending = own.pending_by_workspace.get(workspace, 0.0)
         return CounterEntry(
             workspace=workspace,
-            served_seconds=own.served_by_workspace.get(workspace, 0.0),
-            pending_seconds=pending if pending > NEGLIGIBLE_SECONDS else 0.0,
+            served_ms=int(served * MS_PER_SECOND),
+            pending_ms=max(0, round(pending * MS_PER_SECOND)),
             waiting=own.waiting_by_workspace.get(workspace, 0),
         )
 
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -195,17 +195,18 @@
 
     Attributes:
         workspace: Name of the workspace.
-        served_seconds: Slot time granted since the life began, in seconds;
-            it only grows.
-        pending_seconds: Estimated slot time still to come for requests that
-            run now, in seconds; the latest value counts.
+        served_ms: Slot time granted since the life began, in milliseconds;
+            it only grows. Integers take half the bytes of floating-point
+            numbers, and these messages are most of the control traffic.
+        pending_ms: Estimated slot time still to come for requests that run
+            now, in milliseconds; the latest value counts.
         waiting: Requests of the workspace that wait in the sender's data
             centre; the latest value counts.
     """
 
     workspace: str
-    served_seconds: float
-    pending_seconds: float
+    served_ms: int
+    pending_ms: int
     waiting: int
 
 
--- a/packages/router/src/lacewingspar_router/components/configuration/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/configuration/__init__.py
@@ -15,6 +15,7 @@
     peers = app.get(PEERS)
     peers.subscribe(LogRecords, store.handle_records)
     peers.subscribe(LogRecordsRequest, store.handle_request)
+    peers.set_applied_offset_source(lambda: store.applied_offset)
     tasks = (
         app.create_task(store.async_read_log(), "configuration reader"),
         app.create_task(store.async_exchange(), "configuration exchange"),
--- a/packages/router/src/lacewingspar_router/components/peers/models.py
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -31,8 +31,15 @@
 class PeerNetwork(Protocol):
     """Messages between routers and the view of who is alive."""
 
-    def send(self, router_id: str, message: AnyPeerMessage) -> None:
-        """Send a message; it may be lost, repeated or reordered."""
+    def send(self, router_id: str, message: AnyPeerMessage) -> int:
+        """Send a message; it may be lost, repeated or reordered.
+
+        Returns:
+            Number of bytes that go over the network.
+        """
+
+    def set_applied_offset_source(self, read: Callable[[], int]) -> None:
+        """Set the function whose value heartbeats carry as applied offset."""
 
     def subscribe(
         self,
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -94,14 +94,18 @@
         """Set the function that gives the applied configuration offset."""
         self._read_applied_offset = read
 
-    def send(self, router_id: str, message: AnyPeerMessage) -> None:
-        """Send a message; it may be lost, repeated or reordered."""
+    def send(self, router_id: str, message: AnyPeerMessage) -> int:
+        """Send a message; it may be lost, repeated or reordered.
+
+        Returns:
+            Number of bytes that go over the network.
+        """
         if router_id == self._app.life.router_id:
             self._deliver_to_self(message)
-            return
+            return 0
         address = self._membership.address_of(router_id)
         if address is None:
-            return
+            return 0
         data = encode_message(message)
         try:
             self._socket(address).send_multipart(
@@ -109,12 +113,13 @@
             )
         except zmq.ZMQError:
             _LOGGER.debug("peer message dropped", router_id=router_id)
-            return
+            return 0
         size = len(self._envelope) + len(data)
         self.sent_bytes += size
         name = type(message).__name__
         known = self.sent_bytes_by_type.get(name, 0)
         self.sent_bytes_by_type[name] = known + size
+        return size
 
     def subscribe(
         self, message_type: type[PeerMessage], handler: Handler
--- a/packages/router/src/lacewingspar_router/components/scheduler/const.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/const.py
@@ -4,11 +4,13 @@
 DEMAND_INTERVAL_SECONDS = 0.005
 # Interval at which deadlines, offers and leases are checked.
 TICK_SECONDS = 0.05
-# Interval at which owners exchange changed counters.
+# Shortest interval at which owners exchange changed counters.
 COUNTERS_INTERVAL_SECONDS = 0.25
-# Ticks between two exchanges of all counters, which repair lost messages.
-TICKS_PER_FULL_COUNTERS = 100
+# Counters of one router take at most this much; the interval grows with the
+# number of owners and backlogged workspaces. It is a third of the control
+# budget of 12 KB/s.
+COUNTERS_BYTES_PER_SECOND = 4000
+# Interval between two exchanges of all counters, which repair lost messages.
+FULL_COUNTERS_INTERVAL_SECONDS = 5.0
 # Ticks between two full demand messages and slot reports.
 TICKS_PER_REPORT = 20
-# Ticks between two exchanges of changed counters.
-TICKS_PER_COUNTERS = round(COUNTERS_INTERVAL_SECONDS / TICK_SECONDS)
--- a/packages/router/src/lacewingspar_router/components/scheduler/holder.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/holder.py
@@ -33,7 +33,7 @@
     SlotRequest,
 )
 
-SendFunction = Callable[[str, AnyPeerMessage], None]
+SendFunction = Callable[[str, AnyPeerMessage], int]
 
 # Above this many waiting requests, a change of less than a quarter is not
 # told to the owners at once, since it would not change their choice.
--- a/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -40,6 +40,9 @@
     ReceivedMessage,
 )
 from lacewingspar_router.components.scheduler import const
+from lacewingspar_router.components.scheduler.counters_schedule import (
+    CountersSchedule,
+)
 from lacewingspar_router.components.scheduler.holder import Holder
 from lacewingspar_router.components.scheduler.models import (
     SlotGrant,
@@ -84,6 +87,7 @@
         self._owner_by_service: dict[str, SlotOwner] = {}
         self._ownership_by_service: dict[str, ServiceOwnership] = {}
         self._document_by_service: dict[str, ServiceDocument] = {}
+        self._counters_schedule_by_service: dict[str, CountersSchedule] = {}
         self._known_lives: dict[str, RouterLife] = {}
         for message_type in _OWNER_MESSAGES:
             peers.subscribe(message_type, self._receive_as_owner)
@@ -142,9 +146,7 @@
                 holder.send_reports()
         for service in self._owner_by_service:
             self._handle(service, TimePassed())
-            if ticks % const.TICKS_PER_COUNTERS == 0:
-                is_full = ticks % const.TICKS_PER_FULL_COUNTERS == 0
-                self._publish_counters(service, full=is_full)
+            self._publish_due_counters(service)
 
     async def async_drain(self) -> None:
         """Wait until no request waits for a slot or uses one."""
@@ -271,16 +273,36 @@
             ownership = self._ownership_by_service[service]
             self._update_owner(service, document, ownership)
 
+    def _publish_due_counters(self, service: str) -> None:
+        now = self._app.now()
+        schedule = self._counters_schedule_by_service.get(service)
+        if schedule is None:
+            schedule = CountersSchedule(now)
+            self._counters_schedule_by_service[service] = schedule
+        if now >= schedule.next_at:
+            is_full = now >= schedule.next_full_at
+            self._publish_counters(service, full=is_full)
+
     def _publish_counters(self, service: str, *, full: bool) -> None:
         owner = self._owner_by_service.get(service)
         if owner is None:
             return
-        counters = owner.publish(self._app.now(), full=full)
-        if counters is None:
-            return
-        own_id = self._app.life.router_id
-        for router_id in self._ownership_by_service[service].owners - {own_id}:
-            self._peers.send(router_id, counters)
+        now = self._app.now()
+        counters = owner.publish(now, full=full)
+        sent_bytes = 0
+        if counters is not None:
+            own_id = self._app.life.router_id
+            owners = self._ownership_by_service[service].owners
+            for router_id in owners - {own_id}:
+                sent_bytes += self._peers.send(router_id, counters)
+        schedule = CountersSchedule.after(
+            now,
+            self._counters_schedule_by_service.get(service),
+            sent_bytes=sent_bytes,
+            services=len(self._owner_by_service),
+            is_full=full,
+        )
+        self._counters_schedule_by_service[service] = schedule
 
     def _receive_as_owner(self, received: ReceivedMessage) -> None:
         service: str = received.message.service  # type: ignore[union-attr]
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -240,7 +240,7 @@
 
 
 def remote_counters(sequence: int, waiting: int) -> Counters:
-    entry = CounterEntry("far", 0.0, 0.0, waiting)
+    entry = CounterEntry("far", 0, 0, waiting)
     return Counters(REMOTE, "chat", "south", sequence, 4, (entry,))
 
 
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -35,7 +35,10 @@
         data_centre="south",
         sequence=sequence,
         slots=slots,
-        entries=tuple(CounterEntry(*entry) for entry in entries),
+        entries=tuple(
+            CounterEntry(name, round(served * 1000), round(pending * 1000), n)
+            for name, served, pending, n in entries
+        ),
     )
 
 
--- a/tests/router/components/conftest.py
+++ b/tests/router/components/conftest.py
@@ -125,6 +125,9 @@
         self.offset_by_router_id: dict[str, int] = {}
         network[app.life.router_id] = self
 
+    def set_applied_offset_source(self, read: Callable[[], int]) -> None:
+        del read
+
     @property
     def alive_by_router_id(self) -> dict[str, MemberRecord]:
         return {
