--- a/packages/standins/src/lacewingspar_standins/batching.py
+++ b/packages/standins/src/lacewingspar_standins/batching.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lacewingspar_core.platform import LoadReport
+from lacewingspar_standins.accounts import SlotAccounts
 from lacewingspar_standins.lagged import Lagged
 from lacewingspar_standins.prefix_cache import PrefixCache
 
@@ -35,11 +36,17 @@
         words: Words of the prompt.
         first_token: Number of the first token to generate.
         token_count: Number of tokens of the whole answer.
+        account: Account that the slot time belongs to.
     """
 
     def __init__(
-        self, words: Sequence[str], first_token: int, token_count: int
+        self,
+        words: Sequence[str],
+        first_token: int,
+        token_count: int,
+        account: str = "",
     ) -> None:
+        self.account = account
         self.words = words
         self.first_token = first_token
         self.token_count = token_count
@@ -86,6 +93,7 @@
             (0, 0), options.load_lag_seconds
         )
         self.slot_seconds = 0.0
+        self.accounts = SlotAccounts()
 
     def submit(self, generation: Generation) -> None:
         """Admit a request."""
@@ -143,6 +151,7 @@
         self.slot_seconds += len(self._running) * self._options.step_seconds
         finished: list[Generation] = []
         for generation in self._running:
+            self.accounts.add(generation.account, self._options.step_seconds)
             if generation.ready_at <= now:
                 generation.produced += 1
                 generation.wake()
--- a/packages/standins/src/lacewingspar_standins/engine.py
+++ b/packages/standins/src/lacewingspar_standins/engine.py
@@ -5,6 +5,7 @@
 import uuid
 from dataclasses import dataclass
 
+from lacewingspar_standins.accounts import account_of
 from lacewingspar_standins.asgi import BadRequestError, Request, decode_json
 from lacewingspar_standins.batching import Batch, Generation
 from lacewingspar_standins.chat import (
@@ -77,6 +78,8 @@
             case "GET", "/cache_events":
                 start = request.query_int("from", 0)
                 await request.reply(200, self._cache.events_from(start))
+            case "GET", "/accounts":
+                await request.reply(200, self._batch.accounts.as_json())
             case "GET", "/stats":
                 self.stats.slot_seconds = self._batch.slot_seconds
                 await request.reply(200, self.stats)
@@ -130,7 +133,12 @@
             request=request,
             chat=chat,
             request_id=request.headers.get(HEADER_REQUEST_ID, uuid.uuid4().hex),
-            generation=Generation(chat.words(), chat.resume_from, count),
+            generation=Generation(
+                chat.words(),
+                chat.resume_from,
+                count,
+                account_of(chat.marker()),
+            ),
             closed=asyncio.create_task(request.wait_closed()),
         )
 
--- a/packages/standins/src/lacewingspar_standins/link.py
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -45,6 +45,47 @@
             writer.transport.abort()
 
 
+class LinkGroup(StandIn[LinkFaults]):
+    """Relays to several targets that share one fault set.
+
+    It stands for the network between two data centres.
+
+    Args:
+        targets: Targets as `host:port`.
+        faults: Faults from the start.
+    """
+
+    def __init__(self, targets: list[str], faults: LinkFaults) -> None:
+        super().__init__(faults)
+        self._link_by_target = {
+            target: Link(target, faults) for target in targets
+        }
+
+    @contextlib.asynccontextmanager
+    async def listening(self, host: str) -> AsyncIterator[dict[str, str]]:
+        """Accept connections.
+
+        Yields:
+            The relay's address by target.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            yield {
+                target: await stack.enter_async_context(link.listening(host, 0))
+                for target, link in self._link_by_target.items()
+            }
+
+    def faults_changed(self) -> None:
+        """Apply the faults to every relay."""
+        for link in self._link_by_target.values():
+            link.faults = self.faults
+            link.apply_faults()
+        self.faults.silent = False
+
+    async def handle(self, request: Request) -> None:
+        """Answer on the control address; only faults are served there."""
+        await request.reply(404, {"error": "no such resource"})
+
+
 class Link(StandIn[LinkFaults]):
     """Relays TCP connections to a target.
 
@@ -76,8 +117,12 @@
 
     def faults_changed(self) -> None:
         """Apply a cut and silence to the connections that exist."""
+        self.apply_faults()
+        self.faults.silent = False
+
+    def apply_faults(self) -> None:
+        """Cut or silence the connections that exist, if the faults say so."""
         if self.faults.silent:
-            self.faults.silent = False
             for connection in self._connections:
                 connection.is_silent = True
         if self.faults.cut:
--- a/packages/standins/src/lacewingspar_standins/main.py
+++ b/packages/standins/src/lacewingspar_standins/main.py
@@ -13,7 +13,7 @@
 from lacewingspar_standins.engine import Engine
 from lacewingspar_standins.engine_options import EngineFaults, EngineOptions
 from lacewingspar_standins.faults import Faults, merge_faults
-from lacewingspar_standins.link import Link, LinkFaults
+from lacewingspar_standins.link import Link, LinkFaults, LinkGroup
 from lacewingspar_standins.load import run_load
 from lacewingspar_standins.load_options import LoadOptions
 from lacewingspar_standins.log import LogFaults, LogOptions, LogService
@@ -148,6 +148,30 @@
     run_loop(main())
 
 
+@app.command("link-group")
+def link_group(
+    target: Annotated[list[str], typer.Option(help="HOST:PORT, repeated.")],
+    host: Host = "127.0.0.1",
+    delay_ms: float = 0,
+) -> None:
+    """Run TCP relays to several targets that share one fault set."""
+    faults = LinkFaults(delay_ms=delay_ms)
+
+    async def main() -> None:
+        group = LinkGroup(target, faults)
+        async with group.listening(host) as address_by_target:
+            await serve(
+                group,
+                host,
+                0,
+                "control_address",
+                address=host,
+                **address_by_target,
+            )
+
+    run_loop(main())
+
+
 @app.command()
 def load(
     options: Annotated[Path, typer.Argument(help="LoadOptions as JSON.")],
--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -8,7 +8,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from lacewingspar_core.platform import LoadReport
+from lacewingspar_standins.accounts import SlotAccounts, account_of
 from lacewingspar_standins.asgi import BadRequestError, Request
 from lacewingspar_standins.faults import Faults, StandIn
 from lacewingspar_standins.lagged import Lagged
@@ -55,6 +58,12 @@
     load_lag_seconds: float = 0.2
 
 
+class _MarkedBody(msgspec.Struct, frozen=True):
+    """Body of a load generator's call."""
+
+    marker: str
+
+
 @dataclass(slots=True)
 class Runs:
     """Number of runs by what identifies a call."""
@@ -89,6 +98,7 @@
         self._load = Lagged((0, 0), options.load_lag_seconds)
         self._silence_count = 0
         self.runs = Runs()
+        self.accounts = SlotAccounts()
 
     def faults_changed(self) -> None:
         """Silence the calls that exist."""
@@ -101,6 +111,8 @@
         match request.method, request.path:
             case "GET", "/_runs":
                 await request.reply(200, self.runs)
+            case "GET", "/accounts":
+                await request.reply(200, self.accounts.as_json())
             case "GET", "/load":
                 await request.reply(200, self._load_report())
             case "GET", "/health":
@@ -205,5 +217,13 @@
         await request.reply(200, value, headers)
 
 
+def _account(body: bytes) -> str:
+    """Return the account that a load generator's body names, or ""."""
+    try:
+        return account_of(msgspec.json.decode(body, type=_MarkedBody).marker)
+    except msgspec.MsgspecError:
+        return ""
+
+
 def _digest(body: bytes) -> str:
     return hashlib.sha256(body).hexdigest()
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -5,7 +5,9 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import httpx
 import msgspec
@@ -89,10 +91,13 @@
     Attributes:
         address: Address as `host:port`.
         control_address: Address of `/faults`.
+        address_by_name: All announced addresses; a link group announces one
+            for each target.
     """
 
     address = ""
     control_address = ""
+    address_by_name: Mapping[str, str] = MappingProxyType({})
 
     @property
     def url(self) -> str:
@@ -116,6 +121,7 @@
                 f"{self.name} announced no address: {self.end_of_log()}"
             )
         addresses = msgspec.json.decode(line, type=dict[str, str])
+        self.address_by_name = addresses
         self.address = addresses["address"]
         self.control_address = addresses.get("control_address", self.address)
 
