--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -90,7 +90,10 @@
         slot: Identity of the slot use that is offered.
         upstream_id: Upstream that has the free slot.
         workspace: Workspace whose request may use the slot.
-        model: Model of the demand entry that the offer answers.
+        model: Model of the demand entry that the offer answers, or "" for
+            any that the upstream serves.
+        is_forwarded: Whether an owner has passed the offer on to one of its
+            holders.
     """
 
     service: str
@@ -98,6 +101,7 @@
     upstream_id: str
     workspace: str
     model: str
+    is_forwarded: bool
 
 
 class OfferAccepted(PeerMessage, frozen=True, tag="accept"):
@@ -191,17 +195,18 @@
 
     Attributes:
         workspace: Name of the workspace.
-        served_seconds: Slot time granted since the life began, in seconds;
-            it only grows.
-        pending_seconds: Estimated slot time still to come for requests that
-            run now, in seconds; the latest value counts.
+        served_ms: Slot time granted since the life began, in milliseconds;
+            it only grows. Integers take half the bytes of floating-point
+            numbers, and these messages are most of the control traffic.
+        pending_ms: Estimated slot time still to come for requests that run
+            now, in milliseconds; the latest value counts.
         waiting: Requests of the workspace that wait in the sender's data
             centre; the latest value counts.
     """
 
     workspace: str
-    served_seconds: float
-    pending_seconds: float
+    served_ms: int
+    pending_ms: int
     waiting: int
 
 
@@ -225,12 +230,6 @@
     entries: tuple[CounterEntry, ...]
 
 
-class CountersRequest(PeerMessage, frozen=True, tag="counters?"):
-    """Asks a peer for all service counters that it knows of one service."""
-
-    service: str
-
-
 class LogRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record of a log stream.
 
@@ -267,17 +266,34 @@
     records: tuple[LogRecord, ...]
 
 
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One crash of an upstream and the requests in flight at it.
+
+    Attributes:
+        upstream_id: Upstream that crashed.
+        epoch: Number of its crashes known when the requests were sent.
+        age_seconds: Time since the crash.
+        suspects: Fingerprints of the requests in flight, as far as known.
+        cleared: Those of them that have since completed elsewhere.
+    """
+
+    upstream_id: str
+    epoch: int
+    age_seconds: float
+    suspects: tuple[str, ...]
+    cleared: tuple[str, ...]
+
+
 class Quarantine(PeerMessage, frozen=True, tag="quarantine"):
-    """Crash suspicions of request fingerprints.
+    """Crashes of the upstreams of one service.
 
     Attributes:
         service: Name of the service.
-        crashes_by_fingerprint: Pairs of a fingerprint and the crash ids at
-            which it was in flight.
+        crashes: Changed or all crash records of the sender.
     """
 
     service: str
-    crashes_by_fingerprint: tuple[tuple[str, tuple[str, ...]], ...]
+    crashes: tuple[CrashRecord, ...]
 
 
 AnyPeerMessage = (
@@ -290,7 +306,6 @@
     | SlotReport
     | SlotReportRequest
     | Counters
-    | CountersRequest
     | LogRecordsRequest
     | LogRecords
     | Quarantine
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -0,0 +1,222 @@
+"""Path of a checked request from the queue to the end of its answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.caller_api.claimed import (
+    CallClaims,
+    async_replay,
+)
+from lacewingspar_router.components.caller_api.exchange import Exchange
+from lacewingspar_router.components.caller_api.in_flight import (
+    InFlight,
+    RequestTrack,
+)
+from lacewingspar_router.components.caller_api.refusals import (
+    claim_expired,
+    slot_outcome,
+    upstream_refusal,
+)
+from lacewingspar_router.components.caller_api.requests import CallerRequest
+from lacewingspar_router.components.caller_api.retries import may_retry
+from lacewingspar_router.components.caller_api.slot_use import SlotUse
+from lacewingspar_router.components.caller_api.streaming import AnswerTransfer
+from lacewingspar_router.components.claims.models import (
+    ClaimAnswered,
+    ClaimGranted,
+)
+from lacewingspar_router.components.scheduler.models import (
+    SCHEDULER,
+    SlotRequest,
+)
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.components.upstreams.errors import UpstreamError
+from lacewingspar_router.components.upstreams.models import (
+    UPSTREAMS,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from lacewingspar_router.errors import RequestRefusedError, RunState
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request on its way.
+
+    Attributes:
+        request: The request.
+        exchange: Exchange with the caller.
+        track: Path of the request.
+        claim: Claim of its key, if it has one.
+    """
+
+    request: CallerRequest
+    exchange: Exchange
+    track: RequestTrack
+    claim: ClaimGranted | None
+
+
+class CallRunner:
+    """Runs checked requests.
+
+    Args:
+        application: The application that holds the other components.
+        in_flight: Requests in flight.
+    """
+
+    def __init__(self, application: Application, in_flight: InFlight) -> None:
+        self._claims = CallClaims(application)
+        self._scheduler = application.get(SCHEDULER)
+        self._upstreams = application.get(UPSTREAMS)
+        self._telemetry = application.get(TELEMETRY)
+        self._in_flight = in_flight
+
+    async def async_run(
+        self, request: CallerRequest, exchange: Exchange, track: RequestTrack
+    ) -> str:
+        """Queue and send a request and answer the caller.
+
+        Returns:
+            How the request ended, for its path.
+
+        Raises:
+            RequestRefusedError: The request gets a refusal.
+        """
+        claim = await self._claims.async_claim(request)
+        if isinstance(claim, ClaimAnswered):
+            track.run = RunState.RAN
+            await async_replay(exchange, claim)
+            return "replayed"
+        call = Call(request, exchange, track, claim)
+        try:
+            return await self._async_attempts(call)
+        except RequestRefusedError as error:
+            # An earlier attempt may have run although the last one did not.
+            if track.run is not RunState.NOT_RUN:
+                error.run = track.run
+            elif claim is not None:
+                await self._claims.async_give_up(claim, error)
+            raise
+        except asyncio.CancelledError:
+            if claim is not None and track.run is RunState.NOT_RUN:
+                self._claims.release(claim)
+                track.run = RunState.UNKNOWN
+            raise
+
+    async def _async_attempts(self, call: Call) -> str:
+        """Send a request until an attempt succeeds or no more are allowed."""
+        request = call.request
+        failed: set[str] = set()
+        attempts = 0
+        while True:
+            use = await self._async_acquire(call, failed)
+            attempts += 1
+            try:
+                with self._telemetry.span(
+                    "slot",
+                    trace_parent=request.trace_parent,
+                    upstream=use.upstream_id,
+                ):
+                    return await self._async_attempt(call, use)
+            except UpstreamError as error:
+                use.release(slot_outcome(error))
+                failed.add(use.upstream_id)
+                self._in_flight.hop(call.track, "failed", use.upstream_id)
+                if call.exchange.is_started:
+                    await call.exchange.async_interrupt(str(error))
+                    return "interrupted"
+                if not may_retry(
+                    request.repeatability,
+                    error.run,
+                    attempts_made=attempts,
+                    attempts_allowed=request.document.limits.attempts,
+                ):
+                    raise upstream_refusal(error) from error
+            finally:
+                use.release(SlotOutcome.CANCELLED)
+
+    async def _async_acquire(self, call: Call, failed: set[str]) -> SlotUse:
+        """Wait for a slot of an upstream that has not failed."""
+        request = call.request
+        deadline_at = request.deadline_at
+        if call.claim is not None:
+            # After that time the slot could not be used.
+            deadline_at = min(deadline_at, call.claim.send_before)
+        slot_request = SlotRequest(
+            request_id=request.request_id,
+            service=request.document.service,
+            workspace=request.workspace.name,
+            model=request.model,
+            request_class=request.request_class,
+            arrived_at=request.arrived_at,
+            deadline_at=deadline_at,
+            excluded_upstreams=frozenset(failed),
+        )
+        self._in_flight.hop(call.track, "queue")
+        with self._telemetry.span("queue", trace_parent=request.trace_parent):
+            grant = await self._scheduler.async_acquire(slot_request)
+        self._in_flight.hop(call.track, "slot", grant.upstream_id)
+        return SlotUse(self._scheduler, grant)
+
+    async def _async_attempt(self, call: Call, use: SlotUse) -> str:
+        """Send a request to one upstream and pass its answer on."""
+        answer = await self._async_send(call, use)
+        self._in_flight.hop(call.track, "head", use.upstream_id)
+        try:
+            with self._telemetry.span(
+                "stream", trace_parent=call.request.trace_parent
+            ):
+                await self._async_pass_on(call, use, answer)
+        finally:
+            await answer.async_close()
+        return "completed"
+
+    async def _async_send(self, call: Call, use: SlotUse) -> UpstreamAnswer:
+        """Send a request to one upstream and wait for the answer's head."""
+        request, track = call.request, call.track
+        with self._telemetry.span(
+            "upstream",
+            trace_parent=request.trace_parent,
+            service=request.document.service,
+            upstream=use.upstream_id,
+        ) as trace_parent:
+            upstream_call = _upstream_call(request, trace_parent)
+            if call.claim is not None:
+                if not self._claims.may_send(call.claim):
+                    raise claim_expired()
+                # The outcome is recorded for later attempts of the caller.
+                track.outlives_caller = True
+            run_before, track.run = track.run, RunState.UNKNOWN
+            try:
+                return await self._upstreams.async_call(
+                    request.document.service, use.upstream_id, upstream_call
+                )
+            except UpstreamError as error:
+                if error.run is RunState.NOT_RUN:
+                    track.run = run_before
+                raise
+
+    async def _async_pass_on(
+        self, call: Call, use: SlotUse, answer: UpstreamAnswer
+    ) -> None:
+        """Pass an answer on, give the slot back and record the outcome."""
+        transfer = AnswerTransfer(call.request, call.exchange, answer)
+        await transfer.async_run()
+        use.release(SlotOutcome.COMPLETED, transfer.tokens)
+        call.track.run = RunState.RAN
+        if call.claim is not None:
+            self._claims.record_outcome(call.claim, transfer.kept_answer())
+        await transfer.async_finish()
+
+
+def _upstream_call(request: CallerRequest, trace_parent: str) -> UpstreamCall:
+    return UpstreamCall(
+        request_id=request.request_id,
+        method=request.method,
+        path=request.target,
+        headers=(*request.headers, ("traceparent", trace_parent)),
+        body=request.body,
+        silent_after_seconds=request.document.limits.silent_after_seconds,
+    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/streaming.py
@@ -0,0 +1,126 @@
+"""Transfer of an upstream's answer to the caller."""
+
+from lacewingspar_core.documents import ServiceKind
+from lacewingspar_router.components.caller_api.answer_body import (
+    AnswerTail,
+    EventGate,
+)
+from lacewingspar_router.components.caller_api.const import (
+    MAX_KEPT_ANSWER_BYTES,
+)
+from lacewingspar_router.components.caller_api.exchange import Exchange
+from lacewingspar_router.components.caller_api.requests import CallerRequest
+from lacewingspar_router.components.claims.models import ClaimAnswered
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamBrokenError,
+)
+from lacewingspar_router.components.upstreams.models import UpstreamAnswer
+from lacewingspar_router.errors import RunState
+from lacewingspar_router.http_headers import RawHeaders
+
+_EVENT_STREAM = "text/event-stream"
+# The router writes these itself.
+_REPLACED_HEADERS = frozenset({"x-request-id", "traceparent", "date"})
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
+class AnswerTransfer:
+    """Passes one answer on and checks that it is complete.
+
+    Args:
+        request: The request.
+        exchange: Exchange with the caller.
+        answer: Answer of the upstream.
+    """
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        exchange: Exchange,
+        answer: UpstreamAnswer,
+    ) -> None:
+        self._exchange = exchange
+        self._answer = answer
+        self._content_type = dict(answer.headers).get("content-type", "")
+        self._is_model = request.document.kind is ServiceKind.MODEL
+        self._is_event_stream = (
+            self._is_model
+            and answer.status == 200
+            and self._content_type.startswith(_EVENT_STREAM)
+        )
+        self._keeps = request.idempotency_key is not None
+        self._kept: list[bytes] | None = []
+        self._kept_bytes = 0
+        self._tail = AnswerTail()
+        self._gate = EventGate()
+
+    @property
+    def tokens(self) -> int:
+        """Return the number of tokens that the upstream reported, or 0."""
+        return self._tail.tokens if self._is_model else 0
+
+    async def async_run(self) -> None:
+        """Pass on the whole body, but not its end.
+
+        Raises:
+            UpstreamError: The body is incomplete.
+        """
+        async for part in self._answer.body():
+            if self._is_model:
+                self._tail.add(part)
+            if self._keeps:
+                self._keep(part)
+            ready = self._gate.push(part) if self._is_event_stream else part
+            if ready:
+                await self._async_send(ready)
+        if not self._is_event_stream:
+            return
+        if not self._tail.has_end_marker:
+            raise UpstreamBrokenError(
+                "the stream ended without its end marker", run=RunState.UNKNOWN
+            )
+        rest = self._gate.flush()
+        if rest:
+            await self._async_send(rest)
+
+    async def async_finish(self) -> None:
+        """Send the end of the body."""
+        await self._async_send_head()
+        await self._exchange.async_finish()
+
+    def kept_answer(self) -> ClaimAnswered:
+        """Return the answer for later attempts of the same call."""
+        body = None if self._kept is None else b"".join(self._kept)
+        return ClaimAnswered(self._answer.status, self._content_type, body)
+
+    async def _async_send(self, data: bytes) -> None:
+        await self._async_send_head()
+        await self._exchange.async_send_part(data)
+
+    async def _async_send_head(self) -> None:
+        if self._exchange.is_started:
+            return
+        self._exchange.is_event_stream = self._is_event_stream
+        await self._exchange.async_send_head(self._answer.status, self._head())
+
+    def _head(self) -> RawHeaders:
+        removed = _REPLACED_HEADERS
+        if (
+            # An error event may follow, which would exceed the length.
+            self._is_event_stream
+            # The length is that of a body which is not sent.
+            or self._answer.status in _STATUSES_WITHOUT_BODY
+        ):
+            removed = removed | {"content-length"}
+        return [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in self._answer.headers
+            if name not in removed
+        ]
+
+    def _keep(self, part: bytes) -> None:
+        self._kept_bytes += len(part)
+        if self._kept_bytes > MAX_KEPT_ANSWER_BYTES:
+            self._kept = None
+        if self._kept is not None:
+            self._kept.append(part)
