--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -173,14 +173,23 @@
             # it runs it is not interrupted.
             if closed.done():
                 return None
-            self._change_load(1, 0)
             number = self._count_run(request, body)
-            await self._work(work_seconds)
-            self._change_load(-1, 0)
+            await self._occupy_slot(body, work_seconds)
             return number
         finally:
             self._slots.release()
 
+    async def _occupy_slot(self, body: bytes, work_seconds: float) -> None:
+        """Do the work and account for the time that it took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self._change_load(1, 0)
+        try:
+            await self._work(work_seconds)
+        finally:
+            self._change_load(-1, 0)
+            self.accounts.add(_account(body), loop.time() - started_at)
+
     def _count_run(self, request: Request, body: bytes) -> int:
         marker = self.faults.crash_marker
         if marker and marker.encode() in body:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -65,6 +65,8 @@
     assert answer.headers["X-Request-Id"] == "r1"
     ids = re.findall(r'"id":"([^"]*)"', answer.text)
     assert ids == ["r1"] * (len(expected) + 1 if stream else 1)
+    accounts = (await engine.get("/accounts"))["seconds_by_account"]
+    assert accounts == {"m": pytest.approx(0.001 * len(expected))}
 
 
 @pytest.mark.parametrize(
@@ -121,22 +123,20 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "statuses", "started"),
+    ("faults", "codes", "runs"),
     [
         ({}, (200, 200), 1),
         ({"refuse": True}, (503, 503), 0),
         ({"leave": True}, (503, 200), 1),
     ],
 )
-async def test_refusal(
-    engine: Any, faults: Any, statuses: Any, started: int
-) -> None:
+async def test_refusal(engine: Any, faults: Any, codes: Any, runs: int) -> None:
     """Guards against a leaving engine that hides late requests."""
     await engine.inject(**faults)
     health = await engine.send("GET", "/health")
     answer = await chat(engine, max_tokens=1)
-    assert (health.status_code, answer.status_code) == statuses
+    assert (health.status_code, answer.status_code) == codes
     stats = await engine.get("/stats")
-    assert stats["started"] == started
+    assert stats["started"] == runs
     assert stats["arrived_after_leave"] == int("leave" in faults)
-    assert stats["runs_by_request_id"].get("r1", 0) == started
+    assert stats["runs_by_request_id"].get("r1", 0) == runs
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -1,12 +1,13 @@
 """Stand-in for a network link."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 
-from lacewingspar_standins.link import Link, LinkFaults
+from lacewingspar_standins.link import Link, LinkFaults, LinkGroup
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 BYTES = b"".join(b"%d," % number for number in range(1000))
@@ -27,11 +28,8 @@
     server = await asyncio.start_server(echo, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     link = Link(f"{host}:{port}", LinkFaults())
-    async with (
-        link.listening("127.0.0.1", 0) as address,
-        serve(link) as control,
-    ):
-        yield address, control
+    async with link.listening("127.0.0.1", 0) as relay, serve(link) as control:
+        yield relay, control
     server.close()
 
 
@@ -83,6 +81,23 @@
     assert await send_and_receive(await connect(address), b"y") == b"y"
 
 
+async def test_group_shares_its_faults(echo_link: Any, serve: Any) -> None:
+    """Guards against a partition that leaves one connection open."""
+    targets = [echo_link[0], echo_link[1].address]
+    group = LinkGroup(targets, LinkFaults())
+    async with group.listening("127.0.0.1") as relays, serve(group) as control:
+        old = [await connect(relays[target]) for target in targets]
+        await send_and_receive(old[0], b"x")
+        await control.inject(cut=True)
+        for reader, writer in old:
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read(1) == b""
+            writer.close()
+        await control.inject(cut=False)
+        new = await connect(relays[targets[0]])
+        assert await send_and_receive(new, b"y") == b"y"
+
+
 async def test_silence(echo_link: Any, stays_pending: Any) -> None:
     """Guards against a silent connection that the other side sees close."""
     address, control = echo_link
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -9,7 +9,6 @@
 from lacewingspar_standins.batching import BatchOptions
 from lacewingspar_standins.engine import Engine
 from lacewingspar_standins.engine_options import EngineFaults, EngineOptions
-from lacewingspar_standins.faults import Faults, StandIn
 from lacewingspar_standins.load import run_load
 from lacewingspar_standins.load_options import LoadOptions, WorkspaceLoad
 from lacewingspar_standins.load_result import LoadResult
@@ -44,18 +43,17 @@
         return await run_load(LoadOptions(**fields))
 
 
-class Refusing(StandIn[Faults]):
-    """Refuses each request a number of times, then answers as a service."""
+class Refusing(PlainService):
+    """Refuses a number of requests, then answers as a plain service."""
 
     def __init__(self, refusals: int, run: str) -> None:
-        super().__init__(Faults())
+        super().__init__(PlainOptions(), PlainFaults())
         self.refusals = refusals
         self.run = run
-        self.plain = new_plain()
 
     async def handle(self, request: Request) -> None:
         if self.refusals == 0:
-            await self.plain.handle(request)
+            await super().handle(request)
             return
         self.refusals -= 1
         await request.body()
@@ -95,22 +93,21 @@
 
 
 @pytest.mark.parametrize(
-    ("run", "keyed_share", "attempts", "finals"),
+    ("run", "keyed", "attempts", "finals"),
     [
         ("not_run", 0, 4, {"ok": 1}),
         ("unknown", 0, 1, {"refused:full": 1}),
         ("unknown", 1, 4, {"ok": 1}),
     ],
 )
-async def test_refused_request_is_repeated_only_if_that_is_safe(
-    run: str, keyed_share: float, attempts: int, finals: dict[str, int]
-) -> None:
+async def test_repeat(run: str, keyed: int, attempts: int, finals: Any) -> None:
+    """Guards against a second attempt of a call that may have run."""
     result = await load(
         Refusing(3, run),
         workspaces=(CLOSED,),
         max_requests=1,
         chat_share=0,
-        keyed_share=keyed_share,
+        keyed_share=keyed,
     )
     workspace = result.by_workspace["closed"]
     assert workspace.attempts == attempts
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -63,8 +63,7 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "kept"),
-    [({"lose_replies": 1}, 1), ({"refuse": True}, 0)],
+    ("faults", "kept"), [({"lose_replies": 1}, 1), ({"refuse": True}, 0)]
 )
 async def test_lost_reply_and_refusal(log: Any, faults: Any, kept: int) -> None:
     """Guards against a lost reply whose record is lost as well."""
--- a/tests/standins/test_plain.py
+++ b/tests/standins/test_plain.py
@@ -31,12 +31,11 @@
         yield client
 
 
-async def call(plain: Any, **headers: str) -> httpx.Response:
-    answer: httpx.Response = await plain.send("POST", "/a", "body", **headers)
-    return answer
+async def call(plain: Any, **headers: str) -> Any:
+    return await plain.send("POST", "/a", "body", **headers)
 
 
-def start_work(plain: Any) -> asyncio.Task[httpx.Response]:
+def start_work(plain: Any) -> asyncio.Task[Any]:
     return asyncio.create_task(call(plain, **{"X-Work-Ms": "1"}))
 
 
@@ -55,6 +54,14 @@
     }
 
 
+async def test_slot_time_goes_to_the_account_of_the_marker(plain: Any) -> None:
+    """Guards against a fairness measure that misses plain calls."""
+    await plain.send("POST", "/a", {"marker": "tenant.1.2"})
+    await call(plain)
+    accounts = (await plain.get("/accounts"))["seconds_by_account"]
+    assert set(accounts) == {"tenant", ""}
+
+
 async def test_lost_reply_has_run(plain: Any) -> None:
     await plain.inject(lose_replies=1)
     with pytest.raises(httpx.RemoteProtocolError):
@@ -63,15 +70,13 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "headers", "status"),
+    ("faults", "head", "status"),
     [({"refuse": True}, {}, 503), ({}, {"X-Work-Ms": "long"}, 400)],
 )
-async def test_refusal(
-    plain: Any, faults: Any, headers: Any, status: int
-) -> None:
+async def test_refusal(plain: Any, faults: Any, head: Any, status: int) -> None:
     """Guards against refused calls that run."""
     await plain.inject(**faults)
-    assert (await call(plain, **headers)).status_code == status
+    assert (await call(plain, **head)).status_code == status
     assert (await plain.get("/_runs"))["total"] == 0
 
 
