--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -10,9 +10,8 @@
 or an uncleared suspect of three. Bound: if every router has merged the records
 of all earlier crashes before it sends a fingerprint again, and at most k runs
 of the fingerprint are in flight at once, it takes part in at most 2 + k
-crashes within `WINDOW_SECONDS` without a completed run between them; that is 3
-for runs one after another. Where suspects also run away from each other, the
-bound is 1 + k.
+crashes within `WINDOW_SECONDS` without a completed run between them. That is 3
+for runs one after another, and 2 if suspects also run away from each other.
 """
 
 from collections.abc import Iterable
@@ -134,7 +133,10 @@
 
     def on_success(self, fingerprint: str, now: float) -> None:
         """Clear a request that has completed of the crashes known so far."""
-        for crash_id in self._crash_ids_by_fingerprint.get(fingerprint, ()):
+        crash_ids = self._crash_ids_by_fingerprint.get(fingerprint)
+        if crash_ids is None:
+            return
+        for crash_id in crash_ids:
             crash = self._crash_by_id[crash_id]
             if fingerprint not in crash.cleared:
                 crash.cleared.add(fingerprint)
--- a/tests/router/components/upstreams/test_health.py
+++ b/tests/router/components/upstreams/test_health.py
@@ -90,12 +90,18 @@
 async def test_failed_calls(
     monitor: Monitor, error_type: type[errors.UpstreamError], state: str
 ) -> None:
-    """Guards against refusals that count as failures, and the reverse."""
-    monitor.set_upstreams({"s": [LOCAL]})
-    for upstream_id in ("u", "not listed"):
+    """Guards against refusals that count as failures, and the reverse.
+
+    An upstream elsewhere is probed only after a failure.
+    """
+    monitor.set_upstreams({"s": [REMOTE]})
+    await asyncio.sleep(0)
+    for upstream_id in ("far", "not listed"):
         error = error_type("", run=RunState.UNKNOWN)
         monitor.on_failure("s", upstream_id, error)
-    assert monitor.state()[0] == state
+    assert monitor.state("far")[0] == state
+    if state == "failing":
+        await monitor.async_wait_for("healthy", 10, name="far")
 
 
 async def test_leaving_vm_gets_no_new_work(monitor: Monitor) -> None:
