--- a/packages/router/src/lacewingspar_router/components/peers/const.py
+++ b/packages/router/src/lacewingspar_router/components/peers/const.py
@@ -10,3 +10,6 @@
 # is repeated or has a timeout.
 SEND_QUEUE_MESSAGES = 1000
 LARGEST_MESSAGE_BYTES = 64 * 1024 * 1024
+
+METRIC_SENT_BYTES = "peer_sent_bytes"
+METRIC_RECEIVED_BYTES = "peer_received_bytes"
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -27,6 +27,7 @@
 from lacewingspar_router.components.peers import const
 from lacewingspar_router.components.peers.errors import PeerBindError
 from lacewingspar_router.components.peers.models import ReceivedMessage
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -69,9 +70,9 @@
             _Envelope(app.life, app.settings.data_centre)
         )
         self._envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self.sent_bytes_by_type: dict[str, int] = {}
+        self._telemetry = app.get(TELEMETRY)
+        self._sent_bytes_by_type: dict[str, int] = {}
+        self._received_bytes_by_type: dict[str, int] = {}
         self._read_applied_offset: Callable[[], int] = lambda: 0
         self._refresh_alive()
 
@@ -115,10 +116,7 @@
             _LOGGER.debug("peer message dropped", router_id=router_id)
             return 0
         size = len(self._envelope) + len(data)
-        self.sent_bytes += size
-        name = type(message).__name__
-        known = self.sent_bytes_by_type.get(name, 0)
-        self.sent_bytes_by_type[name] = known + size
+        _add_bytes(self._sent_bytes_by_type, message, size)
         return size
 
     def subscribe(
@@ -159,6 +157,7 @@
         for router_id in receivers:
             self.send(router_id, heartbeat)
         self._refresh_alive()
+        self._publish_metrics()
 
     async def async_unload(self) -> None:
         """Close all sockets."""
@@ -168,6 +167,12 @@
             self._receiver.close(linger=0)
         self._context.term()
 
+    def _publish_metrics(self) -> None:
+        for name, size in self._sent_bytes_by_type.items():
+            self._telemetry.gauge(const.METRIC_SENT_BYTES, size, type=name)
+        for name, size in self._received_bytes_by_type.items():
+            self._telemetry.gauge(const.METRIC_RECEIVED_BYTES, size, type=name)
+
     def _receive(self, frames: list[bytes]) -> None:
         try:
             envelope_data, data = frames
@@ -176,7 +181,8 @@
         except (ValueError, msgspec.MsgspecError, MessageDecodeError) as error:
             _LOGGER.warning("invalid peer message", error=str(error))
             return
-        self.received_bytes += len(envelope_data) + len(data)
+        size = len(envelope_data) + len(data)
+        _add_bytes(self._received_bytes_by_type, message, size)
         if isinstance(message, Heartbeat):
             self._membership.merge(message, self._app.now())
             self._refresh_alive()
@@ -234,5 +240,12 @@
             socket.setsockopt(option, value)
 
 
+def _add_bytes(
+    bytes_by_type: dict[str, int], message: AnyPeerMessage, size: int
+) -> None:
+    name = type(message).__name__
+    bytes_by_type[name] = bytes_by_type.get(name, 0) + size
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/packages/standins/src/lacewingspar_standins/batching.py
+++ b/packages/standins/src/lacewingspar_standins/batching.py
@@ -139,19 +139,21 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
-        step_at = loop.time()
+        step_at = last_at = loop.time()
         while self._running:
             # A step that is late is not made up for, as in a real engine.
             started_at = max(step_at, loop.time() - self._options.step_seconds)
             step_at = started_at + self._options.step_seconds
             await asyncio.sleep(max(0.0, step_at - loop.time()))
-            self._step(loop.time())
+            now = loop.time()
+            self._step(now, now - last_at)
+            last_at = now
 
-    def _step(self, now: float) -> None:
-        self.slot_seconds += len(self._running) * self._options.step_seconds
+    def _step(self, now: float, elapsed_seconds: float) -> None:
+        self.slot_seconds += len(self._running) * elapsed_seconds
         finished: list[Generation] = []
         for generation in self._running:
-            self.accounts.add(generation.account, self._options.step_seconds)
+            self.accounts.add(generation.account, elapsed_seconds)
             if generation.ready_at <= now:
                 generation.produced += 1
                 generation.wake()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the fleet on one machine."""
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -0,0 +1,17 @@
+"""Command line of the benchmarks."""
+
+import typer
+
+from lacewingspar_standins.bench import share
+
+app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
+app.command("share")(share.main)
+
+
+@app.callback()
+def callback() -> None:
+    """Run one benchmark."""
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/load_processes.py
@@ -0,0 +1,51 @@
+"""Load generators that run as processes of their own."""
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from lacewingspar_standins.fleet import Fleet
+from lacewingspar_standins.load_options import LoadOptions
+from lacewingspar_standins.load_result import LoadResult
+from lacewingspar_standins.process import FleetError, ManagedProcess
+
+
+@dataclass(slots=True)
+class LoadProcess:
+    """A running load generator.
+
+    Attributes:
+        name: Name of the process.
+        process: The process.
+        output: File that receives its result.
+    """
+
+    name: str
+    process: ManagedProcess
+    output: Path
+
+    async def result(self) -> LoadResult:
+        """Wait for the end of the load and return its result.
+
+        Raises:
+            FleetError: The load generator failed.
+        """
+        if await self.process.wait() != 0:
+            raise FleetError(f"{self.name}: {self.process.end_of_log()}")
+        data = await asyncio.to_thread(self.output.read_bytes)
+        return msgspec.json.decode(data, type=LoadResult)
+
+
+async def start_load(
+    fleet: Fleet, name: str, options: LoadOptions
+) -> LoadProcess:
+    """Start a load generator."""
+    options_file = fleet.folder / f"{name}.options.json"
+    options_file.write_bytes(msgspec.json.encode(options))
+    output = fleet.folder / f"{name}.result.json"
+    process = await fleet.start_module(
+        name, ["load", str(options_file), "--output", str(output)]
+    )
+    return LoadProcess(name, process, output)
--- a/packages/standins/src/lacewingspar_standins/fleet.py
+++ b/packages/standins/src/lacewingspar_standins/fleet.py
@@ -110,6 +110,23 @@
         await standin.read_addresses()
         return standin
 
+    async def start_module(
+        self, name: str, arguments: Sequence[str]
+    ) -> ManagedProcess:
+        """Start a command of `lacewingspar-standin` that serves nothing.
+
+        Args:
+            name: Name in the fleet.
+            arguments: Command and options.
+        """
+        log_file = self.folder / f"{name}.log"
+        process = await spawn(
+            log_file, ["-m", STANDIN_MODULE, *arguments], reads_output=False
+        )
+        managed = ManagedProcess(name, process, log_file)
+        self._processes.append(managed)
+        return managed
+
     def plan_router(self, router_id: str, data_centre: str) -> RouterPlan:
         """Reserve the ports of a router."""
         return RouterPlan(
--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -175,7 +175,10 @@
                 return None
             self._change_load(1, 0)
             number = self._count_run(request, body)
+            started_at = asyncio.get_running_loop().time()
             await self._work(work_seconds)
+            elapsed_seconds = asyncio.get_running_loop().time() - started_at
+            self.accounts.add(_account(body), elapsed_seconds)
             self._change_load(-1, 0)
             return number
         finally:
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -160,7 +160,17 @@
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        url = f"http://{admin_address}/ready"
+        await self._wait_for(f"http://{admin_address}/ready", seconds)
+
+    async def wait_live(self, admin_address: str, seconds: float) -> None:
+        """Wait until `GET /live` succeeds.
+
+        Raises:
+            FleetError: The router has ended or the time is over.
+        """
+        await self._wait_for(f"http://{admin_address}/live", seconds)
+
+    async def _wait_for(self, url: str, seconds: float) -> None:
         try:
             async with (
                 asyncio.timeout(seconds),
