Let a workspace keep a slot for one quantum and charge only confirmed slot time

A holder now uses a slot for further requests of the workspace until slot_quantum_seconds have passed.

Cause 2: gaps of 8 slot-seconds that never closed. While ownership moved at the start, releases went to the new owner only, and the former one charged the use until its lease ended. Releases now go to the router that made the offer too, and a use is charged for 1.5 s after its last report at most.

Cause 3: a workspace that became backlogged was raised to a score with expected service in it, and a wrong first estimate stayed in the score. It is now raised to the median served score of the others.

Also: an offer that is dropped with its shard no longer hides the demand, and a holder that declines tells its demand again.

Heartbeats are sent every second, which halves their traffic.

--- a/packages/core/src/lacewingspar_core/dispatch.py
+++ b/packages/core/src/lacewingspar_core/dispatch.py
@@ -35,6 +35,9 @@
 OFFER_TIMEOUT_SECONDS = 0.5
 # A use that its holder has not reported for this long has ended.
 SLOT_LEASE_SECONDS = 5.0
+# Slot time is charged until this long after the last report of a use, so that
+# a use whose end was not heard of is not charged until its lease ends.
+CHARGE_AFTER_REPORT_SECONDS = 1.5
 # A new owner waits this long for the reports of uses that it inherits.
 ADOPTION_SECONDS = 0.3
 
@@ -138,7 +141,10 @@
             for upstream_id in event.upstream_by_id
         )
         for use in self._slots.set_upstreams(event.upstream_by_id):
-            self._settle(use, now)
+            if use.started_at is None:
+                self._withdraw(use)
+            else:
+                self._settle(use, now)
         self.ledger.set_weights(event.weight_by_workspace)
         self.ledger.set_slots(self._slots.total_slots)
         if not inherits:
@@ -155,7 +161,7 @@
         for use in self._slots.uses():
             if use.holder == life and use.started_at is None:
                 self._slots.remove(use.slot)
-                self.ledger.charge(use.key.workspace, 0, -use.pending_seconds)
+                self._withdraw(use)
         return []
 
     def _receive(
@@ -242,9 +248,14 @@
         use = self._slots.remove(message.slot)
         if use is None:
             return
+        # The message shows that the slot was in use until now.
+        use.lease_until = now + SLOT_LEASE_SECONDS
         self._settle(use, now)
         if message.outcome is SlotOutcome.COMPLETED:
-            self._costs.note(message.workspace, message.used_seconds)
+            self._costs.note(
+                message.workspace,
+                message.used_seconds / max(1, message.requests),
+            )
 
     def _take_report(
         self, sender: RouterLife, report: SlotReport, now: float
@@ -291,7 +302,9 @@
         if use.started_at is None:
             return
         pending = use.pending_seconds
-        accrued = max(0.0, now - use.started_at - use.charged_seconds)
+        reported_at = use.lease_until - SLOT_LEASE_SECONDS
+        until = min(now, reported_at + CHARGE_AFTER_REPORT_SECONDS)
+        accrued = max(0.0, until - use.started_at - use.charged_seconds)
         use.charged_seconds += accrued
         self.ledger.charge(
             use.key.workspace, accrued, use.pending_seconds - pending
--- a/packages/core/src/lacewingspar_core/documents.py
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -131,11 +131,15 @@
         silent_after_seconds: An answer that delivers nothing for this long
             counts as failed.
         attempts: Largest number of times that one request is sent.
+        slot_quantum_seconds: Time for which a workspace may use a slot for
+            one request after the other. A longer time keeps slots busier when
+            requests are short, and lets the fairness gap grow by as much.
     """
 
     body_bytes: Annotated[Integer, Field(ge=1, le=1 << 30)] = 4 * 1024 * 1024
     silent_after_seconds: Annotated[Number, Field(gt=0, le=3600)] = 30.0
     attempts: Annotated[Integer, Field(ge=1, le=10)] = 3
+    slot_quantum_seconds: Annotated[Number, Field(ge=0, le=10)] = 0.25
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
--- a/packages/core/src/lacewingspar_core/ledger.py
+++ b/packages/core/src/lacewingspar_core/ledger.py
@@ -92,11 +92,14 @@
         """Remember a grant that the other owners have not heard of yet."""
         _add(self._unpublished_by_workspace, workspace, estimate_seconds)
 
-    def raise_to(self, workspace: str, score: float) -> None:
-        """Raise a workspace that becomes backlogged to a score."""
-        own = self.score(workspace, echo_factor=1.0)
-        if own < score:
-            _add(self._score_by_workspace, workspace, score - own)
+    def raise_to(self, workspace: str, served_score: float) -> None:
+        """Raise a workspace that becomes backlogged to a served score."""
+        if self.served_score(workspace) < served_score:
+            self._score_by_workspace[workspace] = served_score
+
+    def served_score(self, workspace: str) -> float:
+        """Return the score of a workspace without expected service."""
+        return self._score_by_workspace.get(workspace, 0.0)
 
     def score(self, workspace: str, echo_factor: float) -> float:
         """Return the score of a workspace, in slot-seconds by weight.
@@ -110,7 +113,7 @@
         unpublished = self._unpublished_by_workspace.get(workspace, 0.0)
         expected += unpublished * (echo_factor - 1.0)
         weight = self._weight_by_workspace.get(workspace, 1.0)
-        return self._score_by_workspace.get(workspace, 0.0) + expected / weight
+        return self.served_score(workspace) + expected / weight
 
     def tie_order(self, workspace: str) -> int:
         """Return the place of a workspace among equal scores.
--- a/packages/core/src/lacewingspar_core/membership.py
+++ b/packages/core/src/lacewingspar_core/membership.py
@@ -9,7 +9,7 @@
 from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.messages import Heartbeat, MemberRecord, RouterState
 
-HEARTBEAT_INTERVAL_SECONDS = 0.5
+HEARTBEAT_INTERVAL_SECONDS = 1.0
 # A router whose heartbeat has not grown for this long is not alive.
 SUSPECT_AFTER_SECONDS = 3.0
 # A router whose heartbeat has not grown for this long is dropped. It stays
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -139,6 +139,7 @@
         upstream_id: Upstream that had the slot.
         workspace: Workspace that used the slot.
         used_seconds: Slot time from binding to release, in seconds.
+        requests: Number of requests that used the slot one after the other.
         tokens: Tokens that the upstream reported, or 0.
         outcome: How the use ended.
     """
@@ -148,6 +149,7 @@
     upstream_id: str
     workspace: str
     used_seconds: float
+    requests: int
     tokens: int
     outcome: SlotOutcome
 
--- a/packages/core/src/lacewingspar_core/selection.py
+++ b/packages/core/src/lacewingspar_core/selection.py
@@ -51,7 +51,7 @@
         self._ledger = ledger
         self._costs = costs
         self._uses_echo_factor = uses_echo_factor
-        self._virtual_time = 0.0
+        self._last_level = 0.0
         self._granted_at_by_workspace: dict[str, float] = {}
         self._backlogged: set[str] = set()
         self._left_at_by_workspace: dict[str, float] = {}
@@ -60,8 +60,9 @@
         """Record which workspaces have waiting requests anywhere.
 
         A workspace that was not among them for longer than the grace time is
-        raised to the score at which slots are granted now, so that it has no
-        credit from its idle time.
+        raised to the median served score of the others, so that it has no
+        credit from its idle time. Expected service does not count for that,
+        because a wrong estimate would stay in the score for good.
 
         Args:
             workspaces: All workspaces with waiting requests.
@@ -69,10 +70,11 @@
         """
         for workspace in self._backlogged - workspaces:
             self._left_at_by_workspace[workspace] = now
+        level = self._level(self._backlogged & workspaces)
         for workspace in sorted(workspaces - self._backlogged):
             left_at = self._left_at_by_workspace.pop(workspace, None)
             if left_at is None or now - left_at > BACKLOG_GRACE_SECONDS:
-                self._ledger.raise_to(workspace, self._virtual_time)
+                self._ledger.raise_to(workspace, level)
                 self._granted_at_by_workspace[workspace] = now
         self._backlogged = set(workspaces)
 
@@ -107,6 +109,15 @@
         self._granted_at_by_workspace[chosen.key.workspace] = now
         return chosen
 
+    def _level(self, workspaces: Set[str]) -> float:
+        """Return the score that a workspace without history gets."""
+        if workspaces:
+            scores = sorted(
+                self._ledger.served_score(workspace) for workspace in workspaces
+            )
+            self._last_level = scores[(len(scores) - 1) // 2]
+        return self._last_level
+
     def _most_starved(
         self, candidates: list[Candidate], slots: int, now: float
     ) -> Candidate | None:
@@ -140,5 +151,4 @@
             if best is None or rank < best_rank:
                 best, best_rank = candidate, rank
         assert best is not None
-        self._virtual_time = ledger.score(best.key.workspace, 1.0)
         return best
--- a/packages/router/src/lacewingspar_router/components/scheduler/holder.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/holder.py
@@ -42,9 +42,18 @@
 
 @dataclass(frozen=True, slots=True)
 class _ActiveUse:
-    """A granted slot and the estimate of its cost."""
+    """Use of a slot by one request after the other.
+
+    Attributes:
+        grant: Grant of the request that runs now.
+        offered_at: Time at which the first request was bound, in seconds.
+        requests: Number of requests bound so far.
+        estimate_seconds: Estimated cost of the request that runs now.
+    """
 
     grant: SlotGrant
+    offered_at: float
+    requests: int
     estimate_seconds: float
 
 
@@ -67,6 +76,7 @@
         self._future_by_request: dict[str, asyncio.Future[SlotGrant]] = {}
         self._use_by_slot: dict[SlotId, _ActiveUse] = {}
         self._models_by_upstream: dict[str, frozenset[str]] = {}
+        self._quantum_seconds = 0.0
         self._ownership = ServiceOwnership({}, {})
         self._receivers: frozenset[str] = frozenset()
         self._waiting_told: dict[tuple[str, str], int] = {}
@@ -85,6 +95,7 @@
         self._models_by_upstream = {
             item.id: frozenset(item.models) for item in document.upstreams
         }
+        self._quantum_seconds = document.limits.slot_quantum_seconds
         self._ownership = ownership
         receivers = ownership.demand_receivers(
             self._service, self._app.settings.data_centre
@@ -132,26 +143,32 @@
     def release(
         self, grant: SlotGrant, outcome: SlotOutcome, tokens: int
     ) -> None:
-        """Give a slot back to the owner of its upstream."""
-        if self._use_by_slot.pop(grant.slot, None) is None:
+        """Use a slot for the next request or give it back to its owner."""
+        use = self._use_by_slot.get(grant.slot)
+        if use is None or use.grant is not grant:
             return
-        used_seconds = max(0.0, self._app.now() - grant.bound_at)
+        now = self._app.now()
         if outcome is SlotOutcome.COMPLETED:
             self._queue.note_cost(
-                grant.workspace, grant.request_class, used_seconds
+                grant.workspace, grant.request_class, now - grant.bound_at
             )
-        self._send(
-            self._owner_of(grant),
-            SlotReleased(
-                service=self._service,
-                slot=grant.slot,
-                upstream_id=grant.upstream_id,
-                workspace=grant.workspace,
-                used_seconds=used_seconds,
-                tokens=tokens,
-                outcome=outcome,
-            ),
+            if self._rebind(use, now):
+                return
+        del self._use_by_slot[grant.slot]
+        released = SlotReleased(
+            service=self._service,
+            slot=grant.slot,
+            upstream_id=grant.upstream_id,
+            workspace=grant.workspace,
+            used_seconds=max(0.0, now - use.offered_at),
+            requests=use.requests,
+            tokens=tokens,
+            outcome=outcome,
         )
+        # While ownership moves, the router that made the offer may still hold
+        # the use, and would charge it until its lease ends.
+        for router_id in {grant.slot.owner.router_id, self._owner_of(grant)}:
+            self._send(router_id, released)
 
     def take_offer(self, offer: Offer) -> bool:
         """Bind the best request to an offered slot.
@@ -160,37 +177,22 @@
             Whether there was one; otherwise the offer is not answered.
         """
         now = self._app.now()
-        models = self._models_by_upstream.get(offer.upstream_id)
-        if models is None:
-            return False
-        request = self._queue.pop_best(
-            offer.workspace, offer.upstream_id, models, now
-        )
+        request = self._pop_best(offer.workspace, offer.upstream_id, now)
         if request is None:
             return False
-        grant = SlotGrant(
-            slot=offer.slot,
-            service=self._service,
-            workspace=offer.workspace,
-            upstream_id=offer.upstream_id,
-            request_class=request.request_class,
-            bound_at=now,
-        )
-        estimate = self._queue.estimate_seconds(
-            request.workspace, request.request_class
-        )
-        self._use_by_slot[offer.slot] = _ActiveUse(grant, estimate)
-        self._note_told(request)
+        estimate = self._estimate(request)
         self._send(
             offer.slot.owner.router_id,
             OfferAccepted(self._service, offer.slot, estimate),
         )
-        future = self._future_by_request.get(request.request_id)
-        if future is None or future.done():
-            self.release(grant, SlotOutcome.CANCELLED, 0)
-        else:
-            future.set_result(grant)
-        self._demand_changed()
+        self._note_told(request)
+        use = _ActiveUse(
+            grant=self._grant(request, offer.slot, offer.upstream_id, now),
+            offered_at=now,
+            requests=1,
+            estimate_seconds=estimate,
+        )
+        self._bind(use, request)
         return True
 
     def decline(self, offer: Offer) -> None:
@@ -199,6 +201,11 @@
             self._service, offer.slot, offer.workspace, offer.model
         )
         self._send(offer.slot.owner.router_id, declined)
+        # The owners now take the demand of this workspace for zero.
+        for workspace, model in self._waiting_told:
+            if workspace == offer.workspace:
+                self._waiting_told[workspace, model] = 0
+        self._demand_changed()
 
     def refuse_expired(self) -> None:
         """Refuse the requests whose deadline has passed."""
@@ -233,15 +240,9 @@
         now = self._app.now()
         active_by_owner: dict[str, list[ActiveSlot]] = {}
         for use in self._use_by_slot.values():
-            active = ActiveSlot(
-                slot=use.grant.slot,
-                upstream_id=use.grant.upstream_id,
-                workspace=use.grant.workspace,
-                used_seconds=max(0.0, now - use.grant.bound_at),
-                estimate_seconds=use.estimate_seconds,
+            active_by_owner.setdefault(self._owner_of(use.grant), []).append(
+                self._active_slot(use, now)
             )
-            owner = self._owner_of(use.grant)
-            active_by_owner.setdefault(owner, []).append(active)
         for owner, active_slots in active_by_owner.items():
             self._send(owner, SlotReport(self._service, tuple(active_slots)))
 
@@ -249,14 +250,7 @@
         """Answer a new owner that asks which of its slots are in use."""
         now = self._app.now()
         active = tuple(
-            ActiveSlot(
-                slot=use.grant.slot,
-                upstream_id=use.grant.upstream_id,
-                workspace=use.grant.workspace,
-                used_seconds=max(0.0, now - use.grant.bound_at),
-                estimate_seconds=use.estimate_seconds,
-            )
-            for use in self._use_by_slot.values()
+            self._active_slot(use, now) for use in self._use_by_slot.values()
         )
         self._send(router_id, SlotReport(self._service, active))
 
@@ -270,6 +264,75 @@
         """Return the number of slots in use at this router."""
         return len(self._use_by_slot)
 
+    def _rebind(self, use: _ActiveUse, now: float) -> bool:
+        """Use a slot for the next request of the same workspace.
+
+        A round trip to the owner for every short request would leave the slot
+        idle meanwhile, so a workspace keeps it for one quantum.
+        """
+        if now - use.offered_at >= self._quantum_seconds:
+            return False
+        grant = use.grant
+        request = self._pop_best(grant.workspace, grant.upstream_id, now)
+        if request is None:
+            return False
+        next_use = _ActiveUse(
+            grant=self._grant(request, grant.slot, grant.upstream_id, now),
+            offered_at=use.offered_at,
+            requests=use.requests + 1,
+            estimate_seconds=self._estimate(request),
+        )
+        self._bind(next_use, request)
+        return True
+
+    def _bind(self, use: _ActiveUse, request: WaitingRequest) -> None:
+        """Hand a slot to the task of a request."""
+        self._use_by_slot[use.grant.slot] = use
+        future = self._future_by_request.get(request.request_id)
+        if future is None or future.done():
+            self.release(use.grant, SlotOutcome.CANCELLED, 0)
+        else:
+            future.set_result(use.grant)
+        self._demand_changed()
+
+    def _pop_best(
+        self, workspace: str, upstream_id: str, now: float
+    ) -> WaitingRequest | None:
+        models = self._models_by_upstream.get(upstream_id)
+        if models is None:
+            return None
+        return self._queue.pop_best(workspace, upstream_id, models, now)
+
+    def _estimate(self, request: WaitingRequest) -> float:
+        return self._queue.estimate_seconds(
+            request.workspace, request.request_class
+        )
+
+    def _grant(
+        self,
+        request: WaitingRequest,
+        slot: SlotId,
+        upstream_id: str,
+        now: float,
+    ) -> SlotGrant:
+        return SlotGrant(
+            slot=slot,
+            service=self._service,
+            workspace=request.workspace,
+            upstream_id=upstream_id,
+            request_class=request.request_class,
+            bound_at=now,
+        )
+
+    def _active_slot(self, use: _ActiveUse, now: float) -> ActiveSlot:
+        return ActiveSlot(
+            slot=use.grant.slot,
+            upstream_id=use.grant.upstream_id,
+            workspace=use.grant.workspace,
+            used_seconds=max(0.0, now - use.offered_at),
+            estimate_seconds=use.estimate_seconds,
+        )
+
     def _withdraw(
         self, request: WaitingRequest, future: "asyncio.Future[SlotGrant]"
     ) -> None:
--- a/packages/standins/src/lacewingspar_standins/bench/deployment.py
+++ b/packages/standins/src/lacewingspar_standins/bench/deployment.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from lacewingspar_core.documents import (
+    Limits,
     RequestClass,
     ServiceDocument,
     ServiceKind,
@@ -20,6 +21,7 @@
 SERVICE_CHAT = "chat"
 SERVICE_PLAIN = "plain"
 READY_SECONDS = 60.0
+_DEFAULT_LIMITS = Limits()
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +152,7 @@
     workspaces: tuple[Workspace, ...],
     *,
     step_ms: float,
+    limits: Limits = _DEFAULT_LIMITS,
     log_options: dict[str, Any] | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment with published documents until the context ends.
@@ -158,6 +161,7 @@
         shape: Size and layout.
         workspaces: Workspaces of both services.
         step_ms: Time of an engine's step.
+        limits: Limits of both services.
         log_options: Options of the log service stand-in.
     """
     async with Fleet() as fleet:
@@ -169,7 +173,7 @@
         await _start_links(deployment)
         for plan in deployment.plans:
             await deployment.start_router(plan)
-        await _publish(deployment, workspaces)
+        await _publish(deployment, workspaces, limits)
         for plan in deployment.plans:
             router = deployment.routers[plan.router_id]
             await router.wait_ready(plan.admin_address, READY_SECONDS)
@@ -244,21 +248,24 @@
 
 
 async def _publish(
-    deployment: Deployment, workspaces: tuple[Workspace, ...]
+    deployment: Deployment, workspaces: tuple[Workspace, ...], limits: Limits
 ) -> None:
     first = deployment.plans[0]
     router = deployment.routers[first.router_id]
     await router.wait_live(first.admin_address, READY_SECONDS)
     for document in (
-        _document(deployment, SERVICE_CHAT, workspaces),
-        _document(deployment, SERVICE_PLAIN, workspaces),
+        _document(deployment, SERVICE_CHAT, workspaces, limits),
+        _document(deployment, SERVICE_PLAIN, workspaces, limits),
     ):
         deployment.documents[document.service] = document
         await deployment.fleet.publish(first.admin_address, document)
 
 
 def _document(
-    deployment: Deployment, service: str, workspaces: tuple[Workspace, ...]
+    deployment: Deployment,
+    service: str,
+    workspaces: tuple[Workspace, ...],
+    limits: Limits,
 ) -> ServiceDocument:
     is_chat = service == SERVICE_CHAT
     standins = deployment.engines if is_chat else deployment.plains
@@ -278,6 +285,7 @@
             for name, standin in standins.items()
         ),
         workspaces=workspaces,
+        limits=limits,
         request_classes=(
             RequestClass(name="default", deadline_seconds=120.0),
             RequestClass(name="urgent", priority=1, deadline_seconds=30.0),
--- a/packages/standins/src/lacewingspar_standins/bench/share.py
+++ b/packages/standins/src/lacewingspar_standins/bench/share.py
@@ -10,6 +10,7 @@
 import msgspec
 import typer
 
+from lacewingspar_core.documents import Limits
 from lacewingspar_standins.bench.deployment import (
     MODEL,
     SERVICE_CHAT,
@@ -59,13 +60,31 @@
 RATE_BY_WORKSPACE = {"ws-13": 0.5, "ws-14": 0.5, "ws-15": 1.0, "ws-16": 1.0}
 
 
-class ShareResult(msgspec.Struct, frozen=True):
-    """Result of the benchmark.
+class ShareOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Options of the benchmark.
 
     Attributes:
         deployment: Name of the deployment.
-        seed: Seed of the load.
         seconds: Time of measurement.
+        seed: Seed of the load.
+        cut_seconds: Time for which the last data centre is cut off.
+        kill_router: Whether a router is killed.
+        quantum_seconds: Slot quantum of both services.
+    """
+
+    deployment: str
+    seconds: float
+    seed: int
+    cut_seconds: float
+    kill_router: bool
+    quantum_seconds: float
+
+
+class ShareResult(msgspec.Struct, frozen=True):
+    """Result of the benchmark.
+
+    Attributes:
+        options: Options of the run.
         fairness_by_service: Figures by service.
         latency_p99_by_workspace: 99th percentile of the time from sending to
             the end of the answer, in seconds, by load process and workspace.
@@ -73,9 +92,7 @@
         figures_by_router: Control traffic and processor time by router.
     """
 
-    deployment: str
-    seed: int
-    seconds: float
+    options: ShareOptions
     fairness_by_service: dict[str, FairnessFigures]
     latency_p99_by_workspace: dict[str, float]
     problems: tuple[str, ...]
@@ -92,38 +109,47 @@
     kill_router: Annotated[
         bool, typer.Option(help="Kill a router after a third of the time.")
     ] = False,
+    quantum: Annotated[
+        float, typer.Option(help="slot_quantum_seconds of both services.")
+    ] = Limits().slot_quantum_seconds,
     output: Annotated[Path | None, typer.Option(help="Result file.")] = None,
 ) -> None:
     """Measure fairness gap, utilisation and control traffic."""
-    result = asyncio.run(
-        async_share(deployment, seconds, seed, cut_seconds, kill_router)
+    options = ShareOptions(
+        deployment=deployment,
+        seconds=seconds,
+        seed=seed,
+        cut_seconds=cut_seconds,
+        kill_router=kill_router,
+        quantum_seconds=quantum,
     )
+    result = asyncio.run(async_share(options))
     if output is not None:
         output.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     _print(result)
 
 
-async def async_share(
-    name: str,
-    seconds: float,
-    seed: int,
-    cut_seconds: float,
-    kill_router: bool,
-) -> ShareResult:
+async def async_share(options: ShareOptions) -> ShareResult:
     """Run the benchmark and return its result."""
+    seconds = options.seconds
     workspaces = tuple(
         workspace_entry(workspace, queue_limit=200)
         for workspace in (*CONCURRENCY_BY_WORKSPACE, *RATE_BY_WORKSPACE)
     )
     async with deployed(
-        SHAPES_BY_NAME[name], workspaces, step_ms=STEP_MS
+        SHAPES_BY_NAME[options.deployment],
+        workspaces,
+        step_ms=STEP_MS,
+        limits=Limits(slot_quantum_seconds=options.quantum_seconds),
     ) as deployment:
-        loads = await _start_loads(deployment, seed, RAMP_SECONDS + seconds)
+        loads = await _start_loads(
+            deployment, options.seed, RAMP_SECONDS + seconds
+        )
         await asyncio.sleep(RAMP_SECONDS)
         before = await read_router_counters(deployment)
         samples, _ = await asyncio.gather(
             _async_sample(deployment, seconds),
-            _async_faults(deployment, seconds, cut_seconds, kill_router),
+            _async_faults(deployment, options),
         )
         after = await read_router_counters(deployment)
         results = [await load.result() for load in loads]
@@ -134,9 +160,7 @@
         SERVICE_PLAIN: sum(shape.plains) * shape.plain_slots,
     }
     return ShareResult(
-        deployment=name,
-        seed=seed,
-        seconds=seconds,
+        options=options,
         fairness_by_service={
             service: fairness(
                 samples[service], weights, slots_by_service[service]
@@ -241,27 +265,24 @@
     return total
 
 
-async def _async_faults(
-    deployment: Deployment,
-    seconds: float,
-    cut_seconds: float,
-    kill_router: bool,
-) -> None:
-    if kill_router:
-        await asyncio.sleep(seconds / 3)
+async def _async_faults(deployment: Deployment, options: ShareOptions) -> None:
+    if options.kill_router:
+        await asyncio.sleep(options.seconds / 3)
         deployment.routers[deployment.plans[0].router_id].kill()
-    if cut_seconds:
+    if options.cut_seconds:
         data_centre = deployment.shape.data_centres[-1]
-        await asyncio.sleep(seconds / 6)
+        await asyncio.sleep(options.seconds / 6)
         await deployment.cut_data_centre(data_centre, cut=True)
-        await asyncio.sleep(cut_seconds)
+        await asyncio.sleep(options.cut_seconds)
         await deployment.cut_data_centre(data_centre, cut=False)
 
 
 def _print(result: ShareResult) -> None:
+    options = result.options
     typer.echo(
-        f"deployment {result.deployment}, seed {result.seed}, "
-        f"{result.seconds:.0f} s, {os.cpu_count()} cores"
+        f"deployment {options.deployment}, seed {options.seed}, "
+        f"{options.seconds:.0f} s, quantum {options.quantum_seconds} s, "
+        f"{os.cpu_count()} cores"
     )
     for service, figures in result.fairness_by_service.items():
         typer.echo(
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -6,6 +6,7 @@
 
 from lacewingspar_core.dispatch import (
     ADOPTION_SECONDS,
+    CHARGE_AFTER_REPORT_SECONDS,
     OFFER_TIMEOUT_SECONDS,
     SLOT_LEASE_SECONDS,
     SlotOwner,
@@ -91,6 +92,7 @@
         offer.upstream_id,
         offer.workspace,
         used,
+        1,
         0,
         SlotOutcome.COMPLETED,
     )
@@ -212,6 +214,25 @@
     assert offers(owner.handle(TimePassed(), 3.0 + SLOT_LEASE_SECONDS))
 
 
+def test_use_without_reports_is_not_charged_until_its_lease_ends() -> None:
+    """Guards against a workspace that pays for a lost release message."""
+    owner = make_owner()
+    (offer,) = offers(receive(owner, demand(1, {"w1": 1}), 0.0))
+    accept(owner, offer, 0.0)
+    owner.handle(TimePassed(), SLOT_LEASE_SECONDS)
+    assert owner.ledger.served_score("w1") == CHARGE_AFTER_REPORT_SECONDS
+
+
+def test_offer_that_moves_with_its_shard_frees_the_demand() -> None:
+    """Guards against demand that stays hidden behind a dropped offer."""
+    owner = make_owner()
+    receive(owner, demand(1, {"w1": 1}), 0.0)
+    set_upstreams(owner)
+    set_upstreams(owner, OwnedUpstream("u1", 1, frozenset()))
+    assert offers(receive(owner, demand(2, {"w1": 1}), 0.5))
+    assert owner.ledger.score("w1", 1.0) == 1.0
+
+
 def test_new_owner_adopts_uses_before_it_offers() -> None:
     """Guards against overcommitment when a shard moves."""
     owner = SlotOwner("chat", OWNER, "north")
@@ -224,7 +245,7 @@
     report = SlotReport("chat", (ActiveSlot(former, "u1", "w1", 1.0, 2.0),))
     assert not offers(receive(owner, report, 0.2))
     released = SlotReleased(
-        "chat", former, "u1", "w1", 2.0, 0, SlotOutcome.COMPLETED
+        "chat", former, "u1", "w1", 2.0, 1, 0, SlotOutcome.COMPLETED
     )
     assert offers(receive(owner, released, 1.0))
 
