--- a/packages/core/src/lacewingspar_core/claims.py
+++ b/packages/core/src/lacewingspar_core/claims.py
@@ -107,10 +107,15 @@
     return value.int >> 80 if value.version == 7 else None
 
 
-def is_key_expired(key: str, now_ms: int, window_ms: int) -> bool:
-    """Return whether a key's own time is before the deduplication window."""
-    time_ms = key_time_ms(key)
-    return time_ms is not None and time_ms <= now_ms - window_ms
+def is_time_expired(key_time: int | None, now_ms: int, window_ms: int) -> bool:
+    """Return whether a key's own time is before the deduplication window.
+
+    Args:
+        key_time: Result of `key_time_ms`; a key without time never expires.
+        now_ms: Time in milliseconds since the Unix epoch.
+        window_ms: Deduplication window in milliseconds.
+    """
+    return key_time is not None and key_time <= now_ms - window_ms
 
 
 @dataclass(slots=True)
@@ -285,11 +290,13 @@
         offset: Offset of the claim.
         appended_at: Time before the append on this router's boot-time clock,
             in seconds.
+        key_time_ms: Result of `key_time_ms` for the caller's key.
     """
 
     life: RouterLife
     offset: int
     appended_at: float
+    key_time_ms: int | None
 
 
 def may_send(state: ClaimState, claim: OwnClaim, now: float) -> bool:
@@ -307,4 +314,7 @@
         return False
     if not entry.has_won or entry.outcome is not None:
         return False
+    # The append may have taken effect long after the key's age was checked.
+    if is_time_expired(claim.key_time_ms, entry.time_ms, state.window_ms):
+        return False
     return now < claim.appended_at + SEND_LIMIT_SECONDS
--- a/packages/router/src/lacewingspar_router/components/claims/registry.py
+++ b/packages/router/src/lacewingspar_router/components/claims/registry.py
@@ -22,7 +22,8 @@
     claim_key,
     decode_record,
     encode_record,
-    is_key_expired,
+    is_time_expired,
+    key_time_ms,
     may_send,
 )
 from lacewingspar_core.messages import LogRecord
@@ -69,10 +70,12 @@
     Attributes:
         appended_at: Time before the append, in seconds of the application's
             clock.
+        key_time_ms: Time in the caller's key, if any.
         decision: Set when the claim is read back or certainly not written.
     """
 
     appended_at: float
+    key_time_ms: int | None
     decision: asyncio.Future[ClaimDecision]
 
 
@@ -103,7 +106,9 @@
         scoped_key = claim_key(service, workspace, key)
         decision = self._decide_without_claim(scoped_key, key, digest)
         if decision is None:
-            decision = await self._async_append_claim(scoped_key, digest)
+            decision = await self._async_append_claim(
+                scoped_key, digest, key_time_ms(key)
+            )
         self._telemetry.count(METRIC_CLAIMS, result=type(decision).__name__)
         return decision
 
@@ -177,7 +182,7 @@
         now_ms = max(int(time.time() * 1000), self._state.newest_ms)
         if not self._is_current:
             return ClaimUnavailable()
-        if is_key_expired(key, now_ms, self._state.window_ms):
+        if is_time_expired(key_time_ms(key), now_ms, self._state.window_ms):
             return ClaimKeyExpired()
         return None
 
@@ -197,13 +202,13 @@
         return ClaimUnknown()
 
     async def _async_append_claim(
-        self, scoped_key: bytes, digest: bytes
+        self, scoped_key: bytes, digest: bytes, key_time: int | None
     ) -> ClaimDecision:
         self._sequence += 1
         sequence = self._sequence
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_sequence[sequence] = _WaitingClaim(
-            self._app.now(), future
+            self._app.now(), key_time, future
         )
         claim = Claim(scoped_key, digest, self._app.life, sequence)
         self._app.create_task(
@@ -260,7 +265,9 @@
         if waiting is None or not is_wanted or entry is None:
             return
         if entry.has_won:
-            own = OwnClaim(self._app.life, offset, waiting.appended_at)
+            own = OwnClaim(
+                self._app.life, offset, waiting.appended_at, waiting.key_time_ms
+            )
             self._unsent_by_offset[offset] = own
             send_before = waiting.appended_at + SEND_LIMIT_SECONDS
             waiting.decision.set_result(ClaimGranted(offset, send_before))
--- /dev/null
+++ b/specs/check.py
@@ -0,0 +1,125 @@
+"""Check of the protocol models, exhaustive at their stated sizes."""
+
+import contextlib
+import time
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from minicheck import Protocol, check_safety
+
+from lacewingspar_core import configreplica
+from specs import claims_model, configlog_model
+
+# Far above the largest model; a model that grows beyond it fails.
+MAX_STATES = 1_000_000
+CLAIMS = "claims"
+CONFIGURATION = "configuration log"
+
+
+def model_names() -> list[tuple[str, str]]:
+    """Return the pairs of model and sizes."""
+    return [
+        *((CLAIMS, name) for name in claims_model.SIZES_BY_NAME),
+        *((CONFIGURATION, name) for name in configlog_model.SIZES_BY_NAME),
+    ]
+
+
+def mistake_names() -> list[tuple[str, str]]:
+    """Return the pairs of model and seeded mistake."""
+    return [
+        *((CLAIMS, name) for name in claims_model.MISTAKES),
+        *((CONFIGURATION, name) for name in configlog_model.MISTAKES),
+    ]
+
+
+def check_model(model: str, sizes: str) -> dict[str, Any]:
+    """Check a model and return the report of the model checker."""
+    if model == CLAIMS:
+        claims_sizes = claims_model.SIZES_BY_NAME[sizes]
+        protocol = claims_model.ClaimsModel(claims_sizes).protocol()
+    else:
+        config_sizes = configlog_model.SIZES_BY_NAME[sizes]
+        protocol = configlog_model.ConfigLogModel(config_sizes).protocol()
+    return check_safety(protocol, max_states=MAX_STATES)
+
+
+def check_mistake(model: str, mistake: str) -> dict[str, Any]:
+    """Check a model with a seeded mistake up to the first violation."""
+    if model == CLAIMS:
+        wrong = claims_model.MISTAKES[mistake]
+        sizes = claims_model.SIZES_BY_NAME[wrong.sizes]
+        protocol = claims_model.ClaimsModel(sizes, wrong.rules).protocol()
+        return check_safety(_until_violation(protocol), max_states=MAX_STATES)
+    patched = configlog_model.MISTAKES[mistake]
+    protocol = configlog_model.ConfigLogModel(
+        configlog_model.SIZES_BY_NAME[patched.sizes], patched.rules
+    ).protocol()
+    with contextlib.ExitStack() as stack:
+        for name, function in patched.patches.items():
+            stack.enter_context(
+                mock.patch.object(configreplica, name, function)
+            )
+        return check_safety(_until_violation(protocol), max_states=MAX_STATES)
+
+
+def violations(report: dict[str, Any]) -> dict[str, list[str]]:
+    """Return the shortest trace to a violation, by violated property."""
+    return {
+        name: [step["label"] for step in result["counterexample"][1:]]
+        for name, result in report["properties"].items()
+        if result["holds"] is False
+    }
+
+
+def _until_violation(protocol: Protocol) -> Protocol:
+    """Return a model that has no further states after a violation."""
+    has_failed = False
+
+    def watched(invariant: Any) -> Any:
+        def check(state: dict[str, Any]) -> bool:
+            nonlocal has_failed
+            holds = bool(invariant(state))
+            has_failed = has_failed or not holds
+            return holds
+
+        return check
+
+    return replace(
+        protocol,
+        transitions=lambda state: (
+            [] if has_failed else protocol.transitions(state)
+        ),
+        invariants={
+            name: watched(invariant)
+            for name, invariant in protocol.invariants.items()
+        },
+    )
+
+
+def main() -> None:
+    """Check all models and seeded mistakes and print what was found."""
+    for model, sizes in model_names():
+        started = time.perf_counter()
+        report = check_model(model, sizes)
+        holds = all(r["holds"] for r in report["properties"].values())
+        print(
+            f"{model}, {sizes}: {'holds' if holds else 'FAILS'};"
+            f" {report['reachable_states']} states,"
+            f" {'exhaustive' if report['exhaustive'] else 'NOT exhaustive'},"
+            f" {time.perf_counter() - started:.1f} s"
+        )
+    for model, mistake in mistake_names():
+        started = time.perf_counter()
+        report = check_mistake(model, mistake)
+        found = violations(report)
+        print(
+            f"{model}, mistake: {mistake}:"
+            f" {'found: ' + ', '.join(found) if found else 'NOT FOUND'};"
+            f" {report['reachable_states']} states,"
+            f" {time.perf_counter() - started:.1f} s"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/specs/configlog_model.py
@@ -0,0 +1,499 @@
+"""Model of the configuration log: two routers, one service, one stream.
+
+The routers publish, read, pass records on and write snapshots as the
+configuration component does, with `lacewingspar_core.configreplica` and the
+transition rules of `lacewingspar_core.configlog`. An append takes effect at any
+later time or never, and its reply is always lost. The log service drops its
+oldest records at any time. A crashed router starts again without memory.
+"""
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from functools import cache, lru_cache
+from typing import Any, NamedTuple
+
+from minicheck import Protocol
+from msgspec import structs
+
+from lacewingspar_core.configlog import (
+    ConfigRecord,
+    ConfigState,
+    Edit,
+    EditAccepted,
+    EditConflict,
+    Snapshot,
+    apply_record,
+    decode_record,
+    edit_outcome,
+    encode_record,
+    make_snapshot,
+    start_state,
+)
+from lacewingspar_core.configreplica import ConfigReplica
+from lacewingspar_core.messages import LogRecord
+
+SERVICE = "s"
+EMPTY_DOCUMENT = {
+    "service": SERVICE,
+    "kind": "plain",
+    "upstreams": [],
+    "workspaces": [],
+}
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """Bounds of the model."""
+
+    edits: int = 2
+    repeats: int = 1
+    snapshots: int = 1
+    crashes: int = 1
+    with_peers: bool = True
+
+
+class Reader(NamedTuple):
+    """What distinguishes one configuration replica from another.
+
+    Attributes:
+        first: First offset of the kept records.
+        records: The kept records.
+        state: Snapshot of its state, or None before the start.
+        first_retained: First retained offset that it has heard of.
+    """
+
+    first: int = 0
+    records: tuple[bytes, ...] = ()
+    state: bytes | None = None
+    first_retained: int = 0
+
+    @property
+    def wanted(self) -> int:
+        """Return the first offset that is not known."""
+        return self.first + len(self.records)
+
+
+class Router(NamedTuple):
+    """State of one router.
+
+    Attributes:
+        reader: Its replica.
+        pending: Edit whose outcome it waits for.
+    """
+
+    reader: Reader = Reader()
+    pending: bytes | None = None
+
+
+class State(NamedTuple):
+    """State of the model.
+
+    Attributes:
+        log: All records ever appended.
+        first: First retained offset.
+        in_flight: Records whose append has not taken effect.
+        routers: The routers.
+        answers: Pairs of edit and version, or 0 for a conflict, as answered
+            to operators.
+        edits: Number of edits published.
+        repeats: Number of edits published again.
+        snapshots: Number of snapshots written.
+        crashes: Number of crashes.
+        has_reverted: Whether a replica went back to an earlier state.
+    """
+
+    log: tuple[bytes, ...] = ()
+    first: int = 0
+    in_flight: tuple[bytes, ...] = ()
+    routers: tuple[Router, ...] = (Router(), Router())
+    answers: tuple[tuple[bytes, int], ...] = ()
+    edits: int = 0
+    repeats: int = 0
+    snapshots: int = 0
+    crashes: int = 0
+    has_reverted: bool = False
+
+
+Step = tuple[str, State]
+ApplyRule = Callable[[ConfigState, int, ConfigRecord | None], ConfigState]
+
+
+@dataclass(frozen=True)
+class Rules:
+    """Rules that a seeded mistake replaces.
+
+    Attributes:
+        replica: Class of the replicas.
+        apply: Rule by which the whole log is read.
+        answers_unread: Whether an operator gets a conflict as answer before
+            the edit has been read back.
+    """
+
+    replica: type[ConfigReplica] = ConfigReplica
+    apply: ApplyRule = apply_record
+    answers_unread: bool = False
+
+
+class ConfigLogModel:
+    """Transitions and invariants of the model."""
+
+    def __init__(self, sizes: Sizes, rules: Rules | None = None) -> None:
+        self.sizes = sizes
+        self.rules = rules or Rules()
+        self._add = lru_cache(maxsize=None)(self._add_uncached)
+        self._truth = lru_cache(maxsize=None)(self._truth_uncached)
+
+    def protocol(self) -> Protocol:
+        """Return the model in the form of the model checker."""
+        return Protocol(
+            name="configuration log",
+            candidate=False,
+            fields=State._fields,
+            initial=State(),
+            transitions=lambda state: list(self._steps(state)),
+            invariants={
+                "readers agree": self._readers_agree,
+                "no reader goes back": lambda state: not state["has_reverted"],
+                "edits build on each other": self._edits_are_in_order,
+                "answers are true": self._answers_are_true,
+            },
+        )
+
+    def _readers_agree(self, state: dict[str, Any]) -> bool:
+        for router in state["routers"]:
+            if router.reader.state is None:
+                continue
+            end = _decode_state(router.reader.state).next_offset
+            if router.reader.state != self._truth(state["log"][:end])[0]:
+                return False
+        return True
+
+    def _edits_are_in_order(self, state: dict[str, Any]) -> bool:
+        version = 0
+        edit_ids = set()
+        for data, new_version in self._truth(state["log"])[1]:
+            edit = _edit(data)
+            if edit.base_version != version or edit.edit_id in edit_ids:
+                return False
+            version = new_version
+            edit_ids.add(edit.edit_id)
+        return True
+
+    def _answers_are_true(self, state: dict[str, Any]) -> bool:
+        made = self._truth(state["log"])[1]
+        return all(
+            any(
+                new_version == version
+                and _edit(other).edit_id == _edit(data).edit_id
+                for other, new_version in made
+            )
+            if version
+            else all(other != data for other, _ in made)
+            for data, version in state["answers"]
+        )
+
+    def _truth_uncached(
+        self, log: tuple[bytes, ...]
+    ) -> tuple[bytes, list[tuple[bytes, int]]]:
+        """Return the state after a log, and the edits that made versions."""
+        config = ConfigState()
+        made = []
+        for offset, data in enumerate(log):
+            before = config.version_of(SERVICE)
+            config = self.rules.apply(config, offset, decode_record(data))
+            after = config.version_of(SERVICE)
+            if after != before:
+                made.append((data, after))
+        return encode_record(make_snapshot(config)), made
+
+    def _add_uncached(
+        self, reader: Reader, first_retained: int, page: tuple[LogRecord, ...]
+    ) -> Reader:
+        replica = self.rules.replica()
+        if reader.state is not None:
+            replica.state = _decode_state(reader.state)
+        replica.add(reader.first, _log_records(reader.first, reader.records))
+        replica.add(first_retained, page)
+        records = replica.records_from(-1, 0)
+        config = replica.state
+        return Reader(
+            first=replica.wanted_offset - len(records),
+            records=tuple(record.data for record in records),
+            state=encode_record(make_snapshot(config)) if config else None,
+            first_retained=max(first_retained, reader.first_retained),
+        )
+
+    def _steps(self, state: State) -> Iterator[Step]:
+        if state.first < len(state.log):
+            yield "drop oldest", state._replace(first=state.first + 1)
+        for index, data in enumerate(state.in_flight):
+            rest = state.in_flight[:index] + state.in_flight[index + 1 :]
+            log = (*state.log, data)
+            yield "append", state._replace(log=log, in_flight=rest)
+        for index in range(len(state.routers)):
+            yield from self._reader_steps(state, index)
+            yield from self._writer_steps(state, index)
+
+    def _reader_steps(self, state: State, index: int) -> Iterator[Step]:
+        router = state.routers[index]
+        start = max(router.reader.wanted, state.first)
+        is_new = router.reader.state is None and state.first == 0
+        for end in range(start + 1, len(state.log) + 1):
+            page = _log_records(start, state.log[start:end])
+            yield (
+                f"{index} reads to {end}",
+                self._receive(state, index, state.first, page),
+            )
+        if is_new:
+            yield (
+                f"{index} reads nothing",
+                self._receive(state, index, state.first, ()),
+            )
+        if self.sizes.with_peers:
+            # All kept records, as in a message that was long under way.
+            sender = state.routers[1 - index].reader
+            page = _log_records(sender.first, sender.records)
+            if page and sender.state is not None:
+                yield (
+                    f"{index} hears from its peer",
+                    self._receive(state, index, sender.first_retained, page),
+                )
+        if state.crashes < self.sizes.crashes:
+            crashed = _with_router(state, index, Router())
+            yield (
+                f"{index} crashes",
+                crashed._replace(crashes=state.crashes + 1),
+            )
+
+    def _writer_steps(self, state: State, index: int) -> Iterator[Step]:
+        router = state.routers[index]
+        if router.reader.state is None:
+            return
+        config = _decode_state(router.reader.state)
+        if router.pending is not None:
+            yield from self._answer(state, index, config)
+        elif state.edits < self.sizes.edits:
+            edit = _make_edit(str(state.edits), config)
+            published = _publish(state, index, edit)
+            yield f"{index} edits", published._replace(edits=state.edits + 1)
+        if state.repeats < self.sizes.repeats:
+            # An operator publishes an edit again, on any version.
+            for number in range(state.edits):
+                edit = _make_edit(str(number), config)
+                again = _publish(state, index, edit)
+                yield (
+                    f"{index} repeats edit {number}",
+                    again._replace(repeats=state.repeats + 1),
+                )
+        if state.snapshots < self.sizes.snapshots:
+            snapshot = _append(state, router.reader.state)
+            yield (
+                f"{index} writes a snapshot",
+                snapshot._replace(snapshots=state.snapshots + 1),
+            )
+
+    def _answer(
+        self, state: State, index: int, config: ConfigState
+    ) -> Iterator[Step]:
+        pending = state.routers[index].pending
+        assert pending is not None
+        edit = _edit(pending)
+        outcome = edit_outcome(config, edit.edit_id, SERVICE, edit.base_version)
+        if outcome is None and self.rules.answers_unread:
+            outcome = EditConflict(0, "", "")
+        match outcome:
+            case EditAccepted():
+                # The edit may have been accepted on another base version.
+                version = config.accepted_by_edit_id[edit.edit_id].version
+                answer = (pending, version)
+            case EditConflict():
+                answer = (pending, 0)
+            case None:
+                return
+        router = state.routers[index]._replace(pending=None)
+        answers = tuple(sorted({*state.answers, answer}))
+        answered = _with_router(state, index, router)
+        yield f"{index} answers", answered._replace(answers=answers)
+
+    def _receive(
+        self,
+        state: State,
+        index: int,
+        first_retained: int,
+        page: tuple[LogRecord, ...],
+    ) -> State:
+        router = state.routers[index]
+        reader = self._add(router.reader, first_retained, page)
+        has_reverted = _applied(reader) < _applied(router.reader)
+        state = _with_router(state, index, router._replace(reader=reader))
+        return state._replace(has_reverted=state.has_reverted or has_reverted)
+
+
+@cache
+def _decode_state(data: bytes) -> ConfigState:
+    record = decode_record(data)
+    assert isinstance(record, Snapshot)
+    state = start_state(0, record.as_of + 1, record)
+    assert state is not None
+    return state
+
+
+@cache
+def _edit(data: bytes) -> Edit:
+    record = decode_record(data)
+    assert isinstance(record, Edit)
+    return record
+
+
+def _applied(reader: Reader) -> int:
+    return _decode_state(reader.state).next_offset if reader.state else 0
+
+
+def _log_records(
+    first: int, records: tuple[bytes, ...]
+) -> tuple[LogRecord, ...]:
+    return tuple(
+        LogRecord(offset, 0, data) for offset, data in enumerate(records, first)
+    )
+
+
+def _with_router(state: State, index: int, router: Router) -> State:
+    routers = list(state.routers)
+    routers[index] = router
+    return state._replace(routers=tuple(routers))
+
+
+def _append(state: State, data: bytes) -> State:
+    # The order of appends in flight has no meaning.
+    in_flight = tuple(sorted((*state.in_flight, data)))
+    return state._replace(in_flight=in_flight)
+
+
+def _publish(state: State, index: int, edit: bytes) -> State:
+    router = state.routers[index]._replace(pending=edit)
+    return _append(_with_router(state, index, router), edit)
+
+
+def _make_edit(edit_id: str, config: ConfigState) -> bytes:
+    patch = {**EMPTY_DOCUMENT, "limits": {"attempts": int(edit_id) + 1}}
+    version = config.version_of(SERVICE)
+    return encode_record(Edit(edit_id, SERVICE, version, patch, ""))
+
+
+def apply_without_base(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Accept an edit whatever its base version is."""
+    if isinstance(record, Edit):
+        version = state.version_of(record.service)
+        record = structs.replace(record, base_version=version)
+    return apply_record(state, offset, record)
+
+
+def apply_without_ids(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Forget which edits were accepted."""
+    state = apply_record(state, offset, record)
+    return replace(state, accepted_by_edit_id={})
+
+
+def apply_snapshots(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Replace the state of a reader by that of a snapshot."""
+    state = apply_record(state, offset, record)
+    if isinstance(record, Snapshot):
+        start = start_state(0, offset, record)
+        assert start is not None
+        return replace(start, next_offset=offset + 1)
+    return state
+
+
+def start_from_stale(
+    first_available: int, offset: int, record: ConfigRecord | None
+) -> ConfigState | None:
+    """Start from any snapshot as if no record after it was missing."""
+    state = start_state(0, offset, record)
+    if state is None or state.next_offset >= first_available:
+        return state
+    return replace(state, next_offset=first_available)
+
+
+def start_from_snapshot_offset(
+    first_available: int, offset: int, record: ConfigRecord | None
+) -> ConfigState | None:
+    """Start after a snapshot and skip the records before it."""
+    state = start_state(first_available, offset, record)
+    return state and replace(state, next_offset=offset)
+
+
+class GapReplica(ConfigReplica):
+    """Goes on after a gap as if no record was missing."""
+
+    def _restart(self, first: int) -> None:
+        super()._restart(first)
+        self.state = replace(self.state or ConfigState(), next_offset=first)
+
+
+class ReplacedReplica(ConfigReplica):
+    """Starts again from every message that has a snapshot."""
+
+    def add(self, first_retained: int, records: Sequence[LogRecord]) -> bool:
+        """Forget the state before adding records with a snapshot."""
+        decoded = [decode_record(record.data) for record in records]
+        if any(isinstance(record, Snapshot) for record in decoded):
+            self._restart(records[0].offset)
+            self.state = None
+        return super().add(first_retained, records)
+
+
+SIZES_BY_NAME = {
+    "edits": Sizes(snapshots=0),
+    "snapshots": Sizes(repeats=0, snapshots=1),
+}
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """A seeded mistake.
+
+    Attributes:
+        sizes: Name of the sizes that find it.
+        rules: Changed rules of the model.
+        patches: Replaced functions of `configreplica` by name.
+    """
+
+    sizes: str
+    rules: Rules = Rules()
+    patches: Mapping[str, Any] = field(default_factory=dict)
+
+
+MISTAKES = {
+    "accept an edit without its base version": Mistake(
+        "edits",
+        Rules(apply=apply_without_base),
+        {"apply_record": apply_without_base},
+    ),
+    "forget accepted edit ids": Mistake(
+        "edits",
+        Rules(apply=apply_without_ids),
+        {"apply_record": apply_without_ids},
+    ),
+    "report a conflict before reading back": Mistake(
+        "edits", Rules(answers_unread=True)
+    ),
+    "go on after a gap": Mistake("edits", Rules(replica=GapReplica)),
+    "replace the state by a snapshot": Mistake(
+        "snapshots", patches={"apply_record": apply_snapshots}
+    ),
+    "start from a stale snapshot": Mistake(
+        "snapshots", patches={"start_state": start_from_stale}
+    ),
+    "skip the records before a snapshot": Mistake(
+        "snapshots", patches={"start_state": start_from_snapshot_offset}
+    ),
+    "go back to an older state": Mistake(
+        "snapshots", Rules(replica=ReplacedReplica)
+    ),
+}
