--- /dev/null
+++ b/tests/core/test_claims.py
@@ -0,0 +1,219 @@
+"""Transition rule of the claim stream."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewingspar_core import claims
+from lacewingspar_core.claims import (
+    Claim,
+    ClaimState,
+    Outcome,
+    OwnClaim,
+    Release,
+    apply_claim_record,
+    claim_key,
+    decode_record,
+    encode_record,
+    is_time_expired,
+    key_time_ms,
+    may_send,
+)
+from lacewingspar_core.errors import RecordGapError
+from lacewingspar_core.identity import RouterLife
+
+LIVES = [RouterLife("a", 1), RouterLife("b", 1)]
+WINDOW_MS = 1000
+
+
+def claim(key: bytes = b"k", life: int = 0) -> Claim:
+    return Claim(key, b"digest", LIVES[life], 1)
+
+
+def outcome(offset: int, body: bytes | None = b"ok") -> Outcome:
+    return Outcome(offset, 200, "text/plain", body)
+
+
+def state_after(*records: tuple[int, Any]) -> ClaimState:
+    state = ClaimState(WINDOW_MS)
+    for offset, (time_ms, record) in enumerate(records):
+        apply_claim_record(state, offset, time_ms, record)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("before", "time_ms", "has_won"),
+    [
+        ([], 0, True),
+        ([(0, claim())], 0, False),
+        ([(0, claim(b"other"))], 0, True),
+        ([(0, claim())], WINDOW_MS - 1, False),
+        ([(0, claim())], WINDOW_MS, True),
+        ([(0, claim()), (0, Release(0))], 0, True),
+        ([(0, claim()), (0, Release(1))], 0, False),
+        ([(0, claim()), (0, outcome(0))], 0, False),
+        ([(0, claim()), (0, outcome(0)), (0, Release(0))], 0, False),
+        ([(0, claim()), (0, claim()), (0, Release(0))], 0, False),
+        (
+            [(0, claim()), (0, claim()), (0, Release(0)), (0, Release(1))],
+            0,
+            True,
+        ),
+        ([(0, claim()), (900, claim())], WINDOW_MS, False),
+        ([(0, claim()), (WINDOW_MS, None)], 500, True),
+    ],
+)
+def test_claim_wins(
+    before: list[tuple[int, Any]], time_ms: int, has_won: bool
+) -> None:
+    """Guards against two winners, and against a key that is never free."""
+    state = state_after(*before, (time_ms, claim(life=1)))
+    entry = state.entry_at(len(before))
+    assert entry is not None
+    assert entry.has_won is has_won
+
+
+def test_known_record_changes_nothing_and_a_gap_is_refused() -> None:
+    state = state_after((0, claim()))
+    assert len(apply_claim_record(state, 0, 0, Release(0))) == 1
+    with pytest.raises(RecordGapError):
+        apply_claim_record(state, 2, 0, None)
+    state.skip_to(2)
+    assert apply_claim_record(state, 2, 0, Release(0)).entry_at(0) is None
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({}, True),
+        ({"now": 109.99}, True),
+        ({"now": 110.0}, False),
+        ({"offset": 1}, False),
+        ({"offset": 2}, False),
+        ({"life": LIVES[1]}, False),
+        ({"key_time_ms": -WINDOW_MS + 1}, True),
+        ({"key_time_ms": -WINDOW_MS}, False),
+    ],
+)
+def test_may_send(change: dict[str, Any], expected: bool) -> None:
+    """Guards against a send on a lost, late, foreign or expired claim."""
+    state = state_after((0, claim()), (0, claim(life=0)))
+    values = {
+        "life": LIVES[0],
+        "offset": 0,
+        "appended_at": 100.0,
+        "key_time_ms": None,
+        "now": 101.0,
+        **change,
+    }
+    now = values.pop("now")
+    assert may_send(state, OwnClaim(**values), now) is expected
+
+
+def test_first_outcome_answers_attempts() -> None:
+    state = state_after((0, claim()), (0, outcome(0)), (0, outcome(0, b"no")))
+    entry = state.entry_of(b"k")
+    assert entry is not None
+    assert entry.outcome == outcome(0)
+
+
+def test_bodies_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against answers that fill the router's memory."""
+    monkeypatch.setattr(claims, "OUTCOME_BODIES_BYTES", 10)
+    state = ClaimState(WINDOW_MS)
+    for number in range(4):
+        key = bytes([number])
+        apply_claim_record(state, 2 * number, 0, claim(key))
+        body = b"x" * (9000 if number == 3 else 4)
+        apply_claim_record(state, 2 * number + 1, 0, outcome(2 * number, body))
+    kept = []
+    for number in range(4):
+        entry = state.entry_of(bytes([number]))
+        assert entry is not None
+        assert entry.outcome is not None
+        kept.append(entry.outcome.body is not None)
+    assert kept == [False, True, True, False]
+    assert state.body_bytes == 8
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"),
+    [
+        ("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 0x017F22E279B0),
+        ("017F22E279B07CC398C4DC0C0C07398F", 0x017F22E279B0),
+        ("017f22e2-79b0-4cc3-98c4-dc0c0c07398f", None),
+        ("order 17", None),
+    ],
+)
+def test_key_time(key: str, expected: int | None) -> None:
+    assert key_time_ms(key) == expected
+
+
+@pytest.mark.parametrize(
+    ("key_time", "expected"), [(None, False), (0, True), (1, False)]
+)
+def test_key_expires_with_the_window(
+    key_time: int | None, expected: bool
+) -> None:
+    assert is_time_expired(key_time, WINDOW_MS, WINDOW_MS) is expected
+
+
+def test_keys_of_workspaces_are_different() -> None:
+    keys = {claim_key("s", "w", "k"), claim_key("s", "v", "k")}
+    assert len(keys) == 2
+    assert {len(key) for key in keys} == {16}
+
+
+@pytest.mark.parametrize("record", [claim(), Release(3), outcome(3)])
+def test_records_survive_encoding(record: Any) -> None:
+    assert decode_record(encode_record(record)) == record
+    assert decode_record(encode_record(record)[:-1]) is None
+
+
+RECORDS = (
+    st.builds(claim, st.sampled_from([b"k", b"l"]), st.integers(0, 1))
+    | st.builds(Release, st.integers(0, 20))
+    | st.builds(outcome, st.integers(0, 20))
+    | st.none()
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(
+    st.lists(st.tuples(st.integers(0, 700), RECORDS), max_size=20),
+    st.integers(0, 20),
+)
+def test_late_reader_agrees_on_claims_after_its_window(
+    steps: list[tuple[int, Any]], start: int
+) -> None:
+    """Guards against a result that depends on expired records."""
+    time_ms = 0
+    full, late = ClaimState(WINDOW_MS), ClaimState(WINDOW_MS)
+    late.skip_to(start)
+    started_ms: int | None = None
+    for offset, (pause_ms, record) in enumerate(steps):
+        time_ms += pause_ms
+        if offset == start:
+            started_ms = time_ms
+        apply_claim_record(full, offset, time_ms, record)
+        apply_claim_record(late, offset, time_ms, record)
+        if started_ms is None or time_ms < started_ms + WINDOW_MS:
+            continue
+        assert full.entry_at(offset) == late.entry_at(offset)
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 700), RECORDS), max_size=20))
+def test_state_is_bounded_by_the_window(steps: list[tuple[int, Any]]) -> None:
+    """Guards against memory that grows with the log."""
+    state = ClaimState(WINDOW_MS)
+    time_ms = 0
+    times = []
+    for offset, (pause_ms, record) in enumerate(steps):
+        time_ms += pause_ms
+        apply_claim_record(state, offset, time_ms, record)
+        times.append(time_ms)
+        recent = [t for t in times if t > time_ms - WINDOW_MS]
+        assert len(state) <= len(recent)
--- /dev/null
+++ b/tests/core/test_configlog.py
@@ -0,0 +1,201 @@
+"""Transition rule of the configuration stream."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewingspar_core import configlog
+from lacewingspar_core.configlog import (
+    ConfigState,
+    Edit,
+    EditAccepted,
+    EditConflict,
+    Snapshot,
+    apply_record,
+    decode_record,
+    edit_outcome,
+    encode_record,
+    make_snapshot,
+    snapshot_delay_seconds,
+    start_state,
+)
+from lacewingspar_core.configreplica import ConfigReplica
+from lacewingspar_core.errors import RecordGapError
+from lacewingspar_core.messages import LogRecord
+
+DOCUMENT = {
+    "service": "s",
+    "kind": "plain",
+    "upstreams": [],
+    "workspaces": [],
+}
+
+
+def edit(edit_id: str, base: int, patch: Any = DOCUMENT) -> Edit:
+    return Edit(edit_id, "s", base, patch, f"author of {edit_id}")
+
+
+def state_after(*records: Any) -> ConfigState:
+    state = ConfigState()
+    for offset, record in enumerate(records):
+        state = apply_record(state, offset, record)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("records", "version"),
+    [
+        ([edit("a", 0)], 1),
+        ([edit("a", 0), edit("b", 1)], 2),
+        ([edit("a", 0), edit("b", 0)], 1),
+        ([edit("a", 1)], 0),
+        ([edit("a", 0), edit("a", 1)], 1),
+        ([None, edit("a", 0)], 2),
+        ([edit("a", 0, {**DOCUMENT, "kind": "other"})], 0),
+        ([edit("a", 0, {**DOCUMENT, "service": "t"})], 0),
+        ([edit("a", 0, None)], 0),
+        ([edit("a", 0), edit("b", 1, {"workspaces": None})], 1),
+        ([edit("a", 0), edit("b", 1, {"limits": {"attempts": 11}})], 1),
+        ([edit("a", 0), Snapshot(0, {}, ())], 1),
+    ],
+)
+def test_version_after_records(records: list[Any], version: int) -> None:
+    """Guards against lost updates and against invalid documents in force."""
+    state = state_after(*records)
+    assert state.version_of("s") == version
+    assert state.next_offset == len(records)
+
+
+def test_known_record_changes_nothing_and_a_gap_is_refused() -> None:
+    state = state_after(edit("a", 0))
+    assert apply_record(state, 0, edit("b", 0)) is state
+    with pytest.raises(RecordGapError):
+        apply_record(state, 2, None)
+
+
+@pytest.mark.parametrize(
+    ("edit_id", "base", "outcome"),
+    [
+        ("a", 0, EditAccepted(1)),
+        ("b", 1, EditAccepted(2)),
+        ("c", 0, EditConflict(2, "b", "author of b")),
+        ("c", 2, None),
+        ("c", 3, None),
+    ],
+)
+def test_edit_outcome(edit_id: str, base: int, outcome: Any) -> None:
+    state = state_after(edit("a", 0), edit("b", 1))
+    assert edit_outcome(state, edit_id, "s", base) == outcome
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"\x91\xa5other", b"\x92\xa4edit\x01"]
+)
+def test_unreadable_record_is_skipped(data: bytes) -> None:
+    """Guards against a reader that stops at a record of a later release."""
+    assert decode_record(data) is None
+
+
+@pytest.mark.parametrize(
+    ("first_available", "offset", "can_start"),
+    [(0, 2, True), (2, 2, True), (3, 5, False), (0, 1, False)],
+)
+def test_start_from_snapshot(
+    first_available: int, offset: int, can_start: bool
+) -> None:
+    """Guards against a start that misses records after the snapshot."""
+    state = state_after(edit("a", 0), edit("b", 1))
+    snapshot = decode_record(encode_record(make_snapshot(state)))
+    started = start_state(first_available, offset, snapshot)
+    assert started == (state if can_start else None)
+
+
+def test_snapshot_with_an_invalid_document_is_no_start() -> None:
+    snapshot = make_snapshot(state_after(edit("a", 0)))
+    snapshot.service_by_name["s"].document["kind"] = "other"
+    assert start_state(0, 1, snapshot) is None
+
+
+def test_number_of_accepted_edits_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(configlog, "ACCEPTED_EDITS_KEPT", 2)
+    state = state_after(*(edit(str(n), n, DOCUMENT) for n in range(4)))
+    assert list(state.accepted_by_edit_id) == ["2", "3"]
+    assert apply_record(state, 4, edit("0", 0)).version_of("s") == 4
+
+
+@pytest.mark.parametrize(
+    ("age", "size", "rank", "delay"),
+    [
+        (0.0, 0, 0, 100.0),
+        (60.0, 0, 0, 40.0),
+        (100.0, 0, 0, 0.0),
+        (100.0, 0, 2, 10.0),
+        (100.0, 0, 1000, 50.0),
+        (0.0, configlog.SNAPSHOT_AFTER_BYTES + 1, 0, 0.0),
+        (0.0, configlog.SNAPSHOT_AFTER_BYTES + 1, 1, 105.0),
+        (0.0, 2 * configlog.SNAPSHOT_AFTER_BYTES, 1, 0.0),
+    ],
+)
+def test_snapshot_delay(age: float, size: int, rank: int, delay: float) -> None:
+    assert delay == snapshot_delay_seconds(
+        snapshot_age_seconds=age,
+        retention_seconds=300.0,
+        bytes_since_snapshot=size,
+        rank=rank,
+    )
+
+
+EDITS = st.builds(
+    edit,
+    st.sampled_from("abcd"),
+    st.integers(0, 8),
+    st.sampled_from(
+        [DOCUMENT, {}, {"limits": {"attempts": 2}}, {"kind": "none"}]
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(EDITS | st.none(), max_size=8), st.data())
+def test_readers_agree_whatever_they_receive(
+    records: list[Any], data: st.DataObject
+) -> None:
+    """Guards against a state that depends on repeated or late messages."""
+    snapshot_at = data.draw(st.integers(0, len(records)))
+    if snapshot_at:
+        as_of = make_snapshot(state_after(*records[:snapshot_at]))
+        records.insert(snapshot_at, as_of)
+    log = [
+        LogRecord(offset, 0, encode_record(record) if record else b"")
+        for offset, record in enumerate(records)
+    ]
+    replica = ConfigReplica()
+    applied = 0
+    for _ in range(6):
+        start = data.draw(st.integers(0, len(log)))
+        replica.add(0, log[start : data.draw(st.integers(start, len(log)))])
+        assert replica.applied_offset >= applied
+        applied = replica.applied_offset
+        if replica.state is not None:
+            assert replica.state == state_after(*records[:applied])
+    replica.add(0, log)
+    assert replica.state == state_after(*records)
+
+
+def test_replica_drops_old_records_if_no_snapshot_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory that grows with the log."""
+    monkeypatch.setattr(
+        "lacewingspar_core.configreplica.RECORDS_KEPT_BYTES", 100
+    )
+    replica = ConfigReplica()
+    for offset in range(50):
+        replica.add(0, [LogRecord(offset, 0, b"x" * 10)])
+    kept = replica.records_from(-1, 0)
+    assert sum(len(record.data) for record in kept) <= 100
+    assert (replica.applied_offset, kept[-1].offset) == (50, 49)
