--- a/packages/core/src/lacewingspar_core/configreplica.py
+++ b/packages/core/src/lacewingspar_core/configreplica.py
@@ -63,6 +63,8 @@
             if first > first_retained and not _has_start(first, records):
                 return False
             self._restart(first)
+        elif first < self._first_offset and self._is_helped_by(first, records):
+            self._restart(first)
         if self.state is None and self._first_offset == first == 0:
             self.state = ConfigState()
         for record in records:
@@ -96,6 +98,24 @@
                 break
         return tuple(chosen)
 
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether records are missing after the state."""
+        return self.applied_offset < self._first_offset
+
+    def _is_helped_by(self, first: int, records: Sequence[LogRecord]) -> bool:
+        """Return whether a peer's older records fill the gap or allow a start.
+
+        Args:
+            first: Offset of the first of them.
+            records: Consecutive records.
+        """
+        if not self.is_stalled:
+            return False
+        if self.state is not None and first <= self.state.next_offset:
+            return True
+        return first == 0 or _has_start(first, records)
+
     def _restart(self, first: int) -> None:
         self._records = []
         self._first_offset = first
@@ -118,14 +138,14 @@
             return
         self.snapshot_time_ms = record.time_ms
         self.bytes_since_snapshot = 0
-        if self.state is None or self.state.next_offset < self._first_offset:
+        if self.state is None or self.is_stalled:
             self.state = start
         self._apply_kept()
         self._drop_before(start.next_offset)
 
     def _apply_kept(self) -> None:
         state = self.state
-        if state is None or state.next_offset < self._first_offset:
+        if state is None or self.is_stalled:
             return
         for record in self._records[state.next_offset - self._first_offset :]:
             state = apply_record(
--- a/packages/router/src/lacewingspar_router/components/claims/registry.py
+++ b/packages/router/src/lacewingspar_router/components/claims/registry.py
@@ -26,6 +26,7 @@
     key_time_ms,
     may_send,
 )
+from lacewingspar_core.errors import RecordGapError
 from lacewingspar_core.messages import LogRecord
 from lacewingspar_core.platform import STREAM_CLAIMS
 from lacewingspar_router.application import Application
@@ -162,7 +163,7 @@
                 self._is_current = False
                 await asyncio.sleep(RETRY_SECONDS)
             else:
-                self._add_page(page)
+                await self._async_add_page(page)
 
     async def async_unload(self) -> None:
         """Wait for outcomes and releases that are not written yet."""
@@ -236,6 +237,14 @@
         except LogAppendUnknownError as error:
             _LOGGER.warning("claim reply lost", error=str(error))
 
+    async def _async_add_page(self, page: LogPage) -> None:
+        try:
+            self._add_page(page)
+        except RecordGapError as error:
+            _LOGGER.error("claim records are missing", error=str(error))
+            self._is_current = False
+            await asyncio.sleep(RETRY_SECONDS)
+
     def _add_page(self, page: LogPage) -> None:
         state = self._state
         state.window_ms = int(page.retention_seconds * 1000 * WINDOW_FRACTION)
--- a/packages/router/src/lacewingspar_router/components/configuration/store.py
+++ b/packages/router/src/lacewingspar_router/components/configuration/store.py
@@ -294,7 +294,8 @@
         task = self._snapshot_task
         if task is not None and not task.done():
             return False
-        if not (self._is_log_readable and self._is_ready):
+        is_current = self._is_ready and not self._replica.is_stalled
+        if not (self._is_log_readable and is_current):
             return False
         if snapshot_time_ms is None:
             return False
--- a/specs/check.py
+++ b/specs/check.py
@@ -41,7 +41,7 @@
     else:
         config_sizes = configlog_model.SIZES_BY_NAME[sizes]
         protocol = configlog_model.ConfigLogModel(config_sizes).protocol()
-    return check_safety(protocol, max_states=MAX_STATES)
+    return _check(protocol)
 
 
 def check_mistake(model: str, mistake: str) -> dict[str, Any]:
@@ -50,7 +50,7 @@
         wrong = claims_model.MISTAKES[mistake]
         sizes = claims_model.SIZES_BY_NAME[wrong.sizes]
         protocol = claims_model.ClaimsModel(sizes, wrong.rules).protocol()
-        return check_safety(_until_violation(protocol), max_states=MAX_STATES)
+        return _check(_until_violation(protocol))
     patched = configlog_model.MISTAKES[mistake]
     protocol = configlog_model.ConfigLogModel(
         configlog_model.SIZES_BY_NAME[patched.sizes], patched.rules
@@ -60,7 +60,7 @@
             stack.enter_context(
                 mock.patch.object(configreplica, name, function)
             )
-        return check_safety(_until_violation(protocol), max_states=MAX_STATES)
+        return _check(_until_violation(protocol))
 
 
 def violations(report: dict[str, Any]) -> dict[str, list[str]]:
@@ -72,6 +72,11 @@
     }
 
 
+def _check(protocol: Protocol) -> dict[str, Any]:
+    report: dict[str, Any] = check_safety(protocol, max_states=MAX_STATES)
+    return report
+
+
 def _until_violation(protocol: Protocol) -> Protocol:
     """Return a model that has no further states after a violation."""
     has_failed = False
--- /dev/null
+++ b/tests/router/components/test_claims.py
@@ -0,0 +1,213 @@
+"""Claims that follow the log."""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import httpx
+import pytest
+
+from lacewingspar_core.claims import (
+    Claim,
+    Release,
+    claim_key,
+    decode_record,
+    encode_record,
+)
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.platform import STREAM_CLAIMS
+from lacewingspar_router.components.claims import async_setup, registry
+from lacewingspar_router.components.claims.models import (
+    CLAIMS,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimKeyExpired,
+    ClaimKeyReused,
+    ClaimUnavailable,
+    ClaimUnknown,
+)
+
+ANSWER = ClaimAnswered(200, "text/plain", b"ok")
+
+
+@pytest.fixture(autouse=True)
+def short_periods(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(registry, "RETRY_SECONDS", 0.005)
+
+
+@pytest.fixture
+def start(make_app: Any, until: Any) -> Callable[..., Any]:
+    """Return a function that starts a router which has read the stream."""
+
+    async def start_router(router_id: str = "r1") -> Any:
+        app = make_app(router_id)
+        await async_setup(app)
+        claims = app.get(CLAIMS)
+        await until(lambda: claims._is_current)
+        return claims
+
+    return start_router
+
+
+def claim(claims: Any, key: str = "k", digest: bytes = b"d") -> Any:
+    return claims.async_claim(
+        service="s", workspace="w", key=key, digest=digest
+    )
+
+
+def records(fake_log: Any) -> list[Any]:
+    stored = fake_log.records_by_stream.get(STREAM_CLAIMS, [])
+    return [decode_record(record.data) for record in stored]
+
+
+async def test_granted_claim_may_be_sent_once(start) -> None:
+    claims = await start()
+    granted = await claim(claims)
+    assert isinstance(granted, ClaimGranted)
+    assert claims.may_send(granted)
+    assert not claims.may_send(granted)
+    assert not await claims.async_release(granted)
+
+
+async def test_frozen_router_does_not_send(start, monkeypatch) -> None:
+    """Guards against a send on a claim from before a suspension."""
+    claims = await start()
+    granted = await claim(claims)
+    monkeypatch.setattr(claims._app, "now", lambda: granted.send_before)
+    assert not claims.may_send(granted)
+
+
+async def test_other_attempts_get_the_first_answer(start, until) -> None:
+    first, second = await start("r1"), await start("r2")
+    granted = await claim(first)
+    assert first.may_send(granted)
+    assert await claim(first) == ClaimInProgress()
+    await until(lambda: len(second._state) == 1)
+    assert await claim(second) == ClaimInProgress()
+    assert await claim(second, digest=b"other") == ClaimKeyReused()
+    first.record_outcome(granted, ANSWER)
+    await until(lambda: second._state.entry_at(0).outcome)
+    assert await claim(first) == ANSWER
+    assert await claim(second) == ANSWER
+
+
+async def test_large_answer_is_recorded_as_run(start, until) -> None:
+    claims = await start()
+    granted = await claim(claims)
+    large = ClaimAnswered(200, "text/plain", b"x" * 9000)
+    claims.record_outcome(granted, large)
+    await until(lambda: claims._state.entry_at(0).outcome)
+    assert await claim(claims) == ClaimAnswered(200, "text/plain", None)
+
+
+async def test_racing_claims_have_one_winner(start, fake_log, until) -> None:
+    """Guards against two routers that send the same call."""
+    routers = [await start("r1"), await start("r2")]
+    results = await asyncio.gather(*(claim(router) for router in routers))
+    assert sorted(type(r).__name__ for r in results) == [
+        "ClaimGranted",
+        "ClaimInProgress",
+    ]
+    await until(lambda: Release(1) in records(fake_log))
+
+
+async def test_released_key_can_be_claimed_again(start, until) -> None:
+    first, second = await start("r1"), await start("r2")
+    granted = await claim(first)
+    assert await first.async_release(granted)
+    assert not first.may_send(granted)
+    await until(lambda: second._state.next_offset == 2)
+    assert isinstance(await claim(second), ClaimGranted)
+
+
+async def test_claim_of_a_gone_router_is_unknown(start, fake_log) -> None:
+    """Guards against a second run after a crash, also of the same router."""
+    lives = [RouterLife("gone", 1), RouterLife("r1", 1)]
+    for life in lives:
+        key = claim_key("s", "w", life.router_id)
+        record = encode_record(Claim(key, b"d", life, 1))
+        fake_log.append(STREAM_CLAIMS, record)
+    claims = await start("r1")
+    for life in lives:
+        assert await claim(claims, life.router_id) == ClaimUnknown()
+
+
+@pytest.mark.parametrize(
+    "fault", [httpx.ReadTimeout("lost"), httpx.RemoteProtocolError("closed")]
+)
+async def test_lost_append_reply(start, fake_log, fault) -> None:
+    """Guards against a call that is refused though its claim was written."""
+    claims = await start()
+    fake_log.append_fault, fake_log.is_written = fault, True
+    assert isinstance(await claim(claims), ClaimGranted)
+
+
+async def test_late_claim_is_released(
+    start, fake_log, until, monkeypatch
+) -> None:
+    """Guards against a key that stays blocked by a claim nobody waits for."""
+    claims = await start()
+    monkeypatch.setattr(registry, "CLAIM_TIMEOUT_SECONDS", 0.02)
+    fake_log.gate.clear()
+    assert await claim(claims) == ClaimUnavailable()
+    fake_log.gate.set()
+    await until(lambda: Release(0) in records(fake_log))
+
+
+async def test_cancelled_claim_is_released(start, fake_log, until) -> None:
+    claims = await start()
+    fake_log.gate.clear()
+    task = asyncio.create_task(claim(claims))
+    await asyncio.sleep(0.01)
+    task.cancel()
+    fake_log.gate.set()
+    await until(lambda: Release(0) in records(fake_log))
+
+
+async def test_log_down(start, fake_log, until) -> None:
+    """Guards against a new key that is decided without the log."""
+    claims = await start()
+    granted = await claim(claims, "known")
+    claims.record_outcome(granted, ANSWER)
+    await until(lambda: claims._state.entry_at(0).outcome)
+    fake_log.append_fault = 503
+    assert await claim(claims) == ClaimUnavailable()
+    fake_log.is_down = True
+    fake_log.append(STREAM_CLAIMS, b"")
+    await until(lambda: not claims._is_current)
+    assert await claim(claims) == ClaimUnavailable()
+    assert await claim(claims, "known") == ANSWER
+    fake_log.is_down = False
+    await until(lambda: claims._is_current)
+    assert isinstance(await claim(claims), ClaimGranted)
+
+
+async def test_router_that_has_not_read_the_stream_refuses(make_app) -> None:
+    app = make_app()
+    await async_setup(app)
+    assert await claim(app.get(CLAIMS)) == ClaimUnavailable()
+
+
+async def test_outcome_is_written_after_an_outage(
+    start, fake_log, until
+) -> None:
+    """Guards against a first answer that is lost with one failed append."""
+    claims = await start()
+    granted = await claim(claims)
+    fake_log.append_fault = httpx.ReadTimeout("lost")
+    claims.record_outcome(granted, ANSWER)
+    await until(lambda: claims._state.entry_at(0).outcome)
+
+
+@pytest.mark.parametrize(("age_windows", "is_expired"), [(1, True), (0, False)])
+async def test_key_older_than_the_window(
+    start, fake_log, age_windows, is_expired
+) -> None:
+    claims = await start()
+    window_ms = fake_log.retention_ms // 2
+    time_ms = fake_log.now_ms - age_windows * window_ms
+    key = uuid.UUID(int=time_ms << 80 | 7 << 76 | 2 << 62)
+    decision = await claim(claims, str(key))
+    assert isinstance(decision, ClaimKeyExpired) is is_expired
--- a/tests/router/components/test_log_service.py
+++ b/tests/router/components/test_log_service.py
@@ -1,10 +1,13 @@
 """Client of the log service."""
 
 import asyncio
+import dataclasses
+from typing import Any
 
 import httpx
 import pytest
 
+from lacewingspar_router.components.log_service import async_setup
 from lacewingspar_router.components.log_service.errors import (
     LogAppendUnknownError,
     LogUnavailableError,
@@ -77,3 +80,15 @@
     fake_log.is_down = True
     with pytest.raises(LogUnavailableError):
         await log.async_read("s", 0, wait_seconds=0.0)
+
+
+async def test_setup_uses_the_address_map(make_app, monkeypatch) -> None:
+    """Guards against a client that connects to an untranslated address."""
+    app = make_app()
+    mapped = dataclasses.replace(
+        app.settings, address_map={"log:1": "127.0.0.1:2"}
+    )
+    monkeypatch.setattr(app, "settings", mapped)
+    await async_setup(app)
+    client: Any = app.get(LOG_SERVICE)
+    assert str(client._client.base_url) == "http://127.0.0.1:2"
