--- a/specs/check.py
+++ b/specs/check.py
@@ -9,7 +9,12 @@
 from minicheck import Protocol, check_safety
 
 from lacewingspar_core import configreplica
-from specs import claims_model, configlog_model
+from specs import (
+    claims_mistakes,
+    claims_model,
+    configlog_mistakes,
+    configlog_model,
+)
 
 # Far above the largest model; a model that grows beyond it fails.
 MAX_STATES = 1_000_000
@@ -28,8 +33,8 @@
 def mistake_names() -> list[tuple[str, str]]:
     """Return the pairs of model and seeded mistake."""
     return [
-        *((CLAIMS, name) for name in claims_model.MISTAKES),
-        *((CONFIGURATION, name) for name in configlog_model.MISTAKES),
+        *((CLAIMS, name) for name in claims_mistakes.MISTAKES),
+        *((CONFIGURATION, name) for name in configlog_mistakes.MISTAKES),
     ]
 
 
@@ -47,11 +52,11 @@
 def check_mistake(model: str, mistake: str) -> dict[str, Any]:
     """Check a model with a seeded mistake up to the first violation."""
     if model == CLAIMS:
-        wrong = claims_model.MISTAKES[mistake]
+        wrong = claims_mistakes.MISTAKES[mistake]
         sizes = claims_model.SIZES_BY_NAME[wrong.sizes]
         protocol = claims_model.ClaimsModel(sizes, wrong.rules).protocol()
         return _check(_until_violation(protocol))
-    patched = configlog_model.MISTAKES[mistake]
+    patched = configlog_mistakes.MISTAKES[mistake]
     protocol = configlog_model.ConfigLogModel(
         configlog_model.SIZES_BY_NAME[patched.sizes], patched.rules
     ).protocol()
--- /dev/null
+++ b/specs/configlog_mistakes.py
@@ -0,0 +1,133 @@
+"""Seeded mistakes that the model of the configuration log must find."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from msgspec import structs
+from specs.configlog_model import Rules
+
+from lacewingspar_core.configlog import (
+    ConfigRecord,
+    ConfigState,
+    Edit,
+    Snapshot,
+    apply_record,
+    decode_record,
+    start_state,
+)
+from lacewingspar_core.configreplica import ConfigReplica
+from lacewingspar_core.messages import LogRecord
+
+
+def apply_without_base(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Accept an edit whatever its base version is."""
+    if isinstance(record, Edit):
+        version = state.version_of(record.service)
+        record = structs.replace(record, base_version=version)
+    return apply_record(state, offset, record)
+
+
+def apply_without_ids(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Forget which edits were accepted."""
+    state = apply_record(state, offset, record)
+    return replace(state, accepted_by_edit_id={})
+
+
+def apply_snapshots(
+    state: ConfigState, offset: int, record: ConfigRecord | None
+) -> ConfigState:
+    """Replace the state of a reader by that of a snapshot."""
+    state = apply_record(state, offset, record)
+    if isinstance(record, Snapshot):
+        start = start_state(0, offset, record)
+        assert start is not None
+        return replace(start, next_offset=offset + 1)
+    return state
+
+
+def start_from_stale(
+    first_available: int, offset: int, record: ConfigRecord | None
+) -> ConfigState | None:
+    """Start from any snapshot as if no record after it was missing."""
+    state = start_state(0, offset, record)
+    if state is None or state.next_offset >= first_available:
+        return state
+    return replace(state, next_offset=first_available)
+
+
+def start_from_snapshot_offset(
+    first_available: int, offset: int, record: ConfigRecord | None
+) -> ConfigState | None:
+    """Start after a snapshot and skip the records before it."""
+    state = start_state(first_available, offset, record)
+    return state and replace(state, next_offset=offset)
+
+
+class GapReplica(ConfigReplica):
+    """Goes on after a gap as if no record was missing."""
+
+    def _restart(self, first: int) -> None:
+        super()._restart(first)
+        self.state = replace(self.state or ConfigState(), next_offset=first)
+
+
+class ReplacedReplica(ConfigReplica):
+    """Starts again from every message that has a snapshot."""
+
+    def add(self, first_retained: int, records: Sequence[LogRecord]) -> bool:
+        """Forget the state before adding records with a snapshot."""
+        decoded = [decode_record(record.data) for record in records]
+        if any(isinstance(record, Snapshot) for record in decoded):
+            self._restart(records[0].offset)
+            self.state = None
+        return super().add(first_retained, records)
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """A seeded mistake.
+
+    Attributes:
+        sizes: Name of the sizes that find it.
+        rules: Changed rules of the model.
+        patches: Replaced functions of `configreplica` by name.
+    """
+
+    sizes: str
+    rules: Rules = field(default_factory=Rules)
+    patches: Mapping[str, Any] = field(default_factory=dict)
+
+
+MISTAKES = {
+    "accept an edit without its base version": Mistake(
+        "edits",
+        Rules(apply=apply_without_base),
+        {"apply_record": apply_without_base},
+    ),
+    "forget accepted edit ids": Mistake(
+        "edits",
+        Rules(apply=apply_without_ids),
+        {"apply_record": apply_without_ids},
+    ),
+    "report a conflict before reading back": Mistake(
+        "edits", Rules(answers_unread=True)
+    ),
+    "go on after a gap": Mistake("edits", Rules(replica=GapReplica)),
+    "replace the state by a snapshot": Mistake(
+        "snapshots", patches={"apply_record": apply_snapshots}
+    ),
+    "start from a stale snapshot": Mistake(
+        "snapshots", patches={"start_state": start_from_stale}
+    ),
+    "skip the records before a snapshot": Mistake(
+        "snapshots", patches={"start_state": start_from_snapshot_offset}
+    ),
+    "go back to an older state": Mistake(
+        "snapshots", Rules(replica=ReplacedReplica)
+    ),
+}
