--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -54,6 +54,7 @@
         ),
         ([(0, claim()), (900, claim())], WINDOW_MS, False),
         ([(0, claim()), (WINDOW_MS, None)], 500, True),
+        ([(WINDOW_MS, None), (0, claim())], WINDOW_MS + 500, False),
     ],
 )
 def test_claim_wins(
--- a/tests/core/test_configreplica.py
+++ b/tests/core/test_configreplica.py
@@ -64,6 +64,7 @@
     replica = ConfigReplica()
     replica.add(0, log[:1])
     assert not replica.add(0, log[4:])
+    assert replica.wanted_offset == 1
     replica.add(0, log[1:])
     assert replica.state == state
 
