--- a/tests/router/test_addresses.py
+++ b/tests/router/test_addresses.py
@@ -14,7 +14,9 @@
         ("http://a/p?q=1", "http://127.0.0.1:7001/p?q=1"),
         ("https://a", "https://b:444"),
         ("http://a:90/p", "http://[::1]:9/p"),
+        ("http://a:90/p?b=c", "http://[::1]:9/p?b=c"),
         ("http://a:81", "http://a:81"),
+        ("http://other:90", "http://other:90"),
         ("http://a:port", "http://a:port"),
     ],
 )
