--- a/packages/router/src/lacewingspar_router/components/caller_api/checks.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/checks.py
@@ -91,7 +91,7 @@
         CallerGoneError: The caller closed the connection.
     """
     options = read_options(exchange.headers)
-    if target.service:
+    if target.service is not None:
         document = _document(index, target.service, workspaces)
         body = await exchange.async_read_body(document.limits.body_bytes)
         model = _model_of_service(document, target, body)
--- a/packages/router/src/lacewingspar_router/components/caller_api/targets.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/targets.py
@@ -24,20 +24,20 @@
 
     Attributes:
         method: HTTP method.
-        service: Name of the service, or "" if the model determines it.
+        service: Name of the service, or None if the model determines it.
         path: Path at the upstream without query, as the caller wrote it.
         target: Path at the upstream with query string.
     """
 
     method: str
-    service: str
+    service: str | None
     path: str
     target: str
 
     @property
     def is_model_list(self) -> bool:
         """Return whether the caller asks for the list of models."""
-        return not self.service and self.path == PATH_MODELS
+        return self.service is None and self.path == PATH_MODELS
 
     @property
     def has_model(self) -> bool:
@@ -68,7 +68,7 @@
         raise RequestRefusedError(
             405, "method_not_allowed", f"{path} allows {allowed} only"
         )
-    return _target(method, "", path, query)
+    return _target(method, None, path, query)
 
 
 def repeatability_of(
@@ -86,7 +86,7 @@
     return Repeatability.IF_NOT_RUN
 
 
-def _target(method: str, service: str, path: str, query: str) -> Target:
+def _target(method: str, service: str | None, path: str, query: str) -> Target:
     # Upstreams resolve dot segments in different ways, so a path with one
     # could reach a declared route without matching its prefix.
     if any(part in (".", "..") for part in unquote(path).split("/")):
--- a/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -34,7 +34,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=structlog.PrintLoggerFactory(),
     )
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -1,5 +1,6 @@
 """In-process fakes and a router that serves on a port of the system."""
 
+import asyncio
 import hashlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -139,6 +140,7 @@
     may: bool = True
     release_confirmed: bool = True
     released: int = 0
+    was_released: asyncio.Event = field(default_factory=asyncio.Event)
     outcomes: list[ClaimAnswered] = field(default_factory=list)
 
     async def async_claim(self, **_call: Any) -> ClaimDecision:
@@ -149,6 +151,7 @@
 
     async def async_release(self, _claim: ClaimGranted) -> bool:
         self.released += 1
+        self.was_released.set()
         return self.release_confirmed
 
     def record_outcome(
@@ -176,6 +179,58 @@
         )
 
 
+def answering(
+    *parts: bytes,
+    status: int = 200,
+    headers: Mapping[str, str] | None = None,
+    answered_id: str | None = None,
+    is_complete: bool = True,
+    hold: asyncio.Event | None = None,
+    calls: list[Any] | None = None,
+    called: asyncio.Event | None = None,
+) -> Upstream:
+    """Return an upstream that sends a body, as a whole or broken off.
+
+    Args:
+        answered_id: Request id of the answer, if not the one of the request.
+        is_complete: Whether the body is ended properly.
+        hold: Awaited after the parts.
+        calls: Collects the scopes of requests.
+        called: Set when a request has arrived.
+    """
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        await receive()
+        if calls is not None:
+            calls.append(scope)
+        if called is not None:
+            called.set()
+        request_id = dict(scope["headers"])[b"x-request-id"]
+        if answered_id is not None:
+            request_id = answered_id.encode()
+        sent = [(n.encode(), v.encode()) for n, v in (headers or {}).items()]
+        sent.append((b"x-request-id", request_id))
+        await send(
+            {"type": "http.response.start", "status": status, "headers": sent}
+        )
+        for part in parts:
+            await send(
+                {"type": "http.response.body", "body": part, "more_body": True}
+            )
+        if hold is not None:
+            await hold.wait()
+        if is_complete:
+            await send({"type": "http.response.body"})
+
+    return app
+
+
+def events(*parts: bytes, **options: Any) -> Upstream:
+    """Return an upstream that sends an event stream."""
+    headers = {"content-type": "text/event-stream; charset=utf-8"}
+    return answering(*parts, headers=headers, **options)
+
+
 @asynccontextmanager
 async def served(app: Any) -> AsyncIterator[int]:
     server = HttpServer(app, NO_PORT)
@@ -188,7 +243,9 @@
 
 @asynccontextmanager
 async def routed(
-    *upstream_apps: Upstream, ports: tuple[int, ...] = ()
+    *upstream_apps: Upstream,
+    ports: tuple[int, ...] = (),
+    claims: FakeClaims | None = None,
 ) -> AsyncIterator[Router]:
     """Run a router in front of the given upstreams and ports."""
     async with AsyncExitStack() as stack:
@@ -205,7 +262,8 @@
         )
         application = Application(settings())
         await telemetry.async_setup(application)
-        scheduler, claims = FakeScheduler(configuration), FakeClaims()
+        scheduler = FakeScheduler(configuration)
+        claims = claims or FakeClaims()
         application.register(CONFIGURATION, configuration)
         application.register(SCHEDULER, scheduler)
         application.register(CLAIMS, claims)
--- /dev/null
+++ b/tests/router/test_claimed.py
@@ -0,0 +1,164 @@
+"""Calls with an idempotency key."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from tests.router.conftest import (
+    AUTHORIZED,
+    FakeClaims,
+    Router,
+    answering,
+    routed,
+)
+
+from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_router.components.claims.models import (
+    ClaimAnswered,
+    ClaimDecision,
+    ClaimInProgress,
+    ClaimKeyExpired,
+    ClaimKeyReused,
+    ClaimUnavailable,
+    ClaimUnknown,
+)
+
+KEYED = AUTHORIZED | {"idempotency-key": "key"}
+BROKEN = answering(b"half", is_complete=False)
+REFUSING = answering(status=503, headers={"x-not-run": "1"})
+GOOD = answering(b"good", headers={"content-type": "text/x"})
+
+
+async def pay(router: Router) -> Any:
+    return await router.client.post("/services/swap/pay", headers=KEYED)
+
+
+@pytest.mark.parametrize(
+    ("decision", "status", "code", "run"),
+    [
+        (ClaimInProgress(), 409, "in_progress", "unknown"),
+        (ClaimUnknown(), 409, "outcome_unknown", "unknown"),
+        (ClaimKeyReused(), 422, "key_reused", "not_run"),
+        (ClaimKeyExpired(), 409, "key_expired", "unknown"),
+        (ClaimUnavailable(), 503, "claims_unavailable", "not_run"),
+        (ClaimAnswered(200, "text/x", None), 409, "answer_not_kept", "ran"),
+    ],
+)
+async def test_call_that_is_not_granted_is_not_sent(
+    decision: ClaimDecision, status: int, code: str, run: str
+) -> None:
+    """Guards against a second run and against a wrong run state."""
+    async with routed(GOOD) as router:
+        router.claims.decision = decision
+        answer = await pay(router)
+        error = answer.json()["error"]
+        assert (answer.status_code, error["code"]) == (status, code)
+        assert error["run"] == run
+        assert router.scheduler.requests == []
+
+
+async def test_first_answer_is_replayed() -> None:
+    async with routed(GOOD) as router:
+        router.claims.decision = ClaimAnswered(201, "text/y", b"first")
+        answer = await pay(router)
+        assert (answer.status_code, answer.content) == (201, b"first")
+        assert answer.headers["content-type"] == "text/y"
+        assert router.scheduler.requests == []
+
+
+@pytest.mark.parametrize(
+    ("body", "kept"), [(b"good", b"good"), (b"x" * 8193, None)]
+)
+async def test_outcome_is_recorded(body: bytes, kept: bytes | None) -> None:
+    upstream = answering(body, headers={"content-type": "text/x"})
+    async with routed(upstream) as router:
+        assert (await pay(router)).content == body
+        assert router.claims.outcomes == [ClaimAnswered(200, "text/x", kept)]
+        assert router.claims.released == 0
+
+
+@pytest.mark.parametrize(
+    ("upstream", "may_send", "confirmed", "code", "run", "releases"),
+    [
+        (GOOD, False, True, "claim_expired", "not_run", 1),
+        (GOOD, False, False, "claim_expired", "unknown", 1),
+        (REFUSING, True, True, "upstream_refused", "not_run", 1),
+        (REFUSING, True, False, "upstream_refused", "unknown", 1),
+        (
+            answering(is_complete=False),
+            True,
+            True,
+            "upstream_broken",
+            "unknown",
+            0,
+        ),
+        (
+            answering(answered_id="x"),
+            True,
+            True,
+            "answer_mismatch",
+            "unknown",
+            0,
+        ),
+    ],
+)
+async def test_call_that_fails(
+    upstream: Any,
+    may_send: bool,
+    confirmed: bool,
+    code: str,
+    run: str,
+    releases: int,
+) -> None:
+    """Guards against `not_run` for a key that may have run or is claimed."""
+    async with routed(upstream, GOOD) as router:
+        router.claims.may = may_send
+        router.claims.release_confirmed = confirmed
+        error = (await pay(router)).json()["error"]
+        assert (error["code"], error["run"]) == (code, run)
+        assert router.claims.released == releases
+        assert len(router.scheduler.requests) == 1
+        assert router.claims.outcomes == []
+
+
+class SlowClaims(FakeClaims):
+    """Decides when the test says so."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.decide = asyncio.Event()
+        self.asked = asyncio.Event()
+
+    async def async_claim(self, **call: Any) -> ClaimDecision:
+        self.asked.set()
+        await self.decide.wait()
+        return await super().async_claim(**call)
+
+
+async def test_claim_granted_after_the_caller_left_is_released() -> None:
+    """Guards against a key that stays claimed although nothing was sent."""
+    claims = SlowClaims()
+    async with routed(GOOD, claims=claims) as router:
+        request = asyncio.create_task(pay(router))
+        await claims.asked.wait()
+        request.cancel()
+        await router.proxy.in_flight.async_wait_empty()
+        claims.decide.set()
+        await claims.was_released.wait()
+        assert router.scheduler.requests == []
+
+
+async def test_sent_call_runs_on_when_the_caller_leaves() -> None:
+    """Guards against a call whose outcome is lost with its caller."""
+    hold, called = asyncio.Event(), asyncio.Event()
+    upstream = answering(b"good", hold=hold, called=called)
+    async with routed(upstream) as router:
+        request = asyncio.create_task(pay(router))
+        await called.wait()
+        request.cancel()
+        await asyncio.gather(request, return_exceptions=True)
+        hold.set()
+        await router.proxy.in_flight.async_wait_empty()
+        assert [item.body for item in router.claims.outcomes] == [b"good"]
+        outcomes = [outcome for _, outcome, _ in router.scheduler.released]
+        assert outcomes == [SlotOutcome.COMPLETED]
--- /dev/null
+++ b/tests/router/test_retries.py
@@ -0,0 +1,123 @@
+"""Retries of failed attempts."""
+
+import socket
+from typing import Any
+
+import pytest
+from tests.router.conftest import AUTHORIZED, answering, events, routed
+
+from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_router.components.caller_api.retries import (
+    Repeatability,
+    may_retry,
+)
+from lacewingspar_router.errors import RunState
+
+BROKEN = answering(headers={"content-length": "9"}, is_complete=False)
+CUT_EVENT = events(b'data: {"a', is_complete=False)
+REFUSING = answering(status=503, headers={"x-not-run": "1"})
+MISMATCH = answering(b"other", answered_id="other")
+GOOD = answering(b"good")
+
+
+@pytest.fixture
+def closed_port() -> int:
+    """Return a port on which nothing listens."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return int(unused.getsockname()[1])
+
+
+@pytest.mark.parametrize(
+    ("repeatability", "run", "attempts_made", "expected"),
+    [
+        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 1, True),
+        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 3, False),
+        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 2, True),
+        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 3, False),
+        (Repeatability.IF_NOT_RUN, RunState.UNKNOWN, 1, False),
+        (Repeatability.IF_NOT_RUN, RunState.RAN, 1, False),
+        (Repeatability.NEVER, RunState.NOT_RUN, 1, False),
+    ],
+)
+def test_decision(
+    repeatability: Repeatability,
+    run: RunState,
+    attempts_made: int,
+    expected: bool,
+) -> None:
+    """Guards against a second run of a call that may run once."""
+    assert expected is may_retry(
+        repeatability, run, attempts_made=attempts_made, attempts_allowed=3
+    )
+
+
+# Method, path, failing upstream, whether it is retried, and the run state of
+# the refusal if it is not.
+CASES: list[tuple[str, str, Any, bool, str]] = [
+    ("POST", "/v1/chat/completions", BROKEN, True, ""),
+    ("POST", "/v1/chat/completions", CUT_EVENT, True, ""),
+    ("POST", "/v1/chat/completions", REFUSING, True, ""),
+    ("POST", "/v1/chat/completions", MISMATCH, True, ""),
+    ("GET", "/services/swap/x", BROKEN, True, ""),
+    ("DELETE", "/services/swap/x", MISMATCH, True, ""),
+    ("POST", "/services/swap/x", REFUSING, True, ""),
+    ("POST", "/services/swap/x", BROKEN, False, "unknown"),
+    ("POST", "/services/swap/x", MISMATCH, False, "unknown"),
+    ("POST", "/services/swap/pay", REFUSING, False, "not_run"),
+    ("POST", "/services/swap/pay", BROKEN, False, "unknown"),
+    ("POST", "/services/swap//%70ay/1", REFUSING, False, "not_run"),
+]
+
+
+@pytest.mark.parametrize(("method", "path", "failing", "retried", "run"), CASES)
+async def test_failed_attempt(
+    method: str, path: str, failing: Any, retried: bool, run: str
+) -> None:
+    """Guards against lost requests, second runs and wrong run states."""
+    async with routed(failing, GOOD) as router:
+        answer = await router.client.request(
+            method, path, headers=AUTHORIZED, content=b'{"model": "small"}'
+        )
+        used = [upstream for upstream, _, _ in router.scheduler.released]
+        if retried:
+            assert (answer.status_code, answer.content) == (200, b"good")
+            assert used == ["upstream-0", "upstream-1"]
+        else:
+            assert answer.json()["error"]["run"] == run
+            assert used == ["upstream-0"]
+
+
+async def test_no_connection_is_retried_even_for_a_post(
+    closed_port: int,
+) -> None:
+    async with routed(GOOD, ports=(closed_port,)) as router:
+        path = "/services/swap/x"
+        answer = await router.client.post(path, headers=AUTHORIZED)
+        assert answer.content == b"good"
+        outcomes = [outcome for _, outcome, _ in router.scheduler.released]
+        assert outcomes == [SlotOutcome.UPSTREAM_FAILED, SlotOutcome.COMPLETED]
+
+
+async def test_attempts_are_limited(closed_port: int) -> None:
+    """Guards against a request that wears out the whole pool."""
+    async with routed(ports=(closed_port,) * 4) as router:
+        answer = await router.chat()
+        assert answer.json()["error"]["code"] == "upstream_unreachable"
+        assert answer.json()["error"]["run"] == "not_run"
+        assert len(router.scheduler.requests) == 3
+        excluded = router.scheduler.requests[-1].excluded_upstreams
+        assert excluded == {"upstream-0", "upstream-1"}
+
+
+async def test_earlier_attempt_decides_the_run_state() -> None:
+    """Guards against `not_run` for a request whose first attempt ran."""
+    async with routed(BROKEN) as router:
+        answer = await router.chat()
+        assert answer.json()["error"] == {
+            "code": "no_upstream",
+            "message": "no upstream is left",
+            "run": "unknown",
+            "retry_after_seconds": None,
+            "request_id": answer.headers["x-request-id"],
+        }
