--- a/packages/core/src/lacewingspar_core/errors.py
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -11,3 +11,11 @@
 
 class ChartError(CoreError):
     """A state chart file is inconsistent."""
+
+
+class RecordGapError(CoreError):
+    """Records of a log stream are missing before the one to apply."""
+
+
+class ChartEventError(CoreError):
+    """A state chart has no transition for an event in the current state."""
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -1,9 +1,9 @@
 """Upstreams of all services in force."""
 
-import asyncio
 import ssl
 from collections.abc import Callable, Mapping
 
+import httpx
 import structlog
 
 from lacewingspar_router.application import Application
@@ -15,31 +15,24 @@
 from lacewingspar_router.components.upstreams.connections import (
     UpstreamConnections,
 )
-from lacewingspar_router.components.upstreams.const import FAILING_SECONDS
 from lacewingspar_router.components.upstreams.errors import (
     UpstreamConnectError,
     UpstreamError,
-    UpstreamInvalidCallError,
     UpstreamMismatchError,
-    UpstreamRefusedError,
 )
 from lacewingspar_router.components.upstreams.health import (
-    AnswerHealth,
-    HealthState,
+    UpstreamHealthMonitor,
+    UpstreamKey,
 )
 from lacewingspar_router.components.upstreams.models import (
     UpstreamCall,
     UpstreamStatus,
 )
+from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import RunState
 
 _LOGGER = structlog.get_logger(__name__)
 
-_UpstreamKey = tuple[str, str]
-
-# A refusal says that the upstream works but has no room.
-_NO_FAULT_OF_UPSTREAM = (UpstreamRefusedError, UpstreamInvalidCallError)
-
 
 class HttpUpstreamPool:
     """Calls to upstreams and their health.
@@ -52,39 +45,45 @@
         self._application = application
         self._configuration = application.get(CONFIGURATION)
         self._telemetry = application.get(TELEMETRY)
+        self._vm_list = application.get(VM_LIST)
         self._ssl_context = ssl.create_default_context()
-        self._listeners: list[Callable[[], None]] = []
-        self._address_by_upstream: dict[_UpstreamKey, str] = {}
-        self._slots_by_upstream: dict[_UpstreamKey, int] = {}
-        self._health_by_upstream: dict[_UpstreamKey, AnswerHealth] = {}
+        self._address_by_upstream: dict[UpstreamKey, str] = {}
         self._connections_by_address: dict[str, UpstreamConnections] = {}
-        self._status_by_upstream: dict[_UpstreamKey, UpstreamStatus] = {}
+        self._health_client = httpx.AsyncClient(
+            verify=self._ssl_context, trust_env=False
+        )
+        self._monitor = UpstreamHealthMonitor(
+            self._health_client,
+            application.settings.data_centre,
+            application.now,
+            application.random,
+            application.settings.address_map,
+        )
 
     @property
-    def status_by_upstream(self) -> Mapping[_UpstreamKey, UpstreamStatus]:
+    def status_by_upstream(self) -> Mapping[UpstreamKey, UpstreamStatus]:
         """Return the status by (service, upstream id)."""
-        return self._status_by_upstream
+        return self._monitor.status_by_upstream
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after every change of a status."""
-        self._listeners.append(listener)
+        self._monitor.add_listener(listener)
 
     def apply_configuration(self) -> None:
         """Take over the upstreams of the documents in force."""
-        addresses: dict[_UpstreamKey, str] = {}
-        slots: dict[_UpstreamKey, int] = {}
-        for name, document in self._configuration.documents_by_service.items():
-            for upstream in document.upstreams:
-                addresses[(name, upstream.id)] = upstream.address
-                slots[(name, upstream.id)] = upstream.slots
-        for key, address in addresses.items():
-            if self._address_by_upstream.get(key) != address:
-                self._health_by_upstream[key] = AnswerHealth()
-        for key in self._health_by_upstream.keys() - addresses.keys():
-            del self._health_by_upstream[key]
-        self._address_by_upstream = addresses
-        self._slots_by_upstream = slots
-        self._publish_status()
+        documents = self._configuration.documents_by_service
+        self._address_by_upstream = {
+            (name, upstream.id): upstream.address
+            for name, document in documents.items()
+            for upstream in document.upstreams
+        }
+        self._monitor.set_upstreams(
+            {name: item.upstreams for name, item in documents.items()}
+        )
+
+    def apply_vm_list(self) -> None:
+        """Take over which VMs are about to leave."""
+        self._monitor.set_leaving_vms(self._vm_list.leaving_vms)
 
     async def async_call(
         self, service: str, upstream_id: str, call: UpstreamCall
@@ -102,18 +101,24 @@
                 f"no upstream {upstream_id} in service {service}",
                 run=RunState.NOT_RUN,
             )
+        sent_at = self._application.now()
+        latency_seconds = 0.0
 
         def on_end(error: UpstreamError | None) -> None:
-            self._note_end(key, error)
+            self._note_end(key, error, latency_seconds)
 
         try:
-            return await self._connections(address).async_call(call, on_end)
+            answer = await self._connections(address).async_call(call, on_end)
         except UpstreamError as error:
-            self._note_end(key, error)
+            self._note_end(key, error, latency_seconds)
             raise
+        latency_seconds = self._application.now() - sent_at
+        return answer
 
     async def async_close(self) -> None:
         """Close all connections."""
+        await self._monitor.async_close()
+        await self._health_client.aclose()
         for connections in self._connections_by_address.values():
             await connections.async_close()
         self._connections_by_address = {}
@@ -129,50 +134,25 @@
             self._connections_by_address[address] = connections
         return connections
 
-    def _note_end(self, key: _UpstreamKey, error: UpstreamError | None) -> None:
+    def _note_end(
+        self,
+        key: UpstreamKey,
+        error: UpstreamError | None,
+        latency_seconds: float,
+    ) -> None:
         """Note how a call ended in the upstream's health."""
-        health = self._health_by_upstream.get(key)
+        if error is None:
+            self._monitor.on_answer(*key, latency_seconds)
+            return
         if isinstance(error, UpstreamMismatchError):
             self._telemetry.count(
                 "answer_mismatch_total", service=key[0], upstream=key[1]
             )
-        if health is None or isinstance(error, _NO_FAULT_OF_UPSTREAM):
-            return
-        before = health.state
-        if error is None:
-            health.note_success()
-        else:
-            health.note_failure(self._application.now())
-            _LOGGER.warning(
-                "upstream call failed",
-                service=key[0],
-                upstream=key[1],
-                error=str(error),
-                run=error.run,
-            )
-        if health.state is before:
-            return
-        self._publish_status()
-        if health.state is HealthState.FAILING:
-            asyncio.get_running_loop().call_later(
-                FAILING_SECONDS, self._note_time, health
-            )
-
-    def _note_time(self, health: AnswerHealth) -> None:
-        health.note_time(self._application.now())
-        self._publish_status()
-
-    def _publish_status(self) -> None:
-        """Rebuild the statuses and tell the listeners of a change."""
-        statuses = {
-            key: UpstreamStatus(
-                self._health_by_upstream[key].state,
-                self._slots_by_upstream[key],
-            )
-            for key in self._address_by_upstream
-        }
-        if statuses == self._status_by_upstream:
-            return
-        self._status_by_upstream = statuses
-        for listener in self._listeners:
-            listener()
+        _LOGGER.warning(
+            "upstream call failed",
+            service=key[0],
+            upstream=key[1],
+            error=str(error),
+            run=error.run,
+        )
+        self._monitor.on_failure(*key, error)
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -32,6 +32,7 @@
     SlotGrant,
     SlotRequest,
 )
+from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http_server import HttpServer
 from lacewingspar_router.settings import Settings
@@ -102,6 +103,15 @@
         return self.publish_result
 
 
+class FakeVmList:
+    """A VM list without leaving VMs."""
+
+    leaving_vms: frozenset[str] = frozenset()
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        del listener
+
+
 class FakeScheduler:
     """Grants the first upstream that is not excluded at once."""
 
@@ -267,6 +277,7 @@
         application.register(CONFIGURATION, configuration)
         application.register(SCHEDULER, scheduler)
         application.register(CLAIMS, claims)
+        application.register(VM_LIST, FakeVmList())
         await upstreams.async_setup(application)
         proxy = CallerProxy(application)
         proxy.apply_configuration()
