--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -102,6 +102,11 @@
         typer.echo(f"lacewingspar: {error}", err=True)
         await application.async_stop()
         return EXIT_FAILED
+    except Exception:
+        # What was set up must not be left behind by a fault in a component.
+        _LOGGER.exception("router cannot start")
+        await application.async_stop()
+        return EXIT_FAILED
     if not is_started:
         await application.async_stop()
         return EXIT_OK
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -211,6 +211,11 @@
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         await receive()
+        if scope["path"] in ("/health", "/load"):
+            # Probes of the router are not calls.
+            await send({"type": "http.response.start", "status": 404})
+            await send({"type": "http.response.body"})
+            return
         if calls is not None:
             calls.append(scope)
         if called is not None:
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -15,6 +15,7 @@
     FakeClaims,
     FakeConfiguration,
     FakeScheduler,
+    FakeVmList,
     answering,
     document,
     events,
@@ -38,6 +39,7 @@
     CONFIGURATION,
 )
 from lacewingspar_router.components.scheduler.models import SCHEDULER
+from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import ComponentNotReadyError
 
 VALUES = {
@@ -93,6 +95,7 @@
         application.register(CONFIGURATION, configuration)
         application.register(SCHEDULER, FakeScheduler(configuration))
         application.register(CLAIMS, FakeClaims())
+        application.register(VM_LIST, FakeVmList())
 
     async def setup_last(application: Application) -> None:
         started(application, None)
@@ -133,6 +136,12 @@
         changed = settings(caller_address=self.address, **changes)
         return asyncio.create_task(main.async_run(changed))
 
+    async def async_wait_started(self, run: "asyncio.Task[int]") -> None:
+        """Wait for the start; a router that ends instead fails the test."""
+        started = asyncio.create_task(self.is_started.wait())
+        await asyncio.wait({started, run}, return_when="FIRST_COMPLETED")
+        assert not run.done()
+
     async def async_chat(self) -> httpx.Response:
         async with httpx.AsyncClient(trust_env=False) as client:
             return await client.post(
@@ -151,7 +160,7 @@
     async with served(upstream) as port:
         daemon = Daemon(monkeypatch, port)
         run = daemon.start()
-        await daemon.is_started.wait()
+        await daemon.async_wait_started(run)
         request = asyncio.create_task(daemon.async_chat())
         await called.wait()
         signal.raise_signal(signal.SIGTERM)
@@ -178,7 +187,7 @@
         daemon = Daemon(monkeypatch, port)
         limit = 3600.0 if is_second_signal else 0.0
         run = daemon.start(drain_limit_seconds=limit)
-        await daemon.is_started.wait()
+        await daemon.async_wait_started(run)
         request = asyncio.create_task(daemon.async_chat())
         await called.wait()
         signal.raise_signal(signal.SIGINT)
--- a/tests/router/test_retries.py
+++ b/tests/router/test_retries.py
@@ -1,6 +1,7 @@
 """Retries of failed attempts."""
 
 import socket
+from contextlib import ExitStack
 from typing import Any
 
 import pytest
@@ -20,12 +21,13 @@
 GOOD = answering(b"good")
 
 
-@pytest.fixture
-def closed_port() -> int:
-    """Return a port on which nothing listens."""
-    with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        return int(unused.getsockname()[1])
+def closed_ports(count: int) -> tuple[int, ...]:
+    """Return ports on which nothing listens."""
+    with ExitStack() as stack:
+        unused = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in unused:
+            item.bind(("127.0.0.1", 0))
+        return tuple(int(item.getsockname()[1]) for item in unused)
 
 
 @pytest.mark.parametrize(
@@ -88,10 +90,8 @@
             assert used == ["upstream-0"]
 
 
-async def test_no_connection_is_retried_even_for_a_post(
-    closed_port: int,
-) -> None:
-    async with routed(GOOD, ports=(closed_port,)) as router:
+async def test_no_connection_is_retried_even_for_a_post() -> None:
+    async with routed(GOOD, ports=closed_ports(1)) as router:
         path = "/services/swap/x"
         answer = await router.client.post(path, headers=AUTHORIZED)
         assert answer.content == b"good"
@@ -99,9 +99,9 @@
         assert outcomes == [SlotOutcome.UPSTREAM_FAILED, SlotOutcome.COMPLETED]
 
 
-async def test_attempts_are_limited(closed_port: int) -> None:
+async def test_attempts_are_limited() -> None:
     """Guards against a request that wears out the whole pool."""
-    async with routed(ports=(closed_port,) * 4) as router:
+    async with routed(ports=closed_ports(4)) as router:
         answer = await router.chat()
         assert answer.json()["error"]["code"] == "upstream_unreachable"
         assert answer.json()["error"]["run"] == "not_run"
