--- a/packages/standins/src/lacewingspar_standins/batching.py
+++ b/packages/standins/src/lacewingspar_standins/batching.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lacewingspar_core.platform import LoadReport
+from lacewingspar_standins.accounts import SlotAccounts
 from lacewingspar_standins.lagged import Lagged
 from lacewingspar_standins.prefix_cache import PrefixCache
 
@@ -35,11 +36,17 @@
         words: Words of the prompt.
         first_token: Number of the first token to generate.
         token_count: Number of tokens of the whole answer.
+        account: Account that the slot time belongs to.
     """
 
     def __init__(
-        self, words: Sequence[str], first_token: int, token_count: int
+        self,
+        words: Sequence[str],
+        first_token: int,
+        token_count: int,
+        account: str = "",
     ) -> None:
+        self.account = account
         self.words = words
         self.first_token = first_token
         self.token_count = token_count
@@ -86,6 +93,7 @@
             (0, 0), options.load_lag_seconds
         )
         self.slot_seconds = 0.0
+        self.accounts = SlotAccounts()
 
     def submit(self, generation: Generation) -> None:
         """Admit a request."""
@@ -131,18 +139,21 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
-        step_at = loop.time()
+        step_at = last_at = loop.time()
         while self._running:
             # A step that is late is not made up for, as in a real engine.
             started_at = max(step_at, loop.time() - self._options.step_seconds)
             step_at = started_at + self._options.step_seconds
             await asyncio.sleep(max(0.0, step_at - loop.time()))
-            self._step(loop.time())
+            now = loop.time()
+            self._step(now, now - last_at)
+            last_at = now
 
-    def _step(self, now: float) -> None:
-        self.slot_seconds += len(self._running) * self._options.step_seconds
+    def _step(self, now: float, elapsed_seconds: float) -> None:
+        self.slot_seconds += len(self._running) * elapsed_seconds
         finished: list[Generation] = []
         for generation in self._running:
+            self.accounts.add(generation.account, elapsed_seconds)
             if generation.ready_at <= now:
                 generation.produced += 1
                 generation.wake()
--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -5,9 +5,13 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from lacewingspar_core.platform import LoadReport
+from lacewingspar_standins.accounts import SlotAccounts, account_of
 from lacewingspar_standins.asgi import BadRequestError, Request
 from lacewingspar_standins.faults import Faults, StandIn
 from lacewingspar_standins.lagged import Lagged
@@ -54,6 +58,12 @@
     load_lag_seconds: float = 0.2
 
 
+class _MarkedBody(msgspec.Struct, frozen=True):
+    """Body of a load generator's call."""
+
+    marker: str
+
+
 @dataclass(slots=True)
 class Runs:
     """Number of runs by what identifies a call."""
@@ -65,17 +75,30 @@
 
 
 class PlainService(StandIn[PlainFaults]):
-    """HTTP interface of the plain service."""
+    """HTTP interface of the plain service.
 
-    def __init__(self, options: PlainOptions, faults: PlainFaults) -> None:
+    Args:
+        options: Options.
+        faults: Faults from the start.
+        work: Does a call's work, given its time in seconds.
+    """
+
+    def __init__(
+        self,
+        options: PlainOptions,
+        faults: PlainFaults,
+        work: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
         super().__init__(faults)
         self._options = options
+        self._work = work
         self._slots = asyncio.Semaphore(options.slots)
         self._running = 0
         self._waiting = 0
         self._load = Lagged((0, 0), options.load_lag_seconds)
         self._silence_count = 0
         self.runs = Runs()
+        self.accounts = SlotAccounts()
 
     def faults_changed(self) -> None:
         """Silence the calls that exist."""
@@ -88,6 +111,8 @@
         match request.method, request.path:
             case "GET", "/_runs":
                 await request.reply(200, self.runs)
+            case "GET", "/accounts":
+                await request.reply(200, self.accounts.as_json())
             case "GET", "/load":
                 await request.reply(200, self._load_report())
             case "GET", "/health":
@@ -148,14 +173,23 @@
             # it runs it is not interrupted.
             if closed.done():
                 return None
-            self._change_load(1, 0)
             number = self._count_run(request, body)
-            await asyncio.sleep(work_seconds)
-            self._change_load(-1, 0)
+            await self._occupy_slot(body, work_seconds)
             return number
         finally:
             self._slots.release()
 
+    async def _occupy_slot(self, body: bytes, work_seconds: float) -> None:
+        """Do the work and account for the time that it took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self._change_load(1, 0)
+        try:
+            await self._work(work_seconds)
+        finally:
+            self._change_load(-1, 0)
+            self.accounts.add(_account(body), loop.time() - started_at)
+
     def _count_run(self, request: Request, body: bytes) -> int:
         marker = self.faults.crash_marker
         if marker and marker.encode() in body:
@@ -192,5 +226,13 @@
         await request.reply(200, value, headers)
 
 
+def _account(body: bytes) -> str:
+    """Return the account that a load generator's body names, or ""."""
+    try:
+        return account_of(msgspec.json.decode(body, type=_MarkedBody).marker)
+    except msgspec.MsgspecError:
+        return ""
+
+
 def _digest(body: bytes) -> str:
     return hashlib.sha256(body).hexdigest()
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -5,7 +5,9 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import httpx
 import msgspec
@@ -89,10 +91,13 @@
     Attributes:
         address: Address as `host:port`.
         control_address: Address of `/faults`.
+        address_by_name: All announced addresses; a link group announces one
+            for each target.
     """
 
     address = ""
     control_address = ""
+    address_by_name: Mapping[str, str] = MappingProxyType({})
 
     @property
     def url(self) -> str:
@@ -116,6 +121,7 @@
                 f"{self.name} announced no address: {self.end_of_log()}"
             )
         addresses = msgspec.json.decode(line, type=dict[str, str])
+        self.address_by_name = addresses
         self.address = addresses["address"]
         self.control_address = addresses.get("control_address", self.address)
 
@@ -154,7 +160,17 @@
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        url = f"http://{admin_address}/ready"
+        await self._wait_for(f"http://{admin_address}/ready", seconds)
+
+    async def wait_live(self, admin_address: str, seconds: float) -> None:
+        """Wait until `GET /live` succeeds.
+
+        Raises:
+            FleetError: The router has ended or the time is over.
+        """
+        await self._wait_for(f"http://{admin_address}/live", seconds)
+
+    async def _wait_for(self, url: str, seconds: float) -> None:
         try:
             async with (
                 asyncio.timeout(seconds),
