Add the demo of a small fleet under load and failures

The load generator can ask for the routers that are ready, as the platform's balancer does, and counts attempts by address.

--- a/packages/router/src/lacewingspar_router/components/telemetry/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/__init__.py
@@ -1,7 +1,5 @@
 """Log lines, metrics and spans of this router."""
 
-from pathlib import Path
-
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.telemetry.log_lines import (
     configure_log_lines,
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo of a small fleet under load and failures."""
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/demo/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the demo with `python -m lacewingspar_standins.demo`."""
+
+from lacewingspar_standins.demo.main import run
+
+run()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/demo/main.py
@@ -0,0 +1,234 @@
+"""Command line of the demo."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator
+from typing import Annotated
+
+import typer
+import uvloop
+
+from lacewingspar_standins.demo.samples import Sampler
+from lacewingspar_standins.demo.small_fleet import (
+    MODEL,
+    SERVICE_PLAIN,
+    FleetOptions,
+    SmallFleet,
+)
+from lacewingspar_standins.demo.summary import check_lines, summary_lines
+from lacewingspar_standins.demo.verdict import (
+    Check,
+    check_answers,
+    check_duplicates,
+    check_not_run,
+    check_served,
+    check_shutdown,
+    read_runs,
+)
+from lacewingspar_standins.fleet import Fleet
+from lacewingspar_standins.fleet_settings import (
+    ADMIN_TOKEN,
+    token_of,
+    workspace_entry,
+)
+from lacewingspar_standins.load import run_load
+from lacewingspar_standins.load_options import LoadOptions, WorkspaceLoad
+from lacewingspar_standins.load_result import LoadResult
+from lacewingspar_standins.process import FleetError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INTERRUPTED = 130
+DEFAULT_SECONDS = 20.0
+# The load goes on after both failures, so that their effect shows.
+KILL_AT_SHARE = 0.4
+TERMINATE_AT_SHARE = 0.6
+KILLED_UPSTREAM = "west-engine-2"
+TERMINATED_ROUTER = "east-router-2"
+MAX_REQUESTS = 100_000
+
+# More clients than slots by weight, so that all workspaces are backlogged. The
+# flood has more clients than its queues admit.
+CLIENTS_BY_WORKSPACE = {"flood": 120, "north": 24, "south": 16}
+WORKSPACES = (
+    workspace_entry("flood", weight=1.0, queue_limit=15),
+    workspace_entry("north", weight=2.0),
+    workspace_entry("south", weight=1.0),
+)
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def demo(
+    seconds: Annotated[
+        float, typer.Option(min=1, max=600, help="Duration of the load.")
+    ] = DEFAULT_SECONDS,
+    keep: Annotated[
+        bool, typer.Option("--keep", help="Keep the fleet until Ctrl-C.")
+    ] = False,
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+) -> None:
+    """Run a small fleet under load, stop an upstream and a router."""
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            code = runner.run(run_demo(seconds, seed, keep=keep))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        typer.echo("interrupted; all processes have ended", err=True)
+        code = EXIT_INTERRUPTED
+    except FleetError as error:
+        typer.echo(f"demo failed: {error}", err=True)
+        code = EXIT_FAILED
+    raise typer.Exit(code)
+
+
+def run() -> None:
+    """Run the command line."""
+    app()
+
+
+async def run_demo(seconds: float, seed: int, *, keep: bool) -> int:
+    """Run the demo and return the exit status."""
+    _cancel_on_signals()
+    async with Fleet() as fleet:
+        small_fleet = SmallFleet(fleet, FleetOptions(WORKSPACES))
+        typer.echo("starting stand-ins and routers")
+        await small_fleet.start()
+        typer.echo(
+            f"{len(small_fleet.routers)} routers and "
+            f"{len(small_fleet.upstreams)} upstreams in 2 data centres"
+        )
+        checks = await _run_main_job(small_fleet, seconds, seed)
+        if keep:
+            await _keep(small_fleet)
+    has_failed = any(check.failures for check in checks)
+    return EXIT_FAILED if has_failed else EXIT_OK
+
+
+async def _run_main_job(
+    small_fleet: SmallFleet, seconds: float, seed: int
+) -> list[Check]:
+    """Run load and failures, print the summary and return the checks."""
+    async with _sampling(small_fleet) as sampler, asyncio.TaskGroup() as group:
+        typer.echo(f"load of three workspaces for {seconds:g} s")
+        failures = group.create_task(_cause_failures(small_fleet, seconds))
+        load = group.create_task(
+            run_load(
+                _load_options(small_fleet, seconds, seed),
+                lambda: sampler.ready_addresses,
+            )
+        )
+        await load
+        await failures
+    result = load.result()
+    weights = {item.name: item.weight for item in WORKSPACES}
+    checks = await _checks(small_fleet, result)
+    for line in (
+        *summary_lines(result, sampler.samples, weights),
+        *check_lines(checks),
+    ):
+        typer.echo(line)
+    return checks
+
+
+@contextlib.asynccontextmanager
+async def _sampling(small_fleet: SmallFleet) -> AsyncIterator[Sampler]:
+    sampler = Sampler(small_fleet)
+    task = asyncio.create_task(sampler.run())
+    try:
+        yield sampler
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def _cause_failures(small_fleet: SmallFleet, seconds: float) -> None:
+    """Kill an upstream and terminate a router during the load."""
+    await asyncio.sleep(seconds * KILL_AT_SHARE)
+    typer.echo(f"SIGKILL to upstream {KILLED_UPSTREAM}")
+    upstreams = {
+        name: item for (_, name), item in small_fleet.upstreams.items()
+    }
+    upstreams[KILLED_UPSTREAM].kill()
+    await asyncio.sleep(seconds * (TERMINATE_AT_SHARE - KILL_AT_SHARE))
+    router = small_fleet.routers[TERMINATED_ROUTER]
+    typer.echo(f"SIGTERM to router {TERMINATED_ROUTER}")
+    router.terminate()
+    status = await router.wait()
+    typer.echo(f"router {TERMINATED_ROUTER} ended with status {status}")
+
+
+async def _checks(small_fleet: SmallFleet, result: LoadResult) -> list[Check]:
+    runs = await read_runs(small_fleet)
+    return [
+        check_answers(result),
+        check_duplicates(result, runs),
+        check_not_run(result, runs),
+        check_shutdown(
+            result,
+            small_fleet.routers[TERMINATED_ROUTER],
+            small_fleet.plans[TERMINATED_ROUTER].caller_address,
+        ),
+        check_served(result),
+    ]
+
+
+def _load_options(
+    small_fleet: SmallFleet, seconds: float, seed: int
+) -> LoadOptions:
+    return LoadOptions(
+        addresses=small_fleet.caller_addresses,
+        workspaces=tuple(
+            WorkspaceLoad(name=name, token=token_of(name), concurrency=clients)
+            for name, clients in CLIENTS_BY_WORKSPACE.items()
+        ),
+        seed=seed,
+        max_requests=MAX_REQUESTS,
+        max_seconds=seconds,
+        chat_share=0.8,
+        stream_share=0.6,
+        keyed_share=0.5,
+        model=MODEL,
+        plain_path=f"/services/{SERVICE_PLAIN}/work",
+    )
+
+
+async def _keep(small_fleet: SmallFleet) -> None:
+    """Print how to use the fleet and wait for a signal."""
+    token = token_of("north")
+    address = ""
+    typer.echo("Routers (callers / administration)")
+    for router_id, plan in small_fleet.plans.items():
+        if small_fleet.routers[router_id].is_running:
+            address = plan.caller_address
+            typer.echo(
+                f"  {router_id}: http://{address} / http://{plan.admin_address}"
+            )
+    typer.echo(f"Token of workspace north: {token}")
+    typer.echo(f"Administration token: {ADMIN_TOKEN}")
+    body = (
+        f'{{"model": "{MODEL}", "stream": true, "max_tokens": 8, '
+        '"messages": [{"role": "user", "content": "hello"}]}'
+    )
+    typer.echo(
+        f"curl -N http://{address}/v1/chat/completions "
+        f"-H 'Authorization: Bearer {token}' "
+        f"-H 'Content-Type: application/json' -d '{body}'"
+    )
+    typer.echo("Ctrl-C ends the fleet")
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is not None:
+            task.uncancel()
+
+
+def _cancel_on_signals() -> None:
+    """Cancel the demo on SIGINT and SIGTERM, so that it cleans up."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/demo/small_fleet.py
@@ -0,0 +1,169 @@
+"""Two data centres with two routers each, stand-ins and documents."""
+
+from dataclasses import dataclass, field
+
+from lacewingspar_core.documents import (
+    Limits,
+    ServiceDocument,
+    ServiceKind,
+    Upstream,
+    Workspace,
+)
+from lacewingspar_standins.fleet import DEFAULT_READY_SECONDS, Fleet
+from lacewingspar_standins.fleet_settings import RouterPlan
+from lacewingspar_standins.process import RouterProcess, StandInProcess
+
+SERVICE_MODEL = "chat"
+SERVICE_PLAIN = "orders"
+MODEL = "demo-model"
+DATA_CENTRES = ("east", "west")
+ROUTERS_PER_DATA_CENTRE = 2
+DRAIN_LIMIT_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """Size of the fleet.
+
+    Attributes:
+        workspaces: Workspaces of both services.
+        engines_per_data_centre: Model engines in each data centre.
+        plains_per_data_centre: Plain services in each data centre.
+        engine_slots: Slots of an engine.
+        plain_slots: Slots of a plain service.
+        step_ms: Time between two tokens of a request.
+    """
+
+    workspaces: tuple[Workspace, ...]
+    engines_per_data_centre: int = 2
+    plains_per_data_centre: int = 1
+    engine_slots: int = 4
+    plain_slots: int = 4
+    step_ms: float = 10
+
+
+@dataclass(slots=True)
+class SmallFleet:
+    """Processes of a fleet with two services.
+
+    Attributes:
+        fleet: Harness that owns the processes.
+        options: Size.
+        plans: Routers by id.
+        routers: Router processes by id.
+        upstreams: Stand-ins by (service, upstream id).
+    """
+
+    fleet: Fleet
+    options: FleetOptions
+    plans: dict[str, RouterPlan] = field(default_factory=dict)
+    routers: dict[str, RouterProcess] = field(default_factory=dict)
+    upstreams: dict[tuple[str, str], StandInProcess] = field(
+        default_factory=dict
+    )
+
+    @property
+    def caller_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of all routers for callers."""
+        return tuple(plan.caller_address for plan in self.plans.values())
+
+    def upstreams_of(self, service: str) -> dict[str, StandInProcess]:
+        """Return the stand-ins of a service by upstream id."""
+        return {
+            upstream_id: standin
+            for (name, upstream_id), standin in self.upstreams.items()
+            if name == service
+        }
+
+    def slots_of(self, service: str) -> int:
+        """Return the number of slots of one upstream of a service."""
+        if service == SERVICE_MODEL:
+            return self.options.engine_slots
+        return self.options.plain_slots
+
+    async def start(self) -> None:
+        """Start all processes, publish both documents, wait until ready."""
+        await self._start_upstreams()
+        await self._start_routers()
+        for router_id, plan in self.plans.items():
+            await self.routers[router_id].wait_live(
+                plan.admin_address, DEFAULT_READY_SECONDS
+            )
+        for document in self.documents():
+            first = next(iter(self.plans.values()))
+            await self.fleet.publish(first.admin_address, document)
+        for router_id, plan in self.plans.items():
+            await self.routers[router_id].wait_ready(
+                plan.admin_address, DEFAULT_READY_SECONDS
+            )
+
+    def documents(self) -> tuple[ServiceDocument, ServiceDocument]:
+        """Return the documents of the model service and the plain service."""
+        limits = Limits(silent_after_seconds=10.0)
+        return (
+            ServiceDocument(
+                service=SERVICE_MODEL,
+                kind=ServiceKind.MODEL,
+                upstreams=self._entries(SERVICE_MODEL, (MODEL,)),
+                workspaces=self.options.workspaces,
+                limits=limits,
+            ),
+            ServiceDocument(
+                service=SERVICE_PLAIN,
+                kind=ServiceKind.PLAIN,
+                upstreams=self._entries(SERVICE_PLAIN, ()),
+                workspaces=self.options.workspaces,
+                limits=limits,
+            ),
+        )
+
+    def _entries(
+        self, service: str, models: tuple[str, ...]
+    ) -> tuple[Upstream, ...]:
+        return tuple(
+            Upstream(
+                id=upstream_id,
+                data_centre=upstream_id.split("-")[0],
+                address=standin.url,
+                slots=self.slots_of(service),
+                models=models,
+            )
+            for upstream_id, standin in self.upstreams_of(service).items()
+        )
+
+    async def _start_upstreams(self) -> None:
+        options = self.options
+        for data_centre in DATA_CENTRES:
+            for number in range(1, options.engines_per_data_centre + 1):
+                name = f"{data_centre}-engine-{number}"
+                engine = await self.fleet.start_standin(
+                    "engine",
+                    name=name,
+                    model=MODEL,
+                    slots=options.engine_slots,
+                    step_ms=options.step_ms,
+                )
+                self.upstreams[(SERVICE_MODEL, name)] = engine
+            for number in range(1, options.plains_per_data_centre + 1):
+                name = f"{data_centre}-plain-{number}"
+                plain = await self.fleet.start_standin(
+                    "plain", name=name, slots=options.plain_slots
+                )
+                self.upstreams[(SERVICE_PLAIN, name)] = plain
+
+    async def _start_routers(self) -> None:
+        log = await self.fleet.start_standin("log", name="log")
+        vms = await self.fleet.start_standin("vms", name="vms")
+        for data_centre in DATA_CENTRES:
+            for number in range(1, ROUTERS_PER_DATA_CENTRE + 1):
+                router_id = f"{data_centre}-router-{number}"
+                plan = self.fleet.plan_router(router_id, data_centre)
+                self.plans[router_id] = plan
+        for router_id, plan in self.plans.items():
+            self.routers[router_id] = await self.fleet.start_router(
+                plan,
+                log_url=log.url,
+                vms_url=vms.url,
+                peers=tuple(self.plans.values()),
+                drain_limit_seconds=DRAIN_LIMIT_SECONDS,
+            )
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/demo/verdict.py
@@ -0,0 +1,135 @@
+"""Checks of what must hold in the demo."""
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from lacewingspar_standins.demo.small_fleet import (
+    SERVICE_MODEL,
+    SERVICE_PLAIN,
+    SmallFleet,
+)
+from lacewingspar_standins.load import OUTCOME_OK
+from lacewingspar_standins.load_check import (
+    OUTCOME_BROKEN,
+    OUTCOME_WRONG_ANSWER,
+)
+from lacewingspar_standins.load_result import LoadResult
+from lacewingspar_standins.process import RouterProcess
+
+CUT_LOG_LINE = b"request cut by shutdown"
+# What a caller sees when a router ends before it has answered.
+CUT_OUTCOMES = (OUTCOME_BROKEN, "no_answer")
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Something that must hold.
+
+    Attributes:
+        name: What must hold.
+        failures: What was seen instead; empty if it holds.
+    """
+
+    name: str
+    failures: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Runs:
+    """Runs that the upstreams counted.
+
+    Attributes:
+        by_key: Runs of keyed calls by key.
+        by_request_id: Runs by request id.
+    """
+
+    by_key: Counter[str]
+    by_request_id: Counter[str]
+
+
+async def read_runs(small_fleet: SmallFleet) -> Runs:
+    """Read the runs from the upstreams that still run."""
+    runs = Runs(Counter(), Counter())
+    for standin in small_fleet.upstreams_of(SERVICE_PLAIN).values():
+        counted: dict[str, Any] = await standin.get("/_runs")
+        runs.by_key.update(counted["by_key"])
+        runs.by_request_id.update(counted["by_request_id"])
+    for standin in small_fleet.upstreams_of(SERVICE_MODEL).values():
+        if standin.is_running:
+            stats: dict[str, Any] = await standin.get("/stats")
+            runs.by_request_id.update(stats["runs_by_request_id"])
+    return runs
+
+
+def check_answers(result: LoadResult) -> Check:
+    """Check that no answer was mixed up or wrongly looked complete."""
+    failures = result.problems
+    wrong = result.count(OUTCOME_WRONG_ANSWER)
+    if wrong and not failures:
+        failures = (f"{wrong} wrong answers",)
+    return Check("answers are whole and belong to their requests", failures)
+
+
+def check_duplicates(result: LoadResult, runs: Runs) -> Check:
+    """Check that keyed calls ran at most once, and once if answered."""
+    failures = [
+        f"key {key} ran {count} times"
+        for key, count in runs.by_key.items()
+        if count > 1
+    ]
+    # Routers put the workspace before the key.
+    run_keys = {key.partition("/")[2] for key in runs.by_key}
+    failures += [
+        f"key {key} was answered but did not run"
+        for key in result.answered_keys
+        if key not in run_keys
+    ]
+    return Check("keyed calls ran at most once", tuple(failures))
+
+
+def check_not_run(result: LoadResult, runs: Runs) -> Check:
+    """Check that no request that was reported as not run has run."""
+    failures = [
+        f"request {request_id} ran"
+        for request_id in result.not_run_request_ids
+        if runs.by_request_id[request_id]
+    ]
+    return Check("requests reported as not run did not run", tuple(failures))
+
+
+def check_served(result: LoadResult) -> Check:
+    """Check that every workspace got answers."""
+    failures = [
+        f"workspace {name} got no answer"
+        for name, of_workspace in result.by_workspace.items()
+        if not of_workspace.finals_by_outcome.get(OUTCOME_OK)
+    ]
+    return Check("every workspace was served", tuple(failures))
+
+
+def check_shutdown(
+    result: LoadResult, router: RouterProcess, address: str
+) -> Check:
+    """Check that a router that was terminated ended without cutting.
+
+    Args:
+        result: Result of the load.
+        router: The router, after its end.
+        address: Its address for callers.
+    """
+    failures: list[str] = []
+    status = router.process.returncode
+    if status != 0:
+        failures.append(f"{router.name} has exit status {status}")
+    cut_lines = router.log_file.read_bytes().count(CUT_LOG_LINE)
+    if cut_lines:
+        failures.append(f"{router.name} logged {cut_lines} cut requests")
+    attempts = result.attempts_by_address.get(address, {})
+    failures += [
+        f"{attempts[outcome]} attempts at {router.name} ended as {outcome}"
+        for outcome in CUT_OUTCOMES
+        if attempts.get(outcome)
+    ]
+    name = "the terminated router cut no request and exited with status 0"
+    return Check(name, tuple(failures))
--- a/packages/standins/src/lacewingspar_standins/load.py
+++ b/packages/standins/src/lacewingspar_standins/load.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from lacewingspar_standins.http_client import ClientError, ConnectionPool
@@ -47,10 +47,21 @@
 
 
 class LoadGenerator:
-    """One run of the load generator."""
+    """One run of the load generator.
 
-    def __init__(self, options: LoadOptions) -> None:
+    Args:
+        options: Options of the run.
+        read_addresses: Returns the routers that take requests now, as a load
+            balancer would; None uses those of the options.
+    """
+
+    def __init__(
+        self,
+        options: LoadOptions,
+        read_addresses: Callable[[], Sequence[str]] | None = None,
+    ) -> None:
         self._options = options
+        self._read_addresses = read_addresses or (lambda: options.addresses)
         self._pool = ConnectionPool()
         self._recorder = Recorder(tuple(w.name for w in options.workspaces))
         self._address_draw = random.Random(options.seed)
@@ -111,8 +122,12 @@
         self._in_flight += 1
         ending = _Ending(OUTCOME_NOT_SENT)
         for _ in range(self._options.max_attempts):
-            ending = await self._attempt(planned, workspace, started_at)
+            address = self._address_draw.choice(self._read_addresses())
+            ending = await self._attempt(
+                planned, workspace, started_at, address
+            )
             recorder.attempts[ending.outcome] += 1
+            self._recorder.attempts_by_address[address][ending.outcome] += 1
             remaining = max(0.0, self._ends_at - time.monotonic())
             await asyncio.sleep(min(ending.retry_after_seconds, remaining))
             if not ending.may_repeat or time.monotonic() >= self._ends_at:
@@ -127,10 +142,10 @@
         planned: PlannedRequest,
         workspace: WorkspaceLoad,
         started_at: float,
+        address: str,
     ) -> _Ending:
         """Send a request once."""
         recorder = self._recorder.by_workspace[workspace.name]
-        address = self._address_draw.choice(self._options.addresses)
         exchange = Exchange(
             planned, workspace.token, address, started_at, recorder
         )
@@ -168,6 +183,9 @@
             self._recorder.record_not_run(error.request_id)
 
 
-async def run_load(options: LoadOptions) -> LoadResult:
+async def run_load(
+    options: LoadOptions,
+    read_addresses: Callable[[], Sequence[str]] | None = None,
+) -> LoadResult:
     """Run the load generator once."""
-    return await LoadGenerator(options).run()
+    return await LoadGenerator(options, read_addresses).run()
--- a/packages/standins/src/lacewingspar_standins/load_result.py
+++ b/packages/standins/src/lacewingspar_standins/load_result.py
@@ -1,6 +1,6 @@
 """Result of a load generator run."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -67,6 +67,7 @@
         not_run_request_ids: Request ids that were reported as `not_run`, to
             be compared with the runs that the upstreams counted.
         answered_keys: Idempotency keys whose call was answered.
+        attempts_by_address: Attempts by router address and outcome.
     """
 
     seconds: float
@@ -74,6 +75,7 @@
     problems: tuple[str, ...]
     not_run_request_ids: tuple[str, ...]
     answered_keys: tuple[str, ...]
+    attempts_by_address: dict[str, dict[str, int]]
 
     def count(self, outcome: str) -> int:
         """Return the number of requests with an outcome."""
@@ -122,6 +124,9 @@
     def __init__(self, workspaces: tuple[str, ...]) -> None:
         self.by_workspace = {name: WorkspaceRecorder() for name in workspaces}
         self.answered_keys: list[str] = []
+        self.attempts_by_address: defaultdict[str, Counter[str]] = defaultdict(
+            Counter
+        )
         self._problems: list[str] = []
         self._not_run_request_ids: list[str] = []
         self._answered_ids: set[str] = set()
@@ -153,6 +158,10 @@
             problems=tuple(self._problems),
             not_run_request_ids=tuple(self._not_run_request_ids),
             answered_keys=tuple(self.answered_keys),
+            attempts_by_address={
+                address: dict(counts)
+                for address, counts in self.attempts_by_address.items()
+            },
         )
 
 
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -148,13 +148,23 @@
 class RouterProcess(ManagedProcess):
     """A router."""
 
+    async def wait_live(self, admin_address: str, seconds: float) -> None:
+        """Wait until the administration API answers.
+
+        Raises:
+            FleetError: The router has ended or the time is over.
+        """
+        await self._wait_ok(f"http://{admin_address}/live", seconds)
+
     async def wait_ready(self, admin_address: str, seconds: float) -> None:
         """Wait until `GET /ready` succeeds.
 
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        url = f"http://{admin_address}/ready"
+        await self._wait_ok(f"http://{admin_address}/ready", seconds)
+
+    async def _wait_ok(self, url: str, seconds: float) -> None:
         try:
             async with (
                 asyncio.timeout(seconds),
@@ -168,8 +178,8 @@
                     await asyncio.sleep(0.05)
         except TimeoutError:
             pass
-        state = "not ready" if self.is_running else "ended"
-        raise FleetError(f"{self.name} is {state}: {self.end_of_log()}")
+        state = "not answered" if self.is_running else "ended"
+        raise FleetError(f"{self.name} has {state} {url}: {self.end_of_log()}")
 
 
 async def spawn(
