Add the benchmark of the request path

One engine is called directly, through a bare proxy of the router's libraries and through a router. Times in the answers separate the way from the time in the engine.

--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, one module each."""
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/path.py
@@ -0,0 +1,241 @@
+"""Benchmark `path`: what a router adds on the way of a request."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+
+from lacewingspar_standins.bench.path_client import (
+    OpenLoop,
+    PathClient,
+    run_closed_loop,
+    run_open_loop,
+)
+from lacewingspar_standins.bench.process_usage import CpuMeter, resident_bytes
+from lacewingspar_standins.bench.report import (
+    Report,
+    new_report,
+    percentile,
+    print_report,
+)
+from lacewingspar_standins.bench.rig import (
+    MODEL_FAST,
+    MODEL_SLOW,
+    PathRig,
+    start_path_rig,
+)
+from lacewingspar_standins.fleet import Fleet
+
+WAYS = ("direct", "bare", "router")
+MEASURED_WAYS = ("bare", "router")
+PERCENTS = (50, 99)
+REQUESTS_PER_SECOND = 7.0
+TOKENS_PER_SECOND = 2150
+TARGET_ADDED_MS = 3.0
+TARGET_EVENT_RATIO = 2.0
+# Enough clients to keep one core busy.
+REQUEST_CLIENTS = 64
+SATURATING_STREAMS = 400
+# At about half a core each event passes alone, while a busy router passes
+# several events at once, which costs less for each.
+STEADY_STREAMS = 30
+STREAM_TOKENS = 150
+OPEN_STREAMS = 1000
+OPEN_STREAM_TOKENS = 600
+MIB = 1024 * 1024
+
+Figures = dict[str, float]
+
+
+def path_command(
+    rounds: Annotated[int, typer.Option(min=1, max=50)] = 3,
+    seconds: Annotated[
+        float, typer.Option(min=1, max=120, help="Time of each phase.")
+    ] = 6.0,
+    seed: int = 1,
+    output: Annotated[
+        Path | None, typer.Option(help="File for the figures as JSON.")
+    ] = None,
+) -> None:
+    """Compare the way through a router with a bare proxy and no proxy."""
+    report = uvloop.run(run_path(rounds, seconds, seed))
+    print_report(report, output)
+    for line in target_lines(report):
+        typer.echo(line, err=True)
+
+
+async def run_path(rounds: int, seconds: float, seed: int) -> Report:
+    """Run all rounds and return the figures."""
+    figures: list[Figures] = []
+    async with Fleet() as fleet:
+        rig = await start_path_rig(fleet)
+        rest = await _at_rest(rig, seconds)
+        for number in range(rounds):
+            typer.echo(f"round {number + 1} of {rounds}", err=True)
+            figures.append(rest | await _round(rig, seconds, seed + number))
+        figures[-1] |= await _open_streams(rig)
+    options = {"rounds": rounds, "seconds": seconds, "seed": seed}
+    return new_report("path", options, figures)
+
+
+def target_lines(report: Report) -> list[str]:
+    """Return a line for each target."""
+    lines = []
+    for kind in ("whole", "first_event", "event"):
+        name = f"{kind}_added_router_p99_ms"
+        value = report.medians[name]
+        state = "met" if value < TARGET_ADDED_MS else "missed"
+        lines.append(f"{name} {value:.3f}: target {TARGET_ADDED_MS:g} {state}")
+    ratio = report.medians["cpu_per_event_router_to_bare"]
+    state = "met" if ratio < TARGET_EVENT_RATIO else "missed"
+    lines.append(
+        f"cpu_per_event_router_to_bare {ratio:.3f}: "
+        f"target {TARGET_EVENT_RATIO:g} {state}"
+    )
+    return lines
+
+
+async def _round(rig: PathRig, seconds: float, seed: int) -> Figures:
+    return {
+        **await _latency(rig, seconds, seed),
+        **await _requests(rig, seconds),
+        **await _steady_events(rig, seconds),
+        **await _saturating_events(rig, seconds),
+    }
+
+
+async def _latency(rig: PathRig, seconds: float, seed: int) -> Figures:
+    """Return the times on the way at the load of the target size."""
+    plan = OpenLoop(
+        seed,
+        seconds,
+        REQUESTS_PER_SECOND,
+        round(TOKENS_PER_SECOND / REQUESTS_PER_SECOND),
+    )
+    figures: Figures = {}
+    for way in WAYS:
+        client = PathClient(rig.address_of(way), MODEL_FAST)
+        await run_open_loop(client, plan, stream=False)
+        await run_open_loop(client, plan, stream=True)
+        client.close()
+        for kind, values in (
+            ("whole", client.times.whole),
+            ("first_event", client.times.first_event),
+            ("event", client.times.event),
+        ):
+            for percent in PERCENTS:
+                value = percentile(values, percent)
+                direct = figures.get(f"{kind}_direct_p{percent}_ms", value)
+                figures[f"{kind}_{way}_p{percent}_ms"] = value
+                if way != "direct":
+                    name = f"{kind}_added_{way}_p{percent}_ms"
+                    figures[name] = value - direct
+    return figures
+
+
+async def _requests(rig: PathRig, seconds: float) -> Figures:
+    """Return how many whole requests one process carries."""
+    figures: Figures = {}
+    for way in MEASURED_WAYS:
+        client = PathClient(rig.address_of(way), MODEL_FAST)
+        meter = CpuMeter(rig.pid_of(way))
+        await run_closed_loop(
+            client,
+            clients=REQUEST_CLIENTS,
+            seconds=seconds,
+            tokens=1,
+            stream=False,
+        )
+        figures |= {
+            f"requests_per_second_{way}": client.answers
+            / meter.elapsed_seconds(),
+            f"requests_cores_{way}": meter.used_seconds()
+            / meter.elapsed_seconds(),
+            f"cpu_per_request_{way}_us": meter.used_seconds()
+            / client.answers
+            * 1e6,
+        }
+        client.close()
+    figures["cpu_per_request_router_to_bare"] = (
+        figures["cpu_per_request_router_us"]
+        / figures["cpu_per_request_bare_us"]
+    )
+    return figures
+
+
+async def _steady_events(rig: PathRig, seconds: float) -> Figures:
+    """Return the processor time of one event that passes alone."""
+    figures: Figures = {}
+    for way in MEASURED_WAYS:
+        client, meter = await _streams(rig, way, STEADY_STREAMS, seconds)
+        figures[f"cpu_per_event_{way}_us"] = (
+            meter.used_seconds() / client.events * 1e6
+        )
+        figures[f"steady_events_per_second_{way}"] = (
+            client.events / meter.elapsed_seconds()
+        )
+    figures["cpu_per_event_router_to_bare"] = (
+        figures["cpu_per_event_router_us"] / figures["cpu_per_event_bare_us"]
+    )
+    return figures
+
+
+async def _saturating_events(rig: PathRig, seconds: float) -> Figures:
+    """Return how many events one process carries."""
+    figures: Figures = {}
+    for way in MEASURED_WAYS:
+        client, meter = await _streams(rig, way, SATURATING_STREAMS, seconds)
+        elapsed = meter.elapsed_seconds()
+        figures[f"events_per_second_{way}"] = client.events / elapsed
+        figures[f"events_cores_{way}"] = meter.used_seconds() / elapsed
+    return figures
+
+
+async def _streams(
+    rig: PathRig, way: str, count: int, seconds: float
+) -> tuple[PathClient, CpuMeter]:
+    client = PathClient(rig.address_of(way), MODEL_FAST)
+    meter = CpuMeter(rig.pid_of(way))
+    await run_closed_loop(
+        client,
+        clients=count,
+        seconds=seconds,
+        tokens=STREAM_TOKENS,
+        stream=True,
+    )
+    client.close()
+    return client, meter
+
+
+async def _at_rest(rig: PathRig, seconds: float) -> Figures:
+    """Return what the router uses without load."""
+    meter = CpuMeter(rig.pid_of("router"))
+    await asyncio.sleep(seconds)
+    return {
+        "rest_cores_router": meter.used_seconds() / meter.elapsed_seconds(),
+        "rest_memory_router_mib": resident_bytes(rig.pid_of("router")) / MIB,
+        "rest_memory_bare_mib": resident_bytes(rig.slow_proxy.process.pid)
+        / MIB,
+    }
+
+
+async def _open_streams(rig: PathRig) -> Figures:
+    """Return the memory with many open streams."""
+    figures: Figures = {}
+    for way, address, pid in (
+        ("bare", rig.slow_proxy.address, rig.slow_proxy.process.pid),
+        ("router", rig.router_address, rig.pid_of("router")),
+    ):
+        client = PathClient(address, MODEL_SLOW)
+        before = resident_bytes(pid)
+        streams = [
+            client.parts(OPEN_STREAM_TOKENS) for _ in range(OPEN_STREAMS)
+        ]
+        await asyncio.gather(*(anext(stream) for stream in streams))
+        after = resident_bytes(pid)
+        await asyncio.gather(*(stream.aclose() for stream in streams))  # type: ignore[attr-defined]
+        figures[f"open_streams_memory_{way}_mib"] = after / MIB
+        figures[f"open_streams_added_{way}_mib"] = (after - before) / MIB
+    return figures
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/processes.py
@@ -0,0 +1,47 @@
+"""Command line of the processes that benchmarks start."""
+
+import typer
+
+from lacewingspar_standins.batching import BatchOptions
+from lacewingspar_standins.bench.bare_proxy import bare_app
+from lacewingspar_standins.bench.stamps import StampedApp
+from lacewingspar_standins.engine import Engine
+from lacewingspar_standins.engine_options import EngineFaults, EngineOptions
+from lacewingspar_standins.main import run_loop
+from lacewingspar_standins.server import serve
+
+HOST = "127.0.0.1"
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+
+@app.command()
+def engine(model: str = "model", slots: int = 16, step_ms: float = 10) -> None:
+    """Run a model engine whose answers carry times."""
+    options = EngineOptions(
+        models=(model,),
+        batch=BatchOptions(
+            slots=slots,
+            step_seconds=step_ms / 1000,
+            prompt_token_seconds=0.0,
+        ),
+    )
+
+    async def main() -> None:
+        await serve(StampedApp(Engine(options, EngineFaults())), HOST, 0)
+
+    run_loop(main())
+
+
+@app.command()
+def proxy(target: str = "") -> None:
+    """Run the bare proxy."""
+
+    async def main() -> None:
+        await serve(bare_app(target), HOST, 0)
+
+    run_loop(main())
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/rig.py
@@ -0,0 +1,117 @@
+"""One router and one bare proxy in front of the same engine."""
+
+from dataclasses import dataclass
+
+from lacewingspar_core.documents import ServiceDocument, ServiceKind, Upstream
+from lacewingspar_standins.fleet import DEFAULT_READY_SECONDS, Fleet
+from lacewingspar_standins.fleet_settings import workspace_entry
+from lacewingspar_standins.process import RouterProcess, StandInProcess
+
+PROCESS_MODULE = "lacewingspar_standins.bench.processes"
+WORKSPACE = "bench"
+MODEL_FAST = "fast"
+MODEL_SLOW = "slow"
+DATA_CENTRE = "east"
+ENGINE_SLOTS = 2048
+STEP_MS = 10
+# Many open streams should load the memory of the router, not its processor.
+SLOW_STEP_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class PathRig:
+    """Processes of the benchmark.
+
+    Attributes:
+        engine: Engine with the fast model.
+        slow_engine: Engine with the slow model.
+        proxy: Bare proxy in front of the fast engine.
+        slow_proxy: Bare proxy in front of the slow engine.
+        router: Router in front of both engines.
+        router_address: Its address for callers.
+    """
+
+    engine: StandInProcess
+    slow_engine: StandInProcess
+    proxy: StandInProcess
+    slow_proxy: StandInProcess
+    router: RouterProcess
+    router_address: str
+
+    def pid_of(self, way: str) -> int:
+        """Return the process that is measured on a way to the engine."""
+        process = self.router if way == "router" else self.proxy
+        return process.process.pid
+
+    def address_of(self, way: str) -> str:
+        """Return where requests for the fast model go."""
+        return {
+            "direct": self.engine.address,
+            "bare": self.proxy.address,
+            "router": self.router_address,
+        }[way]
+
+
+async def start_path_rig(fleet: Fleet) -> PathRig:
+    """Start all processes and publish the document."""
+    log = await fleet.start_standin("log", name="log")
+    vms = await fleet.start_standin("vms", name="vms")
+    engine = await _start_engine(fleet, MODEL_FAST, STEP_MS)
+    slow_engine = await _start_engine(fleet, MODEL_SLOW, SLOW_STEP_MS)
+    proxy = await _start_proxy(fleet, "proxy", engine)
+    slow_proxy = await _start_proxy(fleet, "slow-proxy", slow_engine)
+    plan = fleet.plan_router("router", DATA_CENTRE)
+    router = await fleet.start_router(
+        plan, log_url=log.url, vms_url=vms.url, log_level="warning"
+    )
+    await router.wait_live(plan.admin_address, DEFAULT_READY_SECONDS)
+    document = ServiceDocument(
+        service="models",
+        kind=ServiceKind.MODEL,
+        upstreams=(
+            _upstream(MODEL_FAST, engine),
+            _upstream(MODEL_SLOW, slow_engine),
+        ),
+        workspaces=(workspace_entry(WORKSPACE, queue_limit=10_000),),
+    )
+    await fleet.publish(plan.admin_address, document)
+    await router.wait_ready(plan.admin_address, DEFAULT_READY_SECONDS)
+    return PathRig(
+        engine=engine,
+        slow_engine=slow_engine,
+        proxy=proxy,
+        slow_proxy=slow_proxy,
+        router=router,
+        router_address=plan.caller_address,
+    )
+
+
+async def _start_engine(
+    fleet: Fleet, model: str, step_ms: float
+) -> StandInProcess:
+    return await fleet.start_standin(
+        "engine",
+        name=f"engine-{model}",
+        module=PROCESS_MODULE,
+        model=model,
+        slots=ENGINE_SLOTS,
+        step_ms=step_ms,
+    )
+
+
+async def _start_proxy(
+    fleet: Fleet, name: str, engine: StandInProcess
+) -> StandInProcess:
+    return await fleet.start_standin(
+        "proxy", name=name, module=PROCESS_MODULE, target=engine.url
+    )
+
+
+def _upstream(model: str, engine: StandInProcess) -> Upstream:
+    return Upstream(
+        id=model,
+        data_centre=DATA_CENTRE,
+        address=engine.url,
+        slots=ENGINE_SLOTS,
+        models=(model,),
+    )
--- a/packages/standins/src/lacewingspar_standins/fleet.py
+++ b/packages/standins/src/lacewingspar_standins/fleet.py
@@ -83,6 +83,7 @@
         kind: str,
         *,
         name: str | None = None,
+        module: str = STANDIN_MODULE,
         faults: Mapping[str, Any] | None = None,
         **options: Any,
     ) -> StandInProcess:
@@ -91,11 +92,12 @@
         Args:
             kind: Command of `lacewingspar-standin`, such as `engine`.
             name: Name in the fleet.
+            module: Module that has the command.
             faults: Faults from the start.
             **options: Options of the command, such as `step_ms=5`; a list or
                 tuple repeats the option.
         """
-        arguments = ["-m", STANDIN_MODULE, kind]
+        arguments = ["-m", module, kind]
         for key, value in options.items():
             values = value if isinstance(value, list | tuple) else [value]
             for item in values:
