--- a/packages/standins/src/lacewingspar_standins/bench/path.py
+++ b/packages/standins/src/lacewingspar_standins/bench/path.py
@@ -194,7 +194,9 @@
             f"cpu_per_request_{way}_us": meter.used_seconds()
             / client.answers
             * 1e6,
+            f"requests_failed_{way}": len(client.errors),
         }
+        _show_errors(client, way)
         client.close()
     figures["cpu_per_request_router_to_bare"] = (
         figures["cpu_per_request_router_us"]
@@ -243,10 +245,20 @@
         tokens=STREAM_TOKENS,
         stream=True,
     )
+    _show_errors(client, way)
     client.close()
     return client, meter
 
 
+def _show_errors(client: PathClient, way: str) -> None:
+    if client.errors:
+        typer.echo(
+            f"{way}: {len(client.errors)} requests failed, "
+            f"the first with {client.errors[0]}",
+            err=True,
+        )
+
+
 async def _at_rest(rig: PathRig, seconds: float) -> Figures:
     """Return what the router uses without load."""
     meter = CpuMeter(rig.pid_of("router"))
--- a/packages/standins/src/lacewingspar_standins/bench/path_client.py
+++ b/packages/standins/src/lacewingspar_standins/bench/path_client.py
@@ -25,6 +25,7 @@
 _EVENT_MARK = b"data: "
 # The last event and the end marker carry no token.
 _EVENTS_WITHOUT_TOKEN = 2
+ERROR_PAUSE_SECONDS = 0.1
 
 
 class PathError(Exception):
@@ -57,12 +58,14 @@
         times: Times on the way.
         answers: Number of complete answers.
         events: Number of token events received.
+        errors: Requests of closed loops that failed, and why.
     """
 
     def __init__(self, address: str, model: str) -> None:
         self.times = Times()
         self.answers = 0
         self.events = 0
+        self.errors: list[str] = []
         self._address = address
         self._model = model
         self._pool = ConnectionPool()
@@ -147,7 +150,8 @@
         )
         await connection.exchange(data)
         if connection.status != 200:
-            raise PathError(f"status {connection.status}")
+            body = b"".join([part async for part in connection.parts()])
+            raise PathError(f"{connection.status} {body[:300]!r}")
 
 
 async def run_open_loop(
@@ -183,7 +187,11 @@
 
     async def run_client() -> None:
         while time.monotonic() < ends_at:
-            await (client.stream if stream else client.whole)(tokens)
+            try:
+                await (client.stream if stream else client.whole)(tokens)
+            except PathError as error:
+                client.errors.append(str(error))
+                await asyncio.sleep(ERROR_PAUSE_SECONDS)
 
     async with asyncio.TaskGroup() as group:
         for _ in range(clients):
