--- a/packages/standins/src/lacewingspar_standins/demo/small_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/demo/small_fleet.py
@@ -17,7 +17,6 @@
 SERVICE_PLAIN = "orders"
 MODEL = "demo-model"
 DATA_CENTRES = ("east", "west")
-ROUTERS_PER_DATA_CENTRE = 2
 DRAIN_LIMIT_SECONDS = 60.0
 
 
@@ -27,6 +26,7 @@
 
     Attributes:
         workspaces: Workspaces of both services.
+        routers_per_data_centre: Routers in each data centre.
         engines_per_data_centre: Model engines in each data centre.
         plains_per_data_centre: Plain services in each data centre.
         engine_slots: Slots of an engine.
@@ -35,6 +35,7 @@
     """
 
     workspaces: tuple[Workspace, ...]
+    routers_per_data_centre: int = 2
     engines_per_data_centre: int = 2
     plains_per_data_centre: int = 1
     engine_slots: int = 4
@@ -61,6 +62,8 @@
     upstreams: dict[tuple[str, str], StandInProcess] = field(
         default_factory=dict
     )
+    _log_url: str = ""
+    _vms_url: str = ""
 
     @property
     def caller_addresses(self) -> tuple[str, ...]:
@@ -84,7 +87,12 @@
     async def start(self) -> None:
         """Start all processes, publish both documents, wait until ready."""
         await self._start_upstreams()
-        await self._start_routers()
+        log = await self.fleet.start_standin("log", name="log")
+        vms = await self.fleet.start_standin("vms", name="vms")
+        self._log_url, self._vms_url = log.url, vms.url
+        self._plan_routers()
+        for router_id in self.plans:
+            await self._start_router(router_id)
         for router_id, plan in self.plans.items():
             await self.routers[router_id].wait_live(
                 plan.admin_address, DEFAULT_READY_SECONDS
@@ -92,10 +100,14 @@
         for document in self.documents():
             first = next(iter(self.plans.values()))
             await self.fleet.publish(first.admin_address, document)
-        for router_id, plan in self.plans.items():
-            await self.routers[router_id].wait_ready(
-                plan.admin_address, DEFAULT_READY_SECONDS
-            )
+        for router_id in self.plans:
+            await self._wait_ready(router_id)
+
+    async def add_router(self, router_id: str, data_centre: str) -> None:
+        """Start one more router and wait until it is ready."""
+        self.plans[router_id] = self.fleet.plan_router(router_id, data_centre)
+        await self._start_router(router_id)
+        await self._wait_ready(router_id)
 
     def documents(self) -> tuple[ServiceDocument, ServiceDocument]:
         """Return the documents of the model service and the plain service."""
@@ -151,19 +163,23 @@
                 )
                 self.upstreams[(SERVICE_PLAIN, name)] = plain
 
-    async def _start_routers(self) -> None:
-        log = await self.fleet.start_standin("log", name="log")
-        vms = await self.fleet.start_standin("vms", name="vms")
+    def _plan_routers(self) -> None:
         for data_centre in DATA_CENTRES:
-            for number in range(1, ROUTERS_PER_DATA_CENTRE + 1):
+            for number in range(1, self.options.routers_per_data_centre + 1):
                 router_id = f"{data_centre}-router-{number}"
                 plan = self.fleet.plan_router(router_id, data_centre)
                 self.plans[router_id] = plan
-        for router_id, plan in self.plans.items():
-            self.routers[router_id] = await self.fleet.start_router(
-                plan,
-                log_url=log.url,
-                vms_url=vms.url,
-                peers=tuple(self.plans.values()),
-                drain_limit_seconds=DRAIN_LIMIT_SECONDS,
-            )
+
+    async def _start_router(self, router_id: str) -> None:
+        self.routers[router_id] = await self.fleet.start_router(
+            self.plans[router_id],
+            log_url=self._log_url,
+            vms_url=self._vms_url,
+            peers=tuple(self.plans.values()),
+            drain_limit_seconds=DRAIN_LIMIT_SECONDS,
+        )
+
+    async def _wait_ready(self, router_id: str) -> None:
+        await self.routers[router_id].wait_ready(
+            self.plans[router_id].admin_address, DEFAULT_READY_SECONDS
+        )
