--- a/packages/standins/src/lacewingspar_standins/bench/__init__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks, one module each."""
+"""Benchmarks of the fleet on one machine."""
--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -1,21 +1,18 @@
-"""Runs a benchmark with `python -m lacewingspar_standins.bench NAME`."""
+"""Command line of the benchmarks."""
 
 import typer
 
-from lacewingspar_standins.bench import path
+from lacewingspar_standins.bench import path, share
 
-app = typer.Typer(
-    help="Benchmarks of the router fleet.",
-    no_args_is_help=True,
-    add_completion=False,
-    pretty_exceptions_enable=False,
-)
+app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
 app.command("path")(path.path_command)
+app.command("share")(share.main)
 
 
 @app.callback()
-def benchmarks() -> None:
-    """Keep the names of benchmarks as commands, even if there is only one."""
+def callback() -> None:
+    """Run one benchmark."""
 
 
-app()
+if __name__ == "__main__":
+    app()
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -154,23 +154,23 @@
 class RouterProcess(ManagedProcess):
     """A router."""
 
-    async def wait_live(self, admin_address: str, seconds: float) -> None:
-        """Wait until the administration API answers.
+    async def wait_ready(self, admin_address: str, seconds: float) -> None:
+        """Wait until `GET /ready` succeeds.
 
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        await self._wait_ok(f"http://{admin_address}/live", seconds)
+        await self._wait_for(f"http://{admin_address}/ready", seconds)
 
-    async def wait_ready(self, admin_address: str, seconds: float) -> None:
-        """Wait until `GET /ready` succeeds.
+    async def wait_live(self, admin_address: str, seconds: float) -> None:
+        """Wait until `GET /live` succeeds.
 
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        await self._wait_ok(f"http://{admin_address}/ready", seconds)
+        await self._wait_for(f"http://{admin_address}/live", seconds)
 
-    async def _wait_ok(self, url: str, seconds: float) -> None:
+    async def _wait_for(self, url: str, seconds: float) -> None:
         try:
             async with (
                 asyncio.timeout(seconds),
