--- a/packages/router/src/lacewingspar_router/components/caller_api/answer_body.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/answer_body.py
@@ -51,6 +51,9 @@
 
     def push(self, part: bytes) -> bytes:
         """Add a part of the stream and return what may be sent now."""
+        # Engines send whole events as a rule.
+        if not self._held and part.endswith(_EVENT_ENDS):
+            return part
         data = self._held + part if self._held else part
         end = max(
             (data.rfind(mark) + len(mark) if mark in data else 0)
--- /dev/null
+++ b/tests/router/components/caller_api/test_answer_body.py
@@ -0,0 +1,25 @@
+"""Bodies of answers on their way to the caller."""
+
+import pytest
+
+from lacewingspar_router.components.caller_api.answer_body import EventGate
+
+
+@pytest.mark.parametrize(
+    ("parts", "passed", "held"),
+    [
+        ([b"data: 1\n\n"], [b"data: 1\n\n"], b""),
+        ([b"data: 1\r\n\r\n"], [b"data: 1\r\n\r\n"], b""),
+        ([b"data: 1\n\nda"], [b"data: 1\n\n"], b"da"),
+        ([b"da", b"ta: 1\n\n"], [b"", b"data: 1\n\n"], b""),
+        ([b"data: 1\n", b"\n", b"x"], [b"", b"data: 1\n\n", b""], b"x"),
+        ([b""], [b""], b""),
+    ],
+)
+def test_only_whole_events_pass(
+    parts: list[bytes], passed: list[bytes], held: bytes
+) -> None:
+    """Guards against an error event that runs into a cut event."""
+    gate = EventGate()
+    assert [gate.push(part) for part in parts] == passed
+    assert gate.flush() == held
