Sum the control bytes of the demo over the types of messages

The peers component exports them by type; the gauges without a type that the metrics page had for the demo are gone.

--- a/packages/router/src/lacewingspar_router/components/admin_api/status.py
+++ b/packages/router/src/lacewingspar_router/components/admin_api/status.py
@@ -20,9 +20,6 @@
 from lacewingspar_router.components.upstreams.models import UPSTREAMS
 from lacewingspar_router.shutdown import SHUTDOWN
 
-# Control traffic: payload of peer messages since the start of this life.
-_PEER_TRAFFIC = ("sent_bytes", "received_bytes")
-
 
 def state_handlers(application: Application) -> list[HTTPRouteHandler]:
     """Return the handlers that need no token."""
@@ -45,9 +42,6 @@
         telemetry.gauge(
             "requests_in_flight", application.get(CALLER_API).in_flight_count
         )
-        for name in _PEER_TRAFFIC:
-            value = getattr(application.get(PEERS), name, 0)
-            telemetry.gauge(f"peer_{name}", value)
         content_type, body = telemetry.render()
         return Response(body, media_type=content_type)
 
--- a/packages/standins/src/lacewingspar_standins/demo/samples.py
+++ b/packages/standins/src/lacewingspar_standins/demo/samples.py
@@ -113,7 +113,9 @@
         for line in metrics.text.splitlines():
             name, _, value = line.rpartition(" ")
             if name.partition("{")[0] == SENT_BYTES_METRIC:
-                sample.sent_bytes[router_id] = int(float(value))
+                # There is one line for each type of message.
+                known = sample.sent_bytes.get(router_id, 0)
+                sample.sent_bytes[router_id] = known + int(float(value))
 
     async def _add_upstream(
         self, sample: Sample, service: str, upstream_id: str
