--- a/packages/core/src/lacewingspar_core/dispatch.py
+++ b/packages/core/src/lacewingspar_core/dispatch.py
@@ -5,7 +5,10 @@
 from lacewingspar_core.costs import CostTable
 from lacewingspar_core.demand import DemandKey, DemandTable
 from lacewingspar_core.events import (
+    Announce,
+    CountersDue,
     MessageReceived,
+    OwnerAction,
     OwnerEvent,
     RouterGone,
     Send,
@@ -87,7 +90,7 @@
         self._adoption: _Adoption | None = None
         self._offered_elsewhere: dict[RouterLife, dict[str, int]] = {}
 
-    def handle(self, event: OwnerEvent, now: float) -> list[Send]:
+    def handle(self, event: OwnerEvent, now: float) -> list[OwnerAction]:
         """Handle one event.
 
         Args:
@@ -97,28 +100,20 @@
         Returns:
             Messages to send, in order.
         """
+        actions: list[OwnerAction] = []
         match event:
             case UpstreamsChanged():
-                actions = self._set_upstreams(event, now)
+                actions += self._set_upstreams(event, now)
             case RouterGone(life):
-                actions = self._remove_router(life)
+                self._remove_router(life)
             case MessageReceived(sender, message):
-                actions = self._receive(sender, message, now)
+                actions += self._receive(sender, message, now)
             case TimePassed():
-                actions = self._expire(now)
-        return actions + self._offer_free_slots(now)
-
-    def publish(self, now: float, *, full: bool) -> Counters | None:
-        """Return the counters for the other owners of the service.
-
-        Args:
-            now: Time in seconds.
-            full: Whether to return all counters, changed or not.
-        """
-        for use in self._slots.uses():
-            self._accrue(use, now)
-        self.ledger.set_waiting(self._demand.waiting_by_workspace())
-        return self.ledger.publish(full=full)
+                self._expire(now)
+            case CountersDue(full):
+                actions += self._announce(now, full=full)
+        actions += self._offer_free_slots(now)
+        return actions
 
     @property
     def is_owner(self) -> bool:
@@ -135,6 +130,18 @@
         """Return the number of slots in use by owned upstream."""
         return self._slots.uses_by_upstream()
 
+    @property
+    def overcommitment(self) -> int:
+        """Return the largest number of uses beyond an upstream's slots."""
+        return self._slots.overcommitment
+
+    def _announce(self, now: float, *, full: bool) -> list[Announce]:
+        for use in self._slots.uses():
+            self._accrue(use, now)
+        self.ledger.set_waiting(self._demand.waiting_by_workspace())
+        counters = self.ledger.publish(full=full)
+        return [] if counters is None else [Announce(counters)]
+
     def _set_upstreams(self, event: UpstreamsChanged, now: float) -> list[Send]:
         inherits = any(
             not self._slots.owns(upstream_id)
@@ -153,7 +160,7 @@
         request = SlotReportRequest(self.service)
         return [Send(router, request) for router in sorted(event.routers)]
 
-    def _remove_router(self, life: RouterLife) -> list[Send]:
+    def _remove_router(self, life: RouterLife) -> None:
         self._demand.remove_holder(life)
         self.ledger.set_unreachable(life)
         if self._adoption is not None:
@@ -162,7 +169,6 @@
             if use.holder == life and use.started_at is None:
                 self._slots.remove(use.slot)
                 self._withdraw(use)
-        return []
 
     def _receive(
         self, sender: RouterLife, message: AnyPeerMessage, now: float
@@ -315,7 +321,7 @@
         self._accrue(use, now)
         self.ledger.charge(use.key.workspace, 0, -use.pending_seconds)
 
-    def _expire(self, now: float) -> list[Send]:
+    def _expire(self, now: float) -> None:
         for use in self._slots.uses():
             if use.started_at is None:
                 if now - use.offered_at >= OFFER_TIMEOUT_SECONDS:
@@ -325,7 +331,6 @@
                 self._slots.remove(use.slot)
                 self._settle(use, now)
         self.ledger.forget_old_lives(now)
-        return []
 
     def _offer_free_slots(self, now: float) -> list[Send]:
         if self._is_adopting(now):
--- a/packages/core/src/lacewingspar_core/errors.py
+++ b/packages/core/src/lacewingspar_core/errors.py
@@ -19,3 +19,7 @@
 
 class ChartEventError(CoreError):
     """A state chart has no transition for an event in the current state."""
+
+
+class TraceError(CoreError):
+    """A recorded trace cannot be read."""
--- a/packages/core/src/lacewingspar_core/events.py
+++ b/packages/core/src/lacewingspar_core/events.py
@@ -1,15 +1,15 @@
 """Events and actions of the slot owner."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from lacewingspar_core.identity import RouterLife
-from lacewingspar_core.messages import AnyPeerMessage
+from lacewingspar_core.messages import AnyPeerMessage, Counters
 from lacewingspar_core.slots import OwnedUpstream
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsChanged:
+class UpstreamsChanged(msgspec.Struct, frozen=True, tag=True):
     """The upstreams whose slots this router hands out have changed.
 
     Attributes:
@@ -24,32 +24,49 @@
     routers: frozenset[RouterLife]
 
 
-@dataclass(frozen=True, slots=True)
-class RouterGone:
+class RouterGone(msgspec.Struct, frozen=True, tag=True):
     """A router life has ended or cannot be reached."""
 
     life: RouterLife
 
 
-@dataclass(frozen=True, slots=True)
-class MessageReceived:
+class MessageReceived(msgspec.Struct, frozen=True, tag=True):
     """A message from another router or from this one."""
 
     sender: RouterLife
     message: AnyPeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class TimePassed:
+class TimePassed(msgspec.Struct, frozen=True, tag=True):
     """Time has passed; expires offers and leases."""
 
 
-OwnerEvent = UpstreamsChanged | RouterGone | MessageReceived | TimePassed
+class CountersDue(msgspec.Struct, frozen=True, tag=True):
+    """The other owners of the service should get the counters.
+
+    Attributes:
+        full: Whether to send all counters, changed or not.
+    """
+
+    full: bool
+
 
+OwnerEvent = (
+    UpstreamsChanged | RouterGone | MessageReceived | TimePassed | CountersDue
+)
 
-@dataclass(frozen=True, slots=True)
-class Send:
+
+class Send(msgspec.Struct, frozen=True, tag=True):
     """Action: send a message to a router life."""
 
     receiver: RouterLife
     message: AnyPeerMessage
+
+
+class Announce(msgspec.Struct, frozen=True, tag=True):
+    """Action: send counters to all other owners of the service."""
+
+    counters: Counters
+
+
+OwnerAction = Send | Announce
--- a/packages/core/src/lacewingspar_core/slots.py
+++ b/packages/core/src/lacewingspar_core/slots.py
@@ -93,7 +93,9 @@
             Uses of upstreams that are no longer owned; they are dropped.
         """
         dropped: list[SlotUse] = []
-        for upstream_id in self._slots_by_upstream.keys() - upstream_by_id:
+        for upstream_id in sorted(
+            self._slots_by_upstream.keys() - upstream_by_id.keys()
+        ):
             slots = self._slots_by_upstream.pop(upstream_id)
             dropped.extend(slots.use_by_slot.values())
         for use in dropped:
@@ -117,6 +119,17 @@
             slots.upstream.slots for slots in self._slots_by_upstream.values()
         )
 
+    @property
+    def overcommitment(self) -> int:
+        """Return the largest number of uses beyond an upstream's slots."""
+        return max(
+            (
+                len(slots.use_by_slot) - slots.upstream.slots
+                for slots in self._slots_by_upstream.values()
+            ),
+            default=0,
+        )
+
     def free_upstreams(self) -> list[tuple[OwnedUpstream, int]]:
         """Return the upstreams that have free slots, with their number."""
         return [
--- a/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -7,7 +7,10 @@
 from lacewingspar_core.dispatch import SlotOwner
 from lacewingspar_core.documents import ServiceDocument
 from lacewingspar_core.events import (
+    Announce,
+    CountersDue,
     MessageReceived,
+    OwnerAction,
     OwnerEvent,
     RouterGone,
     Send,
@@ -16,7 +19,6 @@
 )
 from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.messages import (
-    AnyPeerMessage,
     Counters,
     Demand,
     Offer,
@@ -43,6 +45,9 @@
 from lacewingspar_router.components.scheduler.counters_schedule import (
     CountersSchedule,
 )
+from lacewingspar_router.components.scheduler.event_recorder import (
+    EventRecorder,
+)
 from lacewingspar_router.components.scheduler.holder import Holder
 from lacewingspar_router.components.scheduler.models import (
     SlotGrant,
@@ -70,6 +75,7 @@
         peers: Messages to other routers.
         configuration: Service documents in force.
         upstreams: Status of the upstreams.
+        recorder: Records events and decisions for replay, if any.
     """
 
     def __init__(
@@ -78,7 +84,9 @@
         peers: PeerNetwork,
         configuration: ConfigurationStore,
         upstreams: UpstreamPool,
+        recorder: EventRecorder | None = None,
     ) -> None:
+        self._recorder = recorder
         self._app = app
         self._peers = peers
         self._configuration = configuration
@@ -284,19 +292,11 @@
             self._publish_counters(service, full=is_full)
 
     def _publish_counters(self, service: str, *, full: bool) -> None:
-        owner = self._owner_by_service.get(service)
-        if owner is None:
+        if service not in self._owner_by_service:
             return
-        now = self._app.now()
-        counters = owner.publish(now, full=full)
-        sent_bytes = 0
-        if counters is not None:
-            own_id = self._app.life.router_id
-            owners = self._ownership_by_service[service].owners
-            for router_id in owners - {own_id}:
-                sent_bytes += self._peers.send(router_id, counters)
+        sent_bytes = self._handle(service, CountersDue(full))
         schedule = CountersSchedule.after(
-            now,
+            self._app.now(),
             self._counters_schedule_by_service.get(service),
             sent_bytes=sent_bytes,
             services=len(self._owner_by_service),
@@ -343,11 +343,27 @@
             return
         holder.send_report_to(received.sender.router_id)
 
-    def _handle(self, service: str, event: OwnerEvent) -> None:
-        owner = self._owner_by_service[service]
-        for action in owner.handle(event, self._app.now()):
-            self._perform(action)
+    def _handle(self, service: str, event: OwnerEvent) -> int:
+        """Let the owner of a service handle an event.
 
-    def _perform(self, action: Send) -> None:
-        message: AnyPeerMessage = action.message
-        self._peers.send(action.receiver.router_id, message)
+        Returns:
+            Bytes of counters that were sent.
+        """
+        now = self._app.now()
+        actions = self._owner_by_service[service].handle(event, now)
+        if self._recorder is not None:
+            self._recorder.record(service, now, event, actions)
+        return sum(self._perform(service, action) for action in actions)
+
+    def _perform(self, service: str, action: OwnerAction) -> int:
+        match action:
+            case Send(receiver, message):
+                self._peers.send(receiver.router_id, message)
+                return 0
+            case Announce(counters):
+                own_id = self._app.life.router_id
+                owners = self._ownership_by_service[service].owners
+                return sum(
+                    self._peers.send(router_id, counters)
+                    for router_id in sorted(owners - {own_id})
+                )
--- a/packages/standins/src/lacewingspar_standins/bench/deployment.py
+++ b/packages/standins/src/lacewingspar_standins/bench/deployment.py
@@ -89,6 +89,7 @@
         links: Links by data centre of the caller and of the target; the
             target of the platform's link is "platform".
         documents: Published documents by service.
+        records_events: Whether routers record traces in the fleet's folder.
     """
 
     shape: Shape
@@ -101,6 +102,7 @@
     routers: dict[str, RouterProcess] = field(default_factory=dict)
     links: dict[tuple[str, str], StandInProcess] = field(default_factory=dict)
     documents: dict[str, ServiceDocument] = field(default_factory=dict)
+    records_events: bool = False
 
     @property
     def upstreams(self) -> dict[str, StandInProcess]:
@@ -123,6 +125,7 @@
             vms_url=self.vms.url,
             peers=self.plans,
             address_map=self._address_map(plan.data_centre),
+            **self._record_setting(plan),
         )
         self.routers[plan.router_id] = router
         return router
@@ -137,6 +140,12 @@
         """Cut a data centre off from the platform, or join it again."""
         await self.links[(data_centre, "platform")].inject(cut=cut)
 
+    def _record_setting(self, plan: RouterPlan) -> dict[str, str]:
+        if not self.records_events:
+            return {}
+        file = self.fleet.folder / f"{plan.router_id}.trace.jsonl"
+        return {"event_record_file": str(file)}
+
     def _address_map(self, data_centre: str) -> dict[str, str]:
         return {
             target: relay
@@ -165,12 +174,15 @@
         step_ms: Time of an engine's step.
         limits: Limits of both services.
         log_options: Options of the log service stand-in.
-        folder: Folder for settings and logs; None makes a temporary one.
+        folder: Folder for settings, logs and traces of the routers; None
+            makes a temporary one and records no traces.
     """
     async with Fleet(folder) as fleet:
         log = await fleet.start_standin("log", name="log", **log_options or {})
         vms = await fleet.start_standin("vms", name="vms")
-        deployment = Deployment(shape, fleet, log, vms)
+        deployment = Deployment(
+            shape, fleet, log, vms, records_events=folder is not None
+        )
         await _start_upstreams(deployment, step_ms)
         _plan_routers(deployment)
         await _start_links(deployment)
--- a/packages/standins/src/lacewingspar_standins/bench/share.py
+++ b/packages/standins/src/lacewingspar_standins/bench/share.py
@@ -116,7 +116,7 @@
     ] = Limits().slot_quantum_seconds,
     output: Annotated[Path | None, typer.Option(help="Result file.")] = None,
     folder: Annotated[
-        Path | None, typer.Option(help="Keep settings and logs here.")
+        Path | None, typer.Option(help="Keep settings, logs and traces.")
     ] = None,
 ) -> None:
     """Measure fairness gap, utilisation and control traffic."""
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -13,6 +13,7 @@
 )
 from lacewingspar_core.events import (
     MessageReceived,
+    OwnerAction,
     RouterGone,
     Send,
     TimePassed,
@@ -48,7 +49,9 @@
     return owner
 
 
-def set_upstreams(owner: SlotOwner, *upstreams: OwnedUpstream) -> list[Send]:
+def set_upstreams(
+    owner: SlotOwner, *upstreams: OwnedUpstream
+) -> list[OwnerAction]:
     event = UpstreamsChanged(
         {item.upstream_id: item for item in upstreams}, {}, frozenset()
     )
@@ -67,25 +70,25 @@
 
 def receive(
     owner: SlotOwner, message: object, now: float, sender: RouterLife = HOLDER
-) -> list[Send]:
+) -> list[OwnerAction]:
     return owner.handle(MessageReceived(sender, message), now)  # type: ignore[arg-type]
 
 
-def offers(actions: list[Send]) -> list[Offer]:
+def offers(actions: list[OwnerAction]) -> list[Offer]:
     return [
         action.message
         for action in actions
-        if isinstance(action.message, Offer)
+        if isinstance(action, Send) and isinstance(action.message, Offer)
     ]
 
 
-def accept(owner: SlotOwner, offer: Offer, now: float) -> list[Send]:
+def accept(owner: SlotOwner, offer: Offer, now: float) -> list[OwnerAction]:
     return receive(owner, OfferAccepted("chat", offer.slot, 1.0), now)
 
 
 def release(
     owner: SlotOwner, offer: Offer, now: float, used: float
-) -> list[Send]:
+) -> list[OwnerAction]:
     released = SlotReleased(
         "chat",
         offer.slot,
