--- a/packages/standins/src/lacewingspar_standins/bench/deployment.py
+++ b/packages/standins/src/lacewingspar_standins/bench/deployment.py
@@ -22,6 +22,7 @@
 SERVICE_CHAT = "chat"
 SERVICE_PLAIN = "plain"
 READY_SECONDS = 60.0
+PROCESS_MODULE = "lacewingspar_standins.bench.processes"
 _DEFAULT_LIMITS = Limits()
 
 
@@ -90,6 +91,7 @@
             target of the platform's link is "platform".
         documents: Published documents by service.
         records_events: Whether routers record traces in the fleet's folder.
+        balancers: Baseline balancers by data centre, in place of routers.
     """
 
     shape: Shape
@@ -103,6 +105,7 @@
     links: dict[tuple[str, str], StandInProcess] = field(default_factory=dict)
     documents: dict[str, ServiceDocument] = field(default_factory=dict)
     records_events: bool = False
+    balancers: dict[str, list[StandInProcess]] = field(default_factory=dict)
 
     @property
     def upstreams(self) -> dict[str, StandInProcess]:
@@ -111,10 +114,18 @@
 
     def caller_addresses(self, *data_centres: str) -> tuple[str, ...]:
         """Return the caller addresses of routers, of all without arguments."""
+        entries = [
+            (plan.data_centre, plan.caller_address) for plan in self.plans
+        ]
+        entries += [
+            (data_centre, balancer.address)
+            for data_centre, balancers in self.balancers.items()
+            for balancer in balancers
+        ]
         return tuple(
-            plan.caller_address
-            for plan in self.plans
-            if not data_centres or plan.data_centre in data_centres
+            address
+            for data_centre, address in entries
+            if not data_centres or data_centre in data_centres
         )
 
     async def start_router(self, plan: RouterPlan) -> RouterProcess:
@@ -195,6 +206,37 @@
         yield deployment
 
 
+@contextlib.asynccontextmanager
+async def balanced(
+    shape: Shape, *, step_ms: float
+) -> AsyncIterator[Deployment]:
+    """Run a deployment with plain balancers in place of routers.
+
+    Args:
+        shape: Size and layout.
+        step_ms: Time of an engine's step.
+    """
+    async with Fleet() as fleet:
+        log = await fleet.start_standin("log", name="log")
+        vms = await fleet.start_standin("vms", name="vms")
+        deployment = Deployment(shape, fleet, log, vms)
+        await _start_upstreams(deployment, step_ms)
+        for data_centre, count in zip(
+            shape.data_centres, shape.routers, strict=True
+        ):
+            deployment.balancers[data_centre] = [
+                await fleet.start_standin(
+                    "balancer",
+                    name=f"balancer-{data_centre}-{number}",
+                    module=PROCESS_MODULE,
+                    chat=[item.url for item in deployment.engines.values()],
+                    plain=[item.url for item in deployment.plains.values()],
+                )
+                for number in range(count)
+            ]
+        yield deployment
+
+
 async def _start_upstreams(deployment: Deployment, step_ms: float) -> None:
     shape = deployment.shape
     for index, data_centre in enumerate(shape.data_centres):
--- a/packages/standins/src/lacewingspar_standins/bench/processes.py
+++ b/packages/standins/src/lacewingspar_standins/bench/processes.py
@@ -1,8 +1,11 @@
 """Command line of the processes that benchmarks start."""
 
+from typing import Annotated
+
 import typer
 
 from lacewingspar_standins.batching import BatchOptions
+from lacewingspar_standins.bench.balancer import LeastLoadedBalancer
 from lacewingspar_standins.bench.bare_proxy import bare_app
 from lacewingspar_standins.bench.stamps import StampedApp
 from lacewingspar_standins.engine import Engine
@@ -43,5 +46,19 @@
     run_loop(main())
 
 
+@app.command()
+def balancer(
+    chat: Annotated[list[str], typer.Option(help="Base URL of an engine.")],
+    plain: Annotated[list[str], typer.Option(help="Base URL of a service.")],
+) -> None:
+    """Run the baseline balancer."""
+    targets = {"/v1/": chat, "/services/": plain}
+
+    async def main() -> None:
+        await serve(LeastLoadedBalancer(targets), HOST, 0)
+
+    run_loop(main())
+
+
 if __name__ == "__main__":
     app()
--- a/packages/standins/src/lacewingspar_standins/bench/share.py
+++ b/packages/standins/src/lacewingspar_standins/bench/share.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
@@ -12,11 +13,12 @@
 
 from lacewingspar_core.documents import Limits
 from lacewingspar_standins.bench.deployment import (
-    MODEL,
     SERVICE_CHAT,
     SERVICE_PLAIN,
     SHAPES_BY_NAME,
     Deployment,
+    Shape,
+    balanced,
     deployed,
 )
 from lacewingspar_standins.bench.fairness import (
@@ -24,17 +26,18 @@
     Sample,
     fairness,
 )
-from lacewingspar_standins.bench.load_processes import (
-    LoadProcess,
-    start_load,
-)
 from lacewingspar_standins.bench.router_figures import (
     RouterFigures,
     read_router_counters,
     router_figures,
 )
-from lacewingspar_standins.fleet_settings import token_of, workspace_entry
-from lacewingspar_standins.load_options import LoadOptions, WorkspaceLoad
+from lacewingspar_standins.bench.share_load import (
+    CONCURRENCY_BY_WORKSPACE,
+    RATE_BY_WORKSPACE,
+    start_loads,
+)
+from lacewingspar_standins.fleet_settings import workspace_entry
+from lacewingspar_standins.load_result import LoadResult
 from lacewingspar_standins.process import StandInProcess
 
 SAMPLE_SECONDS = 0.5
@@ -43,24 +46,6 @@
 RAMP_SECONDS = 10.0
 STEP_MS = 10.0
 
-# Requests in flight of each backlogged workspace; the first two are large.
-CONCURRENCY_BY_WORKSPACE = {
-    "ws-01": 60,
-    "ws-02": 40,
-    "ws-03": 24,
-    "ws-04": 24,
-    "ws-05": 16,
-    "ws-06": 16,
-    "ws-07": 16,
-    "ws-08": 16,
-    "ws-09": 16,
-    "ws-10": 16,
-    "ws-11": 16,
-    "ws-12": 16,
-}
-# Requests a second of the other workspaces, which are not backlogged.
-RATE_BY_WORKSPACE = {"ws-13": 0.5, "ws-14": 0.5, "ws-15": 1.0, "ws-16": 1.0}
-
 
 class ShareOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Options of the benchmark.
@@ -72,6 +57,7 @@
         cut_seconds: Time for which the last data centre is cut off.
         kill_router: Whether a router is killed.
         quantum_seconds: Slot quantum of both services.
+        has_baseline: Whether the same load also runs through plain balancers.
     """
 
     deployment: str
@@ -80,6 +66,7 @@
     cut_seconds: float
     kill_router: bool
     quantum_seconds: float
+    has_baseline: bool
 
 
 class ShareResult(msgspec.Struct, frozen=True):
@@ -88,6 +75,7 @@
     Attributes:
         options: Options of the run.
         fairness_by_service: Figures by service.
+        baseline_by_service: Figures of the baseline, without faults.
         latency_p99_by_workspace: 99th percentile of the time from sending to
             the end of the answer, in seconds, by load process and workspace.
         problems: Wrong or mixed-up answers.
@@ -96,6 +84,7 @@
 
     options: ShareOptions
     fairness_by_service: dict[str, FairnessFigures]
+    baseline_by_service: dict[str, FairnessFigures]
     latency_p99_by_workspace: dict[str, float]
     problems: tuple[str, ...]
     figures_by_router: dict[str, RouterFigures]
@@ -111,6 +100,9 @@
     kill_router: Annotated[
         bool, typer.Option(help="Kill a router after a third of the time.")
     ] = False,
+    baseline: Annotated[
+        bool, typer.Option(help="Also run the load through plain balancers.")
+    ] = False,
     quantum: Annotated[
         float, typer.Option(help="slot_quantum_seconds of both services.")
     ] = Limits().slot_quantum_seconds,
@@ -127,6 +119,7 @@
         cut_seconds=cut_seconds,
         kill_router=kill_router,
         quantum_seconds=quantum,
+        has_baseline=baseline,
     )
     result = asyncio.run(async_share(options, folder))
     if output is not None:
@@ -143,54 +136,60 @@
         options: Options of the run.
         folder: Folder that keeps settings and logs, if any.
     """
-    seconds = options.seconds
+    shape = SHAPES_BY_NAME[options.deployment]
     workspaces = tuple(
         workspace_entry(workspace, queue_limit=200)
         for workspace in (*CONCURRENCY_BY_WORKSPACE, *RATE_BY_WORKSPACE)
     )
     async with deployed(
-        SHAPES_BY_NAME[options.deployment],
+        shape,
         workspaces,
         step_ms=STEP_MS,
         limits=Limits(slot_quantum_seconds=options.quantum_seconds),
         folder=folder,
     ) as deployment:
-        loads = await _start_loads(
-            deployment, options.seed, RAMP_SECONDS + seconds
-        )
-        await asyncio.sleep(RAMP_SECONDS)
-        before = await read_router_counters(deployment)
-        samples, _ = await asyncio.gather(
-            _async_sample(deployment, seconds),
-            _async_faults(deployment, options),
-        )
-        after = await read_router_counters(deployment)
-        results = [await load.result() for load in loads]
-    weights = dict.fromkeys(CONCURRENCY_BY_WORKSPACE, 1.0)
-    shape = deployment.shape
-    slots_by_service = {
-        SERVICE_CHAT: sum(shape.engines) * shape.engine_slots,
-        SERVICE_PLAIN: sum(shape.plains) * shape.plain_slots,
-    }
+        run = await _async_measure(deployment, options)
+    baseline = {}
+    if options.has_baseline:
+        async with balanced(shape, step_ms=STEP_MS) as deployment:
+            baseline = _fairness(
+                shape, (await _async_measure(deployment, options)).samples
+            )
     return ShareResult(
         options=options,
-        fairness_by_service={
-            service: fairness(
-                samples[service], weights, slots_by_service[service]
-            )
-            for service in samples
-        },
-        latency_p99_by_workspace={
-            f"{load.name}/{workspace}": figures.latency.seconds_by_percentile[
-                "99"
-            ]
-            for load, result in zip(loads, results, strict=True)
-            for workspace, figures in result.by_workspace.items()
-            if figures.latency.count
-        },
+        fairness_by_service=_fairness(shape, run.samples),
+        baseline_by_service=baseline,
+        latency_p99_by_workspace=_latency_p99(run.results),
         problems=tuple(
-            problem for result in results for problem in result.problems
+            problem
+            for result in run.results.values()
+            for problem in result.problems
         ),
+        figures_by_router=run.figures_by_router,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """Raw results of one run."""
+
+    samples: dict[str, list[Sample]]
+    results: dict[str, LoadResult]
+    figures_by_router: dict[str, RouterFigures]
+
+
+async def _async_measure(deployment: Deployment, options: ShareOptions) -> _Run:
+    seconds = options.seconds
+    loads = await start_loads(deployment, options.seed, RAMP_SECONDS + seconds)
+    await asyncio.sleep(RAMP_SECONDS)
+    before = await read_router_counters(deployment)
+    samples, _ = await asyncio.gather(
+        _async_sample(deployment, seconds), _async_faults(deployment, options)
+    )
+    after = await read_router_counters(deployment)
+    return _Run(
+        samples=samples,
+        results={load.name: await load.result() for load in loads},
         figures_by_router={
             router_id: router_figures(before[router_id], after[router_id])
             for router_id in before.keys() & after.keys()
@@ -198,55 +197,27 @@
     )
 
 
-async def _start_loads(
-    deployment: Deployment, seed: int, seconds: float
-) -> list[LoadProcess]:
-    """Start one load process for each service and group of workspaces.
-
-    Workspaces enter the fleet unevenly: the large ones everywhere, each of
-    the others by one data centre only.
-    """
-    data_centres = deployment.shape.data_centres
-    loads: list[LoadProcess] = []
-    for service, chat_share, divisor in (
-        (SERVICE_CHAT, 1.0, 1),
-        (SERVICE_PLAIN, 0.0, 2),
-    ):
-        for index, group in enumerate(_groups(len(data_centres))):
-            entry = () if index == 0 else (data_centres[index - 1],)
-            options = LoadOptions(
-                addresses=deployment.caller_addresses(*entry),
-                workspaces=tuple(_workspace_load(w, divisor) for w in group),
-                seed=seed,
-                max_requests=1_000_000,
-                max_seconds=seconds,
-                timeout_seconds=180,
-                chat_share=chat_share,
-                model=MODEL,
-                plain_path=f"/services/{SERVICE_PLAIN}/work",
-                median_tokens=40,
-                sigma=0.7,
-                work_ms=150,
-            )
-            name = f"load-{service}-{index}"
-            loads.append(await start_load(deployment.fleet, name, options))
-    return loads
-
-
-def _groups(data_centres: int) -> list[list[str]]:
-    """Return the large workspaces, then the others by data centre."""
-    names = [*CONCURRENCY_BY_WORKSPACE, *RATE_BY_WORKSPACE]
-    others = names[2:]
-    return [names[:2], *(others[n::data_centres] for n in range(data_centres))]
+def _fairness(
+    shape: Shape, samples: dict[str, list[Sample]]
+) -> dict[str, FairnessFigures]:
+    weights = dict.fromkeys(CONCURRENCY_BY_WORKSPACE, 1.0)
+    slots_by_service = {
+        SERVICE_CHAT: sum(shape.engines) * shape.engine_slots,
+        SERVICE_PLAIN: sum(shape.plains) * shape.plain_slots,
+    }
+    return {
+        service: fairness(samples[service], weights, slots)
+        for service, slots in slots_by_service.items()
+    }
 
 
-def _workspace_load(workspace: str, divisor: int) -> WorkspaceLoad:
-    return WorkspaceLoad(
-        name=workspace,
-        token=token_of(workspace),
-        concurrency=CONCURRENCY_BY_WORKSPACE.get(workspace, 0) // divisor,
-        rate=RATE_BY_WORKSPACE.get(workspace, 0.0),
-    )
+def _latency_p99(results: dict[str, LoadResult]) -> dict[str, float]:
+    return {
+        f"{name}/{workspace}": figures.latency.seconds_by_percentile["99"]
+        for name, result in results.items()
+        for workspace, figures in result.by_workspace.items()
+        if figures.latency.count
+    }
 
 
 async def _async_sample(
@@ -279,10 +250,10 @@
 
 
 async def _async_faults(deployment: Deployment, options: ShareOptions) -> None:
-    if options.kill_router:
+    if options.kill_router and deployment.plans:
         await asyncio.sleep(options.seconds / 3)
         deployment.routers[deployment.plans[0].router_id].kill()
-    if options.cut_seconds:
+    if options.cut_seconds and deployment.plans:
         data_centre = deployment.shape.data_centres[-1]
         await asyncio.sleep(options.seconds / 6)
         await deployment.cut_data_centre(data_centre, cut=True)
@@ -298,12 +269,9 @@
         f"{os.cpu_count()} cores"
     )
     for service, figures in result.fairness_by_service.items():
-        typer.echo(
-            f"{service}: gap largest {figures.largest_gap:.2f}, "
-            f"p99 {figures.gap_p99:.2f}, last {figures.last_gap:.2f} "
-            f"slot-s of a fair share of {figures.fair_share:.1f}; "
-            f"utilisation {figures.utilisation:.1%}"
-        )
+        _print_fairness(service, figures)
+    for service, figures in result.baseline_by_service.items():
+        _print_fairness(f"baseline {service}", figures)
     for router_id, router in sorted(result.figures_by_router.items()):
         typer.echo(
             f"{router_id}: control sent {router.sent_bytes_per_second:.0f} B/s,"
@@ -314,3 +282,12 @@
     typer.echo(f"wrong answers: {len(result.problems)}")
     for problem in result.problems[:5]:
         typer.echo(f"  {problem}")
+
+
+def _print_fairness(name: str, figures: FairnessFigures) -> None:
+    typer.echo(
+        f"{name}: gap largest {figures.largest_gap:.2f}, "
+        f"p99 {figures.gap_p99:.2f}, last {figures.last_gap:.2f} "
+        f"slot-s of a fair share of {figures.fair_share:.1f}; "
+        f"utilisation {figures.utilisation:.1%}"
+    )
