--- /dev/null
+++ b/tests/router/components/test_holder.py
@@ -0,0 +1,195 @@
+"""Holder role of the scheduler."""
+
+import asyncio
+
+import pytest
+
+from lacewingspar_core.documents import ServiceDocument, validate_document
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import (
+    AnyPeerMessage,
+    Demand,
+    Offer,
+    OfferAccepted,
+    OfferDeclined,
+    SlotId,
+    SlotOutcome,
+    SlotReleased,
+)
+from lacewingspar_core.ownership import ServiceOwnership
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.scheduler.holder import Holder
+from lacewingspar_router.components.scheduler.models import (
+    SlotGrant,
+    SlotRequest,
+)
+from lacewingspar_router.settings import Settings
+
+OWNER = RouterLife("owner", 1)
+FORMER = RouterLife("former", 1)
+
+
+class Clock(Application):
+    """Application with a clock that the test sets."""
+
+    time = 1.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class Harness:
+    """A holder whose messages are kept."""
+
+    def __init__(self, quantum: float) -> None:
+        self.clock = Clock(
+            Settings(
+                router_id="holder",
+                data_centre="north",
+                caller_address="127.0.0.1:0",
+                admin_address="127.0.0.1:0",
+                peer_address="127.0.0.1:0",
+                admin_token_sha256="0" * 64,
+                log_service_url="http://127.0.0.1:9",
+                vm_list_url="http://127.0.0.1:9",
+            )
+        )
+        self.sent: list[tuple[str, AnyPeerMessage]] = []
+        self.holder = Holder(self.clock, "plain", self.send)
+        ownership = ServiceOwnership(
+            {"u1": "owner"}, {"north": frozenset({"owner"})}
+        )
+        self.holder.configure(document(quantum), ownership)
+        self.sent.clear()
+
+    def send(self, router_id: str, message: AnyPeerMessage) -> int:
+        self.sent.append((router_id, message))
+        return 0
+
+    def messages(self, message_type: type) -> list[tuple[str, AnyPeerMessage]]:
+        return [item for item in self.sent if isinstance(item[1], message_type)]
+
+    def acquire(self, number: int) -> "asyncio.Task[SlotGrant]":
+        now = self.clock.time
+        request = SlotRequest(
+            f"r{number}", "plain", "w1", "", "", now, now + 100.0
+        )
+        return asyncio.create_task(
+            self.holder.async_acquire(request, default_class="default")
+        )
+
+
+def document(quantum: float) -> ServiceDocument:
+    return validate_document(
+        {
+            "service": "plain",
+            "kind": "plain",
+            "upstreams": [
+                {
+                    "id": "u1",
+                    "data_centre": "north",
+                    "address": "http://127.0.0.1:9",
+                    "slots": 1,
+                }
+            ],
+            "workspaces": [{"name": "w1", "token_sha256": ["0" * 64]}],
+            "limits": {"slot_quantum_seconds": quantum},
+        }
+    ).unwrap()
+
+
+def offer(number: int, owner: RouterLife = OWNER) -> Offer:
+    return Offer("plain", SlotId(owner, number), "u1", "w1", "", False)
+
+
+async def test_offer_is_bound_late() -> None:
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    assert harness.messages(Demand)
+    assert harness.holder.take_offer(offer(1))
+    grant = await task
+    assert grant.slot == SlotId(OWNER, 1)
+    assert harness.messages(OfferAccepted)[0][0] == "owner"
+
+
+@pytest.mark.parametrize(
+    ("quantum", "elapsed", "is_kept"),
+    [(0.25, 0.1, True), (0.25, 0.3, False), (0.0, 0.1, False)],
+)
+async def test_slot_is_kept_for_one_quantum(
+    quantum: float, elapsed: float, is_kept: bool
+) -> None:
+    """Guards against a workspace that keeps a slot beyond its quantum."""
+    harness = Harness(quantum)
+    first, second = harness.acquire(1), harness.acquire(2)
+    await asyncio.sleep(0)
+    harness.holder.take_offer(offer(1))
+    grant = await first
+    harness.clock.time += elapsed
+    harness.holder.release(grant, SlotOutcome.COMPLETED, 0)
+    await asyncio.sleep(0)
+    assert second.done() is is_kept
+    assert bool(harness.messages(SlotReleased)) is not is_kept
+    second.cancel()
+
+
+async def test_failed_upstream_is_not_used_again() -> None:
+    """Guards against requests that follow a failure to the same upstream."""
+    harness = Harness(10.0)
+    first, second = harness.acquire(1), harness.acquire(2)
+    await asyncio.sleep(0)
+    harness.holder.take_offer(offer(1))
+    harness.holder.release(await first, SlotOutcome.UPSTREAM_FAILED, 0)
+    await asyncio.sleep(0)
+    assert not second.done()
+    second.cancel()
+
+
+async def test_release_reaches_the_router_that_made_the_offer() -> None:
+    """Guards against a use that a former owner charges until its lease ends."""
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    harness.holder.take_offer(offer(1, FORMER))
+    harness.holder.release(await task, SlotOutcome.COMPLETED, 0)
+    receivers = {router_id for router_id, _ in harness.messages(SlotReleased)}
+    assert receivers == {"former", "owner"}
+
+
+async def test_second_release_changes_nothing() -> None:
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    harness.holder.take_offer(offer(1))
+    grant = await task
+    harness.holder.release(grant, SlotOutcome.COMPLETED, 0)
+    harness.holder.release(grant, SlotOutcome.COMPLETED, 0)
+    assert len(harness.messages(SlotReleased)) == 1
+
+
+async def test_demand_is_told_again_after_a_declined_offer() -> None:
+    """Guards against demand that the owner takes for zero."""
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    assert not harness.holder.take_offer(
+        Offer("plain", SlotId(OWNER, 1), "u9", "w1", "", False)
+    )
+    harness.sent.clear()
+    harness.clock.time += 1.0
+    harness.holder.decline(offer(1))
+    assert harness.messages(OfferDeclined)
+    (demand,) = harness.messages(Demand)
+    assert isinstance(demand[1], Demand)
+    assert [entry.waiting for entry in demand[1].entries] == [1]
+    task.cancel()
+
+
+async def test_removed_service_refuses_what_waits() -> None:
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    harness.holder.refuse_all()
+    with pytest.raises(Exception, match="does not exist"):
+        await task
