--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/capacity_core.py
@@ -0,0 +1,242 @@
+"""Slopes of the core objects, measured without processes."""
+
+import time
+import tracemalloc
+from typing import Any
+
+import msgspec
+
+from lacewingspar_core.claims import (
+    Claim,
+    ClaimState,
+    Outcome,
+    apply_claim_record,
+    claim_key,
+    decode_record,
+    encode_record,
+)
+from lacewingspar_core.configlog import (
+    ConfigState,
+    Edit,
+    apply_record,
+    make_snapshot,
+)
+from lacewingspar_core.configlog import decode_record as decode_config_record
+from lacewingspar_core.configlog import encode_record as encode_config_record
+from lacewingspar_core.dispatch import SlotOwner
+from lacewingspar_core.documents import (
+    ServiceDocument,
+    ServiceKind,
+    Upstream,
+    Workspace,
+    dump_document,
+)
+from lacewingspar_core.events import MessageReceived, UpstreamsChanged
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.membership import HEARTBEAT_INTERVAL_SECONDS
+from lacewingspar_core.messages import (
+    Demand,
+    DemandEntry,
+    OfferAccepted,
+    SlotOutcome,
+    SlotReleased,
+    encode_message,
+)
+from lacewingspar_core.ownership import assign_owners
+from lacewingspar_core.platform import StoredRecord
+from lacewingspar_core.slots import OwnedUpstream
+from lacewingspar_standins.bench.gossip import GossipFleet
+from lacewingspar_standins.fleet_settings import sha256_hex
+
+DATA_CENTRES = 5
+# Upstreams and slots of one shard.
+OWNED_UPSTREAMS = 16
+SLOTS_PER_UPSTREAM = 8
+# Upstreams of one service: 1,800 runners share 6 models.
+SERVICE_UPSTREAMS = 300
+SERVICE = "chat"
+_LIFE = RouterLife("router-dc-1-000", 1 << 52)
+_HOLDER = RouterLife("router-dc-1-001", 1 << 52)
+_GRANTS = 400
+_OUTCOME_BYTES = 256
+
+
+def measure_gossip(routers: int, seed: int) -> dict[str, float]:
+    """Return the cost of heartbeats against the number of routers."""
+    seconds = 20.0
+    fleet = GossipFleet(routers, DATA_CENTRES, seed)
+    fleet.run(seconds)
+    figures = fleet.figures
+    beats = routers * seconds / HEARTBEAT_INTERVAL_SECONDS
+    fleet.fail(fleet.first_id, 60.0)
+    return {
+        "sent B/s": figures.sent_bytes / beats / HEARTBEAT_INTERVAL_SECONDS,
+        "messages/s": figures.messages / beats / HEARTBEAT_INTERVAL_SECONDS,
+        "processor ms/s": figures.cpu_seconds / seconds * 1000,
+        "local false suspicions": float(figures.local_misses),
+        "remote false suspicions": float(figures.remote_misses),
+        "failure seen last s": max(figures.suspected_seconds, default=0.0),
+    }
+
+
+def measure_backlog(workspaces: int, _seed: int) -> dict[str, float]:
+    """Return the cost of an owner against the backlogged workspaces."""
+    owner = SlotOwner(SERVICE, _LIFE, "dc-1")
+    owner.handle(_owned_upstreams(workspaces), 0.0)
+    now = 1.0
+    names = [f"ws-{index:04}" for index in range(workspaces)]
+    entries = tuple(DemandEntry(name, "m", 50, 1.0, 1.0) for name in names)
+    demand = Demand(SERVICE, 1, True, entries)
+    before = time.process_time()
+    sends = owner.handle(MessageReceived(_HOLDER, demand), now)
+    demand_ms = (time.process_time() - before) * 1000
+    before = time.process_time()
+    grants = 0
+    while grants < _GRANTS and sends:
+        send = sends.pop()
+        offer: Any = send.message
+        now += 0.01
+        accepted = OfferAccepted(SERVICE, offer.slot, 1.0)
+        sends += owner.handle(MessageReceived(_HOLDER, accepted), now)
+        released = SlotReleased(
+            SERVICE,
+            offer.slot,
+            offer.upstream_id,
+            offer.workspace,
+            1.0,
+            1,
+            100,
+            SlotOutcome.COMPLETED,
+        )
+        sends += owner.handle(MessageReceived(_HOLDER, released), now)
+        grants += 1
+    grant_ms = (time.process_time() - before) * 1000 / max(1, grants)
+    before = time.process_time()
+    counters = owner.publish(now, full=True)
+    publish_ms = (time.process_time() - before) * 1000
+    assert counters is not None
+    return {
+        "full counters B": float(len(encode_message(counters))),
+        "full demand B": float(len(encode_message(demand))),
+        "demand handling ms": demand_ms,
+        "grant ms": grant_ms,
+        "publish ms": publish_ms,
+    }
+
+
+def measure_ownership(routers: int, _seed: int) -> dict[str, float]:
+    """Return the time to assign one service against the routers."""
+    data_centre_by_upstream = {
+        f"engine-{index:04}": f"dc-{index % DATA_CENTRES + 1}"
+        for index in range(SERVICE_UPSTREAMS)
+    }
+    data_centre_by_router = {
+        f"router-{index:03}": f"dc-{index % DATA_CENTRES + 1}"
+        for index in range(routers)
+    }
+    before = time.process_time()
+    ownership = assign_owners(
+        SERVICE, data_centre_by_upstream, data_centre_by_router
+    )
+    return {
+        "assign_owners ms": (time.process_time() - before) * 1000,
+        "owners": float(len(ownership.owners)),
+    }
+
+
+def measure_document(workspaces: int, _seed: int) -> dict[str, float]:
+    """Return the cost of one service against its workspaces."""
+    document = service_document(workspaces, SERVICE_UPSTREAMS)
+    first = Edit("e-0", SERVICE, 0, dump_document(document), "bench")
+    patch = {"limits": {"attempts": 2}}
+    second = Edit("e-1", SERVICE, 1, patch, "bench")
+    stored = encode_config_record(first)
+    tracemalloc.start()
+    state = apply_record(ConfigState(), 0, decode_config_record(stored))
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    before = time.process_time()
+    state = apply_record(state, 1, second)
+    change_ms = (time.process_time() - before) * 1000
+    assert state.service_by_name[SERVICE].version == 2
+    snapshot = encode_config_record(make_snapshot(state))
+    return {
+        "document B": float(len(stored)),
+        "small edit B": float(len(encode_config_record(second))),
+        "snapshot B": float(len(snapshot)),
+        "apply edit ms": change_ms,
+        "state kB": memory / 1000,
+    }
+
+
+def measure_claims(claims: int, _seed: int) -> dict[str, float]:
+    """Return the cost of the claim stream against claims in the window."""
+    body = b"x" * _OUTCOME_BYTES
+    records: list[bytes] = []
+    for index in range(claims):
+        key = claim_key(SERVICE, f"ws-{index % 420}", str(index))
+        records.append(encode_record(Claim(key, key, _LIFE, index)))
+        outcome = Outcome(2 * index, 200, "application/json", body)
+        records.append(encode_record(outcome))
+    tracemalloc.start()
+    state = _claim_state(records)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    before = time.process_time()
+    state = _claim_state(records)
+    apply_ms = (time.process_time() - before) * 1000
+    assert len(state) == claims
+    read_bytes = sum(
+        len(msgspec.json.encode(StoredRecord(offset, 1_700_000_000_000, data)))
+        for offset, data in enumerate(records)
+    )
+    return {
+        "read B": float(read_bytes),
+        "apply ms": apply_ms,
+        "state kB": memory / 1000,
+    }
+
+
+def _claim_state(records: list[bytes]) -> ClaimState:
+    state = ClaimState(window_ms=1_800_000)
+    for offset, data in enumerate(records):
+        apply_claim_record(state, offset, 1_000_000, decode_record(data))
+    return state
+
+
+def service_document(workspaces: int, upstreams: int) -> ServiceDocument:
+    """Return a document of the given size."""
+    return ServiceDocument(
+        service=SERVICE,
+        kind=ServiceKind.MODEL,
+        upstreams=tuple(
+            Upstream(
+                id=f"engine-{index:04}",
+                data_centre=f"dc-{index % DATA_CENTRES + 1}",
+                address=f"http://10.20.{index // 250}.{index % 250}:8000",
+                slots=SLOTS_PER_UPSTREAM,
+                models=("m",),
+                vm=f"vm-{index:04}",
+            )
+            for index in range(upstreams)
+        ),
+        workspaces=tuple(
+            Workspace(f"ws-{index:04}", (sha256_hex(f"ws-{index}"),))
+            for index in range(workspaces)
+        ),
+    )
+
+
+def _owned_upstreams(workspaces: int) -> UpstreamsChanged:
+    return UpstreamsChanged(
+        upstream_by_id={
+            f"engine-{index:04}": OwnedUpstream(
+                f"engine-{index:04}", SLOTS_PER_UPSTREAM, frozenset({"m"}), True
+            )
+            for index in range(OWNED_UPSTREAMS)
+        },
+        weight_by_workspace={
+            f"ws-{index:04}": 1.0 for index in range(workspaces)
+        },
+        routers=frozenset(),
+    )
--- a/packages/standins/src/lacewingspar_standins/fleet.py
+++ b/packages/standins/src/lacewingspar_standins/fleet.py
@@ -111,17 +111,21 @@
         return standin
 
     async def start_module(
-        self, name: str, arguments: Sequence[str]
+        self,
+        name: str,
+        arguments: Sequence[str],
+        module: str = STANDIN_MODULE,
     ) -> ManagedProcess:
-        """Start a command of `lacewingspar-standin` that serves nothing.
+        """Start a Python module that announces no address.
 
         Args:
             name: Name in the fleet.
             arguments: Command and options.
+            module: The module, by default that of `lacewingspar-standin`.
         """
         log_file = self.folder / f"{name}.log"
         process = await spawn(
-            log_file, ["-m", STANDIN_MODULE, *arguments], reads_output=False
+            log_file, ["-m", module, *arguments], reads_output=False
         )
         managed = ManagedProcess(name, process, log_file)
         self._processes.append(managed)
