--- a/packages/router/src/lacewingspar_router/components/vm_list/poller.py
+++ b/packages/router/src/lacewingspar_router/components/vm_list/poller.py
@@ -33,6 +33,7 @@
         # Insertion order is the order of departure.
         self._departed_vms: dict[str, None] = {}
         self._is_answering = True
+        self._etag: str | None = None
 
     @property
     def leaving_vms(self) -> frozenset[str]:
@@ -65,13 +66,22 @@
         if not self._is_answering:
             _LOGGER.info("VM list readable again")
         self._is_answering = True
-        self._apply(vm_list)
+        if vm_list is not None:
+            self._apply(vm_list)
 
-    async def _async_read(self) -> VmList:
+    async def _async_read(self) -> VmList | None:
+        """Return the list, or None if it has not changed.
+
+        Raises:
+            VmListReadError: The platform did not answer with a valid list.
+        """
+        headers = {"if-none-match": self._etag} if self._etag else {}
         try:
-            response = await self._client.get(self._url)
+            response = await self._client.get(self._url, headers=headers)
+            if headers and response.status_code == httpx.codes.NOT_MODIFIED:
+                return None
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=VmList)
+            vm_list = msgspec.json.decode(response.content, type=VmList)
         except (
             httpx.HTTPError,
             httpx.InvalidURL,
@@ -79,6 +89,8 @@
         ) as error:
             reason = str(error) or type(error).__name__
             raise VmListReadError(f"GET {self._url}: {reason}") from error
+        self._etag = response.headers.get("etag")
+        return vm_list
 
     def _apply(self, vm_list: VmList) -> None:
         leaving = {v.name for v in vm_list.vms if v.state is VmState.LEAVING}
--- a/packages/standins/src/lacewingspar_standins/vms.py
+++ b/packages/standins/src/lacewingspar_standins/vms.py
@@ -1,12 +1,17 @@
 """Stand-in for the platform's list of VMs."""
 
 import asyncio
+import hashlib
+
+import msgspec
 
 from lacewingspar_core.platform import VmList
 from lacewingspar_standins.asgi import Request, decode_json
 from lacewingspar_standins.faults import Faults, StandIn
 from lacewingspar_standins.lagged import Lagged
 
+_ETAG_DIGITS = 16
+
 
 class VmsFaults(Faults):
     """Faults of the VM list.
@@ -51,4 +56,15 @@
             await request.reply(503, {"error": "VM list is down"})
             return
         await asyncio.sleep(self.faults.delay_ms / 1000)
-        await request.reply(200, self._list.get())
+        await self._reply_list(request)
+
+    async def _reply_list(self, request: Request) -> None:
+        """Answer with the list, or without it if the client has it."""
+        vm_list = self._list.get()
+        digest = hashlib.sha256(msgspec.json.encode(vm_list)).hexdigest()
+        etag = f'"{digest[:_ETAG_DIGITS]}"'
+        if request.headers.get("if-none-match") == etag:
+            await request.start(304, (("etag", etag),))
+            await request.write(b"", more=False)
+            return
+        await request.reply(200, vm_list, (("etag", etag),))
--- a/tests/router/components/test_vm_list.py
+++ b/tests/router/components/test_vm_list.py
@@ -63,6 +63,36 @@
     assert await _read(first, answer) == (leaving, calls)
 
 
+@pytest.mark.parametrize("etag", ['"v1"', None])
+async def test_unchanged_list_is_not_sent_again(etag: str | None) -> None:
+    """Guards against reading the whole list twice a second.
+
+    A platform without entity tags must still be read in full, and a list that
+    cannot be decoded must not count as known.
+    """
+    sent: list[str | None] = []
+    head = {"etag": etag} if etag else {}
+    answers = [
+        httpx.Response(200, headers={"etag": '"v0"'}, json={"vms": [{}]}),
+        httpx.Response(
+            200, headers=head, json=_list("a=leaving b=live").json()
+        ),
+        httpx.Response(304),
+        _list("a=leaving b=leaving"),
+    ]
+
+    def answer(request: httpx.Request) -> httpx.Response:
+        sent.append(request.headers.get("if-none-match"))
+        return answers.pop(0)
+
+    client = httpx.AsyncClient(transport=httpx.MockTransport(answer))
+    poller = poller_module.VmListPoller(client, "http://platform/vms")
+    for leaving in (set(), {"a"}, {"a"}, {"a", "b"}):
+        await poller.async_poll()
+        assert poller.leaving_vms == leaving
+    assert sent == [None, None, etag, etag]
+
+
 async def test_departed_vms_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/standins/test_vms.py
+++ b/tests/standins/test_vms.py
@@ -23,3 +23,16 @@
     async with serve(VmListService(VmsFaults())) as client:
         answer = await client.send("PUT", "/vms", {"vms": [entry]})
     assert answer.status_code == 400
+
+
+async def test_unchanged_list_is_answered_without_a_body(serve: Any) -> None:
+    """Guards the conditional requests that routers send."""
+    async with serve(VmListService(VmsFaults())) as client:
+        await client.send("PUT", "/vms", LIST)
+        first = await client.send("GET", "/vms")
+        known = {"if-none-match": first.headers["etag"]}
+        second = await client.send("GET", "/vms", **known)
+        await client.send("PUT", "/vms", {"vms": []})
+        third = await client.send("GET", "/vms", **known)
+    assert (second.status_code, second.content) == (304, b"")
+    assert (third.status_code, third.json()) == (200, {"vms": []})
