Close the sockets of routers that are no longer known

A router kept one socket for each address that it had ever sent to, and each went on trying to connect. The gauge peer_sockets shows their number.

--- a/packages/core/src/lacewingspar_core/membership.py
+++ b/packages/core/src/lacewingspar_core/membership.py
@@ -191,6 +191,12 @@
         seed = self._seed_by_id.get(router_id)
         return seed.address if seed else None
 
+    def addresses(self) -> set[str]:
+        """Return the endpoints of all routers that may be sent to."""
+        return {seed.address for seed in self._seed_by_id.values()} | {
+            member.record.address for member in self._member_by_id.values()
+        }
+
     @property
     def _is_small(self) -> bool:
         return len(self._member_by_id) < FULL_TABLE_ROUTERS
--- a/packages/router/src/lacewingspar_router/components/peers/const.py
+++ b/packages/router/src/lacewingspar_router/components/peers/const.py
@@ -13,3 +13,4 @@
 
 METRIC_SENT_BYTES = "peer_sent_bytes"
 METRIC_RECEIVED_BYTES = "peer_received_bytes"
+METRIC_SOCKETS = "peer_sockets"
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -161,6 +161,7 @@
             if table is not None:
                 self.send(router_id, table)
         self._refresh_alive()
+        self._close_unused_sockets()
         self._publish_metrics()
 
     async def async_unload(self) -> None:
@@ -171,7 +172,20 @@
             self._receiver.close(linger=0)
         self._context.term()
 
+    def _close_unused_sockets(self) -> None:
+        """Close the sockets of routers that are no longer known.
+
+        Otherwise each replaced router would leave a socket that tries to
+        connect for ever.
+        """
+        unused = self._socket_by_address.keys() - self._membership.addresses()
+        for address in unused:
+            self._socket_by_address.pop(address).close(linger=0)
+
     def _publish_metrics(self) -> None:
+        self._telemetry.gauge(
+            const.METRIC_SOCKETS, len(self._socket_by_address)
+        )
         for name, size in self._sent_bytes_by_type.items():
             self._telemetry.gauge(const.METRIC_SENT_BYTES, size, type=name)
         for name, size in self._received_bytes_by_type.items():
--- /dev/null
+++ b/tests/router/components/test_peers.py
@@ -0,0 +1,68 @@
+"""Sockets between routers."""
+
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.membership import Membership, Seed
+from lacewingspar_core.messages import Heartbeat, MemberRecord, RouterState
+from lacewingspar_router.application import LifeCycle
+from lacewingspar_router.components.peers import const
+from lacewingspar_router.components.peers.network import ZmqPeerNetwork
+
+FORGOTTEN_AT = 60.0
+
+
+def _record(name: str, address: str) -> MemberRecord:
+    life = RouterLife(name, 1)
+    return MemberRecord(life, "d", address, RouterState.SERVING, 1, 0)
+
+
+@pytest.fixture
+async def app() -> Any:
+    app: Any = mock.MagicMock(
+        life=RouterLife("a", 1), life_cycle=LifeCycle.SERVING
+    )
+    app.settings.data_centre = "d"
+    app.settings.address_map = {}
+    app.now.return_value = 0.0
+    return app
+
+
+@pytest.fixture
+async def membership() -> Membership:
+    seed = Seed("seed", "d", "tcp://127.0.0.1:1")
+    own = _record("a", "tcp://127.0.0.1:2")
+    return Membership(own, [seed], random.Random(1))
+
+
+@pytest.fixture
+async def network(
+    app: Any, membership: Membership
+) -> AsyncIterator[ZmqPeerNetwork]:
+    network = ZmqPeerNetwork(app, membership)
+    yield network
+    await network.async_unload()
+
+
+async def test_sockets_of_forgotten_routers_are_closed(
+    app: Any, membership: Membership, network: ZmqPeerNetwork
+) -> None:
+    """Guards against a socket for each router that was ever replaced."""
+    sockets: list[int] = []
+
+    def gauge(name: str, value: int, **_: str) -> None:
+        if name == const.METRIC_SOCKETS:
+            sockets.append(value)
+
+    app.get.return_value.gauge = gauge
+    other = _record("b", "tcp://127.0.0.1:3")
+    membership.merge(Heartbeat((other,)), 0.0)
+    for now in (0.0, FORGOTTEN_AT):
+        app.now.return_value = now
+        network.beat()
+    assert sockets == [2, 1]
