--- a/packages/standins/src/lacewingspar_standins/bench/capacity_core.py
+++ b/packages/standins/src/lacewingspar_standins/bench/capacity_core.py
@@ -31,7 +31,11 @@
     Workspace,
     dump_document,
 )
-from lacewingspar_core.events import MessageReceived, UpstreamsChanged
+from lacewingspar_core.events import (
+    MessageReceived,
+    TimePassed,
+    UpstreamsChanged,
+)
 from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.messages import (
     Demand,
@@ -57,6 +61,10 @@
 _LIFE = RouterLife("router-dc-1-000", 1 << 52)
 _HOLDER = RouterLife("router-dc-1-001", 1 << 52)
 _GRANTS = 400
+# Backlogged workspaces of one of 6 services.
+_SERVICE_BACKLOGGED = 70
+_HOLDER_ROUNDS = 3
+_TICKS = 20
 _GOSSIP_SECONDS = 40.0
 _FAILURE_SECONDS = 30.0
 _OUTCOME_BYTES = 256
@@ -125,6 +133,37 @@
     }
 
 
+def measure_holders(holders: int, _seed: int) -> dict[str, float]:
+    """Return the cost of an owner against holders with full queues."""
+    owner = SlotOwner(SERVICE, _LIFE, "dc-1")
+    owner.handle(_owned_upstreams(_SERVICE_BACKLOGGED), 0.0)
+    entries = tuple(
+        DemandEntry(f"ws-{index:04}", "m", 50, 1.0, 1.0)
+        for index in range(_SERVICE_BACKLOGGED)
+    )
+    events = []
+    for sequence in range(_HOLDER_ROUNDS):
+        demand = Demand(SERVICE, sequence, True, entries)
+        events += [
+            MessageReceived(RouterLife(f"router-{index:03}", 1), demand)
+            for index in range(holders)
+        ]
+    for event in events[:holders]:
+        owner.handle(event, 0.5)
+    before = time.process_time()
+    for event in events[holders:]:
+        owner.handle(event, 0.6)
+    demand_ms = (time.process_time() - before) * 1000
+    before = time.process_time()
+    for _ in range(_TICKS):
+        owner.handle(TimePassed(), 0.7)
+    tick_ms = (time.process_time() - before) * 1000
+    return {
+        "demand message ms": demand_ms / (len(events) - holders),
+        "tick ms": tick_ms / _TICKS,
+    }
+
+
 def measure_ownership(routers: int, _seed: int) -> dict[str, float]:
     """Return the time to assign one service against the routers."""
     data_centre_by_upstream = {
