--- a/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -128,6 +128,18 @@
         self._document_by_service = dict(documents)
         for service, document in documents.items():
             self._reconfigure_service(service, document)
+        own_id = self._app.life.router_id
+        # Each upstream answers one poller instead of its whole data centre.
+        self._upstreams.set_polled(
+            [
+                (service, upstream_id)
+                for service in documents
+                for upstream_id, owner in self._ownership_by_service[
+                    service
+                ].owner_by_upstream.items()
+                if owner == own_id
+            ]
+        )
 
     async def async_tick(self) -> None:
         """Check deadlines and leases and send reports until cancelled."""
--- a/packages/router/src/lacewingspar_router/components/upstreams/health.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/health.py
@@ -148,8 +148,10 @@
             keys: Upstreams by (service, upstream id), such as those in the
                 router's own shards, or None for all.
         """
-        self._polled = None if keys is None else frozenset(keys)
-        self._set_polled_flags()
+        polled = None if keys is None else frozenset(keys)
+        if polled != self._polled:
+            self._polled = polled
+            self._set_polled_flags()
 
     def set_leaving_vms(self, leaving_vms: frozenset[str]) -> None:
         """Apply the VM list."""
@@ -232,8 +234,10 @@
     def _set_polled_flags(self) -> None:
         for key, watched in self._watched_by_key.items():
             is_selected = self._polled is None or key in self._polled
-            watched.is_polled = is_selected and self._is_local(watched)
-            watched.wake.set()
+            is_polled = is_selected and self._is_local(watched)
+            if is_polled != watched.is_polled:
+                watched.is_polled = is_polled
+                watched.wake.set()
 
     def _is_local(self, watched: _Watched) -> bool:
         return watched.upstream.data_centre == self._data_centre
--- a/packages/router/src/lacewingspar_router/components/upstreams/models.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/models.py
@@ -1,6 +1,6 @@
 """Interface of the upstreams component."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -85,5 +85,12 @@
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after every change of a status."""
 
+    def set_polled(self, keys: Collection[tuple[str, str]]) -> None:
+        """Poll only these upstreams of the own data centre for load.
+
+        Args:
+            keys: Upstreams by (service, upstream id).
+        """
+
 
 UPSTREAMS: ComponentKey[UpstreamPool] = ComponentKey("upstreams")
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -1,7 +1,7 @@
 """Upstreams of all services in force."""
 
 import ssl
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import httpx
 import structlog
@@ -69,6 +69,10 @@
         """Call a function after every change of a status."""
         self._monitor.add_listener(listener)
 
+    def set_polled(self, keys: Collection[UpstreamKey]) -> None:
+        """Poll only these upstreams of the own data centre for load."""
+        self._monitor.set_polled(keys)
+
     def apply_configuration(self) -> None:
         """Take over the upstreams of the documents in force."""
         documents = self._configuration.documents_by_service
--- a/packages/standins/src/lacewingspar_standins/bench/capacity.py
+++ b/packages/standins/src/lacewingspar_standins/bench/capacity.py
@@ -55,6 +55,12 @@
         420,
         core=capacity_core.measure_backlog,
     ),
+    "holders": Factor(
+        "holders with 70 backlogged workspaces",
+        (10, 20, 40, 78),
+        78,
+        core=capacity_core.measure_holders,
+    ),
     "ownership": Factor(
         "routers",
         (50, 100, 200, 390),
@@ -85,6 +91,12 @@
         360,
         router=capacity_routers.async_measure_upstreams,
     ),
+    "shared-upstreams": Factor(
+        f"upstreams that {capacity_routers.SHARING_ROUTERS} routers share",
+        (16, 80, 160),
+        360,
+        router=capacity_routers.async_measure_shared_upstreams,
+    ),
     "vms": Factor(
         "VMs",
         (100, 500, 1000, 2190),
--- a/packages/standins/src/lacewingspar_standins/bench/capacity_routers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/capacity_routers.py
@@ -34,6 +34,8 @@
 
 DATA_CENTRES = 5
 SEEDS = 5
+# Routers of the data centre that share its upstreams.
+SHARING_ROUTERS = 20
 READY_SECONDS = 60.0
 SETTLE_SECONDS = 6.0
 PEERS_MODULE = "lacewingspar_standins.bench.synthetic_peers"
@@ -65,6 +67,32 @@
         )
         await self.router.wait_live(self.plan.admin_address, READY_SECONDS)
 
+    def plan_peers(
+        self, routers: int, data_centres: int
+    ) -> tuple[RouterPlan, ...]:
+        """Reserve the ports of all routers but the real one."""
+        return tuple(
+            self.fleet.plan_router(
+                f"router-{index:03}", f"dc-{index % data_centres + 1}"
+            )
+            for index in range(1, routers)
+        )
+
+    async def start_peers(
+        self, peers: tuple[RouterPlan, ...], seed: int
+    ) -> None:
+        """Start the process that plays the other routers."""
+        options = SyntheticPeersOptions(
+            target=_synthetic(self.plan),
+            peers=tuple(_synthetic(peer) for peer in peers),
+            seed=seed,
+        )
+        options_file = self.fleet.folder / "peers.json"
+        options_file.write_bytes(msgspec.json.encode(options))
+        await self.fleet.start_module(
+            "peers", [str(options_file)], module=PEERS_MODULE
+        )
+
     async def figures(self, seconds: float) -> dict[str, float]:
         """Return traffic, processor time and memory over a time."""
         await asyncio.sleep(SETTLE_SECONDS)
@@ -103,23 +131,9 @@
 ) -> dict[str, float]:
     """Return the cost of a router against the routers of the fleet."""
     async with _rig() as rig:
-        peers = tuple(
-            rig.fleet.plan_router(
-                f"router-{index:03}", f"dc-{index % DATA_CENTRES + 1}"
-            )
-            for index in range(1, routers)
-        )
+        peers = rig.plan_peers(routers, DATA_CENTRES)
         await rig.start(peers[:SEEDS])
-        options = SyntheticPeersOptions(
-            target=_synthetic(rig.plan),
-            peers=tuple(_synthetic(peer) for peer in peers),
-            seed=seed,
-        )
-        options_file = rig.fleet.folder / "peers.json"
-        options_file.write_bytes(msgspec.json.encode(options))
-        await rig.fleet.start_module(
-            "peers", [str(options_file)], module=PEERS_MODULE
-        )
+        await rig.start_peers(peers, seed)
         return await rig.figures(seconds)
 
 
@@ -135,6 +149,20 @@
         return await rig.figures(seconds)
 
 
+async def async_measure_shared_upstreams(
+    upstreams: int, seed: int, seconds: float
+) -> dict[str, float]:
+    """Return the same for a router that shares them with others."""
+    async with _rig() as rig:
+        standin = await rig.fleet.start_standin("plain", name="plain", slots=64)
+        document = _document(upstreams)
+        peers = rig.plan_peers(SHARING_ROUTERS, data_centres=1)
+        await rig.start(peers[:SEEDS], _address_map(document, standin))
+        await rig.start_peers(peers, seed)
+        await rig.fleet.publish(rig.plan.admin_address, document)
+        return await rig.figures(seconds)
+
+
 async def async_measure_vms(
     vms: int, _seed: int, seconds: float
 ) -> dict[str, float]:
