Pass configuration records on within a data centre first

Each exchange ranked all current routers for each one that was behind. With 390 routers, half of them behind, it took 16.7 ms and takes 1.4 ms (trial of LogConfigurationStore with 390 member records, median of 5).

--- a/packages/router/src/lacewingspar_router/components/configuration/store.py
+++ b/packages/router/src/lacewingspar_router/components/configuration/store.py
@@ -266,19 +266,30 @@
         """
         alive = self._peers.alive_by_router_id
         own_id = self._app.life.router_id
+        own_data_centre = self._app.settings.data_centre
         offset = self._offset_at_last_exchange
-        current = [
-            router_id
-            for router_id, member in alive.items()
-            if member.applied_offset >= offset and router_id != own_id
-        ]
+        current_by_data_centre: dict[str, list[str]] = {own_data_centre: []}
+        for router_id, member in alive.items():
+            if member.applied_offset >= offset and router_id != own_id:
+                current_by_data_centre.setdefault(
+                    member.data_centre, []
+                ).append(router_id)
+        everywhere = [own_id]
+        for router_ids in current_by_data_centre.values():
+            everywhere += router_ids
+        local = [own_id, *current_by_data_centre[own_data_centre]]
         for router_id, member in alive.items():
             if router_id == own_id or not 0 < member.applied_offset < offset:
                 continue
-            if (
-                rank_of(own_id, router_id, [own_id, *current])
-                < SENDERS_PER_PEER
-            ):
+            # A data centre with a current router helps itself: ranking all
+            # routers for each one that is behind takes 17 ms at 390 routers.
+            if member.data_centre == own_data_centre:
+                candidates = local
+            elif member.data_centre in current_by_data_centre:
+                continue
+            else:
+                candidates = everywhere
+            if rank_of(own_id, router_id, candidates) < SENDERS_PER_PEER:
                 self._send_records(router_id, member.applied_offset)
 
     def _send_records(self, router_id: str, from_offset: int) -> None:
