--- a/tests/router/components/test_configuration.py
+++ b/tests/router/components/test_configuration.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from typing import Any
+from unittest import mock
 
 import httpx
 import pytest
 
-from lacewingspar_core.messages import LogRecords
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import LogRecords, MemberRecord, RouterState
 from lacewingspar_router.components.configuration import async_setup, store
 from lacewingspar_router.components.configuration.errors import (
     InvalidDocumentError,
@@ -149,6 +151,57 @@
     assert [record.offset for record in passed_on()[0].records] == [1]
 
 
+@pytest.mark.parametrize(
+    ("data_centre_by_id", "current_elsewhere", "expected"),
+    [
+        ({"behind": "other"}, False, {"behind"}),
+        ({"behind": "other"}, True, set()),
+        ({"behind": "own"}, True, {"behind"}),
+    ],
+)
+async def test_data_centre_with_a_current_router_helps_itself(
+    make_app,
+    until,
+    data_centre_by_id: dict[str, str],
+    current_elsewhere: bool,
+    expected: set[str],
+) -> None:
+    """Guards against ranking the whole fleet after every change.
+
+    A data centre in which nobody is up to date must still be helped.
+    """
+    app = make_app("r1")
+    configuration = await started(app)
+    await until(lambda: configuration.is_ready)
+    await publish(app, "e1", 0, document())
+    await publish(app, "e2", 1, document(5))
+    await until(lambda: configuration.applied_offset == 2)
+    own = app.settings.data_centre
+    names = {"own": own, "other": "elsewhere"}
+    members = {
+        name: _member(name, names[place], 1)
+        for name, place in data_centre_by_id.items()
+    }
+    if current_elsewhere:
+        members["current"] = _member("current", "elsewhere", 2)
+    peers: Any = app.get(PEERS)
+    sent: list[str] = []
+    with mock.patch.multiple(
+        type(peers),
+        alive_by_router_id=members,
+        send=lambda _, router_id, _message: sent.append(router_id),
+    ):
+        await until(lambda: configuration._offset_at_last_exchange == 2)
+        configuration._pass_records_on()
+    assert set(sent) == expected
+
+
+def _member(name: str, data_centre: str, offset: int) -> MemberRecord:
+    return MemberRecord(
+        RouterLife(name, 1), data_centre, "a", RouterState.SERVING, 1, offset
+    )
+
+
 async def test_snapshot_replaces_expired_records(
     make_app, until, fake_log
 ) -> None:
