--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -156,7 +156,12 @@
         heartbeat, receivers = self._membership.beat(self._app.now())
         for router_id in receivers:
             self.send(router_id, heartbeat)
+        table, receivers = self._membership.take_tables(self._app.now())
+        for router_id in receivers:
+            if table is not None:
+                self.send(router_id, table)
         self._refresh_alive()
+        self._close_unused_sockets()
         self._publish_metrics()
 
     async def async_unload(self) -> None:
@@ -167,7 +172,20 @@
             self._receiver.close(linger=0)
         self._context.term()
 
+    def _close_unused_sockets(self) -> None:
+        """Close the sockets of routers that are no longer known.
+
+        Otherwise each replaced router would leave a socket that tries to
+        connect for ever.
+        """
+        unused = self._socket_by_address.keys() - self._membership.addresses()
+        for address in unused:
+            self._socket_by_address.pop(address).close(linger=0)
+
     def _publish_metrics(self) -> None:
+        self._telemetry.gauge(
+            const.METRIC_SOCKETS, len(self._socket_by_address)
+        )
         for name, size in self._sent_bytes_by_type.items():
             self._telemetry.gauge(const.METRIC_SENT_BYTES, size, type=name)
         for name, size in self._received_bytes_by_type.items():
--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -2,11 +2,12 @@
 
 import typer
 
-from lacewingspar_standins.bench import path, share
+from lacewingspar_standins.bench import capacity, path, share
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
 app.command("path")(path.path_command)
 app.command("share")(share.main)
+app.command("capacity")(capacity.main)
 
 
 @app.callback()
