Use the retry policy of the core package with a budget for each workspace

The test of the former decision function is covered by the cases of test_failed_attempt, which go through the caller API, and by the tests of the core module. A request whose only upstream has failed is now refused with the upstream's error, so the test of the run state uses a second upstream.

--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -17,10 +17,12 @@
 from lacewingspar_router.components.caller_api.refusals import (
     claim_expired,
     slot_outcome,
-    upstream_refusal,
 )
 from lacewingspar_router.components.caller_api.requests import CallerRequest
-from lacewingspar_router.components.caller_api.retries import may_retry
+from lacewingspar_router.components.caller_api.retrying import (
+    Attempts,
+    Retries,
+)
 from lacewingspar_router.components.caller_api.slot_use import SlotUse
 from lacewingspar_router.components.caller_api.streaming import AnswerTransfer
 from lacewingspar_router.components.claims.models import (
@@ -72,6 +74,7 @@
         self._upstreams = application.get(UPSTREAMS)
         self._telemetry = application.get(TELEMETRY)
         self._in_flight = in_flight
+        self.retries = Retries(application)
 
     async def async_run(
         self, request: CallerRequest, exchange: Exchange, track: RequestTrack
@@ -108,11 +111,10 @@
     async def _async_attempts(self, call: Call) -> str:
         """Send a request until an attempt succeeds or no more are allowed."""
         request = call.request
-        failed: set[str] = set()
-        attempts = 0
+        attempts = self.retries.begin(request)
         while True:
-            use = await self._async_acquire(call, failed)
-            attempts += 1
+            use = await self._async_acquire(call, attempts)
+            attempts.sent += 1
             try:
                 with self._telemetry.span(
                     "slot",
@@ -122,22 +124,16 @@
                     return await self._async_attempt(call, use)
             except UpstreamError as error:
                 use.release(slot_outcome(error))
-                failed.add(use.upstream_id)
+                attempts.failed_upstreams.add(use.upstream_id)
                 self._in_flight.hop(call.track, "failed", use.upstream_id)
                 if call.exchange.is_started:
                     await call.exchange.async_interrupt(str(error))
                     return "interrupted"
-                if not may_retry(
-                    request.repeatability,
-                    error.run,
-                    attempts_made=attempts,
-                    attempts_allowed=request.document.limits.attempts,
-                ):
-                    raise upstream_refusal(error) from error
+                await self.retries.async_wait(request, attempts, error)
             finally:
                 use.release(SlotOutcome.CANCELLED)
 
-    async def _async_acquire(self, call: Call, failed: set[str]) -> SlotUse:
+    async def _async_acquire(self, call: Call, attempts: Attempts) -> SlotUse:
         """Wait for a slot of an upstream that has not failed."""
         request = call.request
         deadline_at = request.deadline_at
@@ -152,7 +148,7 @@
             request_class=request.request_class,
             arrived_at=request.arrived_at,
             deadline_at=deadline_at,
-            excluded_upstreams=frozenset(failed),
+            excluded_upstreams=frozenset(attempts.failed_upstreams),
         )
         self._in_flight.hop(call.track, "queue")
         with self._telemetry.span("queue", trace_parent=request.trace_parent):
--- a/packages/router/src/lacewingspar_router/components/caller_api/checks.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/checks.py
@@ -28,8 +28,8 @@
 from lacewingspar_router.components.caller_api.requests import (
     CallerRequest,
     Options,
+    Repeatability,
 )
-from lacewingspar_router.components.caller_api.retries import Repeatability
 from lacewingspar_router.components.caller_api.targets import (
     Target,
     repeatability_of,
--- a/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
@@ -61,7 +61,15 @@
 
     def apply_configuration(self) -> None:
         """Take over the documents in force."""
-        self._index = AccessIndex(self._configuration.documents_by_service)
+        documents = self._configuration.documents_by_service
+        self._index = AccessIndex(documents)
+        self._calls.retries.keep_workspaces(
+            {
+                workspace.name
+                for document in documents.values()
+                for workspace in document.workspaces
+            }
+        )
 
     @property
     def in_flight_count(self) -> int:
--- a/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
@@ -3,7 +3,6 @@
 from lacewingspar_core.messages import SlotOutcome
 from lacewingspar_router.components.caller_api.const import (
     RETRY_AFTER_CLAIM_SECONDS,
-    RETRY_AFTER_FAILURE_SECONDS,
     RETRY_AFTER_STATE_SECONDS,
 )
 from lacewingspar_router.components.upstreams.errors import (
@@ -43,7 +42,9 @@
     return _REASON_BY_ERROR.get(type(error), _OTHER_REASON)[2]
 
 
-def upstream_refusal(error: UpstreamError) -> RequestRefusedError:
+def upstream_refusal(
+    error: UpstreamError, retry_after_seconds: float
+) -> RequestRefusedError:
     """Return the refusal of a request whose last call failed."""
     status, code, _ = _REASON_BY_ERROR.get(type(error), _OTHER_REASON)
     is_callers_fault = status == 400
@@ -52,9 +53,7 @@
         code,
         str(error),
         run=error.run,
-        retry_after_seconds=(
-            None if is_callers_fault else RETRY_AFTER_FAILURE_SECONDS
-        ),
+        retry_after_seconds=(None if is_callers_fault else retry_after_seconds),
     )
 
 
--- a/packages/router/src/lacewingspar_router/components/caller_api/requests.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/requests.py
@@ -1,9 +1,17 @@
 """Requests of callers that have passed all checks."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from lacewingspar_core.documents import ServiceDocument, Workspace
-from lacewingspar_router.components.caller_api.retries import Repeatability
+
+
+class Repeatability(StrEnum):
+    """When a request may be sent again."""
+
+    IDEMPOTENT = "idempotent"
+    IF_NOT_RUN = "if_not_run"
+    NEVER = "never"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/retrying.py
@@ -0,0 +1,133 @@
+"""Retries of failed attempts, with a budget for each workspace."""
+
+import asyncio
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from lacewingspar_core.retry import (
+    FailedAttempt,
+    GiveUp,
+    RetryPolicy,
+    retry_after_seconds,
+)
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.caller_api.refusals import upstream_refusal
+from lacewingspar_router.components.caller_api.requests import (
+    CallerRequest,
+    Repeatability,
+)
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamError,
+    UpstreamInvalidCallError,
+)
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+from lacewingspar_router.errors import RunState
+
+_STATES_WITH_NEW_WORK = frozenset({"unknown", "healthy"})
+
+
+@dataclass(slots=True)
+class Attempts:
+    """Attempts of one request so far.
+
+    Attributes:
+        sent: Number of attempts.
+        failed_upstreams: Upstreams on which an attempt failed.
+    """
+
+    sent: int = 0
+    failed_upstreams: set[str] = field(default_factory=set)
+
+
+class Retries:
+    """Decides on retries and waits before them.
+
+    Args:
+        application: The application that holds the other components.
+    """
+
+    def __init__(self, application: Application) -> None:
+        self._now = application.now
+        self._upstreams = application.get(UPSTREAMS)
+        self._policy = RetryPolicy(application.random)
+
+    def begin(self, request: CallerRequest) -> Attempts:
+        """Credit the budget of a workspace for a new request."""
+        self._policy.on_new_request(request.workspace.name)
+        return Attempts()
+
+    def keep_workspaces(self, names: Collection[str]) -> None:
+        """Forget the budgets of all other workspaces."""
+        self._policy.keep_workspaces(names)
+
+    async def async_wait(
+        self, request: CallerRequest, attempts: Attempts, error: UpstreamError
+    ) -> None:
+        """Wait until a request whose attempt has failed may be sent again.
+
+        Raises:
+            RequestRefusedError: The request is not sent again.
+        """
+        candidates = upstreams_of(request)
+        decision = self._policy.decide(
+            _failed_attempt(request, attempts, error),
+            candidates,
+            request.document.limits.attempts,
+        )
+        if (
+            isinstance(decision, GiveUp)
+            # The refusal of a request that would be too late is not delayed.
+            or self._now() + decision.delay_seconds >= request.deadline_at
+        ):
+            raise upstream_refusal(
+                error, self._retry_after_seconds(request, candidates)
+            ) from error
+        await asyncio.sleep(decision.delay_seconds)
+
+    def _retry_after_seconds(
+        self, request: CallerRequest, candidates: Collection[str]
+    ) -> float:
+        """Return when a refused caller should come back.
+
+        The owners know the length of the queue, so this advice depends only
+        on whether an upstream takes new work.
+        """
+        service = request.document.service
+        statuses = self._upstreams.status_by_upstream
+        slots = sum(
+            status.slots
+            for name in candidates
+            if (status := statuses.get((service, name)))
+            and status.state in _STATES_WITH_NEW_WORK
+        )
+        return retry_after_seconds(0, slots, 0.0)
+
+
+def upstreams_of(request: CallerRequest) -> frozenset[str]:
+    """Return the upstreams that could serve a request."""
+    return frozenset(
+        upstream.id
+        for upstream in request.document.upstreams
+        if not request.model or request.model in upstream.models
+    )
+
+
+def _failed_attempt(
+    request: CallerRequest, attempts: Attempts, error: UpstreamError
+) -> FailedAttempt:
+    repeatability = request.repeatability
+    is_retried_if_not_run = (
+        repeatability is not Repeatability.NEVER
+        # No upstream would accept the call.
+        and not isinstance(error, UpstreamInvalidCallError)
+    )
+    return FailedAttempt(
+        workspace=request.workspace.name,
+        sent=attempts.sent,
+        failed_upstreams=frozenset(attempts.failed_upstreams),
+        is_not_run=is_retried_if_not_run and error.run is RunState.NOT_RUN,
+        is_idempotent=(
+            is_retried_if_not_run and repeatability is Repeatability.IDEMPOTENT
+        ),
+        has_answer_started=False,
+    )
--- a/packages/router/src/lacewingspar_router/components/caller_api/targets.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/targets.py
@@ -11,7 +11,7 @@
     PATH_MODELS,
     PATH_SERVICES,
 )
-from lacewingspar_router.components.caller_api.retries import Repeatability
+from lacewingspar_router.components.caller_api.requests import Repeatability
 from lacewingspar_router.errors import RequestRefusedError
 
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -113,18 +113,20 @@
 
 
 class FakeScheduler:
-    """Grants the first upstream that is not excluded at once."""
+    """Grants the first upstream that is neither excluded nor full at once."""
 
     def __init__(self, configuration: FakeConfiguration) -> None:
         self.configuration = configuration
         self.requests: list[SlotRequest] = []
         self.released: list[tuple[str, SlotOutcome, int]] = []
+        self.full_upstreams: set[str] = set()
 
     async def async_acquire(self, request: SlotRequest) -> SlotGrant:
         self.requests.append(request)
         pool = self.configuration.documents_by_service[request.service]
+        unusable = request.excluded_upstreams | self.full_upstreams
         for upstream in pool.upstreams:
-            if upstream.id not in request.excluded_upstreams:
+            if upstream.id not in unusable:
                 slot = SlotId(RouterLife("router-0", 1), len(self.requests))
                 return SlotGrant(
                     slot,
--- a/tests/router/test_retries.py
+++ b/tests/router/test_retries.py
@@ -8,11 +8,6 @@
 from tests.router.conftest import AUTHORIZED, answering, events, routed
 
 from lacewingspar_core.messages import SlotOutcome
-from lacewingspar_router.components.caller_api.retries import (
-    Repeatability,
-    may_retry,
-)
-from lacewingspar_router.errors import RunState
 
 BROKEN = answering(headers={"content-length": "9"}, is_complete=False)
 CUT_EVENT = events(b'data: {"a', is_complete=False)
@@ -30,30 +25,6 @@
         return tuple(int(item.getsockname()[1]) for item in unused)
 
 
-@pytest.mark.parametrize(
-    ("repeatability", "run", "attempts_made", "expected"),
-    [
-        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 1, True),
-        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 3, False),
-        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 2, True),
-        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 3, False),
-        (Repeatability.IF_NOT_RUN, RunState.UNKNOWN, 1, False),
-        (Repeatability.IF_NOT_RUN, RunState.RAN, 1, False),
-        (Repeatability.NEVER, RunState.NOT_RUN, 1, False),
-    ],
-)
-def test_decision(
-    repeatability: Repeatability,
-    run: RunState,
-    attempts_made: int,
-    expected: bool,
-) -> None:
-    """Guards against a second run of a call that may run once."""
-    assert expected is may_retry(
-        repeatability, run, attempts_made=attempts_made, attempts_allowed=3
-    )
-
-
 # Method, path, failing upstream, whether it is retried, and the run state of
 # the refusal if it is not.
 CASES: list[tuple[str, str, Any, bool, str]] = [
@@ -112,7 +83,8 @@
 
 async def test_earlier_attempt_decides_the_run_state() -> None:
     """Guards against `not_run` for a request whose first attempt ran."""
-    async with routed(BROKEN) as router:
+    async with routed(BROKEN, GOOD) as router:
+        router.scheduler.full_upstreams.add("upstream-1")
         answer = await router.chat()
         assert answer.json()["error"] == {
             "code": "no_upstream",
@@ -121,3 +93,16 @@
             "retry_after_seconds": None,
             "request_id": answer.headers["x-request-id"],
         }
+    async with routed(BROKEN, REFUSING) as router:
+        error = (await router.chat()).json()["error"]
+        assert (error["code"], error["run"]) == ("upstream_refused", "unknown")
+
+
+async def test_retries_are_limited_by_the_budget() -> None:
+    """Guards against retries that multiply the load of an outage."""
+    async with routed(BROKEN, BROKEN, GOOD) as router:
+        answers = [await router.chat() for _ in range(2)]
+        assert [answer.status_code for answer in answers] == [200, 502]
+        assert answers[1].headers["retry-after"] == "1"
+        # Two retries of the first request and one of the second.
+        assert len(router.scheduler.requests) == 5
