Quarantine requests that crash upstreams across the fleet

A call that breaks starts a check whether its upstream still answers. If not, all requests in flight there are suspects. Routers exchange the records at once and reserve upstreams for suspects, so that suspects run apart.

--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -298,6 +298,32 @@
     crashes: tuple[CrashRecord, ...]
 
 
+class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
+    """A request suspected of crashing upstreams, and where it runs.
+
+    Attributes:
+        upstream_id: Upstream that runs it or is reserved for it.
+        fingerprint: Fingerprint of the request.
+    """
+
+    upstream_id: str
+    fingerprint: str
+
+
+class SuspectRuns(PeerMessage, frozen=True, tag="suspects"):
+    """All suspects of one service that the sender runs or is about to run.
+
+    Attributes:
+        service: Name of the service.
+        sequence: Grows with every message of this sender and service.
+        runs: The runs.
+    """
+
+    service: str
+    sequence: int
+    runs: tuple[SuspectRun, ...]
+
+
 AnyPeerMessage = (
     Heartbeat
     | Demand
@@ -311,6 +337,7 @@
     | LogRecordsRequest
     | LogRecords
     | Quarantine
+    | SuspectRuns
 )
 
 
--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -24,17 +24,21 @@
     Retries,
 )
 from lacewingspar_router.components.caller_api.slot_use import SlotUse
+from lacewingspar_router.components.caller_api.slot_wait import SlotWait
 from lacewingspar_router.components.caller_api.streaming import AnswerTransfer
 from lacewingspar_router.components.claims.models import (
     ClaimAnswered,
     ClaimGranted,
 )
-from lacewingspar_router.components.scheduler.models import (
-    SCHEDULER,
-    SlotRequest,
+from lacewingspar_router.components.quarantine.models import (
+    QUARANTINE,
+    Subject,
 )
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.components.upstreams.errors import UpstreamError
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamBrokenError,
+    UpstreamError,
+)
 from lacewingspar_router.components.upstreams.models import (
     UPSTREAMS,
     UpstreamAnswer,
@@ -49,12 +53,14 @@
 
     Attributes:
         request: The request.
+        subject: Identity of the request for the quarantine.
         exchange: Exchange with the caller.
         track: Path of the request.
         claim: Claim of its key, if it has one.
     """
 
     request: CallerRequest
+    subject: Subject
     exchange: Exchange
     track: RequestTrack
     claim: ClaimGranted | None
@@ -70,7 +76,8 @@
 
     def __init__(self, application: Application, in_flight: InFlight) -> None:
         self._claims = CallClaims(application)
-        self._scheduler = application.get(SCHEDULER)
+        self._quarantine = application.get(QUARANTINE)
+        self._slots = SlotWait(application)
         self._upstreams = application.get(UPSTREAMS)
         self._telemetry = application.get(TELEMETRY)
         self._in_flight = in_flight
@@ -87,12 +94,16 @@
         Raises:
             RequestRefusedError: The request gets a refusal.
         """
+        subject = Subject(
+            request.document.service, request.target, request.body
+        )
+        self._slots.check(subject)
         claim = await self._claims.async_claim(request)
         if isinstance(claim, ClaimAnswered):
             track.run = RunState.RAN
             await async_replay(exchange, claim)
             return "replayed"
-        call = Call(request, exchange, track, claim)
+        call = Call(request, subject, exchange, track, claim)
         try:
             return await self._async_attempts(call)
         except RequestRefusedError as error:
@@ -122,16 +133,24 @@
                     upstream=use.upstream_id,
                 ):
                     return await self._async_attempt(call, use)
+            except asyncio.CancelledError:
+                self._end_run(use, is_left=True)
+                raise
             except UpstreamError as error:
                 use.release(slot_outcome(error))
+                confirmation = self._confirm_crash(use, error)
+                self._end_run(use)
                 attempts.failed_upstreams.add(use.upstream_id)
                 self._in_flight.hop(call.track, "failed", use.upstream_id)
                 if call.exchange.is_started:
                     await call.exchange.async_interrupt(str(error))
                     return "interrupted"
                 await self.retries.async_wait(request, attempts, error)
+                if confirmation is not None:
+                    await asyncio.wait({confirmation})
             finally:
-                use.release(SlotOutcome.CANCELLED)
+                use.cancel()
+                self._end_run(use)
 
     async def _async_acquire(self, call: Call, attempts: Attempts) -> SlotUse:
         """Wait for a slot of an upstream that has not failed."""
@@ -140,21 +159,26 @@
         if call.claim is not None:
             # After that time the slot could not be used.
             deadline_at = min(deadline_at, call.claim.send_before)
-        slot_request = SlotRequest(
-            request_id=request.request_id,
-            service=request.document.service,
-            workspace=request.workspace.name,
-            model=request.model,
-            request_class=request.request_class,
-            arrived_at=request.arrived_at,
-            deadline_at=deadline_at,
-            excluded_upstreams=frozenset(attempts.failed_upstreams),
-        )
         self._in_flight.hop(call.track, "queue")
         with self._telemetry.span("queue", trace_parent=request.trace_parent):
-            grant = await self._scheduler.async_acquire(slot_request)
-        self._in_flight.hop(call.track, "slot", grant.upstream_id)
-        return SlotUse(self._scheduler, grant)
+            use = await self._slots.async_acquire(
+                request, call.subject, attempts, deadline_at
+            )
+        self._in_flight.hop(call.track, "slot", use.upstream_id)
+        return use
+
+    def _confirm_crash(
+        self, use: SlotUse, error: UpstreamError
+    ) -> asyncio.Task[None] | None:
+        """Begin to check whether an upstream has crashed, if it may have."""
+        if use.run is None or not isinstance(error, UpstreamBrokenError):
+            return None
+        return self._quarantine.on_break(use.run)
+
+    def _end_run(self, use: SlotUse, *, is_left: bool = False) -> None:
+        run, use.run = use.run, None
+        if run is not None:
+            self._quarantine.end(run, is_left=is_left)
 
     async def _async_attempt(self, call: Call, use: SlotUse) -> str:
         """Send a request to one upstream and pass its answer on."""
@@ -200,6 +224,8 @@
         """Pass an answer on, give the slot back and record the outcome."""
         transfer = AnswerTransfer(call.request, call.exchange, answer)
         await transfer.async_run()
+        if use.run is not None:
+            use.run.is_complete = True
         use.release(SlotOutcome.COMPLETED, transfer.tokens)
         call.track.run = RunState.RAN
         if call.claim is not None:
--- a/packages/router/src/lacewingspar_router/components/caller_api/const.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/const.py
@@ -28,6 +28,10 @@
 # are prompt. Without a confirmed release it says that the run is unknown.
 RELEASE_LIMIT_SECONDS = 1.0
 
+# A suspect that waits in the queue looks again after this time for upstreams
+# without other suspects.
+SUSPECT_QUEUE_SECONDS = 1.0
+
 # The claim stream keeps answers up to this size (section 8 of the design).
 MAX_KEPT_ANSWER_BYTES = 8 * 1024
 
--- a/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
@@ -57,6 +57,26 @@
     )
 
 
+def quarantined(seconds: float) -> RequestRefusedError:
+    """Return the refusal of a request that crashes upstreams."""
+    return RequestRefusedError(
+        422,
+        "quarantined",
+        "upstreams crashed while they ran this request",
+        retry_after_seconds=seconds,
+    )
+
+
+def suspect_deadline_passed() -> RequestRefusedError:
+    """Return the refusal of a suspect that found no upstream for itself."""
+    return RequestRefusedError(
+        504,
+        "deadline_passed",
+        "the deadline passed while other requests were being checked",
+        retry_after_seconds=RETRY_AFTER_STATE_SECONDS,
+    )
+
+
 def claim_expired() -> RequestRefusedError:
     """Return the refusal of a call whose claim ran out before sending."""
     return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/components/caller_api/retrying.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/retrying.py
@@ -20,7 +20,10 @@
     UpstreamError,
     UpstreamInvalidCallError,
 )
-from lacewingspar_router.components.upstreams.models import UPSTREAMS
+from lacewingspar_router.components.upstreams.models import (
+    UPSTREAMS,
+    UpstreamPool,
+)
 from lacewingspar_router.errors import RunState
 
 _STATES_WITH_NEW_WORK = frozenset({"unknown", "healthy"})
@@ -68,10 +71,9 @@
         Raises:
             RequestRefusedError: The request is not sent again.
         """
-        candidates = upstreams_of(request)
         decision = self._policy.decide(
             _failed_attempt(request, attempts, error),
-            candidates,
+            _upstreams_of(request),
             request.document.limits.attempts,
         )
         if (
@@ -80,30 +82,35 @@
             or self._now() + decision.delay_seconds >= request.deadline_at
         ):
             raise upstream_refusal(
-                error, self._retry_after_seconds(request, candidates)
+                error, self._retry_after_seconds(request)
             ) from error
         await asyncio.sleep(decision.delay_seconds)
 
-    def _retry_after_seconds(
-        self, request: CallerRequest, candidates: Collection[str]
-    ) -> float:
+    def _retry_after_seconds(self, request: CallerRequest) -> float:
         """Return when a refused caller should come back.
 
         The owners know the length of the queue, so this advice depends only
         on whether an upstream takes new work.
         """
-        service = request.document.service
-        statuses = self._upstreams.status_by_upstream
-        slots = sum(
-            status.slots
-            for name in candidates
-            if (status := statuses.get((service, name)))
-            and status.state in _STATES_WITH_NEW_WORK
-        )
-        return retry_after_seconds(0, slots, 0.0)
+        usable = upstreams_with_new_work(request, self._upstreams)
+        return retry_after_seconds(0, len(usable), 0.0)
+
+
+def upstreams_with_new_work(
+    request: CallerRequest, pool: UpstreamPool
+) -> frozenset[str]:
+    """Return the upstreams that could serve a request now."""
+    service = request.document.service
+    statuses = pool.status_by_upstream
+    return frozenset(
+        name
+        for name in _upstreams_of(request)
+        if (status := statuses.get((service, name)))
+        and status.state in _STATES_WITH_NEW_WORK
+    )
 
 
-def upstreams_of(request: CallerRequest) -> frozenset[str]:
+def _upstreams_of(request: CallerRequest) -> frozenset[str]:
     """Return the upstreams that could serve a request."""
     return frozenset(
         upstream.id
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/caller_api/slot_wait.py
@@ -0,0 +1,134 @@
+"""Wait of a request for a slot that it may use."""
+
+import asyncio
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.caller_api.const import (
+    SUSPECT_QUEUE_SECONDS,
+)
+from lacewingspar_router.components.caller_api.refusals import (
+    quarantined,
+    suspect_deadline_passed,
+)
+from lacewingspar_router.components.caller_api.requests import CallerRequest
+from lacewingspar_router.components.caller_api.retrying import (
+    Attempts,
+    upstreams_with_new_work,
+)
+from lacewingspar_router.components.caller_api.slot_use import SlotUse
+from lacewingspar_router.components.quarantine.errors import (
+    NoUpstreamForSuspectError,
+)
+from lacewingspar_router.components.quarantine.models import (
+    QUARANTINE,
+    Subject,
+)
+from lacewingspar_router.components.scheduler.models import (
+    SCHEDULER,
+    SlotGrant,
+    SlotRequest,
+)
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+
+
+class SlotWait:
+    """Gets slots for requests and keeps suspects apart.
+
+    Args:
+        application: The application that holds the other components.
+    """
+
+    def __init__(self, application: Application) -> None:
+        self._quarantine = application.get(QUARANTINE)
+        self._scheduler = application.get(SCHEDULER)
+        self._upstreams = application.get(UPSTREAMS)
+
+    def check(self, subject: Subject) -> None:
+        """Check that a request is not in quarantine.
+
+        Raises:
+            RequestRefusedError: It is.
+        """
+        seconds = self._quarantine.refused_seconds(subject)
+        if seconds > 0:
+            raise quarantined(seconds)
+
+    async def async_acquire(
+        self,
+        request: CallerRequest,
+        subject: Subject,
+        attempts: Attempts,
+        deadline_at: float,
+    ) -> SlotUse:
+        """Wait for a slot of an upstream that the request may use.
+
+        Raises:
+            RequestRefusedError: The request is refused; it was not sent.
+        """
+        await self._quarantine.async_wait_confirmed(subject)
+        while True:
+            self.check(subject)
+            grant = await self._async_grant(
+                request, subject, attempts, deadline_at
+            )
+            if grant is None:
+                continue
+            use = SlotUse(self._scheduler, grant)
+            try:
+                # The wait may have been long.
+                self.check(subject)
+                use.run = await self._quarantine.async_begin(
+                    subject, grant.upstream_id
+                )
+            finally:
+                if use.run is None:
+                    use.cancel()
+            if use.run is not None:
+                return use
+
+    async def _async_grant(
+        self,
+        request: CallerRequest,
+        subject: Subject,
+        attempts: Attempts,
+        deadline_at: float,
+    ) -> SlotGrant | None:
+        """Return a slot, or None if a suspect has to look again."""
+        failed = frozenset(attempts.failed_upstreams)
+        if not self._quarantine.is_suspect(subject):
+            return await self._scheduler.async_acquire(
+                _slot_request(request, failed, deadline_at)
+            )
+
+        def usable() -> frozenset[str]:
+            return upstreams_with_new_work(request, self._upstreams) - failed
+
+        try:
+            busy = await self._quarantine.async_busy_upstreams(
+                subject, usable, deadline_at
+            )
+        except NoUpstreamForSuspectError as error:
+            raise suspect_deadline_passed() from error
+        try:
+            # Other upstreams may become free of suspects meanwhile.
+            async with asyncio.timeout(SUSPECT_QUEUE_SECONDS):
+                return await self._scheduler.async_acquire(
+                    _slot_request(request, failed | busy, deadline_at)
+                )
+        except TimeoutError:
+            return None
+
+
+def _slot_request(
+    request: CallerRequest, excluded: frozenset[str], deadline_at: float
+) -> SlotRequest:
+    return SlotRequest(
+        request_id=request.request_id,
+        service=request.document.service,
+        workspace=request.workspace.name,
+        model=request.model,
+        request_class=request.request_class,
+        arrived_at=request.arrived_at,
+        deadline_at=deadline_at,
+        excluded_upstreams=excluded,
+    )
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/quarantine/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the quarantine component."""
+
+from lacewingspar_router.errors import RouterError
+
+
+class NoUpstreamForSuspectError(RouterError):
+    """No upstream was free of other suspects before the deadline."""
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -0,0 +1,238 @@
+"""Crash records of all services, and the runs that they are made from."""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+import structlog
+
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import Quarantine, SuspectRun
+from lacewingspar_core.quarantine import QuarantineState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
+from lacewingspar_router.components.quarantine.const import (
+    LEFT_RUN_SECONDS,
+    METRIC_CRASHES,
+    METRIC_RECORDS,
+)
+from lacewingspar_router.components.quarantine.models import (
+    Subject,
+    UpstreamRun,
+)
+from lacewingspar_router.components.quarantine.suspects import SuspectRunGate
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+
+_LOGGER = structlog.get_logger(__name__)
+
+_STATE_FAILING = "failing"
+
+
+class CrashRegistry:
+    """Tells which requests are suspects and which are in quarantine.
+
+    Args:
+        app: The application that holds the other components.
+        gate: Reservations of upstreams for suspects.
+    """
+
+    def __init__(self, app: Application, gate: SuspectRunGate) -> None:
+        self._app = app
+        self._gate = gate
+        self._peers = app.get(PEERS)
+        self._telemetry = app.get(TELEMETRY)
+        self._upstreams = app.get(UPSTREAMS)
+        # A service without a known crash has no state, which keeps the path
+        # of its requests short.
+        self._state_by_service: dict[str, QuarantineState] = {}
+        self._runs_by_upstream: dict[tuple[str, str], set[UpstreamRun]] = {}
+        self._broken_runs_by_check: dict[
+            asyncio.Task[None], frozenset[UpstreamRun]
+        ] = {}
+        self._known_lives: set[RouterLife] = set()
+        self._peers.subscribe(Quarantine, self._receive)
+        self._peers.add_listener(self._routers_changed)
+
+    def refused_seconds(self, subject: Subject) -> float:
+        """Return how long a request is still refused, or 0."""
+        state = self._state_by_service.get(subject.service)
+        if state is None:
+            return 0.0
+        now = self._app.now()
+        return max(0.0, state.refused_until(subject.fingerprint, now) - now)
+
+    def is_suspect(self, subject: Subject) -> bool:
+        """Return whether a request must run apart from other suspects."""
+        state = self._state_by_service.get(subject.service)
+        if state is None:
+            return False
+        return state.must_run_alone(subject.fingerprint, self._app.now())
+
+    async def async_wait_confirmed(self, subject: Subject) -> None:
+        """Wait for checks whether this request has crashed an upstream."""
+        checks = [
+            check
+            for check, runs in self._broken_runs_by_check.items()
+            if any(_is_same(run.subject, subject) for run in runs)
+        ]
+        if checks:
+            await asyncio.wait(checks)
+
+    async def async_busy_upstreams(
+        self,
+        subject: Subject,
+        usable: Callable[[], Collection[str]],
+        deadline_at: float,
+    ) -> frozenset[str]:
+        """Wait until a suspect may run and return what it must not use.
+
+        Raises:
+            NoUpstreamForSuspectError: The deadline has passed.
+        """
+        return await self._gate.async_wait(
+            subject.service, subject.fingerprint, usable, deadline_at
+        )
+
+    async def async_begin(
+        self, subject: Subject, upstream_id: str
+    ) -> UpstreamRun | None:
+        """Note that a request is about to be sent.
+
+        Returns:
+            The run, or None if a suspect must not run on this upstream now.
+        """
+        reservation = None
+        if self.is_suspect(subject):
+            reservation = SuspectRun(upstream_id, subject.fingerprint)
+            if not await self._gate.async_reserve(subject.service, reservation):
+                return None
+        state = self._state_by_service.get(subject.service)
+        epoch = state.epoch(upstream_id) if state else 0
+        run = UpstreamRun(subject, upstream_id, epoch, reservation)
+        key = (subject.service, upstream_id)
+        self._runs_by_upstream.setdefault(key, set()).add(run)
+        return run
+
+    def on_break(self, run: UpstreamRun) -> "asyncio.Task[None]":
+        """Begin to check whether the upstream of a broken run has crashed.
+
+        A crash breaks all runs of the upstream, so the first one that breaks
+        starts the check for all.
+        """
+        if run.confirmation is not None:
+            return run.confirmation
+        key = (run.subject.service, run.upstream_id)
+        runs = frozenset(self._runs_by_upstream.get(key, ())) | {run}
+        check = self._app.create_task(
+            self._async_confirm(key, runs), "confirm crash"
+        )
+        for other in runs:
+            other.confirmation = other.confirmation or check
+        self._broken_runs_by_check[check] = runs
+        check.add_done_callback(
+            lambda done: self._broken_runs_by_check.pop(done, None)
+        )
+        return check
+
+    def end(self, run: UpstreamRun, *, is_left: bool) -> None:
+        """Note the end of a run."""
+        if run.is_complete:
+            self._clear(run.subject)
+        if is_left and not run.is_complete:
+            asyncio.get_running_loop().call_later(
+                LEFT_RUN_SECONDS, self._end_left, run
+            )
+        else:
+            self._discard(run)
+
+    def _end_left(self, run: UpstreamRun) -> None:
+        """End a run that nobody has watched since its caller left."""
+        key = (run.subject.service, run.upstream_id)
+        status = self._upstreams.status_by_upstream.get(key)
+        if status is not None and status.state == _STATE_FAILING:
+            self.on_break(run)
+        self._discard(run)
+
+    def _discard(self, run: UpstreamRun) -> None:
+        key = (run.subject.service, run.upstream_id)
+        runs = self._runs_by_upstream.get(key)
+        if runs is not None:
+            runs.discard(run)
+            if not runs:
+                del self._runs_by_upstream[key]
+        if run.reservation is not None:
+            self._gate.release(run.subject.service, run.reservation)
+            run.reservation = None
+
+    def _clear(self, subject: Subject) -> None:
+        state = self._state_by_service.get(subject.service)
+        if state is not None:
+            state.on_success(subject.fingerprint, self._app.now())
+            self._publish(state)
+
+    async def _async_confirm(
+        self, key: tuple[str, str], runs: frozenset[UpstreamRun]
+    ) -> None:
+        """Record a crash unless the upstream still answers.
+
+        A broken connection or a cut stream alone says nothing about the other
+        requests of the upstream.
+        """
+        service, upstream_id = key
+        if await self._upstreams.async_is_up(service, upstream_id):
+            return
+        suspects = {
+            run.subject.fingerprint for run in runs if not run.is_complete
+        }
+        _LOGGER.warning(
+            "upstream crashed",
+            service=service,
+            upstream=upstream_id,
+            suspects=sorted(suspects),
+        )
+        self._telemetry.count(
+            METRIC_CRASHES, service=service, upstream=upstream_id
+        )
+        state = self._state(service)
+        epoch = max(run.epoch for run in runs)
+        state.on_crash(upstream_id, epoch, suspects, self._app.now())
+        self._publish(state)
+
+    def _state(self, service: str) -> QuarantineState:
+        state = self._state_by_service.get(service)
+        if state is None:
+            state = self._state_by_service[service] = QuarantineState(service)
+        return state
+
+    def _publish(self, state: QuarantineState) -> None:
+        """Send the changed records to all routers."""
+        message = state.publish(self._app.now())
+        if message is None:
+            return
+        for router_id in self._peers.alive_by_router_id:
+            if router_id != self._app.life.router_id:
+                self._peers.send(router_id, message)
+
+    def _receive(self, received: ReceivedMessage) -> None:
+        message = received.message
+        assert isinstance(message, Quarantine)
+        self._state(message.service).merge(message, self._app.now())
+        self._telemetry.count(METRIC_RECORDS, len(message.crashes))
+
+    def _routers_changed(self) -> None:
+        """Send all records to routers that have started or come back."""
+        lives = {
+            record.life for record in self._peers.alive_by_router_id.values()
+        }
+        new = lives - self._known_lives - {self._app.life}
+        self._known_lives = lives
+        for state in self._state_by_service.values() if new else ():
+            message = state.publish(self._app.now(), full=True)
+            if message is None or not message.crashes:
+                continue
+            for life in new:
+                self._peers.send(life.router_id, message)
+
+
+def _is_same(one: Subject, other: Subject) -> bool:
+    return one.service == other.service and one.fingerprint == other.fingerprint
--- a/packages/router/src/lacewingspar_router/components/upstreams/const.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/const.py
@@ -4,6 +4,9 @@
 # A connection that has gone silent is noticed only when it is used, so idle
 # connections are closed after this time.
 IDLE_EXPIRY_SECONDS = 5.0
+# After a broken call, an upstream that does not answer within this time counts
+# as crashed.
+UP_CHECK_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 30.0
 # Slots limit the calls per upstream; this limits the idle connections only.
 MAX_IDLE_CONNECTIONS = 256
--- a/packages/router/src/lacewingspar_router/components/upstreams/models.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/models.py
@@ -78,6 +78,9 @@
                 the upstream may have run it.
         """
 
+    async def async_is_up(self, service: str, upstream_id: str) -> bool:
+        """Return whether an upstream answers HTTP requests."""
+
     @property
     def status_by_upstream(self) -> Mapping[tuple[str, str], UpstreamStatus]:
         """Return the status by (service, upstream id)."""
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -6,6 +6,7 @@
 import httpx
 import structlog
 
+from lacewingspar_router.addresses import map_url
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.configuration.models import (
     CONFIGURATION,
@@ -15,12 +16,14 @@
 from lacewingspar_router.components.upstreams.connections import (
     UpstreamConnections,
 )
+from lacewingspar_router.components.upstreams.const import UP_CHECK_SECONDS
 from lacewingspar_router.components.upstreams.errors import (
     UpstreamConnectError,
     UpstreamError,
     UpstreamMismatchError,
 )
 from lacewingspar_router.components.upstreams.health import (
+    HEALTH_PATH,
     UpstreamHealthMonitor,
     UpstreamKey,
 )
@@ -115,6 +118,20 @@
         latency_seconds = self._application.now() - sent_at
         return answer
 
+    async def async_is_up(self, service: str, upstream_id: str) -> bool:
+        """Return whether an upstream answers HTTP requests."""
+        address = self._address_by_upstream.get((service, upstream_id))
+        if address is None:
+            return False
+        url = map_url(address, self._application.settings.address_map)
+        try:
+            await self._health_client.get(
+                url + HEALTH_PATH, timeout=UP_CHECK_SECONDS
+            )
+        except (httpx.HTTPError, httpx.InvalidURL):
+            return False
+        return True
+
     async def async_close(self) -> None:
         """Close all connections."""
         await self._monitor.async_close()
--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -26,6 +26,7 @@
     "configuration",
     "claims",
     "upstreams",
+    "quarantine",
     "scheduler",
     "caller_api",
     "admin_api",
--- a/tests/router/components/conftest.py
+++ b/tests/router/components/conftest.py
@@ -100,6 +100,7 @@
         self.app = app
         self.network = network
         self.handler_by_type: dict[type, Callable[[Any], None]] = {}
+        self.listeners: list[Callable[[], None]] = []
         self.sent: list[tuple[str, Any]] = []
         self.offset_by_router_id: dict[str, int] = {}
         network[app.life.router_id] = self
@@ -130,6 +131,9 @@
             )
             asyncio.get_running_loop().call_soon(handler, received)
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        self.listeners.append(listener)
+
     def subscribe(self, message_type: type, handler: Any) -> None:
         self.handler_by_type[message_type] = handler
 
--- /dev/null
+++ b/tests/router/components/test_quarantine.py
@@ -0,0 +1,138 @@
+"""Crash records and runs of suspects at several routers."""
+
+import asyncio
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from lacewingspar_core.messages import Quarantine
+from lacewingspar_router.components import quarantine
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.quarantine import models, registry
+from lacewingspar_router.components.quarantine.errors import (
+    NoUpstreamForSuspectError,
+)
+from lacewingspar_router.components.upstreams.models import UPSTREAMS
+
+FAR = float("inf")
+
+
+class FakePool:
+    def __init__(self) -> None:
+        self.up: set[str] = set()
+        self.status_by_upstream: dict[Any, Any] = {}
+
+    async def async_is_up(self, service: str, upstream_id: str) -> bool:
+        del service
+        return upstream_id in self.up
+
+
+def subject(name: str) -> models.Subject:
+    return models.Subject("s", "/p", name.encode())
+
+
+@pytest.fixture
+def start(make_app: Any) -> Callable[..., Any]:
+    async def start_router(router_id: str) -> Any:
+        app = make_app(router_id)
+        app.register(UPSTREAMS, FakePool())
+        await quarantine.async_setup(app)
+        return SimpleNamespace(
+            app=app,
+            crashes=app.get(models.QUARANTINE),
+            pool=app.get(UPSTREAMS),
+            peers=app.get(PEERS),
+        )
+
+    return start_router
+
+
+async def crash(router: Any, upstream_id: str, *names: str) -> None:
+    """Let an upstream crash under some requests."""
+    runs = [
+        await router.crashes.async_begin(subject(name), upstream_id)
+        for name in names
+    ]
+    await router.crashes.on_break(runs[0])
+    for run in runs:
+        router.crashes.end(run, is_left=False)
+
+
+async def test_quarantine_reaches_all_routers(start, until) -> None:
+    """Guards against a request that is refused at one router only."""
+    first, second = await start("r1"), await start("r2")
+    await crash(first, "u1", "x", "a")
+    await until(lambda: second.crashes.is_suspect(subject("x")))
+    assert second.crashes.is_suspect(subject("a"))
+    assert not second.crashes.is_suspect(subject("other"))
+    await crash(second, "u2", "x", "b")
+    await until(lambda: first.crashes.refused_seconds(subject("x")))
+    for router in (first, second):
+        assert 590 < router.crashes.refused_seconds(subject("x")) <= 600
+        assert not router.crashes.refused_seconds(subject("a"))
+
+
+async def test_completed_run_clears_a_suspect_everywhere(start, until) -> None:
+    first, second = await start("r1"), await start("r2")
+    await crash(first, "u1", "x", "a")
+    await until(lambda: second.crashes.is_suspect(subject("a")))
+    run = await second.crashes.async_begin(subject("a"), "u2")
+    run.is_complete = True
+    second.crashes.end(run, is_left=False)
+    await until(lambda: not first.crashes.is_suspect(subject("a")))
+    assert first.crashes.is_suspect(subject("x"))
+
+
+async def test_broken_call_to_a_live_upstream_is_no_crash(start) -> None:
+    """Guards against suspects from one cut connection."""
+    router = await start("r1")
+    router.pool.up.add("u1")
+    await crash(router, "u1", "x", "a")
+    assert not router.crashes.is_suspect(subject("x"))
+
+
+async def test_new_router_gets_all_records(start, until) -> None:
+    first = await start("r1")
+    await crash(first, "u1", "x")
+    second = await start("r2")
+    first.peers.listeners[0]()
+    await until(lambda: second.crashes.is_suspect(subject("x")))
+    sent = [item for _, item in first.peers.sent if type(item) is Quarantine]
+    first.peers.listeners[0]()
+    assert len(sent) == 1
+
+
+async def test_suspects_of_two_routers_run_apart(start, until) -> None:
+    """Guards against suspects that are found guilty together."""
+    first, second = await start("r1"), await start("r2")
+    await crash(first, "u1", "x", "a")
+    await until(lambda: second.crashes.is_suspect(subject("a")))
+    begun = await asyncio.gather(
+        first.crashes.async_begin(subject("x"), "u2"),
+        second.crashes.async_begin(subject("a"), "u2"),
+    )
+    assert [run is not None for run in begun] == [True, False]
+    wait = second.crashes.async_busy_upstreams
+    assert await wait(subject("a"), lambda: {"u2", "u3"}, FAR) == {"u2"}
+    with pytest.raises(NoUpstreamForSuspectError):
+        await wait(subject("a"), lambda: {"u2"}, 0.0)
+    waiting = asyncio.create_task(wait(subject("a"), lambda: {"u2"}, FAR))
+    await asyncio.sleep(0)
+    first.crashes.end(begun[0], is_left=False)
+    assert await waiting == frozenset()
+
+
+async def test_request_whose_caller_left_stays_a_suspect(
+    start, until, monkeypatch
+) -> None:
+    """Guards against callers that hide a crash by leaving before it."""
+    monkeypatch.setattr(registry, "LEFT_RUN_SECONDS", 0.01)
+    router = await start("r1")
+    run = await router.crashes.async_begin(subject("x"), "u1")
+    router.crashes.end(run, is_left=True)
+    status = SimpleNamespace(state="failing")
+    router.pool.status_by_upstream["s", "u1"] = status
+    await until(lambda: router.crashes.is_suspect(subject("x")))
+    assert router.crashes._runs_by_upstream == {}
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -13,7 +13,7 @@
 from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.messages import SlotId, SlotOutcome
 from lacewingspar_router.application import Application, LifeCycle
-from lacewingspar_router.components import telemetry, upstreams
+from lacewingspar_router.components import quarantine, telemetry, upstreams
 from lacewingspar_router.components.caller_api import caller_app
 from lacewingspar_router.components.caller_api.proxy import CallerProxy
 from lacewingspar_router.components.claims.models import (
@@ -27,6 +27,7 @@
     PublishAccepted,
     PublishResult,
 )
+from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.scheduler.models import (
     SCHEDULER,
     SlotGrant,
@@ -144,6 +145,18 @@
         self.released.append((grant.upstream_id, outcome, tokens))
 
 
+class FakePeers:
+    """A fleet without other routers."""
+
+    alive_by_router_id: dict[str, Any] = {}
+
+    def subscribe(self, message_type: Any, handler: Any) -> None:
+        del message_type, handler
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        del listener
+
+
 @dataclass
 class FakeClaims:
     decision: ClaimDecision = field(
@@ -285,7 +298,9 @@
         application.register(SCHEDULER, scheduler)
         application.register(CLAIMS, claims)
         application.register(VM_LIST, FakeVmList())
+        application.register(PEERS, FakePeers())
         await upstreams.async_setup(application)
+        await quarantine.async_setup(application)
         proxy = CallerProxy(application)
         proxy.apply_configuration()
         application.life_cycle = LifeCycle.SERVING
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -14,6 +14,7 @@
     AUTHORIZED,
     FakeClaims,
     FakeConfiguration,
+    FakePeers,
     FakeScheduler,
     FakeVmList,
     answering,
@@ -30,6 +31,7 @@
 from lacewingspar_router.components import (
     admin_api,
     caller_api,
+    quarantine,
     telemetry,
     upstreams,
 )
@@ -38,6 +40,7 @@
 from lacewingspar_router.components.configuration.models import (
     CONFIGURATION,
 )
+from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.scheduler.models import SCHEDULER
 from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import ComponentNotReadyError
@@ -96,6 +99,7 @@
         application.register(SCHEDULER, FakeScheduler(configuration))
         application.register(CLAIMS, FakeClaims())
         application.register(VM_LIST, FakeVmList())
+        application.register(PEERS, FakePeers())
 
     async def setup_last(application: Application) -> None:
         started(application, None)
@@ -104,6 +108,7 @@
         ("telemetry", telemetry.async_setup),
         ("fakes", setup_fakes),
         ("upstreams", upstreams.async_setup),
+        ("quarantine", quarantine.async_setup),
         ("caller_api", caller_api.async_setup),
         ("admin_api", admin_api.async_setup),
         ("last", setup_last),
