--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -46,6 +46,9 @@
 )
 from lacewingspar_router.errors import RequestRefusedError, RunState
 
+# Refusals of a call whose claim ran out while it waited for a slot.
+_CODES_OF_EXPIRED_CLAIMS = frozenset({"deadline_passed", "claim_expired"})
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -75,6 +78,7 @@
     """
 
     def __init__(self, application: Application, in_flight: InFlight) -> None:
+        self._now = application.now
         self._claims = CallClaims(application)
         self._quarantine = application.get(QUARANTINE)
         self._slots = SlotWait(application)
@@ -98,31 +102,56 @@
             request.document.service, request.target, request.body
         )
         self._slots.check(subject)
-        claim = await self._claims.async_claim(request)
-        if isinstance(claim, ClaimAnswered):
-            track.run = RunState.RAN
-            await async_replay(exchange, claim)
-            return "replayed"
-        call = Call(request, subject, exchange, track, claim)
-        try:
-            return await self._async_attempts(call)
-        except RequestRefusedError as error:
-            # An earlier attempt may have run although the last one did not.
-            if track.run is not RunState.NOT_RUN:
-                error.run = track.run
-            elif claim is not None:
-                await self._claims.async_give_up(claim, error)
-            raise
-        except asyncio.CancelledError:
-            if claim is not None and track.run is RunState.NOT_RUN:
-                self._claims.release(claim)
-                track.run = RunState.UNKNOWN
-            raise
-
-    async def _async_attempts(self, call: Call) -> str:
+        attempts = self.retries.begin(request)
+        while True:
+            claim = await self._claims.async_claim(request)
+            if isinstance(claim, ClaimAnswered):
+                track.run = RunState.RAN
+                await async_replay(exchange, claim)
+                return "replayed"
+            call = Call(request, subject, exchange, track, claim)
+            try:
+                return await self._async_attempts(call, attempts)
+            except RequestRefusedError as error:
+                await self._async_give_up(call, error)
+                if not self._may_claim_again(call, error):
+                    raise
+            except asyncio.CancelledError:
+                if claim is not None and track.run is RunState.NOT_RUN:
+                    self._claims.release(claim, was_sent=track.outlives_caller)
+                    track.run = RunState.UNKNOWN
+                raise
+
+    async def _async_give_up(
+        self, call: Call, error: RequestRefusedError
+    ) -> None:
+        """Give up the claim of a refused call and set the run state."""
+        track = call.track
+        # An earlier attempt may have run although the last one did not.
+        if track.run is not RunState.NOT_RUN:
+            error.run = track.run
+        elif call.claim is not None:
+            await self._claims.async_give_up(
+                call.claim, error, was_sent=track.outlives_caller
+            )
+
+    def _may_claim_again(self, call: Call, error: RequestRefusedError) -> bool:
+        """Return whether only the claim has run out, not the deadline.
+
+        The release has been read back, so the key is free.
+        """
+        now = self._now()
+        return (
+            call.claim is not None
+            and not call.track.outlives_caller
+            and error.run is RunState.NOT_RUN
+            and error.code in _CODES_OF_EXPIRED_CLAIMS
+            and call.claim.send_before <= now < call.request.deadline_at
+        )
+
+    async def _async_attempts(self, call: Call, attempts: Attempts) -> str:
         """Send a request until an attempt succeeds or no more are allowed."""
         request = call.request
-        attempts = self.retries.begin(request)
         while True:
             use = await self._async_acquire(call, attempts)
             attempts.sent += 1
--- a/packages/router/src/lacewingspar_router/components/caller_api/claimed.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/claimed.py
@@ -94,21 +94,28 @@
         """Record the first answer of a call."""
         self._claims.record_outcome(claim, answer)
 
-    def release(self, claim: ClaimGranted) -> asyncio.Task[bool]:
-        """Give up the claim of a call that was not sent, in the background."""
+    def release(
+        self, claim: ClaimGranted, *, was_sent: bool = False
+    ) -> asyncio.Task[bool]:
+        """Give up the claim of a call that has not run, in the background."""
         return self._application.create_task(
-            self._claims.async_release(claim), "claim release"
+            self._claims.async_release(claim, was_sent=was_sent),
+            "claim release",
         )
 
     async def async_give_up(
-        self, claim: ClaimGranted, error: RequestRefusedError
+        self,
+        claim: ClaimGranted,
+        error: RequestRefusedError,
+        *,
+        was_sent: bool,
     ) -> None:
-        """Give up the claim of a call that was not sent and is refused.
+        """Give up the claim of a call that has not run and is refused.
 
         The refusal says `unknown` unless the release is confirmed in time.
         """
         error.run = RunState.UNKNOWN
-        task = self.release(claim)
+        task = self.release(claim, was_sent=was_sent)
         done, _ = await asyncio.wait({task}, timeout=RELEASE_LIMIT_SECONDS)
         if done and task.exception() is None and task.result():
             error.run = RunState.NOT_RUN
--- a/packages/router/src/lacewingspar_router/components/claims/models.py
+++ b/packages/router/src/lacewingspar_router/components/claims/models.py
@@ -93,8 +93,15 @@
         It returns true at most once for a claim.
         """
 
-    async def async_release(self, claim: ClaimGranted) -> bool:
-        """Give a claim up before sending.
+    async def async_release(
+        self, claim: ClaimGranted, *, was_sent: bool = False
+    ) -> bool:
+        """Give a claim up whose call has certainly not run.
+
+        Args:
+            claim: The claim.
+            was_sent: Whether `may_send` has allowed the call, whose sending
+                then failed before the upstream ran it.
 
         Returns:
             Whether the release has been read back, so that "not run" is true
--- a/packages/router/src/lacewingspar_router/components/claims/registry.py
+++ b/packages/router/src/lacewingspar_router/components/claims/registry.py
@@ -118,13 +118,17 @@
         own = self._unsent_by_offset.pop(claim.claim_offset, None)
         return own is not None and may_send(self._state, own, self._app.now())
 
-    async def async_release(self, claim: ClaimGranted) -> bool:
-        """Give a claim up before sending.
+    async def async_release(
+        self, claim: ClaimGranted, *, was_sent: bool = False
+    ) -> bool:
+        """Give a claim up whose call has certainly not run.
 
-        A claim that `may_send` has allowed to be sent is not released.
+        A claim that `may_send` has allowed to be sent is released only if
+        `was_sent` says that the caller of this method knows of the sending.
         """
         offset = claim.claim_offset
-        if self._unsent_by_offset.pop(offset, None) is None:
+        is_unsent = self._unsent_by_offset.pop(offset, None) is not None
+        if not (is_unsent or was_sent):
             return False
         writer = self._write_release(offset)
         done, _ = await asyncio.wait({writer}, timeout=RELEASE_TIMEOUT_SECONDS)
--- a/tests/router/components/test_claims.py
+++ b/tests/router/components/test_claims.py
@@ -201,3 +201,12 @@
     key = uuid.UUID(int=time_ms << 80 | 7 << 76 | 2 << 62)
     decision = await claim(claims, str(key))
     assert isinstance(decision, models.ClaimKeyExpired) is is_expired
+
+
+async def test_claim_of_a_call_that_failed_to_start_is_released(start) -> None:
+    """Guards against a key that stays blocked although nothing has run."""
+    claims = await start()
+    granted = await claim(claims)
+    assert claims.may_send(granted)
+    assert await claims.async_release(granted, was_sent=True)
+    assert isinstance(await claim(claims), models.ClaimGranted)
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -165,6 +165,7 @@
     may: bool = True
     release_confirmed: bool = True
     released: int = 0
+    released_after_sending: int = 0
     was_released: asyncio.Event = field(default_factory=asyncio.Event)
     outcomes: list[ClaimAnswered] = field(default_factory=list)
 
@@ -174,8 +175,11 @@
     def may_send(self, _claim: ClaimGranted) -> bool:
         return self.may
 
-    async def async_release(self, _claim: ClaimGranted) -> bool:
+    async def async_release(
+        self, _claim: ClaimGranted, *, was_sent: bool = False
+    ) -> bool:
         self.released += 1
+        self.released_after_sending += was_sent
         self.was_released.set()
         return self.release_confirmed
 
--- a/tests/router/test_claimed.py
+++ b/tests/router/test_claimed.py
@@ -16,6 +16,7 @@
 from lacewingspar_router.components.claims.models import (
     ClaimAnswered,
     ClaimDecision,
+    ClaimGranted,
     ClaimInProgress,
     ClaimKeyExpired,
     ClaimKeyReused,
@@ -117,6 +118,8 @@
         error = (await pay(router)).json()["error"]
         assert (error["code"], error["run"]) == (code, run)
         assert router.claims.released == releases
+        # A sent call needs the caller's word that it has not run.
+        assert router.claims.released_after_sending == releases * may_send
         assert len(router.scheduler.requests) == 1
         assert router.claims.outcomes == []
 
@@ -162,3 +165,37 @@
         assert [item.body for item in router.claims.outcomes] == [b"good"]
         outcomes = [outcome for _, outcome, _ in router.scheduler.released]
         assert outcomes == [SlotOutcome.COMPLETED]
+
+
+class ExpiringClaims(FakeClaims):
+    """The first claim runs out before its call gets a slot."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.decision = ClaimGranted(3, 0.0)
+
+    def may_send(self, claim: ClaimGranted) -> bool:
+        return claim.claim_offset != 3
+
+    async def async_release(self, claim: ClaimGranted, **how: bool) -> bool:
+        self.decision = ClaimGranted(4, float("inf"))
+        return await super().async_release(claim, **how)
+
+
+@pytest.mark.parametrize("is_released", [True, False])
+async def test_call_that_outlasts_its_claim_claims_again(
+    is_released: bool,
+) -> None:
+    """Guards against refusals long before the deadline, and against a second
+    claim while the first one may still be in force.
+    """
+    claims = ExpiringClaims()
+    claims.release_confirmed = is_released
+    async with routed(GOOD, claims=claims) as router:
+        answer = await pay(router)
+        assert claims.released == 1
+        if is_released:
+            assert answer.content == b"good"
+        else:
+            error = answer.json()["error"]
+            assert (error["code"], error["run"]) == ("claim_expired", "unknown")
