Let the request chart drive the state of requests

An event without a transition is logged and counted and leaves the request alone. The router fixture checks that no test meets one.

--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -104,6 +104,8 @@
         self._slots.check(subject)
         attempts = self.retries.begin(request)
         while True:
+            if request.idempotency_key is not None:
+                self._in_flight.apply(track, "claim")
             claim = await self._claims.async_claim(request)
             if isinstance(claim, ClaimAnswered):
                 track.run = RunState.RAN
@@ -118,6 +120,7 @@
                     raise
             except asyncio.CancelledError:
                 if claim is not None and track.run is RunState.NOT_RUN:
+                    self._in_flight.apply(track, "release_claim")
                     self._claims.release(claim, was_sent=track.outlives_caller)
                     track.run = RunState.UNKNOWN
                 raise
@@ -131,6 +134,7 @@
         if track.run is not RunState.NOT_RUN:
             error.run = track.run
         elif call.claim is not None:
+            self._in_flight.apply(track, "release_claim")
             await self._claims.async_give_up(
                 call.claim, error, was_sent=track.outlives_caller
             )
@@ -188,11 +192,14 @@
         if call.claim is not None:
             # After that time the slot could not be used.
             deadline_at = min(deadline_at, call.claim.send_before)
+        is_retry = bool(attempts.failed_upstreams)
+        self._in_flight.apply(call.track, "retry" if is_retry else "enqueue")
         self._in_flight.hop(call.track, "queue")
         with self._telemetry.span("queue", trace_parent=request.trace_parent):
             use = await self._slots.async_acquire(
                 request, call.subject, attempts, deadline_at
             )
+        self._in_flight.apply(call.track, "bind")
         self._in_flight.hop(call.track, "slot", use.upstream_id)
         return use
 
@@ -251,7 +258,12 @@
         self, call: Call, use: SlotUse, answer: UpstreamAnswer
     ) -> None:
         """Pass an answer on, give the slot back and record the outcome."""
-        transfer = AnswerTransfer(call.request, call.exchange, answer)
+        transfer = AnswerTransfer(
+            call.request,
+            call.exchange,
+            answer,
+            lambda: self._in_flight.apply(call.track, "answer_started"),
+        )
         await transfer.async_run()
         if use.run is not None:
             use.run.is_complete = True
--- a/packages/router/src/lacewingspar_router/components/caller_api/const.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/const.py
@@ -42,3 +42,5 @@
 TAIL_BYTES = 4 * 1024
 
 KEPT_PATHS = 1000
+
+METRIC_CHART_ERRORS = "request_chart_errors_total"
--- a/packages/router/src/lacewingspar_router/components/caller_api/in_flight.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/in_flight.py
@@ -8,11 +8,19 @@
 
 import structlog
 
-from lacewingspar_router.components.caller_api.const import KEPT_PATHS
+from lacewingspar_core.chart import load_chart
+from lacewingspar_core.errors import ChartEventError
+from lacewingspar_router.components.caller_api.const import (
+    KEPT_PATHS,
+    METRIC_CHART_ERRORS,
+)
+from lacewingspar_router.components.telemetry.models import Telemetry
 from lacewingspar_router.errors import RunState
 
 _LOGGER = structlog.get_logger(__name__)
 
+_CHART = load_chart("request")
+
 
 @dataclass(slots=True)
 class RequestTrack:
@@ -27,6 +35,7 @@
         workspace: Workspace of the caller, once known.
         hops: Names of hops, their times in seconds of the application's
             clock, and the upstream, if any.
+        state: State of the request chart.
         run: What is known about the run of the request.
         outcome: How the request ended, or "" while it is in flight.
         is_cut: Whether the router ends the request before its answer.
@@ -40,6 +49,7 @@
     service: str = ""
     workspace: str = ""
     hops: list[tuple[str, float, str]] = field(default_factory=list)
+    state: str = _CHART.initial
     run: RunState = RunState.NOT_RUN
     outcome: str = ""
     is_cut: bool = False
@@ -53,6 +63,7 @@
             "target": self.target,
             "service": self.service,
             "workspace": self.workspace,
+            "state": self.state,
             "run": self.run.value,
             "outcome": self.outcome or "in_flight",
             "hops": [
@@ -71,13 +82,15 @@
 
     Args:
         now: Returns the time in seconds of the application's clock.
+        telemetry: Counters of this router.
 
     Attributes:
         is_cut: Whether the router has ended the requests in flight.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], telemetry: Telemetry) -> None:
         self.is_cut = False
+        self._telemetry = telemetry
         self._now = now
         self._tracks: OrderedDict[str, RequestTrack] = OrderedDict()
         self._running: dict[str, tuple[RequestTrack, asyncio.Task[Any]]] = {}
@@ -113,6 +126,24 @@
         """Note that a request has reached a hop."""
         track.hops.append((name, self._now(), upstream))
 
+    def apply(self, track: RequestTrack, event: str) -> None:
+        """Apply an event of the request chart.
+
+        An event without a transition is a fault of the router that does not
+        harm the request, so it is logged and counted.
+        """
+        try:
+            track.state = _CHART.next_state(track.state, event)
+        except ChartEventError as error:
+            _LOGGER.error(
+                "unexpected request event",
+                request_id=track.request_id,
+                error=str(error),
+            )
+            self._telemetry.count(
+                METRIC_CHART_ERRORS, state=track.state, event=event
+            )
+
     def leave(self, track: RequestTrack, outcome: str) -> None:
         """End the path of a request."""
         track.outcome = outcome
--- a/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/proxy.py
@@ -43,6 +43,8 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
+_EVENT_BY_OUTCOME = {"replayed": "replay", "interrupted": "fail"}
+
 
 class CallerProxy:
     """Answers the requests of callers.
@@ -55,7 +57,7 @@
         self._application = application
         self._configuration = application.get(CONFIGURATION)
         self._telemetry = application.get(TELEMETRY)
-        self.in_flight = InFlight(application.now)
+        self.in_flight = InFlight(application.now, self._telemetry)
         self._calls = CallRunner(application, self.in_flight)
         self._index = AccessIndex({})
 
@@ -119,15 +121,20 @@
     ) -> str:
         """Answer one request and return how it ended."""
         try:
-            return await self._async_checked(exchange, track)
+            outcome = await self._async_checked(exchange, track)
+            self.in_flight.apply(track, _end_event(track, outcome))
+            return outcome
         except RequestRefusedError as error:
             track.run = error.run
+            self.in_flight.apply(track, _refusal_event(track))
             if not exchange.is_started:
                 await exchange.async_refuse(error)
             return error.code
         except CallerGoneError:
+            self.in_flight.apply(track, "cancel")
             return "caller_gone"
         except asyncio.CancelledError:
+            self.in_flight.apply(track, "cancel")
             if not track.is_cut:
                 return "caller_gone"
             if exchange.is_started:
@@ -137,6 +144,7 @@
             return "cut"
         except Exception:
             _LOGGER.exception("request failed", request_id=exchange.request_id)
+            self.in_flight.apply(track, "fail")
             if not exchange.is_started:
                 await exchange.async_refuse(internal_error(track.run))
             return "internal_error"
@@ -198,6 +206,20 @@
         task.cancel()
 
 
+def _end_event(track: RequestTrack, outcome: str) -> str:
+    """Return the event of the request chart for the end of an answer."""
+    if track.state == "received":
+        return "answer_here"
+    return _EVENT_BY_OUTCOME.get(outcome, "answer_ended")
+
+
+def _refusal_event(track: RequestTrack) -> str:
+    """Return the event of the request chart for a refusal."""
+    if track.state != "releasing":
+        return "refuse"
+    return "claim_released" if track.run is RunState.NOT_RUN else "fail"
+
+
 def _model_list(index: AccessIndex, workspaces: Any) -> dict[str, Any]:
     return {
         "object": "list",
--- a/packages/router/src/lacewingspar_router/components/caller_api/streaming.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/streaming.py
@@ -1,5 +1,7 @@
 """Transfer of an upstream's answer to the caller."""
 
+from collections.abc import Callable
+
 from lacewingspar_core.documents import ServiceKind
 from lacewingspar_router.components.caller_api.answer_body import (
     AnswerTail,
@@ -31,6 +33,7 @@
         request: The request.
         exchange: Exchange with the caller.
         answer: Answer of the upstream.
+        on_start: Called before the head is sent to the caller.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         request: CallerRequest,
         exchange: Exchange,
         answer: UpstreamAnswer,
+        on_start: Callable[[], None],
     ) -> None:
+        self._on_start = on_start
         self._exchange = exchange
         self._answer = answer
         self._content_type = dict(answer.headers).get("content-type", "")
@@ -100,6 +105,7 @@
     async def _async_send_head(self) -> None:
         if self._exchange.is_started:
             return
+        self._on_start()
         self._exchange.is_event_stream = self._is_event_stream
         await self._exchange.async_send_head(self._answer.status, self._head())
 
--- a/tests/core/test_chart.py
+++ b/tests/core/test_chart.py
@@ -57,6 +57,7 @@
         ("request", "enqueue bind retry bind refuse", "refused"),
         ("request", "claim release_claim cancel claim_released", "refused"),
         ("request", "enqueue bind answer_started interrupted fail", "failed"),
+        ("request", "claim release_claim claim enqueue refuse", "refused"),
         ("router_life_cycle", "setup_done stop_signal drained", "stopped"),
         ("router_life_cycle", "setup_done stop_signal stop_signal", "stopped"),
         ("upstream", "vm_leaving vm_live probe_succeeded", "healthy"),
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -33,6 +33,7 @@
     SlotGrant,
     SlotRequest,
 )
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http_server import HttpServer
@@ -318,3 +319,6 @@
         yield Router(
             application, configuration, scheduler, claims, proxy, client
         )
+        # Every path through the caller API must follow the request chart.
+        _, metrics = application.get(TELEMETRY).render()
+        assert b"request_chart_errors_total" not in metrics
--- a/tests/router/test_streams.py
+++ b/tests/router/test_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from typing import Any
+from unittest.mock import Mock
 
 import httpx
 import pytest
@@ -13,6 +14,13 @@
     AnswerTail,
     EventGate,
 )
+from lacewingspar_router.components.caller_api.const import (
+    METRIC_CHART_ERRORS,
+)
+from lacewingspar_router.components.caller_api.in_flight import (
+    InFlight,
+    RequestTrack,
+)
 
 FIRST = b'data: {"n": 1}\n\n'
 USAGE = b'data: {"usage": {"total_tokens": 42}}\n\n'
@@ -177,6 +185,19 @@
             "end",
         ]
         assert (path["outcome"], path["run"]) == ("completed", "ran")
+        assert path["state"] == "completed"
+
+
+def test_event_without_transition_is_counted() -> None:
+    """Guards against a request that fails because of its own record."""
+    telemetry = Mock()
+    in_flight = InFlight(lambda: 0.0, telemetry)
+    track = RequestTrack("id", "GET", "/", 0.0)
+    in_flight.apply(track, "answer_ended")
+    assert track.state == "received"
+    telemetry.count.assert_called_once_with(
+        METRIC_CHART_ERRORS, state="received", event="answer_ended"
+    )
 
 
 @pytest.mark.parametrize("size", range(1, 8))
