--- a/packages/router/src/lacewingspar_router/components/caller_api/slot_wait.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/slot_wait.py
@@ -42,6 +42,8 @@
         self._quarantine = application.get(QUARANTINE)
         self._scheduler = application.get(SCHEDULER)
         self._upstreams = application.get(UPSTREAMS)
+        self._limit_by_subject: dict[Subject, asyncio.Timeout] = {}
+        self._quarantine.add_listener(self._end_quarantined_waits)
 
     def check(self, subject: Subject) -> None:
         """Check that a request is not in quarantine.
@@ -93,30 +95,53 @@
         attempts: Attempts,
         deadline_at: float,
     ) -> SlotGrant | None:
-        """Return a slot, or None if a suspect has to look again."""
-        failed = frozenset(attempts.failed_upstreams)
-        if not self._quarantine.is_suspect(subject):
-            return await self._scheduler.async_acquire(
-                _slot_request(request, failed, deadline_at)
+        """Return a slot, or None if the request has to be checked again."""
+        excluded = frozenset(attempts.failed_upstreams)
+        limit_seconds = None
+        if self._quarantine.is_suspect(subject):
+            excluded |= await self._async_busy_upstreams(
+                request, subject, excluded, deadline_at
             )
+            # Other upstreams may become free of suspects meanwhile.
+            limit_seconds = SUSPECT_QUEUE_SECONDS
+        try:
+            async with asyncio.timeout(limit_seconds) as limit:
+                self._limit_by_subject[subject] = limit
+                return await self._scheduler.async_acquire(
+                    _slot_request(request, excluded, deadline_at)
+                )
+        except TimeoutError:
+            return None
+        finally:
+            del self._limit_by_subject[subject]
+
+    async def _async_busy_upstreams(
+        self,
+        request: CallerRequest,
+        subject: Subject,
+        failed: frozenset[str],
+        deadline_at: float,
+    ) -> frozenset[str]:
+        """Wait until a suspect may run and return what it must not use."""
 
         def usable() -> frozenset[str]:
             return upstreams_with_new_work(request, self._upstreams) - failed
 
         try:
-            busy = await self._quarantine.async_busy_upstreams(
+            return await self._quarantine.async_busy_upstreams(
                 subject, usable, deadline_at
             )
         except NoUpstreamForSuspectError as error:
             raise suspect_deadline_passed() from error
-        try:
-            # Other upstreams may become free of suspects meanwhile.
-            async with asyncio.timeout(SUSPECT_QUEUE_SECONDS):
-                return await self._scheduler.async_acquire(
-                    _slot_request(request, failed | busy, deadline_at)
-                )
-        except TimeoutError:
-            return None
+
+    def _end_quarantined_waits(self) -> None:
+        """End the waits of requests that are in quarantine now."""
+        now = asyncio.get_running_loop().time()
+        for subject, limit in self._limit_by_subject.items():
+            is_refused = self._quarantine.refused_seconds(subject) > 0
+            # A limit that has expired can no longer be changed.
+            if is_refused and not limit.expired():
+                limit.reschedule(now)
 
 
 def _slot_request(
--- a/packages/router/src/lacewingspar_router/components/quarantine/models.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/models.py
@@ -57,6 +57,9 @@
 class CrashQuarantine(Protocol):
     """Requests that crash upstreams, as known to the fleet."""
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after new crashes have become known."""
+
     def refused_seconds(self, subject: Subject) -> float:
         """Return how long a request is still refused, or 0."""
 
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -26,6 +26,7 @@
 _LOGGER = structlog.get_logger(__name__)
 
 _STATE_FAILING = "failing"
+_STATE_LEAVING = "leaving"
 
 
 class CrashRegistry:
@@ -50,9 +51,14 @@
             asyncio.Task[None], frozenset[UpstreamRun]
         ] = {}
         self._known_lives: set[RouterLife] = set()
+        self._listeners: list[Callable[[], None]] = []
         self._peers.subscribe(Quarantine, self._receive)
         self._peers.add_listener(self._routers_changed)
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after new crashes have become known."""
+        self._listeners.append(listener)
+
     def refused_seconds(self, subject: Subject) -> float:
         """Return how long a request is still refused, or 0."""
         state = self._state_by_service.get(subject.service)
@@ -176,9 +182,13 @@
         """Record a crash unless the upstream still answers.
 
         A broken connection or a cut stream alone says nothing about the other
-        requests of the upstream.
+        requests of the upstream. Upstreams that are shut down break calls too,
+        and more of them are replaced than crash.
         """
         service, upstream_id = key
+        status = self._upstreams.status_by_upstream.get(key)
+        if status is None or status.state == _STATE_LEAVING:
+            return
         if await self._upstreams.async_is_up(service, upstream_id):
             return
         suspects = {
@@ -197,6 +207,7 @@
         epoch = max(run.epoch for run in runs)
         state.on_crash(upstream_id, epoch, suspects, self._app.now())
         self._publish(state)
+        self._notify()
 
     def _state(self, service: str) -> QuarantineState:
         state = self._state_by_service.get(service)
@@ -218,6 +229,11 @@
         assert isinstance(message, Quarantine)
         self._state(message.service).merge(message, self._app.now())
         self._telemetry.count(METRIC_RECORDS, len(message.crashes))
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     def _routers_changed(self) -> None:
         """Send all records to routers that have started or come back."""
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -122,9 +122,14 @@
         self.requests: list[SlotRequest] = []
         self.released: list[tuple[str, SlotOutcome, int]] = []
         self.full_upstreams: set[str] = set()
+        # Set when a request has begun to wait for a slot that never comes.
+        self.hold: asyncio.Event | None = None
 
     async def async_acquire(self, request: SlotRequest) -> SlotGrant:
         self.requests.append(request)
+        if self.hold is not None:
+            self.hold.set()
+            await asyncio.Event().wait()
         pool = self.configuration.documents_by_service[request.service]
         unusable = request.excluded_upstreams | self.full_upstreams
         for upstream in pool.upstreams:
--- a/tests/router/test_retries.py
+++ b/tests/router/test_retries.py
@@ -1,5 +1,6 @@
 """Retries of failed attempts."""
 
+import asyncio
 import socket
 from contextlib import ExitStack
 from typing import Any
@@ -7,13 +8,18 @@
 import pytest
 from tests.router.conftest import AUTHORIZED, answering, events, routed
 
-from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import CrashRecord, Quarantine, SlotOutcome
+from lacewingspar_core.quarantine import fingerprint
+from lacewingspar_router.components.peers.models import ReceivedMessage
+from lacewingspar_router.components.quarantine.models import QUARANTINE
 
 BROKEN = answering(headers={"content-length": "9"}, is_complete=False)
 CUT_EVENT = events(b'data: {"a', is_complete=False)
 REFUSING = answering(status=503, headers={"x-not-run": "1"})
 MISMATCH = answering(b"other", answered_id="other")
 GOOD = answering(b"good")
+BODY = b'{"model":"small"}'
 
 
 def closed_ports(count: int) -> tuple[int, ...]:
@@ -106,3 +112,29 @@
         assert answers[1].headers["retry-after"] == "1"
         # Two retries of the first request and one of the second.
         assert len(router.scheduler.requests) == 5
+
+
+async def test_waiting_request_is_refused_when_it_gets_into_quarantine() -> (
+    None
+):
+    """Guards against a refusal that comes only with the next free slot."""
+    async with routed(GOOD) as router:
+        is_waiting = router.scheduler.hold = asyncio.Event()
+        request = asyncio.create_task(router.chat())
+        await is_waiting.wait()
+        registry: Any = router.application.get(QUARANTINE)
+        name = fingerprint("chat", "/v1/chat/completions", BODY)
+        crashes = tuple(
+            CrashRecord(upstream, 0, 1.0, (name,), ()) for upstream in "uv"
+        )
+        registry._receive(
+            ReceivedMessage(
+                RouterLife("r2", 1), "dc-a", Quarantine("chat", crashes)
+            )
+        )
+        answer = await request
+        error = answer.json()["error"]
+        assert (answer.status_code, error["code"]) == (422, "quarantined")
+        assert error["run"] == "not_run"
+        assert 590 < int(answer.headers["retry-after"]) <= 600
+        assert router.scheduler.released == []
