--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -2,9 +2,10 @@
 
 import typer
 
-from lacewingspar_standins.bench import share
+from lacewingspar_standins.bench import path, share
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
+app.command("path")(path.path_command)
 app.command("share")(share.main)
 
 
--- a/packages/standins/src/lacewingspar_standins/bench/deployment.py
+++ b/packages/standins/src/lacewingspar_standins/bench/deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from lacewingspar_core.documents import (
@@ -21,6 +22,7 @@
 SERVICE_CHAT = "chat"
 SERVICE_PLAIN = "plain"
 READY_SECONDS = 60.0
+PROCESS_MODULE = "lacewingspar_standins.bench.processes"
 _DEFAULT_LIMITS = Limits()
 
 
@@ -88,6 +90,8 @@
         links: Links by data centre of the caller and of the target; the
             target of the platform's link is "platform".
         documents: Published documents by service.
+        records_events: Whether routers record traces in the fleet's folder.
+        balancers: Baseline balancers by data centre, in place of routers.
     """
 
     shape: Shape
@@ -100,6 +104,8 @@
     routers: dict[str, RouterProcess] = field(default_factory=dict)
     links: dict[tuple[str, str], StandInProcess] = field(default_factory=dict)
     documents: dict[str, ServiceDocument] = field(default_factory=dict)
+    records_events: bool = False
+    balancers: dict[str, list[StandInProcess]] = field(default_factory=dict)
 
     @property
     def upstreams(self) -> dict[str, StandInProcess]:
@@ -108,10 +114,18 @@
 
     def caller_addresses(self, *data_centres: str) -> tuple[str, ...]:
         """Return the caller addresses of routers, of all without arguments."""
+        entries = [
+            (plan.data_centre, plan.caller_address) for plan in self.plans
+        ]
+        entries += [
+            (data_centre, balancer.address)
+            for data_centre, balancers in self.balancers.items()
+            for balancer in balancers
+        ]
         return tuple(
-            plan.caller_address
-            for plan in self.plans
-            if not data_centres or plan.data_centre in data_centres
+            address
+            for data_centre, address in entries
+            if not data_centres or data_centre in data_centres
         )
 
     async def start_router(self, plan: RouterPlan) -> RouterProcess:
@@ -122,6 +136,7 @@
             vms_url=self.vms.url,
             peers=self.plans,
             address_map=self._address_map(plan.data_centre),
+            **self._record_setting(plan),
         )
         self.routers[plan.router_id] = router
         return router
@@ -136,6 +151,12 @@
         """Cut a data centre off from the platform, or join it again."""
         await self.links[(data_centre, "platform")].inject(cut=cut)
 
+    def _record_setting(self, plan: RouterPlan) -> dict[str, str]:
+        if not self.records_events:
+            return {}
+        file = self.fleet.folder / f"{plan.router_id}.trace.jsonl"
+        return {"event_record_file": str(file)}
+
     def _address_map(self, data_centre: str) -> dict[str, str]:
         return {
             target: relay
@@ -154,6 +175,7 @@
     step_ms: float,
     limits: Limits = _DEFAULT_LIMITS,
     log_options: dict[str, Any] | None = None,
+    folder: Path | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment with published documents until the context ends.
 
@@ -163,11 +185,15 @@
         step_ms: Time of an engine's step.
         limits: Limits of both services.
         log_options: Options of the log service stand-in.
+        folder: Folder for settings, logs and traces of the routers; None
+            makes a temporary one and records no traces.
     """
-    async with Fleet() as fleet:
+    async with Fleet(folder) as fleet:
         log = await fleet.start_standin("log", name="log", **log_options or {})
         vms = await fleet.start_standin("vms", name="vms")
-        deployment = Deployment(shape, fleet, log, vms)
+        deployment = Deployment(
+            shape, fleet, log, vms, records_events=folder is not None
+        )
         await _start_upstreams(deployment, step_ms)
         _plan_routers(deployment)
         await _start_links(deployment)
@@ -180,6 +206,37 @@
         yield deployment
 
 
+@contextlib.asynccontextmanager
+async def balanced(
+    shape: Shape, *, step_ms: float
+) -> AsyncIterator[Deployment]:
+    """Run a deployment with plain balancers in place of routers.
+
+    Args:
+        shape: Size and layout.
+        step_ms: Time of an engine's step.
+    """
+    async with Fleet() as fleet:
+        log = await fleet.start_standin("log", name="log")
+        vms = await fleet.start_standin("vms", name="vms")
+        deployment = Deployment(shape, fleet, log, vms)
+        await _start_upstreams(deployment, step_ms)
+        for data_centre, count in zip(
+            shape.data_centres, shape.routers, strict=True
+        ):
+            deployment.balancers[data_centre] = [
+                await fleet.start_standin(
+                    "balancer",
+                    name=f"balancer-{data_centre}-{number}",
+                    module=PROCESS_MODULE,
+                    chat=[item.url for item in deployment.engines.values()],
+                    plain=[item.url for item in deployment.plains.values()],
+                )
+                for number in range(count)
+            ]
+        yield deployment
+
+
 async def _start_upstreams(deployment: Deployment, step_ms: float) -> None:
     shape = deployment.shape
     for index, data_centre in enumerate(shape.data_centres):
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -184,8 +184,8 @@
                     await asyncio.sleep(0.05)
         except TimeoutError:
             pass
-        state = "not ready" if self.is_running else "ended"
-        raise FleetError(f"{self.name} is {state}: {self.end_of_log()}")
+        state = "not answered" if self.is_running else "ended"
+        raise FleetError(f"{self.name} has {state} {url}: {self.end_of_log()}")
 
 
 async def spawn(
