--- a/tests/router/components/test_holder.py
+++ b/tests/router/components/test_holder.py
@@ -193,3 +193,23 @@
     harness.holder.refuse_all()
     with pytest.raises(Exception, match="does not exist"):
         await task
+
+
+@pytest.mark.parametrize("is_cancelled_first", [False, True])
+async def test_cancelled_at_the_moment_of_the_grant(
+    is_cancelled_first: bool,
+) -> None:
+    """Guards against a slot that nobody uses until its lease ends."""
+    harness = Harness(0.0)
+    task = harness.acquire(1)
+    await asyncio.sleep(0)
+    if is_cancelled_first:
+        task.cancel()
+    assert harness.holder.take_offer(offer(1))
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert task.cancelled()
+    assert harness.holder.active_slots == 0
+    assert harness.holder.waiting_by_workspace == {}
+    ((_, released),) = harness.messages(SlotReleased)
+    assert released.outcome is SlotOutcome.CANCELLED
