--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -17,22 +17,28 @@
 from lacewingspar_router.components.caller_api.refusals import (
     claim_expired,
     slot_outcome,
-    upstream_refusal,
 )
 from lacewingspar_router.components.caller_api.requests import CallerRequest
-from lacewingspar_router.components.caller_api.retries import may_retry
+from lacewingspar_router.components.caller_api.retrying import (
+    Attempts,
+    Retries,
+)
 from lacewingspar_router.components.caller_api.slot_use import SlotUse
+from lacewingspar_router.components.caller_api.slot_wait import SlotWait
 from lacewingspar_router.components.caller_api.streaming import AnswerTransfer
 from lacewingspar_router.components.claims.models import (
     ClaimAnswered,
     ClaimGranted,
 )
-from lacewingspar_router.components.scheduler.models import (
-    SCHEDULER,
-    SlotRequest,
+from lacewingspar_router.components.quarantine.models import (
+    QUARANTINE,
+    Subject,
 )
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.components.upstreams.errors import UpstreamError
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamBrokenError,
+    UpstreamError,
+)
 from lacewingspar_router.components.upstreams.models import (
     UPSTREAMS,
     UpstreamAnswer,
@@ -40,6 +46,9 @@
 )
 from lacewingspar_router.errors import RequestRefusedError, RunState
 
+# Refusals of a call whose claim ran out while it waited for a slot.
+_CODES_OF_EXPIRED_CLAIMS = frozenset({"deadline_passed", "claim_expired"})
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -47,12 +56,14 @@
 
     Attributes:
         request: The request.
+        subject: Identity of the request for the quarantine.
         exchange: Exchange with the caller.
         track: Path of the request.
         claim: Claim of its key, if it has one.
     """
 
     request: CallerRequest
+    subject: Subject
     exchange: Exchange
     track: RequestTrack
     claim: ClaimGranted | None
@@ -67,11 +78,14 @@
     """
 
     def __init__(self, application: Application, in_flight: InFlight) -> None:
+        self._now = application.now
         self._claims = CallClaims(application)
-        self._scheduler = application.get(SCHEDULER)
+        self._quarantine = application.get(QUARANTINE)
+        self._slots = SlotWait(application)
         self._upstreams = application.get(UPSTREAMS)
         self._telemetry = application.get(TELEMETRY)
         self._in_flight = in_flight
+        self.retries = Retries(application)
 
     async def async_run(
         self, request: CallerRequest, exchange: Exchange, track: RequestTrack
@@ -84,35 +98,67 @@
         Raises:
             RequestRefusedError: The request gets a refusal.
         """
-        claim = await self._claims.async_claim(request)
-        if isinstance(claim, ClaimAnswered):
-            track.run = RunState.RAN
-            await async_replay(exchange, claim)
-            return "replayed"
-        call = Call(request, exchange, track, claim)
-        try:
-            return await self._async_attempts(call)
-        except RequestRefusedError as error:
-            # An earlier attempt may have run although the last one did not.
-            if track.run is not RunState.NOT_RUN:
-                error.run = track.run
-            elif claim is not None:
-                await self._claims.async_give_up(claim, error)
-            raise
-        except asyncio.CancelledError:
-            if claim is not None and track.run is RunState.NOT_RUN:
-                self._claims.release(claim)
-                track.run = RunState.UNKNOWN
-            raise
-
-    async def _async_attempts(self, call: Call) -> str:
+        subject = Subject(
+            request.document.service, request.target, request.body
+        )
+        self._slots.check(subject)
+        attempts = self.retries.begin(request)
+        while True:
+            if request.idempotency_key is not None:
+                self._in_flight.apply(track, "claim")
+            claim = await self._claims.async_claim(request)
+            if isinstance(claim, ClaimAnswered):
+                track.run = RunState.RAN
+                await async_replay(exchange, claim)
+                return "replayed"
+            call = Call(request, subject, exchange, track, claim)
+            try:
+                return await self._async_attempts(call, attempts)
+            except RequestRefusedError as error:
+                await self._async_give_up(call, error)
+                if not self._may_claim_again(call, error):
+                    raise
+            except asyncio.CancelledError:
+                if claim is not None and track.run is RunState.NOT_RUN:
+                    self._in_flight.apply(track, "release_claim")
+                    self._claims.release(claim, was_sent=track.outlives_caller)
+                    track.run = RunState.UNKNOWN
+                raise
+
+    async def _async_give_up(
+        self, call: Call, error: RequestRefusedError
+    ) -> None:
+        """Give up the claim of a refused call and set the run state."""
+        track = call.track
+        # An earlier attempt may have run although the last one did not.
+        if track.run is not RunState.NOT_RUN:
+            error.run = track.run
+        elif call.claim is not None:
+            self._in_flight.apply(track, "release_claim")
+            await self._claims.async_give_up(
+                call.claim, error, was_sent=track.outlives_caller
+            )
+
+    def _may_claim_again(self, call: Call, error: RequestRefusedError) -> bool:
+        """Return whether only the claim has run out, not the deadline.
+
+        The release has been read back, so the key is free.
+        """
+        now = self._now()
+        return (
+            call.claim is not None
+            and not call.track.outlives_caller
+            and error.run is RunState.NOT_RUN
+            and error.code in _CODES_OF_EXPIRED_CLAIMS
+            and call.claim.send_before <= now < call.request.deadline_at
+        )
+
+    async def _async_attempts(self, call: Call, attempts: Attempts) -> str:
         """Send a request until an attempt succeeds or no more are allowed."""
         request = call.request
-        failed: set[str] = set()
-        attempts = 0
         while True:
-            use = await self._async_acquire(call, failed)
-            attempts += 1
+            use = await self._async_acquire(call, attempts)
+            attempts.sent += 1
             try:
                 with self._telemetry.span(
                     "slot",
@@ -120,45 +166,55 @@
                     upstream=use.upstream_id,
                 ):
                     return await self._async_attempt(call, use)
+            except asyncio.CancelledError:
+                self._end_run(use, is_left=True)
+                raise
             except UpstreamError as error:
                 use.release(slot_outcome(error))
-                failed.add(use.upstream_id)
+                confirmation = self._confirm_crash(use, error)
+                self._end_run(use)
+                attempts.failed_upstreams.add(use.upstream_id)
                 self._in_flight.hop(call.track, "failed", use.upstream_id)
                 if call.exchange.is_started:
                     await call.exchange.async_interrupt(str(error))
                     return "interrupted"
-                if not may_retry(
-                    request.repeatability,
-                    error.run,
-                    attempts_made=attempts,
-                    attempts_allowed=request.document.limits.attempts,
-                ):
-                    raise upstream_refusal(error) from error
+                await self.retries.async_wait(request, attempts, error)
+                if confirmation is not None:
+                    await asyncio.wait({confirmation})
             finally:
-                use.release(SlotOutcome.CANCELLED)
+                use.cancel()
+                self._end_run(use)
 
-    async def _async_acquire(self, call: Call, failed: set[str]) -> SlotUse:
+    async def _async_acquire(self, call: Call, attempts: Attempts) -> SlotUse:
         """Wait for a slot of an upstream that has not failed."""
         request = call.request
         deadline_at = request.deadline_at
         if call.claim is not None:
             # After that time the slot could not be used.
             deadline_at = min(deadline_at, call.claim.send_before)
-        slot_request = SlotRequest(
-            request_id=request.request_id,
-            service=request.document.service,
-            workspace=request.workspace.name,
-            model=request.model,
-            request_class=request.request_class,
-            arrived_at=request.arrived_at,
-            deadline_at=deadline_at,
-            excluded_upstreams=frozenset(failed),
-        )
+        is_retry = bool(attempts.failed_upstreams)
+        self._in_flight.apply(call.track, "retry" if is_retry else "enqueue")
         self._in_flight.hop(call.track, "queue")
         with self._telemetry.span("queue", trace_parent=request.trace_parent):
-            grant = await self._scheduler.async_acquire(slot_request)
-        self._in_flight.hop(call.track, "slot", grant.upstream_id)
-        return SlotUse(self._scheduler, grant)
+            use = await self._slots.async_acquire(
+                request, call.subject, attempts, deadline_at
+            )
+        self._in_flight.apply(call.track, "bind")
+        self._in_flight.hop(call.track, "slot", use.upstream_id)
+        return use
+
+    def _confirm_crash(
+        self, use: SlotUse, error: UpstreamError
+    ) -> asyncio.Task[None] | None:
+        """Begin to check whether an upstream has crashed, if it may have."""
+        if use.run is None or not isinstance(error, UpstreamBrokenError):
+            return None
+        return self._quarantine.on_break(use.run)
+
+    def _end_run(self, use: SlotUse, *, is_left: bool = False) -> None:
+        run, use.run = use.run, None
+        if run is not None:
+            self._quarantine.end(run, is_left=is_left)
 
     async def _async_attempt(self, call: Call, use: SlotUse) -> str:
         """Send a request to one upstream and pass its answer on."""
@@ -202,8 +258,15 @@
         self, call: Call, use: SlotUse, answer: UpstreamAnswer
     ) -> None:
         """Pass an answer on, give the slot back and record the outcome."""
-        transfer = AnswerTransfer(call.request, call.exchange, answer)
+        transfer = AnswerTransfer(
+            call.request,
+            call.exchange,
+            answer,
+            lambda: self._in_flight.apply(call.track, "answer_started"),
+        )
         await transfer.async_run()
+        if use.run is not None:
+            use.run.is_complete = True
         use.release(SlotOutcome.COMPLETED, transfer.tokens)
         call.track.run = RunState.RAN
         if call.claim is not None:
--- /dev/null
+++ b/tests/e2e/test_poison.py
@@ -0,0 +1,118 @@
+"""A request that crashes engines, in a fleet of real processes."""
+
+import asyncio
+import contextlib
+import json
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from lacewingspar_core.documents import ServiceDocument, ServiceKind
+from lacewingspar_standins.fleet import Fleet
+from lacewingspar_standins.fleet_settings import (
+    token_of,
+    upstream_entry,
+    workspace_entry,
+)
+
+# A workspace for each caller, so that no retry budget is used up.
+CALLERS = [f"caller-{number}" for number in range(8)]
+REQUESTS_EACH = 6
+ATTACKS = 12
+READY_SECONDS = 30.0
+
+
+async def start_fleet(fleet: Fleet) -> tuple[list[str], list[Any]]:
+    """Return the addresses of the routers, and the engines."""
+    log = await fleet.start_standin("log")
+    vms = await fleet.start_standin("vms", lag_ms=0)
+    options = {"model": ["m"], "step_ms": 5, "faults": {"crash_marker": "boom"}}
+    engines = [
+        await fleet.start_standin("engine", name=f"e{number}", **options)
+        for number in range(4)
+    ]
+    plans = [fleet.plan_router(f"r{number}", "dc") for number in range(2)]
+    urls = {"log_url": log.url, "vms_url": vms.url}
+    routers = [
+        await fleet.start_router(plan, peers=plans, **urls) for plan in plans
+    ]
+    document = ServiceDocument(
+        service="chat",
+        kind=ServiceKind.MODEL,
+        upstreams=tuple(upstream_entry(e, "dc", 4, ["m"]) for e in engines),
+        workspaces=tuple(workspace_entry(name) for name in ("evil", *CALLERS)),
+    )
+    await routers[0].wait_live(plans[0].admin_address, READY_SECONDS)
+    await fleet.publish(plans[0].admin_address, document)
+    for router, plan in zip(routers, plans, strict=True):
+        await router.wait_ready(plan.admin_address, READY_SECONDS)
+    return [plan.caller_address for plan in plans], engines
+
+
+async def chat(
+    client: httpx.AsyncClient, address: str, name: str, text: str, **more: Any
+) -> tuple[httpx.Response, str]:
+    """Return an answer and its body as far as it has arrived."""
+    messages = [{"role": "user", "content": text}]
+    body = {"model": "m", "messages": messages, "max_tokens": 20, **more}
+    # The attack ends soon if all engines are lost.
+    headers = {"x-deadline-ms": "5000"} if name == "evil" else {}
+    headers["authorization"] = f"Bearer {token_of(name)}"
+    received = ""
+    url = f"http://{address}/v1/chat/completions"
+    async with client.stream("POST", url, json=body, headers=headers) as answer:
+        # The transfer of an interrupted stream has no end.
+        with contextlib.suppress(httpx.RemoteProtocolError):
+            async for part in answer.aiter_text():
+                received += part
+    return answer, received
+
+
+async def test_crashing_request_costs_at_most_three_engines(
+    tmp_path: Path,
+) -> None:
+    """Guards against one caller who ends the pool from router to router."""
+
+    async def call(name: str, is_stream: bool) -> None:
+        for number in range(REQUESTS_EACH):
+            marker = f"{name}-{number}"
+            answer, body = await chat(
+                client,
+                addresses[number % 2],
+                name,
+                f"marker={marker}",
+                stream=is_stream,
+            )
+            assert answer.status_code == 200, body
+            assert marker in body
+            if is_stream:
+                ends = ("data: [DONE]\n\n", "}}\n\n")
+                assert body.endswith(ends)
+                assert body.endswith(ends[0]) or "stream_interrupted" in body
+            else:
+                assert json.loads(body)["choices"]
+
+    async with (
+        Fleet(tmp_path) as fleet,
+        httpx.AsyncClient(timeout=60, trust_env=False) as client,
+    ):
+        addresses, engines = await start_fleet(fleet)
+        calls = [
+            asyncio.create_task(call(name, is_stream=number % 2 == 0))
+            for number, name in enumerate(CALLERS)
+        ]
+        refusals = [
+            await chat(client, addresses[number % 2], "evil", "go boom")
+            for number in range(ATTACKS)
+        ]
+        await asyncio.gather(*calls)
+        lost = [engine.name for engine in engines if not engine.is_running]
+
+    assert 1 <= len(lost) <= 3
+    # The last two come from the two routers.
+    for answer, body in refusals[-2:]:
+        assert answer.status_code == 422
+        assert '"code":"quarantined","' in body
+        assert '"run":"not_run"' in body
+        assert int(answer.headers["retry-after"]) > 500
--- a/tests/router/conftest.py
+++ b/tests/router/conftest.py
@@ -13,7 +13,7 @@
 from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.messages import SlotId, SlotOutcome
 from lacewingspar_router.application import Application, LifeCycle
-from lacewingspar_router.components import telemetry, upstreams
+from lacewingspar_router.components import quarantine, telemetry, upstreams
 from lacewingspar_router.components.caller_api import caller_app
 from lacewingspar_router.components.caller_api.proxy import CallerProxy
 from lacewingspar_router.components.claims.models import (
@@ -27,11 +27,13 @@
     PublishAccepted,
     PublishResult,
 )
+from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.scheduler.models import (
     SCHEDULER,
     SlotGrant,
     SlotRequest,
 )
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http_server import HttpServer
@@ -113,18 +115,25 @@
 
 
 class FakeScheduler:
-    """Grants the first upstream that is not excluded at once."""
+    """Grants the first upstream that is neither excluded nor full at once."""
 
     def __init__(self, configuration: FakeConfiguration) -> None:
         self.configuration = configuration
         self.requests: list[SlotRequest] = []
         self.released: list[tuple[str, SlotOutcome, int]] = []
+        self.full_upstreams: set[str] = set()
+        # Set when a request has begun to wait for a slot that never comes.
+        self.hold: asyncio.Event | None = None
 
     async def async_acquire(self, request: SlotRequest) -> SlotGrant:
         self.requests.append(request)
+        if self.hold is not None:
+            self.hold.set()
+            await asyncio.Event().wait()
         pool = self.configuration.documents_by_service[request.service]
+        unusable = request.excluded_upstreams | self.full_upstreams
         for upstream in pool.upstreams:
-            if upstream.id not in request.excluded_upstreams:
+            if upstream.id not in unusable:
                 slot = SlotId(RouterLife("router-0", 1), len(self.requests))
                 return SlotGrant(
                     slot,
@@ -142,6 +151,18 @@
         self.released.append((grant.upstream_id, outcome, tokens))
 
 
+class FakePeers:
+    """A fleet without other routers."""
+
+    alive_by_router_id: dict[str, Any] = {}
+
+    def subscribe(self, message_type: Any, handler: Any) -> None:
+        del message_type, handler
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        del listener
+
+
 @dataclass
 class FakeClaims:
     decision: ClaimDecision = field(
@@ -150,6 +171,7 @@
     may: bool = True
     release_confirmed: bool = True
     released: int = 0
+    released_after_sending: int = 0
     was_released: asyncio.Event = field(default_factory=asyncio.Event)
     outcomes: list[ClaimAnswered] = field(default_factory=list)
 
@@ -159,8 +181,11 @@
     def may_send(self, _claim: ClaimGranted) -> bool:
         return self.may
 
-    async def async_release(self, _claim: ClaimGranted) -> bool:
+    async def async_release(
+        self, _claim: ClaimGranted, *, was_sent: bool = False
+    ) -> bool:
         self.released += 1
+        self.released_after_sending += was_sent
         self.was_released.set()
         return self.release_confirmed
 
@@ -283,7 +308,9 @@
         application.register(SCHEDULER, scheduler)
         application.register(CLAIMS, claims)
         application.register(VM_LIST, FakeVmList())
+        application.register(PEERS, FakePeers())
         await upstreams.async_setup(application)
+        await quarantine.async_setup(application)
         proxy = CallerProxy(application)
         proxy.apply_configuration()
         application.life_cycle = LifeCycle.SERVING
@@ -297,3 +324,6 @@
         yield Router(
             application, configuration, scheduler, claims, proxy, client
         )
+        # Every path through the caller API must follow the request chart.
+        _, metrics = application.get(TELEMETRY).render()
+        assert b"request_chart_errors_total" not in metrics
--- a/tests/router/test_retries.py
+++ b/tests/router/test_retries.py
@@ -1,5 +1,6 @@
 """Retries of failed attempts."""
 
+import asyncio
 import socket
 from contextlib import ExitStack
 from typing import Any
@@ -7,18 +8,18 @@
 import pytest
 from tests.router.conftest import AUTHORIZED, answering, events, routed
 
-from lacewingspar_core.messages import SlotOutcome
-from lacewingspar_router.components.caller_api.retries import (
-    Repeatability,
-    may_retry,
-)
-from lacewingspar_router.errors import RunState
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import CrashRecord, Quarantine, SlotOutcome
+from lacewingspar_core.quarantine import fingerprint
+from lacewingspar_router.components.peers.models import ReceivedMessage
+from lacewingspar_router.components.quarantine.models import QUARANTINE
 
 BROKEN = answering(headers={"content-length": "9"}, is_complete=False)
 CUT_EVENT = events(b'data: {"a', is_complete=False)
 REFUSING = answering(status=503, headers={"x-not-run": "1"})
 MISMATCH = answering(b"other", answered_id="other")
 GOOD = answering(b"good")
+BODY = b'{"model":"small"}'
 
 
 def closed_ports(count: int) -> tuple[int, ...]:
@@ -30,30 +31,6 @@
         return tuple(int(item.getsockname()[1]) for item in unused)
 
 
-@pytest.mark.parametrize(
-    ("repeatability", "run", "attempts_made", "expected"),
-    [
-        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 1, True),
-        (Repeatability.IDEMPOTENT, RunState.UNKNOWN, 3, False),
-        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 2, True),
-        (Repeatability.IF_NOT_RUN, RunState.NOT_RUN, 3, False),
-        (Repeatability.IF_NOT_RUN, RunState.UNKNOWN, 1, False),
-        (Repeatability.IF_NOT_RUN, RunState.RAN, 1, False),
-        (Repeatability.NEVER, RunState.NOT_RUN, 1, False),
-    ],
-)
-def test_decision(
-    repeatability: Repeatability,
-    run: RunState,
-    attempts_made: int,
-    expected: bool,
-) -> None:
-    """Guards against a second run of a call that may run once."""
-    assert expected is may_retry(
-        repeatability, run, attempts_made=attempts_made, attempts_allowed=3
-    )
-
-
 # Method, path, failing upstream, whether it is retried, and the run state of
 # the refusal if it is not.
 CASES: list[tuple[str, str, Any, bool, str]] = [
@@ -112,7 +89,8 @@
 
 async def test_earlier_attempt_decides_the_run_state() -> None:
     """Guards against `not_run` for a request whose first attempt ran."""
-    async with routed(BROKEN) as router:
+    async with routed(BROKEN, GOOD) as router:
+        router.scheduler.full_upstreams.add("upstream-1")
         answer = await router.chat()
         assert answer.json()["error"] == {
             "code": "no_upstream",
@@ -121,3 +99,42 @@
             "retry_after_seconds": None,
             "request_id": answer.headers["x-request-id"],
         }
+    async with routed(BROKEN, REFUSING) as router:
+        error = (await router.chat()).json()["error"]
+        assert (error["code"], error["run"]) == ("upstream_refused", "unknown")
+
+
+async def test_retries_are_limited_by_the_budget() -> None:
+    """Guards against retries that multiply the load of an outage."""
+    async with routed(BROKEN, BROKEN, GOOD) as router:
+        answers = [await router.chat() for _ in range(2)]
+        assert [answer.status_code for answer in answers] == [200, 502]
+        assert answers[1].headers["retry-after"] == "1"
+        # Two retries of the first request and one of the second.
+        assert len(router.scheduler.requests) == 5
+
+
+async def test_waiting_request_is_refused_when_it_gets_into_quarantine() -> (
+    None
+):
+    """Guards against a refusal that comes only with the next free slot."""
+    async with routed(GOOD) as router:
+        is_waiting = router.scheduler.hold = asyncio.Event()
+        request = asyncio.create_task(router.chat())
+        await is_waiting.wait()
+        registry: Any = router.application.get(QUARANTINE)
+        name = fingerprint("chat", "/v1/chat/completions", BODY)
+        crashes = tuple(
+            CrashRecord(upstream, 0, 1.0, (name,), ()) for upstream in "uv"
+        )
+        registry._receive(
+            ReceivedMessage(
+                RouterLife("r2", 1), "dc-a", Quarantine("chat", crashes)
+            )
+        )
+        answer = await request
+        error = answer.json()["error"]
+        assert (answer.status_code, error["code"]) == (422, "quarantined")
+        assert error["run"] == "not_run"
+        assert 590 < int(answer.headers["retry-after"]) <= 600
+        assert router.scheduler.released == []
