Add the faults benchmark: seeded faults under load and checks of the guarantees

Upstream stand-ins keep their runs in a file, so that a killed one still shows calls that ran twice. The load generator repeats calls with a key after a broken connection, which is when a second run could happen.

--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -2,10 +2,11 @@
 
 import typer
 
-from lacewingspar_standins.bench import share
+from lacewingspar_standins.bench import faults, share
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
 app.command("share")(share.main)
+app.command("faults")(faults.main)
 
 
 @app.callback()
--- a/packages/standins/src/lacewingspar_standins/bench/deployment.py
+++ b/packages/standins/src/lacewingspar_standins/bench/deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from lacewingspar_core.documents import (
@@ -88,6 +89,8 @@
         links: Links by data centre of the caller and of the target; the
             target of the platform's link is "platform".
         documents: Published documents by service.
+        step_ms: Time of an engine's step.
+        upstream_addresses: Reserved addresses by upstream id.
     """
 
     shape: Shape
@@ -100,6 +103,8 @@
     routers: dict[str, RouterProcess] = field(default_factory=dict)
     links: dict[tuple[str, str], StandInProcess] = field(default_factory=dict)
     documents: dict[str, ServiceDocument] = field(default_factory=dict)
+    step_ms: float = 10.0
+    upstream_addresses: dict[str, str] = field(default_factory=dict)
 
     @property
     def upstreams(self) -> dict[str, StandInProcess]:
@@ -126,6 +131,33 @@
         self.routers[plan.router_id] = router
         return router
 
+    async def start_upstream(self, name: str) -> StandInProcess:
+        """Start an upstream, or start it again with the runs it counted."""
+        address = self.upstream_addresses.get(name)
+        if address is None:
+            address = self.fleet.reserve_address()
+            self.upstream_addresses[name] = address
+        common: dict[str, Any] = {
+            "name": name,
+            "port": address.rpartition(":")[2],
+            "runs_file": self.fleet.folder / f"{name}.runs",
+        }
+        if name.startswith("engine"):
+            standin = await self.fleet.start_standin(
+                "engine",
+                model=MODEL,
+                slots=self.shape.engine_slots,
+                step_ms=self.step_ms,
+                **common,
+            )
+            self.engines[name] = standin
+        else:
+            standin = await self.fleet.start_standin(
+                "plain", slots=self.shape.plain_slots, **common
+            )
+            self.plains[name] = standin
+        return standin
+
     async def cut_data_centre(self, data_centre: str, *, cut: bool) -> None:
         """Cut a data centre off from all others, or join it again."""
         for (source, target), link in self.links.items():
@@ -154,6 +186,7 @@
     step_ms: float,
     limits: Limits = _DEFAULT_LIMITS,
     log_options: dict[str, Any] | None = None,
+    folder: Path | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment with published documents until the context ends.
 
@@ -163,12 +196,13 @@
         step_ms: Time of an engine's step.
         limits: Limits of both services.
         log_options: Options of the log service stand-in.
+        folder: Folder that keeps settings and logs, or None.
     """
-    async with Fleet() as fleet:
+    async with Fleet(folder) as fleet:
         log = await fleet.start_standin("log", name="log", **log_options or {})
         vms = await fleet.start_standin("vms", name="vms")
-        deployment = Deployment(shape, fleet, log, vms)
-        await _start_upstreams(deployment, step_ms)
+        deployment = Deployment(shape, fleet, log, vms, step_ms=step_ms)
+        await _start_upstreams(deployment)
         _plan_routers(deployment)
         await _start_links(deployment)
         for plan in deployment.plans:
@@ -180,23 +214,13 @@
         yield deployment
 
 
-async def _start_upstreams(deployment: Deployment, step_ms: float) -> None:
+async def _start_upstreams(deployment: Deployment) -> None:
     shape = deployment.shape
     for index, data_centre in enumerate(shape.data_centres):
         for number in range(shape.engines[index]):
-            name = f"engine-{data_centre}-{number}"
-            deployment.engines[name] = await deployment.fleet.start_standin(
-                "engine",
-                name=name,
-                model=MODEL,
-                slots=shape.engine_slots,
-                step_ms=step_ms,
-            )
+            await deployment.start_upstream(f"engine-{data_centre}-{number}")
         for number in range(shape.plains[index]):
-            name = f"plain-{data_centre}-{number}"
-            deployment.plains[name] = await deployment.fleet.start_standin(
-                "plain", name=name, slots=shape.plain_slots
-            )
+            await deployment.start_upstream(f"plain-{data_centre}-{number}")
 
 
 def _plan_routers(deployment: Deployment) -> None:
@@ -261,6 +285,12 @@
         await deployment.fleet.publish(first.admin_address, document)
 
 
+def data_centre_of(name: str) -> str:
+    """Return the data centre in a name such as `engine-dc-1-0`."""
+    _, prefix, number, _ = name.split("-")
+    return f"{prefix}-{number}"
+
+
 def _document(
     deployment: Deployment,
     service: str,
@@ -291,9 +321,3 @@
             RequestClass(name="urgent", priority=1, deadline_seconds=30.0),
         ),
     )
-
-
-def data_centre_of(name: str) -> str:
-    """Return the data centre in a name such as `engine-dc-1-0`."""
-    _, prefix, number, _ = name.split("-")
-    return f"{prefix}-{number}"
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/fault_actions.py
@@ -0,0 +1,234 @@
+"""Applies planned faults to a deployment and heals them."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lacewingspar_core.platform import Vm, VmList, VmState
+from lacewingspar_standins.bench.deployment import Deployment, data_centre_of
+from lacewingspar_standins.bench.fault_edits import (
+    STATUS_ACCEPTED,
+    Edit,
+    async_conflicting_edits,
+)
+from lacewingspar_standins.bench.fault_plan import FaultKind, PlannedFault
+from lacewingspar_standins.fleet_settings import RouterPlan
+from lacewingspar_standins.process import StandInProcess
+
+LEAVING_TARGET_SECONDS = 3.0
+LOG_SLOW_MS = 400.0
+LOST_REPLIES_PERIOD_SECONDS = 0.3
+EDITS_PERIOD_SECONDS = 1.0
+# Longer than any request of the load may take, retries included.
+SHUTDOWN_LIMIT_SECONDS = 90.0
+LOG_LINE_OF_CUT = "request cut by shutdown"
+POLL_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Observed:
+    """What the faults themselves have shown.
+
+    Attributes:
+        cut_requests: Requests that a graceful shutdown cut, or shutdowns that
+            failed.
+        late_work: Work sent to upstreams that were leaving for too long.
+        both_accepted: Conflicting edits that were both accepted.
+        edits: All edits.
+        shutdown_seconds: Times of graceful shutdowns.
+    """
+
+    cut_requests: list[str] = field(default_factory=list)
+    late_work: list[str] = field(default_factory=list)
+    both_accepted: list[str] = field(default_factory=list)
+    edits: list[Edit] = field(default_factory=list)
+    shutdown_seconds: list[float] = field(default_factory=list)
+
+
+class FaultActions:
+    """Applies faults.
+
+    Args:
+        deployment: The deployment.
+        seed: Seed of the edits.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.observed = Observed()
+        self._deployment = deployment
+        self._draw = random.Random(f"edits/{seed}")
+        self._plan_by_router = {p.router_id: p for p in deployment.plans}
+        self._leaving: set[str] = set()
+        self._action_by_kind: dict[
+            FaultKind, Callable[[PlannedFault], Awaitable[None]]
+        ] = {
+            FaultKind.ROUTER_KILLED: self._router_killed,
+            FaultKind.ROUTER_FROZEN: self._router_frozen,
+            FaultKind.ROUTER_TERMINATED: self._router_terminated,
+            FaultKind.DATA_CENTRE_CUT: self._data_centre_cut,
+            FaultKind.PLATFORM_CUT: self._platform_cut,
+            FaultKind.LINKS_SILENT: self._links_silent,
+            FaultKind.LOG_OUTAGE: self._log_outage,
+            FaultKind.LOG_SLOW: self._log_slow,
+            FaultKind.LOG_REPLIES_LOST: self._log_replies_lost,
+            FaultKind.UPSTREAM_KILLED: self._upstream_killed,
+            FaultKind.UPSTREAM_LEAVING: self._upstream_leaving,
+            FaultKind.CONFLICTING_EDITS: self._conflicting_edits,
+        }
+
+    async def async_apply(self, fault: PlannedFault) -> None:
+        """Apply a fault for its time and heal it."""
+        await self._action_by_kind[fault.kind](fault)
+
+    async def async_list_vms(self) -> None:
+        """Publish the VM list."""
+        vms = tuple(
+            Vm(
+                name,
+                data_centre_of(name),
+                VmState.LEAVING if name in self._leaving else VmState.LIVE,
+            )
+            for name in self._deployment.upstreams
+        )
+        await self._deployment.vms.put("/vms", VmList(vms))
+
+    def _plan(self, fault: PlannedFault) -> RouterPlan:
+        return self._plan_by_router[fault.target]
+
+    async def _router_killed(self, fault: PlannedFault) -> None:
+        router = self._deployment.routers[fault.target]
+        router.kill()
+        await router.wait()
+        await asyncio.sleep(fault.seconds)
+        await self._deployment.start_router(self._plan(fault))
+
+    async def _router_frozen(self, fault: PlannedFault) -> None:
+        router = self._deployment.routers[fault.target]
+        router.stop()
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            router.resume()
+
+    async def _router_terminated(self, fault: PlannedFault) -> None:
+        router = self._deployment.routers[fault.target]
+        lines_before = _cut_lines(router.log_file.read_text(errors="replace"))
+        started_at = time.monotonic()
+        router.terminate()
+        try:
+            async with asyncio.timeout(SHUTDOWN_LIMIT_SECONDS):
+                status = await router.wait()
+        except TimeoutError:
+            router.kill()
+            status = await router.wait()
+        self.observed.shutdown_seconds.append(time.monotonic() - started_at)
+        lines = _cut_lines(router.log_file.read_text(errors="replace"))
+        self.observed.cut_requests += lines[len(lines_before) :]
+        if status != 0:
+            self.observed.cut_requests.append(f"{fault}: exit status {status}")
+        await asyncio.sleep(fault.seconds)
+        await self._deployment.start_router(self._plan(fault))
+
+    async def _data_centre_cut(self, fault: PlannedFault) -> None:
+        await self._deployment.cut_data_centre(fault.target, cut=True)
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            await self._deployment.cut_data_centre(fault.target, cut=False)
+
+    async def _platform_cut(self, fault: PlannedFault) -> None:
+        await self._deployment.cut_platform(fault.target, cut=True)
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            await self._deployment.cut_platform(fault.target, cut=False)
+
+    async def _links_silent(self, fault: PlannedFault) -> None:
+        """Silence the connections of a data centre; they never recover."""
+        for names, link in self._deployment.links.items():
+            if fault.target in names:
+                await link.inject(silent=True)
+        await asyncio.sleep(fault.seconds)
+
+    async def _log_outage(self, fault: PlannedFault) -> None:
+        await self._deployment.log.inject(outage=True)
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            await self._deployment.log.inject(outage=False)
+
+    async def _log_slow(self, fault: PlannedFault) -> None:
+        log = self._deployment.log
+        await log.inject(delay_ms=LOG_SLOW_MS, reply_delay_ms=LOG_SLOW_MS)
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            await log.inject(delay_ms=0, reply_delay_ms=0)
+
+    async def _log_replies_lost(self, fault: PlannedFault) -> None:
+        ends_at = time.monotonic() + fault.seconds
+        try:
+            while time.monotonic() < ends_at:
+                await self._deployment.log.inject(lose_replies=2)
+                await asyncio.sleep(LOST_REPLIES_PERIOD_SECONDS)
+        finally:
+            await self._deployment.log.inject(lose_replies=0)
+
+    async def _upstream_killed(self, fault: PlannedFault) -> None:
+        upstream = self._deployment.upstreams[fault.target]
+        upstream.kill()
+        await upstream.wait()
+        await asyncio.sleep(fault.seconds)
+        await self._deployment.start_upstream(fault.target)
+
+    async def _upstream_leaving(self, fault: PlannedFault) -> None:
+        upstream = self._deployment.upstreams[fault.target]
+        self._leaving.add(fault.target)
+        await self.async_list_vms()
+        try:
+            await self._async_wait_listed(fault.target)
+            await asyncio.sleep(LEAVING_TARGET_SECONDS)
+            before = await _async_arrived(upstream)
+            await asyncio.sleep(fault.seconds)
+            after = await _async_arrived(upstream)
+        finally:
+            self._leaving.discard(fault.target)
+            await self.async_list_vms()
+        if after > before:
+            self.observed.late_work.append(
+                f"{fault}: {after - before} requests later than "
+                f"{LEAVING_TARGET_SECONDS:.0f} s"
+            )
+
+    async def _async_wait_listed(self, name: str) -> None:
+        """Wait until readers of the VM list see that a VM leaves."""
+        while True:
+            answer = await self._deployment.vms.get("/vms")
+            vms = msgspec.convert(answer, VmList).vms
+            if any(v.name == name and v.state is VmState.LEAVING for v in vms):
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _conflicting_edits(self, fault: PlannedFault) -> None:
+        ends_at = time.monotonic() + fault.seconds
+        while time.monotonic() < ends_at:
+            edits = await async_conflicting_edits(self._deployment, self._draw)
+            accepted = [e for e in edits if e.status == STATUS_ACCEPTED]
+            if len(accepted) > 1:
+                self.observed.both_accepted.append(str(accepted))
+            self.observed.edits += edits
+            await asyncio.sleep(EDITS_PERIOD_SECONDS)
+
+
+def _cut_lines(text: str) -> list[str]:
+    return [line for line in text.splitlines() if LOG_LINE_OF_CUT in line]
+
+
+async def _async_arrived(upstream: StandInProcess) -> int:
+    """Return the number of requests that an upstream has received."""
+    path = "/stats" if upstream.name.startswith("engine") else "/_runs"
+    return msgspec.convert((await upstream.get(path))["arrived"], int)
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/fault_plan.py
@@ -0,0 +1,129 @@
+"""Faults that a seed draws for the benchmark `faults`."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from lacewingspar_standins.bench.deployment import Shape
+
+# Slot leases run out after 5 s and claims may be sent for 10 s.
+SHORTEST_FREEZE_SECONDS = 6.0
+LONGEST_FREEZE_SECONDS = 12.0
+SHORTEST_SECONDS = 2.0
+LONGEST_SECONDS = 6.0
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults."""
+
+    ROUTER_KILLED = "router-killed"
+    ROUTER_FROZEN = "router-frozen"
+    ROUTER_TERMINATED = "router-terminated"
+    DATA_CENTRE_CUT = "data-centre-cut"
+    PLATFORM_CUT = "platform-cut"
+    LINKS_SILENT = "links-silent"
+    LOG_OUTAGE = "log-outage"
+    LOG_SLOW = "log-slow"
+    LOG_REPLIES_LOST = "log-replies-lost"
+    UPSTREAM_KILLED = "upstream-killed"
+    UPSTREAM_LEAVING = "upstream-leaving"
+    CONFLICTING_EDITS = "conflicting-edits"
+
+
+_ROUTER_KINDS = (
+    FaultKind.ROUTER_KILLED,
+    FaultKind.ROUTER_FROZEN,
+    FaultKind.ROUTER_TERMINATED,
+)
+_DATA_CENTRE_KINDS = (
+    FaultKind.DATA_CENTRE_CUT,
+    FaultKind.PLATFORM_CUT,
+    FaultKind.LINKS_SILENT,
+)
+_UPSTREAM_KINDS = (FaultKind.UPSTREAM_KILLED, FaultKind.UPSTREAM_LEAVING)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault to apply.
+
+    Attributes:
+        kind: Kind.
+        target: Router, data centre or upstream; "" for the log service.
+        data_centre: Data centre of the target, or "".
+        seconds: How long it lasts.
+    """
+
+    kind: FaultKind
+    target: str
+    data_centre: str
+    seconds: float
+
+    def __str__(self) -> str:
+        """Return it for the output."""
+        target = f" {self.target}" if self.target else ""
+        return f"{self.kind}{target} {self.seconds:.1f} s"
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """Names that faults may apply to, each with its data centre.
+
+    Attributes:
+        routers: Data centres by router.
+        upstreams: Data centres by upstream.
+    """
+
+    routers: dict[str, str]
+    upstreams: dict[str, str]
+
+
+def draw_rounds(
+    seed: int, rounds: int, shape: Shape, targets: Targets
+) -> list[tuple[PlannedFault, ...]]:
+    """Return one or two faults for each round; they depend on the seed."""
+    draw = random.Random(f"faults/{seed}")
+    planned: list[tuple[PlannedFault, ...]] = []
+    for _ in range(rounds):
+        faults: list[PlannedFault] = []
+        count = draw.choice((1, 2))
+        while len(faults) < count:
+            fault = _draw_fault(draw, shape, targets)
+            if not any(_excludes(fault, other) for other in faults):
+                faults.append(fault)
+        planned.append(tuple(faults))
+    return planned
+
+
+def _draw_fault(
+    draw: random.Random, shape: Shape, targets: Targets
+) -> PlannedFault:
+    kind = draw.choice(list(FaultKind))
+    shortest, longest = SHORTEST_SECONDS, LONGEST_SECONDS
+    if kind is FaultKind.ROUTER_FROZEN:
+        shortest, longest = SHORTEST_FREEZE_SECONDS, LONGEST_FREEZE_SECONDS
+    seconds = draw.uniform(shortest, longest)
+    if kind in _ROUTER_KINDS:
+        target = draw.choice(sorted(targets.routers))
+        return PlannedFault(kind, target, targets.routers[target], seconds)
+    if kind in _UPSTREAM_KINDS:
+        target = draw.choice(sorted(targets.upstreams))
+        return PlannedFault(kind, target, targets.upstreams[target], seconds)
+    if kind in _DATA_CENTRE_KINDS:
+        target = draw.choice(shape.data_centres)
+        return PlannedFault(kind, target, target, seconds)
+    return PlannedFault(kind, "", "", seconds)
+
+
+def _excludes(fault: PlannedFault, other: PlannedFault) -> bool:
+    """Return whether two faults cannot be judged when they overlap."""
+    if fault.kind is other.kind or (
+        fault.target and fault.target == other.target
+    ):
+        return True
+    # A data centre without the VM list cannot know that a VM leaves.
+    kinds = {fault.kind, other.kind}
+    return (
+        kinds == {FaultKind.UPSTREAM_LEAVING, FaultKind.PLATFORM_CUT}
+        and fault.data_centre == other.data_centre
+    )
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/faults.py
@@ -0,0 +1,284 @@
+"""Benchmark `faults`: what a fleet keeps while its parts fail."""
+
+import asyncio
+import os
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from lacewingspar_core.documents import Limits
+from lacewingspar_standins.bench.deployment import (
+    MODEL,
+    SERVICE_PLAIN,
+    SHAPES_BY_NAME,
+    Deployment,
+    data_centre_of,
+    deployed,
+)
+from lacewingspar_standins.bench.fault_actions import FaultActions
+from lacewingspar_standins.bench.fault_checks import (
+    answers_without_run,
+    async_read_runs,
+    differing_versions,
+    repeated_runs,
+    wrong_not_run,
+)
+from lacewingspar_standins.bench.fault_edits import (
+    POLL_TIMEOUT_SECONDS,
+    VersionWatch,
+    admin_client,
+    async_lost_edits,
+    read_versions,
+)
+from lacewingspar_standins.bench.fault_plan import (
+    PlannedFault,
+    Targets,
+    draw_rounds,
+)
+from lacewingspar_standins.bench.load_processes import (
+    LoadProcess,
+    start_load,
+)
+from lacewingspar_standins.fleet_settings import token_of, workspace_entry
+from lacewingspar_standins.load_options import LoadOptions, WorkspaceLoad
+from lacewingspar_standins.load_result import LoadResult
+
+WORKSPACES = ("ws-01", "ws-02", "ws-03")
+RATE_PER_WORKSPACE = 4.0
+STEP_MS = 10.0
+WARM_UP_SECONDS = 2.0
+SETTLE_SECONDS = 2.0
+READY_SECONDS = 60.0
+# A fault ends within its own time and the longest graceful shutdown.
+ROUND_LIMIT_SECONDS = 180.0
+LOAD_TIMEOUT_SECONDS = 40.0
+LOAD_END_LIMIT_SECONDS = 300.0
+LIMITS = Limits(silent_after_seconds=5.0)
+SHOWN_DETAILS = 5
+
+
+class FaultsResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of the benchmark.
+
+    Attributes:
+        deployment: Name of the deployment.
+        seed: Seed.
+        faults: Faults by round.
+        calls_by_outcome: Requests of the load by outcome.
+        keys_run: Number of idempotency keys that ran.
+        readings: Number of readings of versions.
+        breaches: Descriptions by check; all must be empty.
+        gap_seconds_by_data_centre: Longest time without a complete answer.
+        shutdown_seconds: Times of graceful shutdowns.
+        edits_by_status: Edits by HTTP status, 0 for none.
+    """
+
+    deployment: str
+    seed: int
+    faults: list[list[str]]
+    calls_by_outcome: dict[str, int]
+    keys_run: int
+    readings: int
+    breaches: dict[str, list[str]]
+    gap_seconds_by_data_centre: dict[str, float]
+    shutdown_seconds: list[float]
+    edits_by_status: dict[int, int]
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether no check found a breach."""
+        return not any(self.breaches.values())
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of faults and load.")] = 1,
+    rounds: Annotated[int, typer.Option(help="Number of rounds.")] = 6,
+    deployment: Annotated[str, typer.Option(help="a or b")] = "b",
+    output: Annotated[Path | None, typer.Option(help="Result file.")] = None,
+    keep_logs: Annotated[
+        Path | None, typer.Option(help="Folder that keeps all logs.")
+    ] = None,
+) -> None:
+    """Break parts of a fleet under load and check what it guarantees."""
+    result = asyncio.run(async_faults(deployment, seed, rounds, keep_logs))
+    if output is not None:
+        output.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    _print(result)
+    if not result.is_clean:
+        raise typer.Exit(1)
+
+
+async def async_faults(
+    name: str, seed: int, rounds: int, folder: Path | None = None
+) -> FaultsResult:
+    """Run the benchmark and return its result."""
+    workspaces = tuple(workspace_entry(w) for w in WORKSPACES)
+    async with deployed(
+        SHAPES_BY_NAME[name],
+        workspaces,
+        step_ms=STEP_MS,
+        limits=LIMITS,
+        folder=folder,
+    ) as deployment:
+        actions = FaultActions(deployment, seed)
+        await actions.async_list_vms()
+        planned = draw_rounds(
+            seed, rounds, deployment.shape, _targets(deployment)
+        )
+        watch = VersionWatch()
+        watching = asyncio.create_task(watch.async_run(deployment))
+        loads = await _async_start_loads(deployment, seed)
+        await asyncio.sleep(WARM_UP_SECONDS)
+        for number, faults in enumerate(planned):
+            await _async_round(deployment, actions, number, faults)
+        for load in loads.values():
+            load.process.terminate()
+        async with asyncio.timeout(LOAD_END_LIMIT_SECONDS):
+            results = {dc: await load.result() for dc, load in loads.items()}
+        watching.cancel()
+        return await _async_result(
+            deployment, seed, planned, actions, watch, results
+        )
+
+
+async def _async_round(
+    deployment: Deployment,
+    actions: FaultActions,
+    number: int,
+    faults: tuple[PlannedFault, ...],
+) -> None:
+    """Apply the faults of a round and wait until all routers are ready."""
+    started_at = time.monotonic()
+    async with (
+        asyncio.timeout(ROUND_LIMIT_SECONDS),
+        asyncio.TaskGroup() as group,
+    ):
+        for fault in faults:
+            group.create_task(actions.async_apply(fault))
+    for plan in deployment.plans:
+        router = deployment.routers[plan.router_id]
+        await router.wait_ready(plan.admin_address, READY_SECONDS)
+    await asyncio.sleep(SETTLE_SECONDS)
+    seconds = time.monotonic() - started_at
+    text = ", ".join(str(fault) for fault in faults)
+    typer.echo(f"round {number}: {text}; took {seconds:.1f} s")
+
+
+def _targets(deployment: Deployment) -> Targets:
+    return Targets(
+        routers={p.router_id: p.data_centre for p in deployment.plans},
+        upstreams={name: data_centre_of(name) for name in deployment.upstreams},
+    )
+
+
+async def _async_start_loads(
+    deployment: Deployment, seed: int
+) -> dict[str, LoadProcess]:
+    """Start a load generator for each data centre."""
+    loads: dict[str, LoadProcess] = {}
+    for index, data_centre in enumerate(deployment.shape.data_centres):
+        options = LoadOptions(
+            addresses=deployment.caller_addresses(data_centre),
+            workspaces=tuple(
+                WorkspaceLoad(
+                    name=name, token=token_of(name), rate=RATE_PER_WORKSPACE
+                )
+                for name in WORKSPACES
+            ),
+            # Markers and keys carry the seed, so it differs between loads.
+            seed=seed * 100 + index,
+            max_requests=1_000_000,
+            max_seconds=100_000,
+            timeout_seconds=LOAD_TIMEOUT_SECONDS,
+            chat_share=0.5,
+            keyed_share=0.8,
+            model=MODEL,
+            plain_path=f"/services/{SERVICE_PLAIN}/work",
+            median_tokens=40,
+            work_ms=100,
+        )
+        loads[data_centre] = await start_load(
+            deployment.fleet, f"load-{data_centre}", options
+        )
+    return loads
+
+
+async def _async_result(
+    deployment: Deployment,
+    seed: int,
+    planned: list[tuple[PlannedFault, ...]],
+    actions: FaultActions,
+    watch: VersionWatch,
+    results: dict[str, LoadResult],
+) -> FaultsResult:
+    """Compare what callers were told with what upstreams ran."""
+    runs = await async_read_runs(deployment)
+    observed = actions.observed
+    loads = list(results.values())
+    async with admin_client(POLL_TIMEOUT_SECONDS) as client:
+        versions = {
+            plan.router_id: await read_versions(client, plan)
+            for plan in deployment.plans
+        }
+    newest = max((edit.version for edit in observed.edits), default=0)
+    calls: Counter[str] = Counter()
+    for load in loads:
+        for workspace in load.by_workspace.values():
+            calls.update(workspace.finals_by_outcome)
+    return FaultsResult(
+        deployment=deployment.shape.name,
+        seed=seed,
+        faults=[[str(fault) for fault in faults] for faults in planned],
+        calls_by_outcome=dict(calls),
+        keys_run=len(runs.by_key),
+        readings=watch.readings,
+        breaches={
+            "calls that ran more than once": repeated_runs(runs),
+            "not_run answers of requests that ran": wrong_not_run(loads, runs),
+            "answers without a run": answers_without_run(loads, runs),
+            "wrong or incomplete answers": [
+                problem for load in loads for problem in load.problems
+            ],
+            "versions that reverted": watch.reverted,
+            "versions that differ at the end": differing_versions(
+                versions, newest
+            ),
+            "conflicting edits both accepted": observed.both_accepted,
+            "accepted edits lost": await async_lost_edits(
+                deployment, observed.edits
+            ),
+            "requests cut by a graceful shutdown": observed.cut_requests,
+            "late work at leaving upstreams": observed.late_work,
+        },
+        gap_seconds_by_data_centre={
+            data_centre: result.longest_gap_seconds
+            for data_centre, result in results.items()
+        },
+        shutdown_seconds=observed.shutdown_seconds,
+        edits_by_status=dict(Counter(edit.status for edit in observed.edits)),
+    )
+
+
+def _print(result: FaultsResult) -> None:
+    typer.echo(
+        f"deployment {result.deployment}, seed {result.seed}, "
+        f"{len(result.faults)} rounds, {os.cpu_count()} cores"
+    )
+    total = sum(result.calls_by_outcome.values())
+    typer.echo(f"calls: {total}; keys that ran: {result.keys_run}")
+    for outcome, count in sorted(result.calls_by_outcome.items()):
+        typer.echo(f"  {outcome}: {count}")
+    typer.echo(f"version readings: {result.readings}")
+    typer.echo(f"edits by status: {result.edits_by_status}")
+    for data_centre, seconds in result.gap_seconds_by_data_centre.items():
+        typer.echo(f"{data_centre}: longest gap {seconds:.2f} s")
+    for seconds in result.shutdown_seconds:
+        typer.echo(f"graceful shutdown took {seconds:.2f} s")
+    for check, details in result.breaches.items():
+        typer.echo(f"{check}: {len(details)}")
+        for detail in details[:SHOWN_DETAILS]:
+            typer.echo(f"  {detail}")
--- a/packages/standins/src/lacewingspar_standins/engine.py
+++ b/packages/standins/src/lacewingspar_standins/engine.py
@@ -22,6 +22,7 @@
 )
 from lacewingspar_standins.faults import StandIn
 from lacewingspar_standins.prefix_cache import PrefixCache
+from lacewingspar_standins.run_journal import RecordedRun, RunJournal
 
 CRASH_STATUS = 3
 MAX_TOKENS = 1_000_000
@@ -52,6 +53,9 @@
         self._call_by_generation: dict[Generation, _Call] = {}
         self._leave_at: float | None = None
         self.stats = EngineStats()
+        self._journal = RunJournal(options.runs_file)
+        for run in self._journal.read():
+            self.stats.runs_by_request_id[run.request_id or ""] += 1
 
     def faults_changed(self) -> None:
         """Silence the requests that exist, and note when leaving begins."""
@@ -149,6 +153,7 @@
             crash_marker in message.content for message in call.chat.messages
         ):
             os._exit(CRASH_STATUS)
+        self._journal.append(RecordedRun(request_id=call.request_id))
         self.stats.started += 1
         self.stats.runs_by_request_id[call.request_id] += 1
 
--- a/packages/standins/src/lacewingspar_standins/engine_options.py
+++ b/packages/standins/src/lacewingspar_standins/engine_options.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from lacewingspar_standins.batching import BatchOptions
 from lacewingspar_standins.faults import Faults
@@ -42,6 +43,7 @@
         median_tokens: Median of the drawn number of tokens.
         sigma: Standard deviation of its logarithm.
         seed: Seed of the draws.
+        runs_file: File that keeps the runs across restarts, or None.
     """
 
     models: tuple[str, ...] = ("model",)
@@ -50,6 +52,7 @@
     median_tokens: float = 64.0
     sigma: float = 0.7
     seed: int = 1
+    runs_file: Path | None = None
 
 
 @dataclass(slots=True)
--- a/packages/standins/src/lacewingspar_standins/load.py
+++ b/packages/standins/src/lacewingspar_standins/load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 OUTCOME_TIMEOUT = "timeout"
 OUTCOME_NOT_SENT = "not_sent"
 RUN_NOT_RUN = "not_run"
+BROKEN_RETRY_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,14 +63,20 @@
         """Send all requests and return the result."""
         started_at = time.monotonic()
         self._ends_at = started_at + self._options.max_seconds
+        self._recorder.begin_gap()
         try:
             async with asyncio.TaskGroup() as group:
                 for workspace in self._options.workspaces:
                     group.create_task(self._run_workspace(workspace))
         finally:
             self._pool.close()
+        self._recorder.end_gap()
         return self._recorder.result(time.monotonic() - started_at)
 
+    def stop(self) -> None:
+        """Start no more requests; those in flight go on."""
+        self._ends_at = time.monotonic()
+
     async def _run_workspace(self, workspace: WorkspaceLoad) -> None:
         numbers = iter(range(self._options.max_requests))
         async with asyncio.TaskGroup() as group:
@@ -138,7 +146,7 @@
             async with asyncio.timeout(self._options.timeout_seconds):
                 request_id = await exchange.run(self._pool)
         except TimeoutError:
-            return _Ending(OUTCOME_TIMEOUT)
+            return _Ending(OUTCOME_TIMEOUT, may_repeat=planned.key is not None)
         except RefusedError as refusal:
             self._record_error(recorder, refusal.error)
             is_repeatable = refusal.error.run == RUN_NOT_RUN
@@ -154,7 +162,9 @@
             self._recorder.record_problem(f"{planned.marker}: {problem}")
             return _Ending(problem.outcome)
         except ClientError as failure:
-            return _Ending(failure.outcome)
+            return _Ending(
+                failure.outcome, BROKEN_RETRY_SECONDS, planned.key is not None
+            )
         self._recorder.record_answered(request_id)
         if planned.key is not None:
             self._recorder.answered_keys.append(planned.key)
@@ -169,5 +179,9 @@
 
 
 async def run_load(options: LoadOptions) -> LoadResult:
-    """Run the load generator once."""
-    return await LoadGenerator(options).run()
+    """Run the load generator until its end or until SIGTERM."""
+    generator = LoadGenerator(options)
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, generator.stop
+    )
+    return await generator.run()
--- a/packages/standins/src/lacewingspar_standins/load_result.py
+++ b/packages/standins/src/lacewingspar_standins/load_result.py
@@ -1,5 +1,6 @@
 """Result of a load generator run."""
 
+import time
 from collections import Counter
 
 import msgspec
@@ -67,6 +68,7 @@
         not_run_request_ids: Request ids that were reported as `not_run`, to
             be compared with the runs that the upstreams counted.
         answered_keys: Idempotency keys whose call was answered.
+        longest_gap_seconds: Longest time without a complete answer.
     """
 
     seconds: float
@@ -74,6 +76,7 @@
     problems: tuple[str, ...]
     not_run_request_ids: tuple[str, ...]
     answered_keys: tuple[str, ...]
+    longest_gap_seconds: float
 
     def count(self, outcome: str) -> int:
         """Return the number of requests with an outcome."""
@@ -125,6 +128,20 @@
         self._problems: list[str] = []
         self._not_run_request_ids: list[str] = []
         self._answered_ids: set[str] = set()
+        self._last_answer_at = 0.0
+        self._longest_gap_seconds = 0.0
+
+    def begin_gap(self) -> None:
+        """Note the start of the load."""
+        self._last_answer_at = time.monotonic()
+
+    def end_gap(self) -> None:
+        """Note a complete answer or the end of the load."""
+        now = time.monotonic()
+        self._longest_gap_seconds = max(
+            self._longest_gap_seconds, now - self._last_answer_at
+        )
+        self._last_answer_at = now
 
     def record_problem(self, problem: str) -> None:
         """Keep a problem, up to a limit."""
@@ -138,6 +155,7 @@
 
     def record_answered(self, request_id: str) -> None:
         """Check that no other request got an answer with the same id."""
+        self.end_gap()
         if request_id in self._answered_ids:
             self.record_problem(f"request id {request_id!r} answered twice")
         self._answered_ids.add(request_id)
@@ -153,6 +171,7 @@
             problems=tuple(self._problems),
             not_run_request_ids=tuple(self._not_run_request_ids),
             answered_keys=tuple(self.answered_keys),
+            longest_gap_seconds=self._longest_gap_seconds,
         )
 
 
--- a/packages/standins/src/lacewingspar_standins/main.py
+++ b/packages/standins/src/lacewingspar_standins/main.py
@@ -29,6 +29,9 @@
 FaultJson = Annotated[
     str, typer.Option("--faults", help="Faults from the start, as JSON.")
 ]
+RunsFile = Annotated[
+    Path | None, typer.Option(help="File that keeps runs across restarts.")
+]
 F = TypeVar("F", bound=Faults)
 
 
@@ -89,6 +92,7 @@
     median_tokens: float = 64,
     sigma: float = 0.7,
     seed: int = 1,
+    runs_file: RunsFile = None,
     faults: FaultJson = "{}",
 ) -> None:
     """Run a model engine."""
@@ -104,6 +108,7 @@
         median_tokens=median_tokens,
         sigma=sigma,
         seed=seed,
+        runs_file=runs_file,
     )
     _serve(lambda: Engine(options, _faults(EngineFaults, faults)), host, port)
 
@@ -115,10 +120,11 @@
     slots: int = 8,
     work_ms: float = 20,
     load_lag_ms: float = 200,
+    runs_file: RunsFile = None,
     faults: FaultJson = "{}",
 ) -> None:
     """Run a plain service."""
-    options = PlainOptions(slots, work_ms / 1000, load_lag_ms / 1000)
+    options = PlainOptions(slots, work_ms / 1000, load_lag_ms / 1000, runs_file)
     _serve(
         lambda: PlainService(options, _faults(PlainFaults, faults)), host, port
     )
--- a/packages/standins/src/lacewingspar_standins/plain.py
+++ b/packages/standins/src/lacewingspar_standins/plain.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import msgspec
 
@@ -15,6 +16,7 @@
 from lacewingspar_standins.asgi import BadRequestError, Request
 from lacewingspar_standins.faults import Faults, StandIn
 from lacewingspar_standins.lagged import Lagged
+from lacewingspar_standins.run_journal import RecordedRun, RunJournal
 
 CRASH_STATUS = 3
 HEADER_REQUEST_ID = "x-request-id"
@@ -51,11 +53,13 @@
         slots: Calls that run at once.
         work_seconds: Time that a call runs unless `X-Work-Ms` says otherwise.
         load_lag_seconds: Age of load reports.
+        runs_file: File that keeps the runs across restarts, or None.
     """
 
     slots: int = 8
     work_seconds: float = 0.02
     load_lag_seconds: float = 0.2
+    runs_file: Path | None = None
 
 
 class _MarkedBody(msgspec.Struct, frozen=True):
@@ -66,13 +70,31 @@
 
 @dataclass(slots=True)
 class Runs:
-    """Number of runs by what identifies a call."""
+    """Number of runs by what identifies a call.
 
+    Attributes:
+        arrived: Calls that arrived at this process, run or not.
+        total: Number of runs.
+        by_key: Runs by idempotency key.
+        by_digest: Runs by digest of the body.
+        by_request_id: Runs by request id.
+    """
+
+    arrived: int = 0
     total: int = 0
     by_key: Counter[str] = field(default_factory=Counter)
     by_digest: Counter[str] = field(default_factory=Counter)
     by_request_id: Counter[str] = field(default_factory=Counter)
 
+    def add(self, run: RecordedRun) -> None:
+        """Count a run."""
+        self.total += 1
+        self.by_digest[run.digest] += 1
+        if run.key is not None:
+            self.by_key[run.key] += 1
+        if run.request_id is not None:
+            self.by_request_id[run.request_id] += 1
+
 
 class PlainService(StandIn[PlainFaults]):
     """HTTP interface of the plain service.
@@ -97,7 +119,10 @@
         self._waiting = 0
         self._load = Lagged((0, 0), options.load_lag_seconds)
         self._silence_count = 0
+        self._journal = RunJournal(options.runs_file)
         self.runs = Runs()
+        for run in self._journal.read():
+            self.runs.add(run)
         self.accounts = SlotAccounts()
 
     def faults_changed(self) -> None:
@@ -128,6 +153,7 @@
 
     async def _call(self, request: Request) -> None:
         silence_count = self._silence_count
+        self.runs.arrived += 1
         body = await request.body()
         work_seconds = self._work_seconds(request)
         if self.faults.refuse:
@@ -194,14 +220,13 @@
         marker = self.faults.crash_marker
         if marker and marker.encode() in body:
             os._exit(CRASH_STATUS)
-        self.runs.total += 1
-        self.runs.by_digest[_digest(body)] += 1
-        for header, runs in (
-            (HEADER_KEY, self.runs.by_key),
-            (HEADER_REQUEST_ID, self.runs.by_request_id),
-        ):
-            if header in request.headers:
-                runs[request.headers[header]] += 1
+        run = RecordedRun(
+            digest=_digest(body),
+            key=request.headers.get(HEADER_KEY),
+            request_id=request.headers.get(HEADER_REQUEST_ID),
+        )
+        self._journal.append(run)
+        self.runs.add(run)
         return self.runs.total
 
     def _change_load(self, running: int, waiting: int) -> None:
--- /dev/null
+++ b/tests/standins/test_fault_checks.py
@@ -0,0 +1,59 @@
+"""Checks of the benchmark `faults`."""
+
+from collections import Counter
+from typing import Any, cast
+
+from lacewingspar_standins.bench.deployment import SHAPES_BY_NAME
+from lacewingspar_standins.bench.fault_checks import (
+    UpstreamRuns,
+    answers_without_run,
+    differing_versions,
+    repeated_runs,
+    wrong_not_run,
+)
+from lacewingspar_standins.bench.fault_edits import VersionWatch
+from lacewingspar_standins.bench.fault_plan import (
+    FaultKind,
+    Targets,
+    draw_rounds,
+)
+from lacewingspar_standins.load_result import LoadResult
+
+
+def test_breaches_are_found() -> None:
+    """Guards against a benchmark that passes whatever it sees."""
+    runs = UpstreamRuns(
+        by_key=Counter({"ws/twice": 2, "ws/once": 1}),
+        by_request_id=Counter(ran=1),
+    )
+    load = LoadResult(0.0, {}, (), ("ran", "idle"), ("once", "never"), 0.0)
+    assert repeated_runs(runs) == ["ws/twice ran 2 times"]
+    assert wrong_not_run([load], runs) == ["request ran ran 1 times"]
+    assert answers_without_run([load], runs) == [
+        "never was answered and never ran"
+    ]
+    versions: Any = {"a": {"chat": 3}, "b": {"chat": 2}, "c": None}
+    assert len(differing_versions(versions, 3)) == 2
+    assert len(differing_versions(versions, 4)) == 3
+
+
+def test_version_that_goes_back_is_a_breach() -> None:
+    """Guards against reverted versions that hide behind a restart."""
+    watch = VersionWatch()
+    for life, version in ((1, 5), (1, 4), (2, 4), (2, 5)):
+        watch.note("r", cast(Any, life), {"chat": version})
+    assert [text.rsplit(", ", 1)[1] for text in watch.reverted] == [
+        "same life",
+        "after restart",
+    ]
+
+
+def test_rounds_depend_on_the_seed_only() -> None:
+    targets = Targets({"r1": "dc-1", "r2": "dc-2"}, {"u1": "dc-1"})
+    shape = SHAPES_BY_NAME["b"]
+    rounds = draw_rounds(1, 200, shape, targets)
+    assert rounds == draw_rounds(1, 200, shape, targets)
+    assert rounds != draw_rounds(2, 200, shape, targets)
+    assert {f.kind for faults in rounds for f in faults} == set(FaultKind)
+    for first, *others in rounds:
+        assert all(first.kind is not other.kind for other in others)
--- a/tests/standins/test_plain.py
+++ b/tests/standins/test_plain.py
@@ -3,6 +3,8 @@
 import asyncio
 import hashlib
 from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import httpx
@@ -47,6 +49,7 @@
     assert answers[0].json()["digest"] == DIGEST
     assert answers[0].headers["X-Request-Id"] == "r"
     assert await plain.get("/_runs") == {
+        "arrived": 2,
         "total": 2,
         "by_key": {"k": 1},
         "by_digest": {DIGEST: 2},
@@ -103,3 +106,14 @@
     gate.set()
     assert (await call(plain)).status_code == 200
     await stays_pending(old)
+
+
+async def test_runs_survive_a_restart(serve: Any, tmp_path: Path) -> None:
+    """Guards against a second run that a killed process hides."""
+    options = replace(OPTIONS, runs_file=tmp_path / "runs")
+    for runs in (1, 2):
+        async with serve(PlainService(options, PlainFaults())) as client:
+            await call(client, **{"Idempotency-Key": "k", "X-Work-Ms": "0"})
+            answer = await client.get("/_runs")
+        assert answer["by_key"] == {"k": runs}
+        assert answer["arrived"] == 1
