--- a/packages/standins/src/lacewingspar_standins/bench/fault_actions.py
+++ b/packages/standins/src/lacewingspar_standins/bench/fault_actions.py
@@ -29,6 +29,21 @@
 POLL_SECONDS = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class GracefulShutdown:
+    """A graceful shutdown.
+
+    Attributes:
+        address: Caller address of the router.
+        began_at: Wall clock at the signal, in seconds since the Unix epoch.
+        ended_at: Wall clock at the end of the process.
+    """
+
+    address: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass(slots=True)
 class Observed:
     """What the faults themselves have shown.
@@ -39,14 +54,14 @@
         late_work: Work sent to upstreams that were leaving for too long.
         both_accepted: Conflicting edits that were both accepted.
         edits: All edits.
-        shutdown_seconds: Times of graceful shutdowns.
+        shutdowns: Graceful shutdowns.
     """
 
     cut_requests: list[str] = field(default_factory=list)
     late_work: list[str] = field(default_factory=list)
     both_accepted: list[str] = field(default_factory=list)
     edits: list[Edit] = field(default_factory=list)
-    shutdown_seconds: list[float] = field(default_factory=list)
+    shutdowns: list[GracefulShutdown] = field(default_factory=list)
 
 
 class FaultActions:
@@ -117,7 +132,7 @@
     async def _router_terminated(self, fault: PlannedFault) -> None:
         router = self._deployment.routers[fault.target]
         lines_before = _cut_lines(router.log_file.read_text(errors="replace"))
-        started_at = time.monotonic()
+        began_at = time.time()
         router.terminate()
         try:
             async with asyncio.timeout(SHUTDOWN_LIMIT_SECONDS):
@@ -125,7 +140,10 @@
         except TimeoutError:
             router.kill()
             status = await router.wait()
-        self.observed.shutdown_seconds.append(time.monotonic() - started_at)
+        address = self._plan(fault).caller_address
+        self.observed.shutdowns.append(
+            GracefulShutdown(address, began_at, time.time())
+        )
         lines = _cut_lines(router.log_file.read_text(errors="replace"))
         self.observed.cut_requests += lines[len(lines_before) :]
         if status != 0:
--- a/packages/standins/src/lacewingspar_standins/bench/fault_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/fault_checks.py
@@ -7,8 +7,13 @@
 import msgspec
 
 from lacewingspar_standins.bench.deployment import SERVICE_CHAT, Deployment
+from lacewingspar_standins.bench.fault_actions import GracefulShutdown
 from lacewingspar_standins.load_result import LoadResult
 
+# The load generator may notice the end of a connection after that of the
+# process.
+CLIENT_LAG_SECONDS = 0.2
+
 
 @dataclass(slots=True)
 class UpstreamRuns:
@@ -83,6 +88,23 @@
     ]
 
 
+def cut_by_shutdowns(
+    results: list[LoadResult], shutdowns: list[GracefulShutdown]
+) -> list[str]:
+    """Return the requests that got no answer from a router that shut down."""
+    return [
+        f"{cut.marker}: {cut.outcome} {cut.at_seconds - shutdown.began_at:.2f}"
+        " s after the signal"
+        for shutdown in shutdowns
+        for result in results
+        for cut in result.broken_connections
+        if cut.address == shutdown.address
+        and shutdown.began_at
+        <= cut.at_seconds
+        <= shutdown.ended_at + CLIENT_LAG_SECONDS
+    ]
+
+
 def answers_without_run(
     results: list[LoadResult], runs: UpstreamRuns
 ) -> list[str]:
--- a/packages/standins/src/lacewingspar_standins/bench/faults.py
+++ b/packages/standins/src/lacewingspar_standins/bench/faults.py
@@ -23,6 +23,7 @@
 from lacewingspar_standins.bench.fault_checks import (
     answers_without_run,
     async_read_runs,
+    cut_by_shutdowns,
     differing_versions,
     repeated_runs,
     wrong_not_run,
@@ -251,14 +252,20 @@
             "accepted edits lost": await async_lost_edits(
                 deployment, observed.edits
             ),
-            "requests cut by a graceful shutdown": observed.cut_requests,
+            "requests cut by a graceful shutdown": [
+                *observed.cut_requests,
+                *cut_by_shutdowns(loads, observed.shutdowns),
+            ],
             "late work at leaving upstreams": observed.late_work,
         },
         gap_seconds_by_data_centre={
             data_centre: result.longest_gap_seconds
             for data_centre, result in results.items()
         },
-        shutdown_seconds=observed.shutdown_seconds,
+        shutdown_seconds=[
+            shutdown.ended_at - shutdown.began_at
+            for shutdown in observed.shutdowns
+        ],
         edits_by_status=dict(Counter(edit.status for edit in observed.edits)),
     )
 
--- a/packages/standins/src/lacewingspar_standins/load.py
+++ b/packages/standins/src/lacewingspar_standins/load.py
@@ -30,6 +30,7 @@
 OUTCOME_TIMEOUT = "timeout"
 OUTCOME_NOT_SENT = "not_sent"
 RUN_NOT_RUN = "not_run"
+BROKEN_OUTCOMES = frozenset({"no_answer", "broken"})
 BROKEN_RETRY_SECONDS = 0.2
 
 
@@ -162,6 +163,10 @@
             self._recorder.record_problem(f"{planned.marker}: {problem}")
             return _Ending(problem.outcome)
         except ClientError as failure:
+            if failure.outcome in BROKEN_OUTCOMES:
+                self._recorder.record_broken(
+                    address, failure.outcome, planned.marker
+                )
             return _Ending(
                 failure.outcome, BROKEN_RETRY_SECONDS, planned.key is not None
             )
--- a/packages/standins/src/lacewingspar_standins/load_result.py
+++ b/packages/standins/src/lacewingspar_standins/load_result.py
@@ -30,6 +30,22 @@
     encoded: str
 
 
+class BrokenConnection(msgspec.Struct, frozen=True):
+    """An attempt whose connection ended before the answer did.
+
+    Attributes:
+        at_seconds: Wall clock at its end, in seconds since the Unix epoch.
+        address: Router as `host:port`.
+        outcome: `no_answer` or `broken`.
+        marker: Identity of the request in the load.
+    """
+
+    at_seconds: float
+    address: str
+    outcome: str
+    marker: str
+
+
 class WorkspaceResult(msgspec.Struct, frozen=True):
     """Result of one workspace.
 
@@ -69,6 +85,7 @@
             be compared with the runs that the upstreams counted.
         answered_keys: Idempotency keys whose call was answered.
         longest_gap_seconds: Longest time without a complete answer.
+        broken_connections: The first attempts that ended without an answer.
     """
 
     seconds: float
@@ -77,6 +94,7 @@
     not_run_request_ids: tuple[str, ...]
     answered_keys: tuple[str, ...]
     longest_gap_seconds: float
+    broken_connections: tuple[BrokenConnection, ...] = ()
 
     def count(self, outcome: str) -> int:
         """Return the number of requests with an outcome."""
@@ -130,6 +148,7 @@
         self._answered_ids: set[str] = set()
         self._last_answer_at = 0.0
         self._longest_gap_seconds = 0.0
+        self._broken_connections: list[BrokenConnection] = []
 
     def begin_gap(self) -> None:
         """Note the start of the load."""
@@ -148,6 +167,13 @@
         if len(self._problems) < MAX_PROBLEMS:
             self._problems.append(problem)
 
+    def record_broken(self, address: str, outcome: str, marker: str) -> None:
+        """Keep an attempt that ended without an answer, up to a limit."""
+        if len(self._broken_connections) < MAX_REQUEST_IDS:
+            self._broken_connections.append(
+                BrokenConnection(time.time(), address, outcome, marker)
+            )
+
     def record_not_run(self, request_id: str) -> None:
         """Keep the id of a request that was reported as not run."""
         if len(self._not_run_request_ids) < MAX_REQUEST_IDS:
@@ -172,6 +198,7 @@
             not_run_request_ids=tuple(self._not_run_request_ids),
             answered_keys=tuple(self.answered_keys),
             longest_gap_seconds=self._longest_gap_seconds,
+            broken_connections=tuple(self._broken_connections),
         )
 
 
--- a/tests/standins/test_fault_checks.py
+++ b/tests/standins/test_fault_checks.py
@@ -3,10 +3,14 @@
 from collections import Counter
 from typing import Any, cast
 
+import pytest
+
 from lacewingspar_standins.bench.deployment import SHAPES_BY_NAME
+from lacewingspar_standins.bench.fault_actions import GracefulShutdown
 from lacewingspar_standins.bench.fault_checks import (
     UpstreamRuns,
     answers_without_run,
+    cut_by_shutdowns,
     differing_versions,
     repeated_runs,
     wrong_not_run,
@@ -17,7 +21,7 @@
     Targets,
     draw_rounds,
 )
-from lacewingspar_standins.load_result import LoadResult
+from lacewingspar_standins.load_result import BrokenConnection, LoadResult
 
 
 def test_breaches_are_found() -> None:
@@ -37,6 +41,20 @@
     assert len(differing_versions(versions, 4)) == 3
 
 
+@pytest.mark.parametrize(
+    ("address", "at_seconds", "is_cut"),
+    [("r", 9.0, False), ("r", 11.0, True), ("s", 11.0, False)],
+)
+def test_request_without_answer_at_a_shutdown(
+    address: str, at_seconds: float, is_cut: bool
+) -> None:
+    """Guards against a cut that only the caller notices."""
+    broken = BrokenConnection(at_seconds, address, "no_answer", "m")
+    load = LoadResult(0.0, {}, (), (), (), 0.0, (broken,))
+    shutdowns = [GracefulShutdown("r", 10.0, 12.0)]
+    assert bool(cut_by_shutdowns([load], shutdowns)) is is_cut
+
+
 def test_version_that_goes_back_is_a_breach() -> None:
     """Guards against reverted versions that hide behind a restart."""
     watch = VersionWatch()
