--- a/packages/standins/src/lacewingspar_standins/log.py
+++ b/packages/standins/src/lacewingspar_standins/log.py
@@ -33,6 +33,8 @@
             connection is closed without a reply.
         delay_ms: Time before an append or read takes effect.
         reply_delay_ms: Time between the effect and the reply.
+        read_delay_ms: Further time before the reply to a read, so that a
+            writer learns the fate of its append before it reads it back.
     """
 
     outage: bool = False
@@ -40,6 +42,7 @@
     lose_replies: int = 0
     delay_ms: float = 0
     reply_delay_ms: float = 0
+    read_delay_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +200,8 @@
         await self._wait_for_record(stream, from_offset, wait_ms / 1000)
         if await self._failed(request):
             return
-        await asyncio.sleep(self.faults.reply_delay_ms / 1000)
+        delay_ms = self.faults.reply_delay_ms + self.faults.read_delay_ms
+        await asyncio.sleep(delay_ms / 1000)
         await request.reply(200, stream.read(from_offset, limit))
 
     async def _wait_for_record(
--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -79,7 +79,8 @@
     """Guards against a claim that is forgotten or made twice."""
     async with caller() as fleet:
         log = fleet.deployment.log
-        await log.inject(lose_replies=2)
+        # The lost reply must be noticed before the claim is read back.
+        await log.inject(lose_replies=2, read_delay_ms=300)
         first = await fleet.call(0, "k")
         assert first.status_code == 200
 
