--- a/packages/standins/src/lacewingspar_standins/bench/faults.py
+++ b/packages/standins/src/lacewingspar_standins/bench/faults.py
@@ -195,12 +195,13 @@
             max_requests=1_000_000,
             max_seconds=100_000,
             timeout_seconds=LOAD_TIMEOUT_SECONDS,
-            chat_share=0.5,
+            chat_share=0.4,
             keyed_share=0.8,
             model=MODEL,
             plain_path=f"/services/{SERVICE_PLAIN}/work",
             median_tokens=40,
-            work_ms=100,
+            # Long enough that a killed router mostly leaves a call running.
+            work_ms=300,
         )
         loads[data_centre] = await start_load(
             deployment.fleet, f"load-{data_centre}", options
