Keep accepted connections for 0.3 s after the listener is closed

A shutdown closed the listener and all idle connections in one step. A request that was still on its way on a connection accepted just before got a reset instead of an answer. The router's log names no cut request and all exit statuses are 0, so requests in flight are not the cause.

The race is not ruled out: a request that arrives in the step in which a connection is closed gets no answer. tests/router/test_http_server.py failed before and passes now.

--- a/packages/router/src/lacewingspar_router/http_server.py
+++ b/packages/router/src/lacewingspar_router/http_server.py
@@ -13,6 +13,9 @@
 # closes an idle connection first and no request meets a closing connection.
 IDLE_CONNECTION_SECONDS = 75
 LISTEN_BACKLOG = 2048
+# Time between the close of the listener and that of idle connections. A caller
+# whose connection was accepted just before may still be sending its request.
+LINGER_SECONDS = 0.3
 # Time that answers have to leave after the server was told to abort.
 ABORT_SECONDS = 0.5
 
@@ -105,6 +108,10 @@
         if self._task is None:
             self._socket.close()
             return
+        if not abort:
+            for listener in self._server.servers:
+                listener.close()
+            await asyncio.sleep(LINGER_SECONDS)
         self._server.force_exit = abort
         self._server.should_exit = True
         limit = ABORT_SECONDS if abort else None
