--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -2,12 +2,13 @@
 
 import typer
 
-from lacewingspar_standins.bench import capacity, path, share
+from lacewingspar_standins.bench import capacity, faults, path, share
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
 app.command("path")(path.path_command)
 app.command("share")(share.main)
 app.command("capacity")(capacity.main)
+app.command("faults")(faults.main)
 
 
 @app.callback()
--- a/packages/standins/src/lacewingspar_standins/bench/capacity_core.py
+++ b/packages/standins/src/lacewingspar_standins/bench/capacity_core.py
@@ -32,6 +32,8 @@
     dump_document,
 )
 from lacewingspar_core.events import (
+    Announce,
+    CountersDue,
     MessageReceived,
     TimePassed,
     UpstreamsChanged,
@@ -102,8 +104,8 @@
     before = time.process_time()
     grants = 0
     while grants < _GRANTS and sends:
-        send = sends.pop()
-        offer: Any = send.message
+        send: Any = sends.pop()
+        offer = send.message
         now += 0.01
         accepted = OfferAccepted(SERVICE, offer.slot, 1.0)
         sends += owner.handle(MessageReceived(_HOLDER, accepted), now)
@@ -121,11 +123,11 @@
         grants += 1
     grant_ms = (time.process_time() - before) * 1000 / max(1, grants)
     before = time.process_time()
-    counters = owner.publish(now, full=True)
+    (announced,) = owner.handle(CountersDue(full=True), now)
     publish_ms = (time.process_time() - before) * 1000
-    assert counters is not None
+    assert isinstance(announced, Announce)
     return {
-        "full counters B": float(len(encode_message(counters))),
+        "full counters B": float(len(encode_message(announced.counters))),
         "full demand B": float(len(encode_message(demand))),
         "demand with 128 offers ms": demand_ms,
         "grant ms": grant_ms,
--- a/packages/standins/src/lacewingspar_standins/bench/share.py
+++ b/packages/standins/src/lacewingspar_standins/bench/share.py
@@ -147,6 +147,7 @@
         step_ms=STEP_MS,
         limits=Limits(slot_quantum_seconds=options.quantum_seconds),
         folder=folder,
+        records_events=folder is not None,
     ) as deployment:
         run = await _async_measure(deployment, options)
     baseline = {}
--- a/packages/standins/src/lacewingspar_standins/load_result.py
+++ b/packages/standins/src/lacewingspar_standins/load_result.py
@@ -1,5 +1,6 @@
 """Result of a load generator run."""
 
+import time
 from collections import Counter, defaultdict
 
 import msgspec
@@ -29,6 +30,22 @@
     encoded: str
 
 
+class BrokenConnection(msgspec.Struct, frozen=True):
+    """An attempt whose connection ended before the answer did.
+
+    Attributes:
+        at_seconds: Wall clock at its end, in seconds since the Unix epoch.
+        address: Router as `host:port`.
+        outcome: `no_answer` or `broken`.
+        marker: Identity of the request in the load.
+    """
+
+    at_seconds: float
+    address: str
+    outcome: str
+    marker: str
+
+
 class WorkspaceResult(msgspec.Struct, frozen=True):
     """Result of one workspace.
 
@@ -68,6 +85,8 @@
             be compared with the runs that the upstreams counted.
         answered_keys: Idempotency keys whose call was answered.
         attempts_by_address: Attempts by router address and outcome.
+        longest_gap_seconds: Longest time without a complete answer.
+        broken_connections: The first attempts that ended without an answer.
     """
 
     seconds: float
@@ -76,6 +95,8 @@
     not_run_request_ids: tuple[str, ...]
     answered_keys: tuple[str, ...]
     attempts_by_address: dict[str, dict[str, int]]
+    longest_gap_seconds: float
+    broken_connections: tuple[BrokenConnection, ...] = ()
 
     def count(self, outcome: str) -> int:
         """Return the number of requests with an outcome."""
@@ -130,12 +151,34 @@
         self._problems: list[str] = []
         self._not_run_request_ids: list[str] = []
         self._answered_ids: set[str] = set()
+        self._last_answer_at = 0.0
+        self._longest_gap_seconds = 0.0
+        self._broken_connections: list[BrokenConnection] = []
+
+    def begin_gap(self) -> None:
+        """Note the start of the load."""
+        self._last_answer_at = time.monotonic()
+
+    def end_gap(self) -> None:
+        """Note a complete answer or the end of the load."""
+        now = time.monotonic()
+        self._longest_gap_seconds = max(
+            self._longest_gap_seconds, now - self._last_answer_at
+        )
+        self._last_answer_at = now
 
     def record_problem(self, problem: str) -> None:
         """Keep a problem, up to a limit."""
         if len(self._problems) < MAX_PROBLEMS:
             self._problems.append(problem)
 
+    def record_broken(self, address: str, outcome: str, marker: str) -> None:
+        """Keep an attempt that ended without an answer, up to a limit."""
+        if len(self._broken_connections) < MAX_REQUEST_IDS:
+            self._broken_connections.append(
+                BrokenConnection(time.time(), address, outcome, marker)
+            )
+
     def record_not_run(self, request_id: str) -> None:
         """Keep the id of a request that was reported as not run."""
         if len(self._not_run_request_ids) < MAX_REQUEST_IDS:
@@ -143,6 +186,7 @@
 
     def record_answered(self, request_id: str) -> None:
         """Check that no other request got an answer with the same id."""
+        self.end_gap()
         if request_id in self._answered_ids:
             self.record_problem(f"request id {request_id!r} answered twice")
         self._answered_ids.add(request_id)
@@ -162,6 +206,8 @@
                 address: dict(counts)
                 for address, counts in self.attempts_by_address.items()
             },
+            longest_gap_seconds=self._longest_gap_seconds,
+            broken_connections=tuple(self._broken_connections),
         )
 
 
