Let the interval of full demand messages grow with their size

Changes are sent at once, and a declined offer makes the holder tell its demand again, so full messages are needed only to repair losses. A test covers the interval; the old code had no such rule to test.

--- a/packages/router/src/lacewingspar_router/components/scheduler/const.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/const.py
@@ -12,5 +12,11 @@
 COUNTERS_BYTES_PER_SECOND = 4000
 # Interval between two exchanges of all counters, which repair lost messages.
 FULL_COUNTERS_INTERVAL_SECONDS = 5.0
-# Ticks between two full demand messages and slot reports.
+# Ticks between two slot reports.
 TICKS_PER_REPORT = 20
+# Shortest interval between two messages with all demand, which repair lost
+# ones. Changes are sent at once, so a longer interval costs little.
+FULL_DEMAND_INTERVAL_SECONDS = 1.0
+# Full demand of one service takes at most this much, so the interval grows
+# with the number of waiting workspaces and of owners.
+FULL_DEMAND_BYTES_PER_SECOND = 400
--- a/packages/router/src/lacewingspar_router/components/scheduler/holder.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/holder.py
@@ -82,6 +82,7 @@
         self._waiting_told: dict[tuple[str, str], int] = {}
         self._demand_sequence = 0
         self._demand_sent_at = 0.0
+        self._full_demand_due_at = 0.0
         self._demand_timer: asyncio.TimerHandle | None = None
 
     def configure(
@@ -227,13 +228,22 @@
                 refusal = Refusal("unknown_service", 1.0)
                 future.set_exception(refused_error(refusal))
 
+    def send_full_demand_if_due(self) -> None:
+        """Tell the owners everything that waits, if that is due."""
+        if self._app.now() >= self._full_demand_due_at:
+            self.send_full_demand()
+
     def send_full_demand(self) -> None:
         """Tell the owners everything that waits."""
         entries = self._queue.demand(self._app.now())
         self._waiting_told = {
             (entry.workspace, entry.model): entry.waiting for entry in entries
         }
-        self._broadcast(self._demand(full=True, entries=entries))
+        sent_bytes = self._broadcast(self._demand(full=True, entries=entries))
+        self._full_demand_due_at = self._app.now() + max(
+            const.FULL_DEMAND_INTERVAL_SECONDS,
+            sent_bytes / const.FULL_DEMAND_BYTES_PER_SECOND,
+        )
 
     def send_reports(self) -> None:
         """Tell each owner which of its slots are in use here."""
@@ -398,9 +408,11 @@
         self._demand_sequence += 1
         return Demand(self._service, self._demand_sequence, full, entries)
 
-    def _broadcast(self, demand: Demand) -> None:
-        for router_id in self._receivers:
-            self._send(router_id, demand)
+    def _broadcast(self, demand: Demand) -> int:
+        """Send a message to all owners and return the bytes sent."""
+        return sum(
+            self._send(router_id, demand) for router_id in self._receivers
+        )
 
 
 def _is_worth_telling(told: int, waiting: int) -> bool:
--- a/tests/router/components/test_holder.py
+++ b/tests/router/components/test_holder.py
@@ -55,6 +55,7 @@
             )
         )
         self.sent: list[tuple[str, AnyPeerMessage]] = []
+        self.message_bytes = 0
         self.holder = Holder(self.clock, "plain", self.send)
         ownership = ServiceOwnership(
             {"u1": "owner"}, {"north": frozenset({"owner"})}
@@ -64,7 +65,7 @@
 
     def send(self, router_id: str, message: AnyPeerMessage) -> int:
         self.sent.append((router_id, message))
-        return 0
+        return self.message_bytes
 
     def messages(self, message_type: type) -> list[tuple[str, AnyPeerMessage]]:
         return [item for item in self.sent if isinstance(item[1], message_type)]
@@ -186,6 +187,23 @@
     task.cancel()
 
 
+@pytest.mark.parametrize(
+    ("message_bytes", "elapsed", "is_sent"),
+    [(0, 0.9, False), (0, 1.1, True), (4000, 1.1, False), (4000, 10.1, True)],
+)
+async def test_interval_of_full_demand_grows_with_its_size(
+    message_bytes: int, elapsed: float, is_sent: bool
+) -> None:
+    """Guards against demand that exceeds the control traffic's limit."""
+    harness = Harness(0.0)
+    harness.message_bytes = message_bytes
+    harness.holder.send_full_demand()
+    harness.sent.clear()
+    harness.clock.time += elapsed
+    harness.holder.send_full_demand_if_due()
+    assert bool(harness.messages(Demand)) is is_sent
+
+
 async def test_removed_service_refuses_what_waits() -> None:
     harness = Harness(0.0)
     task = harness.acquire(1)
--- a/tests/router/components/test_scheduler.py
+++ b/tests/router/components/test_scheduler.py
@@ -37,6 +37,7 @@
     app.now.return_value = 0.0
     members = {name: _member(name, state) for name, state in states.items()}
     peers: Any = mock.MagicMock(alive_by_router_id=members)
+    peers.send.return_value = 0
     configuration: Any = mock.MagicMock(
         documents_by_service={document.service: document}
     )
