--- a/packages/router/src/lacewingspar_router/components/scheduler/holder.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/holder.py
@@ -1,15 +1,11 @@
 """Holder role: requests of one service that wait at this router."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from lacewingspar_core.documents import ServiceDocument
 from lacewingspar_core.messages import (
     ActiveSlot,
-    AnyPeerMessage,
-    Demand,
-    DemandEntry,
     Offer,
     OfferAccepted,
     OfferDeclined,
@@ -26,19 +22,16 @@
     WaitingRequest,
 )
 from lacewingspar_router.application import Application
-from lacewingspar_router.components.scheduler import const
+from lacewingspar_router.components.scheduler.demand_sender import (
+    DemandSender,
+    SendFunction,
+)
 from lacewingspar_router.components.scheduler.errors import refused_error
 from lacewingspar_router.components.scheduler.models import (
     SlotGrant,
     SlotRequest,
 )
 
-SendFunction = Callable[[str, AnyPeerMessage], int]
-
-# Above this many waiting requests, a change of less than a quarter is not
-# told to the owners at once, since it would not change their choice.
-_SMALL_QUEUE = 4
-
 
 @dataclass(frozen=True, slots=True)
 class _ActiveUse:
@@ -60,6 +53,9 @@
 class Holder:
     """Queues requests of one service and binds them to offered slots.
 
+    Attributes:
+        demand: Tells the owners what waits.
+
     Args:
         app: The application.
         service: Name of the service.
@@ -78,12 +74,7 @@
         self._models_by_upstream: dict[str, frozenset[str]] = {}
         self._quantum_seconds = 0.0
         self._ownership = ServiceOwnership({}, {})
-        self._receivers: frozenset[str] = frozenset()
-        self._waiting_told: dict[tuple[str, str], int] = {}
-        self._demand_sequence = 0
-        self._demand_sent_at = 0.0
-        self._full_demand_due_at = 0.0
-        self._demand_timer: asyncio.TimerHandle | None = None
+        self.demand = DemandSender(app.now, service, self._queue, send)
 
     def configure(
         self, document: ServiceDocument, ownership: ServiceOwnership
@@ -98,14 +89,11 @@
         }
         self._quantum_seconds = document.limits.slot_quantum_seconds
         self._ownership = ownership
-        receivers = ownership.demand_receivers(
-            self._service, self._app.settings.data_centre
+        self.demand.set_receivers(
+            ownership.demand_receivers(
+                self._service, self._app.settings.data_centre
+            )
         )
-        former = self._receivers - receivers
-        self._receivers = receivers
-        for router_id in former:
-            self._send(router_id, self._demand(full=True, entries=()))
-        self.send_full_demand()
         self.send_reports()
 
     async def async_acquire(
@@ -132,7 +120,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._future_by_request[request.request_id] = future
-        self._demand_changed()
+        self.demand.changed()
         try:
             return await future
         except asyncio.CancelledError:
@@ -186,7 +174,7 @@
             offer.slot.owner.router_id,
             OfferAccepted(self._service, offer.slot, estimate),
         )
-        self._note_told(request)
+        self.demand.note_accepted(request)
         use = _ActiveUse(
             grant=self._grant(request, offer.slot, offer.upstream_id, now),
             offered_at=now,
@@ -202,11 +190,7 @@
             self._service, offer.slot, offer.workspace, offer.model
         )
         self._send(offer.slot.owner.router_id, declined)
-        # The owners now take the demand of this workspace for zero.
-        for workspace, model in self._waiting_told:
-            if workspace == offer.workspace:
-                self._waiting_told[workspace, model] = 0
-        self._demand_changed()
+        self.demand.note_declined(offer.workspace)
 
     def refuse_expired(self) -> None:
         """Refuse the requests whose deadline has passed."""
@@ -217,7 +201,7 @@
                 refusal = Refusal("deadline_passed", MIN_RETRY_AFTER_SECONDS)
                 future.set_exception(refused_error(refusal))
         if expired:
-            self._demand_changed()
+            self.demand.changed()
 
     def refuse_all(self) -> None:
         """Refuse every waiting request, since the service is gone."""
@@ -228,23 +212,6 @@
                 refusal = Refusal("unknown_service", 1.0)
                 future.set_exception(refused_error(refusal))
 
-    def send_full_demand_if_due(self) -> None:
-        """Tell the owners everything that waits, if that is due."""
-        if self._app.now() >= self._full_demand_due_at:
-            self.send_full_demand()
-
-    def send_full_demand(self) -> None:
-        """Tell the owners everything that waits."""
-        entries = self._queue.demand(self._app.now())
-        self._waiting_told = {
-            (entry.workspace, entry.model): entry.waiting for entry in entries
-        }
-        sent_bytes = self._broadcast(self._demand(full=True, entries=entries))
-        self._full_demand_due_at = self._app.now() + max(
-            const.FULL_DEMAND_INTERVAL_SECONDS,
-            sent_bytes / const.FULL_DEMAND_BYTES_PER_SECOND,
-        )
-
     def send_reports(self) -> None:
         """Tell each owner which of its slots are in use here."""
         now = self._app.now()
@@ -303,7 +270,7 @@
             self.release(use.grant, SlotOutcome.CANCELLED, 0)
         else:
             future.set_result(use.grant)
-        self._demand_changed()
+        self.demand.changed()
 
     def _pop_best(
         self, workspace: str, upstream_id: str, now: float
@@ -347,7 +314,7 @@
         self, request: WaitingRequest, future: "asyncio.Future[SlotGrant]"
     ) -> None:
         if self._queue.remove(request):
-            self._demand_changed()
+            self.demand.changed()
             return
         if future.done() and not future.cancelled() and not future.exception():
             self.release(future.result(), SlotOutcome.CANCELLED, 0)
@@ -356,68 +323,3 @@
         return self._ownership.owner_by_upstream.get(
             grant.upstream_id, grant.slot.owner.router_id
         )
-
-    def _demand_changed(self) -> None:
-        """Tell the owners soon, and at once if that is not too often."""
-        if self._demand_timer is not None:
-            return
-        elapsed = self._app.now() - self._demand_sent_at
-        delay = const.DEMAND_INTERVAL_SECONDS - elapsed
-        if delay <= 0:
-            self._send_changed_demand()
-            return
-        self._demand_timer = asyncio.get_running_loop().call_later(
-            delay, self._send_changed_demand
-        )
-
-    def _send_changed_demand(self) -> None:
-        self._demand_timer = None
-        now = self._app.now()
-        self._demand_sent_at = now
-        current = {
-            (entry.workspace, entry.model): entry
-            for entry in self._queue.demand(now)
-        }
-        changed = [
-            entry
-            for key, entry in current.items()
-            if _is_worth_telling(self._waiting_told.get(key, 0), entry.waiting)
-        ]
-        changed += [
-            DemandEntry(workspace, model, 0, 0.0, 0.0)
-            for (workspace, model), told in self._waiting_told.items()
-            if told and (workspace, model) not in current
-        ]
-        if not changed:
-            return
-        for entry in changed:
-            key = (entry.workspace, entry.model)
-            self._waiting_told[key] = entry.waiting
-        self._broadcast(self._demand(full=False, entries=tuple(changed)))
-
-    def _note_told(self, request: WaitingRequest) -> None:
-        """Count what the owner learns from an accepted offer."""
-        if len(self._receivers) != 1:
-            return
-        key = (request.workspace, request.model)
-        self._waiting_told[key] = max(0, self._waiting_told.get(key, 0) - 1)
-
-    def _demand(
-        self, *, full: bool, entries: tuple[DemandEntry, ...]
-    ) -> Demand:
-        self._demand_sequence += 1
-        return Demand(self._service, self._demand_sequence, full, entries)
-
-    def _broadcast(self, demand: Demand) -> int:
-        """Send a message to all owners and return the bytes sent."""
-        return sum(
-            self._send(router_id, demand) for router_id in self._receivers
-        )
-
-
-def _is_worth_telling(told: int, waiting: int) -> bool:
-    """Return whether owners should hear of a change before the next report."""
-    change = abs(waiting - told)
-    if min(told, waiting) < _SMALL_QUEUE:
-        return change > 0
-    return change * 4 >= told
--- a/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -161,7 +161,7 @@
         """Do the periodic work of one tick."""
         for holder in self._holder_by_service.values():
             holder.refuse_expired()
-            holder.send_full_demand_if_due()
+            holder.demand.send_full_if_due()
             if ticks % const.TICKS_PER_REPORT == 0:
                 holder.send_reports()
         for service in self._owner_by_service:
--- a/tests/router/components/test_holder.py
+++ b/tests/router/components/test_holder.py
@@ -197,10 +197,10 @@
     """Guards against demand that exceeds the control traffic's limit."""
     harness = Harness(0.0)
     harness.message_bytes = message_bytes
-    harness.holder.send_full_demand()
+    harness.holder.demand.send_full()
     harness.sent.clear()
     harness.clock.time += elapsed
-    harness.holder.send_full_demand_if_due()
+    harness.holder.demand.send_full_if_due()
     assert bool(harness.messages(Demand)) is is_sent
 
 
