Serve the history of a service's accepted edits

lacewingsparctl history got 501 from every router, because the configuration store had no such function. It now lists the accepted edits that are kept.

--- a/packages/router/src/lacewingspar_router/components/admin_api/services.py
+++ b/packages/router/src/lacewingspar_router/components/admin_api/services.py
@@ -49,15 +49,14 @@
 
     @get("/v1/services/{name:str}/history")
     async def show_history(name: FromPath[str]) -> dict[str, Any]:
-        """Return the edits of a service that this router knows."""
-        history = getattr(store, "history", None)
-        if history is None:
-            raise AdminRequestError(
-                501, "no_history", "this router keeps no edits"
-            )
+        """Return the accepted edits of a service that are kept."""
         if name not in store.documents_by_service:
             raise _unknown_service(name)
-        return {"edits": msgspec.to_builtins(list(history(name)))}
+        edits = [
+            {**msgspec.to_builtins(edit), "accepted": True}
+            for edit in store.history(name)
+        ]
+        return {"edits": edits}
 
     return [list_services, show_service, show_history]
 
--- a/packages/router/src/lacewingspar_router/components/configuration/models.py
+++ b/packages/router/src/lacewingspar_router/components/configuration/models.py
@@ -1,6 +1,6 @@
 """Interface of the configuration component."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -8,6 +8,21 @@
 from lacewingspar_router.application import ComponentKey
 
 
+@dataclass(frozen=True, slots=True)
+class KnownEdit:
+    """An accepted edit of a service.
+
+    Attributes:
+        version: Version that it made.
+        edit_id: Identity of the edit.
+        author: Who made it.
+    """
+
+    version: int
+    edit_id: str
+    author: str
+
+
 @dataclass(frozen=True, slots=True)
 class PublishAccepted:
     """The edit is in force.
@@ -63,6 +78,9 @@
     def applied_offset(self) -> int:
         """Return the first offset that has not been applied."""
 
+    def history(self, service: str) -> Sequence[KnownEdit]:
+        """Return the accepted edits of a service that are kept."""
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after every change of the documents in force."""
 
--- a/packages/router/src/lacewingspar_router/components/configuration/store.py
+++ b/packages/router/src/lacewingspar_router/components/configuration/store.py
@@ -44,6 +44,7 @@
     InvalidDocumentError,
 )
 from lacewingspar_router.components.configuration.models import (
+    KnownEdit,
     PublishAccepted,
     PublishConflict,
     PublishResult,
@@ -112,6 +113,17 @@
         """Return the first offset that has not been applied."""
         return self._replica.applied_offset
 
+    def history(self, service: str) -> list[KnownEdit]:
+        """Return the accepted edits of a service that are kept, oldest first.
+
+        The last 1,024 edits of all services are kept.
+        """
+        return [
+            KnownEdit(edit.version, edit.edit_id, edit.author)
+            for edit in self._state.accepted_by_edit_id.values()
+            if edit.service == service
+        ]
+
     @property
     def _state(self) -> ConfigState:
         return self._replica.state or ConfigState()
--- a/tests/router/components/test_configuration.py
+++ b/tests/router/components/test_configuration.py
@@ -112,6 +112,19 @@
     assert await publish(app, "e1", 0, document()) == expected
 
 
+async def test_history_lists_accepted_edits_of_the_service(
+    make_app, until
+) -> None:
+    app = make_app()
+    configuration = await started(app)
+    await until(lambda: configuration.is_ready)
+    await publish(app, "e1", 0, document())
+    await publish(app, "e2", 0, document())
+    edits = configuration.history("chat")
+    assert [(edit.version, edit.edit_id) for edit in edits] == [(1, "e1")]
+    assert configuration.history("other") == []
+
+
 async def test_invalid_document_is_refused(make_app, fake_log) -> None:
     app = make_app()
     await started(app)
