Wait before the demand of a declined offer is told again

A request that may not use the only free upstream, because it failed there, was offered the same slot again every 5 ms. The demand is now told again after 50 ms; new requests are still told at once. Found by reading; the test now also checks that nothing is told at once.

--- a/packages/router/src/lacewingspar_router/components/scheduler/const.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/const.py
@@ -2,6 +2,9 @@
 
 # Shortest time between two demand messages of one service.
 DEMAND_INTERVAL_SECONDS = 0.005
+# Time after a declined offer until its demand is told again. A request that may
+# not use the only free upstream would otherwise be offered it all the time.
+DECLINED_DEMAND_DELAY_SECONDS = 0.05
 # Interval at which deadlines, offers and leases are checked.
 TICK_SECONDS = 0.05
 # Shortest interval at which owners exchange changed counters.
--- a/packages/router/src/lacewingspar_router/components/scheduler/demand_sender.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/demand_sender.py
@@ -88,14 +88,16 @@
         self._waiting_told[key] = max(0, self._waiting_told.get(key, 0) - 1)
 
     def note_declined(self, workspace: str) -> None:
-        """Tell the demand of a workspace again.
+        """Tell the demand of a workspace again after a while.
 
         After a declined offer the owner takes it for zero.
         """
         for key in self._waiting_told:
             if key[0] == workspace:
                 self._waiting_told[key] = 0
-        self.changed()
+        asyncio.get_running_loop().call_later(
+            const.DECLINED_DEMAND_DELAY_SECONDS, self.changed
+        )
 
     def _send_changes(self) -> None:
         self._timer = None
--- a/tests/router/components/test_holder.py
+++ b/tests/router/components/test_holder.py
@@ -181,6 +181,10 @@
     harness.clock.time += 1.0
     harness.holder.decline(offer(1))
     assert harness.messages(OfferDeclined)
+    # Telling it at once would have the same offer made all the time.
+    assert not harness.messages(Demand)
+    while not harness.messages(Demand):
+        await asyncio.sleep(0.01)
     (demand,) = harness.messages(Demand)
     assert isinstance(demand[1], Demand)
     assert [entry.waiting for entry in demand[1].entries] == [1]
