--- a/tests/router/components/test_holder.py
+++ b/tests/router/components/test_holder.py
@@ -56,6 +56,7 @@
         )
         self.sent: list[tuple[str, AnyPeerMessage]] = []
         self.message_bytes = 0
+        self.demand_sent = asyncio.Event()
         self.holder = Holder(self.clock, "plain", self.send)
         ownership = ServiceOwnership(
             {"u1": "owner"}, {"north": frozenset({"owner"})}
@@ -65,6 +66,8 @@
 
     def send(self, router_id: str, message: AnyPeerMessage) -> int:
         self.sent.append((router_id, message))
+        if isinstance(message, Demand):
+            self.demand_sent.set()
         return self.message_bytes
 
     def messages(self, message_type: type) -> list[tuple[str, AnyPeerMessage]]:
@@ -178,13 +181,13 @@
         Offer("plain", SlotId(OWNER, 1), "u9", "w1", "", False)
     )
     harness.sent.clear()
+    harness.demand_sent.clear()
     harness.clock.time += 1.0
     harness.holder.decline(offer(1))
     assert harness.messages(OfferDeclined)
     # Telling it at once would have the same offer made all the time.
     assert not harness.messages(Demand)
-    while not harness.messages(Demand):
-        await asyncio.sleep(0.01)
+    await harness.demand_sent.wait()
     (demand,) = harness.messages(Demand)
     assert isinstance(demand[1], Demand)
     assert [entry.waiting for entry in demand[1].entries] == [1]
