Test the caller API with a stock chat client and add the propagation benchmark

The client library of the chat-completions form lists the models, reads streamed and whole answers and the refusal of an unknown token without changes.

--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -2,11 +2,18 @@
 
 import typer
 
-from lacewingspar_standins.bench import capacity, faults, path, share
+from lacewingspar_standins.bench import (
+    capacity,
+    faults,
+    path,
+    propagation,
+    share,
+)
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
 app.command("path")(path.path_command)
 app.command("share")(share.main)
+app.command("propagation")(propagation.main)
 app.command("capacity")(capacity.main)
 app.command("faults")(faults.main)
 
--- a/tests/e2e/test_main_job.py
+++ b/tests/e2e/test_main_job.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import httpx
+import openai
 import pytest
 
 from lacewingspar_standins.demo.small_fleet import (
@@ -70,6 +71,46 @@
     check_stream(lines, "m1", 20, answer.headers["x-request-id"])
 
 
+@pytest.mark.parametrize("stream", [True, False])
+async def test_stock_chat_client_works_unchanged(
+    small_fleet: SmallFleet, stream: bool
+) -> None:
+    """Guards against answers that a common client library cannot read."""
+    base_url = url_of(small_fleet, "west-router-1", "/v1")
+    async with openai.AsyncOpenAI(
+        base_url=base_url, api_key=token_of("alpha"), max_retries=0
+    ) as client:
+        assert [model.id async for model in client.models.list()] == [MODEL]
+        marker = f"stock-{stream}"
+        answer: Any = await client.chat.completions.create(
+            model=MODEL,
+            max_tokens=5,
+            stream=stream,
+            messages=[{"role": "user", "content": f"marker={marker}"}],
+        )
+        if stream:
+            texts = [
+                part.choices[0].delta.content or "" async for part in answer
+            ]
+        else:
+            texts = [answer.choices[0].message.content]
+    expected = [f"{marker}:{number}" for number in range(5)]
+    assert "".join(texts).split() == expected
+
+
+async def test_stock_chat_client_reads_refusals(
+    small_fleet: SmallFleet,
+) -> None:
+    base_url = url_of(small_fleet, "west-router-1", "/v1")
+    async with openai.AsyncOpenAI(
+        base_url=base_url, api_key="unknown", max_retries=0
+    ) as client:
+        with pytest.raises(openai.AuthenticationError) as raised:
+            await client.models.list()
+    body: Any = raised.value.body
+    assert body["run"] == "not_run"
+
+
 async def test_keyed_call_repeated_at_another_router_runs_once(
     small_fleet: SmallFleet, http: httpx.AsyncClient
 ) -> None:
