Do not take a partition for crashes of upstreams

Ruled out: requests that hang in routers (none in flight) and connections with data left (queues empty). A crash of an upstream in another data centre now counts only while another upstream there answers. The extended test fails without the change, because the next request is a suspect. The load generator no longer sleeps beyond its end when it is told to stop.

--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -191,6 +191,10 @@
             return
         if await self._upstreams.async_is_up(service, upstream_id):
             return
+        # A partition breaks all calls to a data centre and lets none of its
+        # upstreams answer.
+        if not await self._upstreams.async_is_reachable(service, upstream_id):
+            return
         suspects = {
             run.subject.fingerprint for run in runs if not run.is_complete
         }
--- a/packages/router/src/lacewingspar_router/components/upstreams/const.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/const.py
@@ -14,3 +14,6 @@
 # An upstream sets this header on a 503 answer to a call that it did not start.
 HEADER_NOT_RUN = b"x-not-run"
 STATUS_UNAVAILABLE = 503
+# Upstreams of another data centre that are asked whether the network to it
+# works.
+REACH_CHECKS = 4
--- a/packages/router/src/lacewingspar_router/components/upstreams/models.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/models.py
@@ -81,6 +81,9 @@
     async def async_is_up(self, service: str, upstream_id: str) -> bool:
         """Return whether an upstream answers HTTP requests."""
 
+    async def async_is_reachable(self, service: str, upstream_id: str) -> bool:
+        """Return whether the network to an upstream's data centre works."""
+
     @property
     def status_by_upstream(self) -> Mapping[tuple[str, str], UpstreamStatus]:
         """Return the status by (service, upstream id)."""
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -1,5 +1,6 @@
 """Upstreams of all services in force."""
 
+import asyncio
 import ssl
 from collections.abc import Callable, Collection, Mapping
 
@@ -16,7 +17,10 @@
 from lacewingspar_router.components.upstreams.connections import (
     UpstreamConnections,
 )
-from lacewingspar_router.components.upstreams.const import UP_CHECK_SECONDS
+from lacewingspar_router.components.upstreams.const import (
+    REACH_CHECKS,
+    UP_CHECK_SECONDS,
+)
 from lacewingspar_router.components.upstreams.errors import (
     UpstreamConnectError,
     UpstreamError,
@@ -51,6 +55,7 @@
         self._vm_list = application.get(VM_LIST)
         self._ssl_context = ssl.create_default_context()
         self._address_by_upstream: dict[UpstreamKey, str] = {}
+        self._data_centre_by_upstream: dict[UpstreamKey, str] = {}
         self._connections_by_address: dict[str, UpstreamConnections] = {}
         self._health_client = httpx.AsyncClient(
             verify=self._ssl_context, trust_env=False
@@ -84,6 +89,11 @@
             for name, document in documents.items()
             for upstream in document.upstreams
         }
+        self._data_centre_by_upstream = {
+            (name, upstream.id): upstream.data_centre
+            for name, document in documents.items()
+            for upstream in document.upstreams
+        }
         self._monitor.set_upstreams(
             {name: item.upstreams for name, item in documents.items()}
         )
@@ -136,6 +146,28 @@
             return False
         return True
 
+    async def async_is_reachable(self, service: str, upstream_id: str) -> bool:
+        """Return whether the network to an upstream's data centre works.
+
+        Another data centre counts as cut off unless one of its other
+        upstreams answers.
+        """
+        key = (service, upstream_id)
+        data_centre = self._data_centre_by_upstream.get(key)
+        if data_centre == self._application.settings.data_centre:
+            return True
+        address = self._address_by_upstream.get(key)
+        others = [
+            other
+            for other, place in self._data_centre_by_upstream.items()
+            if place == data_centre
+            and self._address_by_upstream[other] != address
+        ]
+        answers = await asyncio.gather(
+            *(self.async_is_up(*other) for other in others[:REACH_CHECKS])
+        )
+        return any(answers)
+
     async def async_close(self) -> None:
         """Close all connections."""
         await self._monitor.async_close()
--- a/packages/standins/src/lacewingspar_standins/load.py
+++ b/packages/standins/src/lacewingspar_standins/load.py
@@ -1,6 +1,7 @@
 """Load generator: sends requests to routers and checks the answers."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import time
@@ -69,6 +70,7 @@
         self._recorder = Recorder(tuple(w.name for w in options.workspaces))
         self._address_draw = random.Random(options.seed)
         self._ends_at = 0.0
+        self._stopped = asyncio.Event()
         self._in_flight = 0
 
     async def run(self) -> LoadResult:
@@ -88,6 +90,14 @@
     def stop(self) -> None:
         """Start no more requests; those in flight go on."""
         self._ends_at = time.monotonic()
+        self._stopped.set()
+
+    async def _wait_until_end(self, seconds: float) -> None:
+        """Wait for a time, but not beyond the end of the run."""
+        remaining = max(0.0, self._ends_at - time.monotonic())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(seconds, remaining)):
+                await self._stopped.wait()
 
     async def _run_workspace(self, workspace: WorkspaceLoad) -> None:
         numbers = iter(range(self._options.max_requests))
@@ -137,8 +147,7 @@
             )
             recorder.attempts[ending.outcome] += 1
             self._recorder.attempts_by_address[address][ending.outcome] += 1
-            remaining = max(0.0, self._ends_at - time.monotonic())
-            await asyncio.sleep(min(ending.retry_after_seconds, remaining))
+            await self._wait_until_end(ending.retry_after_seconds)
             if not ending.may_repeat or time.monotonic() >= self._ends_at:
                 break
         self._in_flight -= 1
--- a/tests/router/components/test_quarantine.py
+++ b/tests/router/components/test_quarantine.py
@@ -22,6 +22,7 @@
 class FakePool:
     def __init__(self) -> None:
         self.up: set[str] = set()
+        self.cut_off: set[str] = set()
         healthy = SimpleNamespace(state="healthy")
         self.status_by_upstream = {("s", f"u{n}"): healthy for n in range(4)}
 
@@ -29,6 +30,10 @@
         del service
         return upstream_id in self.up
 
+    async def async_is_reachable(self, service: str, upstream_id: str) -> bool:
+        del service
+        return upstream_id not in self.cut_off
+
 
 def subject(name: str) -> models.Subject:
     return models.Subject("s", "/p", name.encode())
@@ -79,12 +84,13 @@
 
 
 async def test_what_is_no_crash(start) -> None:
-    """Guards against suspects from a cut connection or a planned shutdown."""
+    """Guards against suspects from a cut, a partition or a planned shutdown."""
     router = await start("r1")
     router.pool.up.add("u1")
+    router.pool.cut_off.add("u3")
     leaving = SimpleNamespace(state="leaving")
     router.pool.status_by_upstream["s", "u2"] = leaving
-    for upstream_id in ("u1", "u2", "removed"):
+    for upstream_id in ("u1", "u2", "u3", "removed"):
         await crash(router, upstream_id, "x", "a")
     assert not router.crashes.is_suspect(subject("x"))
 
