--- a/packages/core/src/lacewingspar_core/dispatch.py
+++ b/packages/core/src/lacewingspar_core/dispatch.py
@@ -115,16 +115,6 @@
         actions += self._offer_free_slots(now)
         return actions
 
-    @property
-    def is_owner(self) -> bool:
-        """Return whether this router hands out any slots."""
-        return self._slots.total_slots > 0
-
-    @property
-    def waiting_by_workspace(self) -> dict[str, int]:
-        """Return the numbers of waiting requests without an open offer."""
-        return self._demand.waiting_by_workspace()
-
     @property
     def uses_by_upstream(self) -> dict[str, int]:
         """Return the number of slots in use by owned upstream."""
