Refuse waiting requests of a holder in one place

The loops for passed deadlines and for removed services ended a request's wait with the same lines. Behaviour is unchanged; tests/router passes.

--- a/packages/router/src/lacewingspar_router/components/scheduler/holder.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/holder.py
@@ -196,10 +196,9 @@
         """Refuse the requests whose deadline has passed."""
         expired = self._queue.expired(self._app.now())
         for request in expired:
-            future = self._future_by_request.get(request.request_id)
-            if future is not None and not future.done():
-                refusal = Refusal("deadline_passed", MIN_RETRY_AFTER_SECONDS)
-                future.set_exception(refused_error(refusal))
+            self._refuse(
+                request, Refusal("deadline_passed", MIN_RETRY_AFTER_SECONDS)
+            )
         if expired:
             self.demand.changed()
 
@@ -207,10 +206,7 @@
         """Refuse every waiting request, since the service is gone."""
         for request in list(self._queue):
             self._queue.remove(request)
-            future = self._future_by_request.get(request.request_id)
-            if future is not None and not future.done():
-                refusal = Refusal("unknown_service", 1.0)
-                future.set_exception(refused_error(refusal))
+            self._refuse(request, Refusal("unknown_service", 1.0))
 
     def send_reports(self) -> None:
         """Tell each owner which of its slots are in use here."""
@@ -310,6 +306,12 @@
             estimate_seconds=use.estimate_seconds,
         )
 
+    def _refuse(self, request: WaitingRequest, refusal: Refusal) -> None:
+        """End the wait of a request that is no longer queued."""
+        future = self._future_by_request.get(request.request_id)
+        if future is not None and not future.done():
+            future.set_exception(refused_error(refusal))
+
     def _withdraw(
         self, request: WaitingRequest, future: "asyncio.Future[SlotGrant]"
     ) -> None:
