--- /dev/null
+++ b/deploy/lacewingspar.py
@@ -0,0 +1,11 @@
+"""Starts the command line of the router from a source checkout."""
+
+import sys
+from pathlib import Path
+
+_PACKAGES = Path(__file__).resolve().parents[1] / "packages"
+sys.path[:0] = [str(_PACKAGES / name / "src") for name in ("core", "router")]
+
+from lacewingspar_router.main import run  # noqa: E402
+
+run()
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/fair_queue.py
@@ -0,0 +1,129 @@
+"""Waiting requests of one pool of upstreams, shared fairly by workspace."""
+
+from collections.abc import Iterator
+
+from lacewingspar_core.admission_events import Admission, AdmissionKey
+
+
+class FairQueue:
+    """Start-time fair queueing over workspaces.
+
+    Each workspace has a start tag, the service that it has received on a
+    common scale of virtual time. The one with the lowest tag goes first. A
+    workspace without waiting requests keeps no credit: its tag is raised to
+    the virtual time when it comes back.
+
+    Within a workspace the rank of the route goes first, then the time by
+    which the first part of the answer should be there.
+    """
+
+    def __init__(self) -> None:
+        self._waiting_by_workspace: dict[
+            str, dict[AdmissionKey, Admission]
+        ] = {}
+        self._cost_by_key: dict[AdmissionKey, float] = {}
+        self._cost_by_workspace: dict[str, float] = {}
+        self._finish_by_workspace: dict[str, float] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        return len(self._cost_by_key)
+
+    def __contains__(self, key: AdmissionKey) -> bool:
+        return key in self._cost_by_key
+
+    def __iter__(self) -> Iterator[Admission]:
+        for waiting in self._waiting_by_workspace.values():
+            yield from waiting.values()
+
+    @property
+    def cost(self) -> float:
+        """Return the cost of all waiting requests."""
+        return sum(self._cost_by_workspace.values())
+
+    @property
+    def workspaces(self) -> int:
+        """Return the number of workspaces with waiting requests."""
+        return len(self._waiting_by_workspace)
+
+    def cost_of(self, workspace: str) -> float:
+        """Return the cost of a workspace's waiting requests."""
+        return self._cost_by_workspace.get(workspace, 0.0)
+
+    def cost_before(self, admission: Admission) -> float:
+        """Return the cost of what goes before in the same workspace."""
+        urgency = _urgency(admission)
+        waiting = self._waiting_by_workspace.get(admission.workspace, {})
+        return sum(
+            self._cost_by_key[other.key]
+            for other in waiting.values()
+            if _urgency(other) <= urgency and other.key != admission.key
+        )
+
+    def add(self, admission: Admission, cost: float) -> None:
+        """Queue a request; its cost is in units of the pool's rate."""
+        waiting = self._waiting_by_workspace.setdefault(admission.workspace, {})
+        waiting[admission.key] = admission
+        self._cost_by_key[admission.key] = cost
+        self._cost_by_workspace[admission.workspace] = (
+            self.cost_of(admission.workspace) + cost
+        )
+
+    def remove(self, admission: Admission) -> None:
+        """Take a request out of the queue."""
+        workspace = admission.workspace
+        waiting = self._waiting_by_workspace[workspace]
+        del waiting[admission.key]
+        cost = self._cost_by_key.pop(admission.key)
+        if waiting:
+            self._cost_by_workspace[workspace] -= cost
+        else:
+            del self._waiting_by_workspace[workspace]
+            del self._cost_by_workspace[workspace]
+
+    def find(self, key: AdmissionKey) -> Admission | None:
+        """Return a waiting request."""
+        for waiting in self._waiting_by_workspace.values():
+            if key in waiting:
+                return waiting[key]
+        return None
+
+    def in_turn(self) -> list[str]:
+        """Return the waiting workspaces, the next one first."""
+        return sorted(self._waiting_by_workspace, key=self._start_tag)
+
+    def most_urgent(self, workspace: str, count: int) -> list[Admission]:
+        """Return the next requests of a workspace, the most urgent first."""
+        waiting = self._waiting_by_workspace.get(workspace, {})
+        return sorted(waiting.values(), key=_urgency)[:count]
+
+    def charge(self, workspace: str, cost: float) -> None:
+        """Account for service that a workspace gets now."""
+        start = self._start_tag(workspace)
+        self._finish_by_workspace[workspace] = start + cost
+        self._virtual_time = max(
+            self._virtual_time,
+            min(
+                (self._start_tag(name) for name in self._waiting_by_workspace),
+                default=start,
+            ),
+        )
+        if len(self._finish_by_workspace) > 2 * self.workspaces + 64:
+            self._forget_idle()
+
+    def _start_tag(self, workspace: str) -> float:
+        finish = self._finish_by_workspace.get(workspace, 0.0)
+        return max(finish, self._virtual_time)
+
+    def _forget_idle(self) -> None:
+        """Forget tags that the virtual time has passed."""
+        self._finish_by_workspace = {
+            name: finish
+            for name, finish in self._finish_by_workspace.items()
+            if finish > self._virtual_time
+        }
+
+
+def _urgency(admission: Admission) -> tuple[int, float]:
+    """Return a key by which the most urgent request sorts first."""
+    return (admission.priority, admission.aim_at)
--- a/packages/core/src/lacewingspar_core/identity.py
+++ b/packages/core/src/lacewingspar_core/identity.py
@@ -34,6 +34,11 @@
     return (milliseconds << _RANDOM_BITS) | (random_bits & mask)
 
 
+def start_ms(life: RouterLife) -> int:
+    """Return the start of a life in milliseconds since the Unix epoch."""
+    return life.incarnation >> _RANDOM_BITS
+
+
 def life_key(life: RouterLife) -> int:
     """Return a number of 32 bits that stands for a life in short messages.
 
--- a/packages/core/src/lacewingspar_core/membership.py
+++ b/packages/core/src/lacewingspar_core/membership.py
@@ -117,6 +117,12 @@
         """Return the record of this router."""
         return self._own
 
+    def add_seeds(self, seeds: Iterable[Seed]) -> None:
+        """Contact further routers."""
+        for seed in seeds:
+            if seed.router_id != self._own.life.router_id:
+                self._seed_by_id[seed.router_id] = seed
+
     def set_own(self, state: RouterState, applied_offset: int) -> None:
         """Set what this router announces about itself."""
         self._own = msgspec.structs.replace(
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -0,0 +1,493 @@
+"""Which request of a pool's callers goes to which upstream, and when.
+
+Load that this answers: bursts and steady demand above what the engines can
+read, with a few large workspaces, prompts that share long parts, and engines
+that admit in order of arrival. One router decides for one pool, so that what
+waits can be ordered over the whole fleet, and engines hold only what they
+need to stay busy.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from lacewingspar_core.admission_events import (
+    Admission,
+    AdmissionDecision,
+    AdmissionKey,
+    Declined,
+    Granted,
+    Queued,
+    RunOutcome,
+)
+from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.fair_queue import FairQueue
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.routing import UpstreamService
+from lacewingspar_core.upstream_load import (
+    ActiveRun,
+    EngineLoad,
+    PlainLoad,
+    UpstreamLoad,
+    held_prefix_tokens,
+)
+from lacewingspar_core.upstream_trust import UpstreamTrust
+
+# A generated token takes the engines as long as two that are read (unit of
+# the operators' estimate of the engines' rate).
+OUTPUT_TOKEN_COST = 2.0
+# Reading a shared part again costs time now and pushes other parts out of
+# memory, which are then read again as well.
+REREAD_WEIGHT = 2.0
+# Part of the aim that a request waits for the engine that suits it best
+# before it takes another one with room.
+PATIENCE_FRACTION = 0.2
+# Expected time that a use in another data centre must save.
+CROSS_DATA_CENTRE_SECONDS = 0.004
+# Credit, in tokens, of the engine that a prompt falls to by hash. Owners that
+# follow each other then send the same prompts to the same engines.
+HOME_CREDIT_FRACTION = 0.5
+# A request that cannot be in time anyway, since its prompt is long, may wait
+# this part of its aim.
+LATE_WAIT_FRACTION = 0.3
+# A waiting request is declined when its expected wait has grown to this many
+# times its aim, as after the loss of engines.
+SHED_FACTOR = 2.5
+# Shortest time in which an upstream can still do something useful.
+LEAST_RUN_SECONDS = 0.1
+# Callers come back after the expected wait, spread over as long again, and
+# not sooner than this.
+LEAST_RETRY_AFTER_SECONDS = 0.25
+# Callers wait at most this part of the time that they have left.
+LONGEST_RETRY_FRACTION = 0.3
+# Requests of one workspace that are looked at for an upstream with room.
+LOOK_AHEAD = 4
+# Time over which the rate of grants is measured while requests wait.
+RATE_WINDOW_SECONDS = 1.0
+# Lowest measured rate, as a part of the engines' own, that is believed.
+LEAST_RATE_FRACTION = 0.1
+# A run that its holder no longer reports has ended, unless the grant may still
+# be under way to the holder.
+UNREPORTED_RUN_SECONDS = 1.0
+# A run whose caller no longer waits has ended, whatever was lost.
+RUN_OVERTIME_SECONDS = 2.0
+
+REASON_OVERLOADED = "overloaded"
+REASON_NO_UPSTREAM = "no_upstream"
+REASON_DEADLINE = "deadline_unreachable"
+
+
+@dataclass(slots=True)
+class _Member:
+    """One upstream of the pool."""
+
+    entry: UpstreamEntry
+    load: UpstreamLoad
+    trust: UpstreamTrust
+
+
+class PoolAdmission:
+    """Admission of requests to one pool of upstreams.
+
+    Events and the time go in, decisions come out.
+
+    Args:
+        pool: Name of the pool, which seeds the choice of homes.
+    """
+
+    def __init__(self, pool: str) -> None:
+        self._pool = pool
+        self._queue = FairQueue()
+        self._member_by_id: dict[str, _Member] = {}
+        self._upstream_by_run: dict[AdmissionKey, str] = {}
+        self._granted: deque[tuple[float, float]] = deque()
+        self._backlogged_since: float | None = None
+
+    def set_upstreams(
+        self,
+        entry_by_id: Mapping[str, UpstreamEntry],
+        service: UpstreamService,
+        engine_tokens_per_second: float,
+        now: float,
+    ) -> list[AdmissionDecision]:
+        """Take over the upstreams that take new work.
+
+        Runs on upstreams that have left are forgotten here; their holders
+        finish them.
+
+        Args:
+            entry_by_id: The upstreams.
+            service: The service that they belong to.
+            engine_tokens_per_second: Estimated rate of one engine, or 0.
+            now: Time in seconds.
+        """
+        for upstream_id in self._member_by_id.keys() - entry_by_id.keys():
+            member = self._member_by_id.pop(upstream_id)
+            for key in member.load.run_by_key:
+                self._upstream_by_run.pop(key, None)
+        for upstream_id, entry in entry_by_id.items():
+            known = self._member_by_id.get(upstream_id)
+            if known is None:
+                self._member_by_id[upstream_id] = _Member(
+                    entry,
+                    _new_load(entry, service, engine_tokens_per_second),
+                    UpstreamTrust(),
+                )
+            else:
+                if known.entry.born_ms != entry.born_ms:
+                    known.load.forget_memory()
+                    known.trust = UpstreamTrust()
+                known.entry = entry
+        return self._grant_waiting(now)
+
+    def ask(self, admission: Admission, now: float) -> list[AdmissionDecision]:
+        """Decide on a request; a repeated request is answered again.
+
+        Returns:
+            Decisions on this request and on others.
+        """
+        key = admission.key
+        if key in self._upstream_by_run:
+            return [Granted(key, self._upstream_by_run[key], "")]
+        if key in self._queue:
+            return [Queued(key, self._expected_wait(admission, now))]
+        declined = self._decline_reason(admission, now)
+        if declined is not None:
+            return [declined]
+        if not len(self._queue):
+            self._backlogged_since = now
+        self._queue.add(admission, self._least_cost(admission))
+        decisions = self._grant_waiting(now)
+        if key in self._queue:
+            decisions.append(Queued(key, self._expected_wait(admission, now)))
+        return decisions
+
+    def note_first_part(
+        self, key: AdmissionKey, now: float
+    ) -> list[AdmissionDecision]:
+        """Take over that the first part of an answer has come."""
+        member = self._member_of(key)
+        if member is None:
+            return []
+        member.load.note_first_part(key, now)
+        return self._grant_waiting(now)
+
+    def end(
+        self, key: AdmissionKey, outcome: RunOutcome, now: float
+    ) -> list[AdmissionDecision]:
+        """Take over how a run ended, or that a request is withdrawn."""
+        waiting = self._queue.find(key)
+        if waiting is not None:
+            self._queue.remove(waiting)
+            return []
+        member = self._member_of(key)
+        if member is None:
+            return []
+        del self._upstream_by_run[key]
+        member.load.end(key, now)
+        member.trust.note(outcome, now)
+        return self._grant_waiting(now)
+
+    def note_unreachable(self, upstream_id: str, now: float) -> None:
+        """Take over that an upstream refuses connections or is silent."""
+        member = self._member_by_id.get(upstream_id)
+        if member is not None:
+            member.trust.note_unreachable(now)
+
+    def reconcile(
+        self, holder: RouterLife, runs: Iterable[ActiveRun], now: float
+    ) -> list[AdmissionDecision]:
+        """Take over the runs that a holder reports.
+
+        Runs that another owner granted are added, and those that the holder
+        no longer has are dropped.
+        """
+        reported = {run.key: run for run in runs}
+        for key, upstream_id in list(self._upstream_by_run.items()):
+            if key.holder != holder or key in reported:
+                continue
+            load = self._member_by_id[upstream_id].load
+            granted_at = load.run_by_key[key].granted_at
+            if now - granted_at > UNREPORTED_RUN_SECONDS:
+                self._forget_run(key)
+        for key, run in reported.items():
+            member = self._member_by_id.get(run.upstream_id)
+            if member is not None and key not in self._upstream_by_run:
+                self._upstream_by_run[key] = run.upstream_id
+                member.load.adopt(run)
+        return self._grant_waiting(now)
+
+    def forget_holder(
+        self, holder: RouterLife, now: float
+    ) -> list[AdmissionDecision]:
+        """Drop the requests of a router that is gone."""
+        for key in list(self._upstream_by_run):
+            if key.holder == holder:
+                self._forget_run(key)
+        for admission in list(self._queue):
+            if admission.key.holder == holder:
+                self._queue.remove(admission)
+        return self._grant_waiting(now)
+
+    def tick(self, now: float) -> list[AdmissionDecision]:
+        """Decline what can no longer be served in time.
+
+        To be called some ten times a second.
+        """
+        for key, upstream_id in list(self._upstream_by_run.items()):
+            run = self._member_by_id[upstream_id].load.run_by_key[key]
+            if now > run.ends_by + RUN_OVERTIME_SECONDS:
+                self._forget_run(key)
+        decisions = self._grant_waiting(now)
+        for admission in list(self._queue):
+            reason = self._shed_reason(admission, now)
+            if reason is not None:
+                self._queue.remove(admission)
+                decisions.append(self._declined(admission, reason, now))
+        return decisions
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Return the number of granted requests that have not ended."""
+        return len(self._upstream_by_run)
+
+    @property
+    def upstream_ids(self) -> frozenset[str]:
+        """Return the upstreams of the pool."""
+        return frozenset(self._member_by_id)
+
+    def _member_of(self, key: AdmissionKey) -> _Member | None:
+        upstream_id = self._upstream_by_run.get(key)
+        return None if upstream_id is None else self._member_by_id[upstream_id]
+
+    def _forget_run(self, key: AdmissionKey) -> None:
+        upstream_id = self._upstream_by_run.pop(key)
+        load = self._member_by_id[upstream_id].load
+        run = load.run_by_key[key]
+        load.end(key, run.granted_at)
+
+    def _grant_waiting(self, now: float) -> list[AdmissionDecision]:
+        """Grant upstreams until none with room suits a waiting request."""
+        decisions: list[AdmissionDecision] = []
+        while len(self._queue):
+            granted = self._grant_next(now)
+            if granted is None:
+                break
+            decisions.append(granted)
+        if not len(self._queue):
+            self._backlogged_since = None
+        return decisions
+
+    def _grant_next(self, now: float) -> Granted | None:
+        for workspace in self._queue.in_turn():
+            for admission in self._queue.most_urgent(workspace, LOOK_AHEAD):
+                member = self._choose(admission, now)
+                if member is not None:
+                    return self._grant(admission, member, now)
+        return None
+
+    def _grant(
+        self, admission: Admission, member: _Member, now: float
+    ) -> Granted:
+        self._queue.remove(admission)
+        cost = member.load.read_cost(admission)
+        self._granted.append((now, cost))
+        self._forget_old_grants(now)
+        self._queue.charge(
+            admission.workspace,
+            cost + OUTPUT_TOKEN_COST * admission.output_tokens,
+        )
+        fetch_from = self._fetch_source(admission, member)
+        upstream_id = member.entry.upstream_id
+        member.load.begin(admission, now)
+        self._upstream_by_run[admission.key] = upstream_id
+        return Granted(admission.key, upstream_id, fetch_from)
+
+    def _choose(self, admission: Admission, now: float) -> _Member | None:
+        """Return the upstream for a request, or None if it should wait."""
+        members = self._candidates(admission, now)
+        if not members:
+            return None
+        home = self._home(admission, members)
+        scored = [
+            (self._score(admission, member, home), position, member)
+            for position, member in enumerate(members)
+        ]
+        best = min(scored)
+        if best[2].load.has_room(admission):
+            return best[2]
+        with_room = [
+            item for item in scored if item[2].load.has_room(admission)
+        ]
+        if not with_room:
+            return None
+        other = min(with_room)
+        patience = PATIENCE_FRACTION * (admission.aim_at - admission.arrived_at)
+        is_impatient = now - admission.arrived_at >= patience
+        if is_impatient or other[0] - best[0] <= patience:
+            return other[2]
+        return None
+
+    def _candidates(self, admission: Admission, now: float) -> list[_Member]:
+        members = [
+            member
+            for upstream_id, member in self._member_by_id.items()
+            if upstream_id not in admission.excluded
+        ]
+        trusted = [item for item in members if not item.trust.is_blocked(now)]
+        # If all of them fail, any may be the one that works again.
+        return trusted or members
+
+    def _home(
+        self, admission: Admission, members: list[_Member]
+    ) -> _Member | None:
+        """Return the upstream that a prompt falls to by hash."""
+        if not admission.shared_parts:
+            return None
+        key = admission.shared_parts[-1].key
+        return max(
+            members,
+            key=lambda member: xxhash.xxh32_intdigest(
+                f"{self._pool}/{key}/{member.entry.upstream_id}".encode()
+            ),
+        )
+
+    def _score(
+        self, admission: Admission, member: _Member, home: _Member | None
+    ) -> float:
+        """Return the expected time to the first part, with what it costs."""
+        load = member.load
+        score = load.first_part_seconds(admission)
+        if member.entry.data_centre != admission.data_centre:
+            score += CROSS_DATA_CENTRE_SECONDS
+        if admission.shared_parts:
+            shared = sum(part.tokens for part in admission.shared_parts)
+            held = held_prefix_tokens(load, admission.shared_parts)
+            if member is home:
+                held += int((shared - held) * HOME_CREDIT_FRACTION)
+            score += (REREAD_WEIGHT - 1) * (shared - held) / load.rate
+        return score
+
+    def _fetch_source(self, admission: Admission, member: _Member) -> str:
+        """Return the engine to copy shared parts from, or "".
+
+        A copy is worth it where it takes less time than reading.
+        """
+        load = member.load
+        if not isinstance(load, EngineLoad) or not admission.shared_parts:
+            return ""
+        parts = admission.shared_parts
+        held = load.memory.held_tokens(parts)
+        source_id, most = "", held
+        for upstream_id, other in self._member_by_id.items():
+            tokens = held_prefix_tokens(other.load, parts)
+            if tokens > most:
+                source_id, most = upstream_id, tokens
+        if not source_id:
+            return ""
+        profile = load.profile
+        copy_seconds = (
+            (most - held)
+            * profile.token_bytes
+            / max(1.0, profile.link_bytes_per_second)
+        )
+        read_seconds = (most - held) / load.rate
+        return source_id if copy_seconds < read_seconds else ""
+
+    def _least_cost(self, admission: Admission) -> float:
+        return min(
+            (
+                member.load.read_cost(admission)
+                for member in self._member_by_id.values()
+            ),
+            default=1.0,
+        )
+
+    def _rate(self, now: float) -> float:
+        """Return the cost that the pool takes in a second."""
+        nominal = sum(
+            member.load.rate
+            for member in self._member_by_id.values()
+            if not member.trust.is_blocked(now)
+        )
+        since = self._backlogged_since
+        if since is None or now - since < RATE_WINDOW_SECONDS:
+            return nominal
+        self._forget_old_grants(now)
+        measured = sum(cost for _, cost in self._granted) / RATE_WINDOW_SECONDS
+        return min(nominal, max(measured, LEAST_RATE_FRACTION * nominal))
+
+    def _forget_old_grants(self, now: float) -> None:
+        while self._granted and self._granted[0][0] < now - RATE_WINDOW_SECONDS:
+            self._granted.popleft()
+
+    def _expected_wait(self, admission: Admission, now: float) -> float:
+        """Return the wait for a grant by the shares of the workspaces."""
+        rate = self._rate(now)
+        if rate <= 0:
+            return 0.0
+        own = self._queue.cost_before(admission) * max(
+            1, self._queue.workspaces
+        )
+        return min(self._queue.cost, own) / rate
+
+    def _decline_reason(
+        self, admission: Admission, now: float
+    ) -> Declined | None:
+        members = self._candidates(admission, now)
+        if not members:
+            return self._declined(admission, REASON_NO_UPSTREAM, now)
+        if admission.deadline_at - now < LEAST_RUN_SECONDS:
+            return self._declined(admission, REASON_DEADLINE, now)
+        if not len(self._queue):
+            return None
+        first_part = min(
+            member.load.first_part_seconds(admission) for member in members
+        )
+        left = admission.aim_at - now - first_part
+        aim = admission.aim_at - admission.arrived_at
+        allowed = max(left, LATE_WAIT_FRACTION * aim)
+        if self._expected_wait(admission, now) > allowed:
+            return self._declined(admission, REASON_OVERLOADED, now)
+        return None
+
+    def _shed_reason(self, admission: Admission, now: float) -> str | None:
+        if admission.deadline_at - now < LEAST_RUN_SECONDS:
+            return REASON_DEADLINE
+        if not self._candidates(admission, now):
+            return REASON_NO_UPSTREAM
+        aim = admission.aim_at - admission.arrived_at
+        expected = now - admission.arrived_at
+        expected += self._expected_wait(admission, now)
+        return REASON_OVERLOADED if expected > SHED_FACTOR * aim else None
+
+    def _declined(
+        self, admission: Admission, reason: str, now: float
+    ) -> Declined:
+        wait = self._expected_wait(admission, now)
+        digest = xxhash.xxh32_intdigest(str(admission.key.number).encode())
+        spread = 1.0 + digest / 2**32
+        longest = LONGEST_RETRY_FRACTION * (admission.deadline_at - now)
+        seconds = max(LEAST_RETRY_AFTER_SECONDS, longest / 2, wait) * spread
+        return Declined(
+            admission.key, reason, wait, max(0.05, min(longest, seconds))
+        )
+
+
+def _new_load(
+    entry: UpstreamEntry,
+    service: UpstreamService,
+    engine_tokens_per_second: float,
+) -> UpstreamLoad:
+    if service.engine is None:
+        return PlainLoad(entry.upstream_id, entry.slots)
+    return EngineLoad(
+        entry.upstream_id, service.engine, engine_tokens_per_second
+    )
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -0,0 +1,291 @@
+"""What runs on one upstream, and what it can take beside that."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lacewingspar_core.admission_events import Admission, AdmissionKey
+from lacewingspar_core.linear_fit import LinearFit
+from lacewingspar_core.prefix_memory import PrefixMemory, PromptPart
+from lacewingspar_core.routing import EngineProfile
+
+# Prompt tokens that wait at an engine are bounded to this much reading time.
+# Engines admit in order of arrival, so whatever waits there can no longer be
+# reordered; a shorter time would leave the engine idle between two grants.
+ENGINE_BACKLOG_SECONDS = 0.12
+# Part of an engine's memory that requests may fill. The rest keeps the shared
+# parts of prompts and absorbs answers that are longer than expected.
+MEMORY_FRACTION = 0.9
+# Reading rate of an engine before anything was measured, in tokens a second,
+# where the operators give no estimate.
+DEFAULT_TOKENS_PER_SECOND = 30_000.0
+# Lowest measured reading rate that is believed, as a part of the estimate.
+LEAST_RATE_FRACTION = 0.05
+# Seconds a token at which a measured rate stops to make sense.
+_FASTEST_TOKEN = 1e-6
+# Time from sending to the first event without any reading, before anything
+# was measured.
+DEFAULT_FIRST_EVENT_SECONDS = 0.03
+# Mean run time of a plain call before anything was measured.
+DEFAULT_CALL_SECONDS = 0.05
+CALL_SECONDS_WEIGHT = 0.1
+# Tokens at which the first estimate of the reading rate is taken: a long
+# prompt.
+_PRIOR_TOKENS = 8000.0
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveRun:
+    """A request that was granted an upstream and has not ended.
+
+    Attributes:
+        key: Identity of the request.
+        upstream_id: The upstream.
+        unread_tokens: Prompt tokens that the upstream has to read, or 0 once
+            the first event has come.
+        memory_tokens: Tokens that the request takes of the memory.
+        ends_by: Time at which the caller waits no longer.
+        granted_at: Time of the grant.
+        read_ahead_tokens: Unread tokens at the upstream when it was granted,
+            its own included.
+    """
+
+    key: AdmissionKey
+    upstream_id: str
+    unread_tokens: int
+    memory_tokens: int
+    ends_by: float
+    granted_at: float
+    read_ahead_tokens: int = 0
+
+
+class UpstreamLoad(Protocol):
+    """Load of one upstream."""
+
+    run_by_key: dict[AdmissionKey, ActiveRun]
+
+    def has_room(self, admission: Admission) -> bool:
+        """Return whether a request may be sent now."""
+
+    def first_part_seconds(self, admission: Admission) -> float:
+        """Return the expected time from sending to the first part."""
+
+    def read_cost(self, admission: Admission) -> float:
+        """Return what the request costs here, in units of the rate."""
+
+    @property
+    def rate(self) -> float:
+        """Return the cost that the upstream can take in a second."""
+
+    def begin(self, admission: Admission, now: float) -> None:
+        """Note that a request was granted."""
+
+    def adopt(self, run: ActiveRun) -> None:
+        """Note a run that another router granted."""
+
+    def note_first_part(self, key: AdmissionKey, now: float) -> None:
+        """Note that the first part of an answer has come."""
+
+    def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
+        """Note the end of a run and return it, if it was known."""
+
+    def forget_memory(self) -> None:
+        """Note that the upstream has started anew."""
+
+
+@dataclass(slots=True)
+class EngineLoad:
+    """Load of a model engine: unread prompt tokens, slots and memory.
+
+    Attributes:
+        upstream_id: The engine.
+        profile: What the operators say about it.
+        prior_tokens_per_second: Reading rate before measurements.
+    """
+
+    upstream_id: str
+    profile: EngineProfile
+    prior_tokens_per_second: float
+    run_by_key: dict[AdmissionKey, ActiveRun] = field(default_factory=dict)
+    unread_tokens: int = 0
+    memory_tokens: int = 0
+    memory: PrefixMemory = field(init=False)
+    _first_event: LinearFit = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.memory = PrefixMemory(self.profile.memory_tokens)
+        self._first_event = LinearFit(
+            slope=1 / self._prior_rate,
+            intercept=DEFAULT_FIRST_EVENT_SECONDS,
+            prior_x=_PRIOR_TOKENS,
+        )
+
+    @property
+    def _prior_rate(self) -> float:
+        return self.prior_tokens_per_second or DEFAULT_TOKENS_PER_SECOND
+
+    def has_room(self, admission: Admission) -> bool:
+        """Return whether a request may be sent now."""
+        if not self.run_by_key:
+            return True
+        if len(self.run_by_key) >= self.profile.slots:
+            return False
+        memory = self.memory_tokens + _memory_tokens(admission)
+        if memory > MEMORY_FRACTION * self.profile.memory_tokens:
+            return False
+        if self.unread_tokens == 0:
+            return True
+        unread = self.unread_tokens + self.tokens_to_read(admission)
+        return unread <= ENGINE_BACKLOG_SECONDS * self.rate
+
+    def tokens_to_read(self, admission: Admission) -> int:
+        """Return the prompt tokens that the engine does not hold."""
+        held = self.memory.held_tokens(admission.shared_parts)
+        return admission.prompt_tokens - held
+
+    def first_part_seconds(self, admission: Admission) -> float:
+        """Return the expected time from sending to the first event."""
+        return self._first_event.at(
+            self.unread_tokens + self.tokens_to_read(admission)
+        )
+
+    def read_cost(self, admission: Admission) -> float:
+        """Return the prompt tokens that the engine would have to read."""
+        return float(self.tokens_to_read(admission))
+
+    @property
+    def rate(self) -> float:
+        """Return the tokens that the engine reads in a second."""
+        least = LEAST_RATE_FRACTION * self._prior_rate
+        return max(least, 1 / max(_FASTEST_TOKEN, self._first_event.slope))
+
+    def begin(self, admission: Admission, now: float) -> None:
+        """Note that a request was granted."""
+        unread = self.tokens_to_read(admission)
+        self.memory.note_use(admission.shared_parts)
+        self.adopt(
+            ActiveRun(
+                key=admission.key,
+                upstream_id=self.upstream_id,
+                unread_tokens=unread,
+                memory_tokens=_memory_tokens(admission),
+                ends_by=admission.deadline_at,
+                granted_at=now,
+                read_ahead_tokens=self.unread_tokens + unread,
+            )
+        )
+
+    def adopt(self, run: ActiveRun) -> None:
+        """Note a run that another router granted."""
+        self.run_by_key[run.key] = run
+        self.unread_tokens += run.unread_tokens
+        self.memory_tokens += run.memory_tokens
+
+    def note_first_part(self, key: AdmissionKey, now: float) -> None:
+        """Note that the prompt has been read, and learn from the time."""
+        run = self.run_by_key.get(key)
+        if run is None or run.unread_tokens == 0:
+            return
+        if run.read_ahead_tokens:
+            self._first_event.add(run.read_ahead_tokens, now - run.granted_at)
+        self.unread_tokens -= run.unread_tokens
+        self.run_by_key[key] = ActiveRun(
+            key, run.upstream_id, 0, run.memory_tokens, run.ends_by, now
+        )
+
+    def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
+        """Note the end of a run and return it, if it was known."""
+        del now
+        run = self.run_by_key.pop(key, None)
+        if run is not None:
+            self.unread_tokens -= run.unread_tokens
+            self.memory_tokens -= run.memory_tokens
+        return run
+
+    def forget_memory(self) -> None:
+        """Note that the engine has started anew and holds nothing."""
+        self.memory.clear()
+
+
+@dataclass(slots=True)
+class PlainLoad:
+    """Load of an upstream that runs calls in slots.
+
+    Attributes:
+        upstream_id: The upstream.
+        slots: Calls that it runs at once.
+    """
+
+    upstream_id: str
+    slots: int
+    run_by_key: dict[AdmissionKey, ActiveRun] = field(default_factory=dict)
+    call_seconds: float = DEFAULT_CALL_SECONDS
+
+    def has_room(self, admission: Admission) -> bool:
+        """Return whether a call may be sent now."""
+        del admission
+        return len(self.run_by_key) < self.slots
+
+    def first_part_seconds(self, admission: Admission) -> float:
+        """Return the expected time until the answer."""
+        del admission
+        waiting = max(0, len(self.run_by_key) + 1 - self.slots)
+        busy = len(self.run_by_key) / self.slots
+        return self.call_seconds * (1 + waiting / self.slots + 0.1 * busy)
+
+    def read_cost(self, admission: Admission) -> float:
+        """Return the cost of one call."""
+        del admission
+        return 1.0
+
+    @property
+    def rate(self) -> float:
+        """Return the calls that the upstream runs in a second."""
+        return self.slots / self.call_seconds
+
+    def begin(self, admission: Admission, now: float) -> None:
+        """Note that a call was granted."""
+        self.adopt(
+            ActiveRun(
+                key=admission.key,
+                upstream_id=self.upstream_id,
+                unread_tokens=0,
+                memory_tokens=0,
+                ends_by=admission.deadline_at,
+                granted_at=now,
+            )
+        )
+
+    def adopt(self, run: ActiveRun) -> None:
+        """Note a call that another router granted."""
+        self.run_by_key[run.key] = run
+
+    def note_first_part(self, key: AdmissionKey, now: float) -> None:
+        """Do nothing; a call takes its slot until it ends."""
+
+    def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
+        """Note the end of a call and learn from its time."""
+        run = self.run_by_key.pop(key, None)
+        if run is not None:
+            seconds = max(0.001, now - run.granted_at)
+            self.call_seconds += CALL_SECONDS_WEIGHT * (
+                seconds - self.call_seconds
+            )
+        return run
+
+    def forget_memory(self) -> None:
+        """Do nothing; plain upstreams hold nothing between calls."""
+
+
+def held_prefix_tokens(
+    load: UpstreamLoad, parts: tuple[PromptPart, ...]
+) -> int:
+    """Return the tokens of the leading parts that an upstream holds."""
+    match load:
+        case EngineLoad():
+            return load.memory.held_tokens(parts)
+        case _:
+            return 0
+
+
+def _memory_tokens(admission: Admission) -> int:
+    return admission.prompt_tokens + admission.output_tokens
--- a/packages/router/src/lacewingspar_router/application.py
+++ b/packages/router/src/lacewingspar_router/application.py
@@ -41,6 +41,7 @@
 
 SetupFunction = Callable[["Application"], Awaitable[None]]
 Hook = Callable[[], Awaitable[None]]
+CutHook = Callable[[], Awaitable[int]]
 
 
 class Application:
@@ -61,6 +62,7 @@
         self._component_by_name: dict[str, Any] = {}
         self._unload_hooks: list[tuple[str, Hook]] = []
         self._drain_hooks: list[tuple[str, Hook]] = []
+        self._cut_hooks: list[CutHook] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def now(self) -> float:
@@ -82,6 +84,13 @@
         """
         self._drain_hooks.append((name, hook))
 
+    def on_cut(self, hook: CutHook) -> None:
+        """Call a hook when a graceful shutdown ends early.
+
+        A hook ends the requests under way and returns their number.
+        """
+        self._cut_hooks.append(hook)
+
     def on_unload(self, name: str, hook: Hook) -> None:
         """Call a hook when the application stops, in reverse set-up order."""
         self._unload_hooks.append((name, hook))
@@ -116,6 +125,10 @@
             await hook()
             _LOGGER.debug("component drained", component=name)
 
+    async def async_cut(self) -> int:
+        """End the requests under way and return their number."""
+        return sum([await hook() for hook in self._cut_hooks])
+
     async def async_stop(self) -> None:
         """Unload all components and end all tasks."""
         for name, hook in reversed(self._unload_hooks):
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -0,0 +1,215 @@
+"""Owner role: decides for the pools that this router owns."""
+
+from collections.abc import Callable
+
+import structlog
+
+from lacewingspar_core.admission_events import (
+    Admission,
+    AdmissionDecision,
+    AdmissionKey,
+    RunOutcome,
+)
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import (
+    AdmissionRequest,
+    RunEnded,
+    RunReport,
+    RunStarted,
+)
+from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.prefix_memory import PromptPart
+from lacewingspar_core.upstream_load import ActiveRun
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission.pools import Pool, pool_members
+from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
+from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+
+_LOGGER = structlog.get_logger(__name__)
+
+Deliver = Callable[[str, AdmissionDecision], None]
+
+
+class PoolOwner:
+    """Admission to all pools for which this router is asked.
+
+    A pool exists from the first request on. It does no harm that a router
+    keeps one which it no longer owns.
+
+    Args:
+        app: The application.
+        deliver: Called with the service and each decision.
+    """
+
+    def __init__(self, app: Application, deliver: Deliver) -> None:
+        self._app = app
+        self._deliver_decision = deliver
+        self._routing = app.get(ROUTING)
+        self._peers = app.get(PEERS)
+        self._telemetry = app.get(TELEMETRY)
+        self._admission_by_pool: dict[Pool, PoolAdmission] = {}
+        self._known_lives: set[RouterLife] = set()
+        self._peers.subscribe(AdmissionRequest, self._on_request)
+        self._peers.subscribe(RunStarted, self._on_started)
+        self._peers.subscribe(RunEnded, self._on_ended)
+        self._peers.subscribe(RunReport, self._on_report)
+        self._peers.add_listener(self._on_peers_changed)
+        self._routing.add_listener(self._on_routing_changed)
+
+    def ask(self, pool: Pool, admission: Admission) -> None:
+        """Decide on a request."""
+        decisions = self._admission(pool).ask(admission, self._app.now())
+        self._deliver(pool, decisions)
+
+    def note_first_part(self, pool: Pool, key: AdmissionKey) -> None:
+        """Take over that the first part of an answer has come."""
+        admission = self._admission(pool)
+        self._deliver(pool, admission.note_first_part(key, self._app.now()))
+
+    def end(
+        self,
+        pool: Pool,
+        key: AdmissionKey,
+        outcome: RunOutcome,
+        unreachable: str,
+    ) -> None:
+        """Take over how a run ended.
+
+        Args:
+            pool: The pool.
+            key: Identity of the run.
+            outcome: How it ended.
+            unreachable: Upstream that accepted no connection, or "".
+        """
+        now = self._app.now()
+        admission = self._admission(pool)
+        if unreachable:
+            admission.note_unreachable(unreachable, now)
+        self._deliver(pool, admission.end(key, outcome, now))
+
+    def tick(self) -> None:
+        """Decline what can no longer be served in time."""
+        now = self._app.now()
+        for pool, admission in self._admission_by_pool.items():
+            self._deliver(pool, admission.tick(now))
+            labels = {"service": pool.service, "shard": str(pool.shard)}
+            self._telemetry.gauge("pool_waiting", admission.waiting, **labels)
+            self._telemetry.gauge("pool_running", admission.running, **labels)
+
+    def _admission(self, pool: Pool) -> PoolAdmission:
+        admission = self._admission_by_pool.get(pool)
+        if admission is None:
+            admission = PoolAdmission(f"{pool.service}/{pool.shard}")
+            self._admission_by_pool[pool] = admission
+            _LOGGER.info(
+                "pool taken over",
+                service=pool.service,
+                shard=pool.shard,
+                upstreams=len(pool_members(self._routing, pool)),
+                directory_age_seconds=self._routing.directory_age_seconds,
+            )
+            self._set_upstreams(pool, admission)
+        return admission
+
+    def _set_upstreams(self, pool: Pool, admission: PoolAdmission) -> None:
+        configuration = self._routing.configuration
+        if configuration is None:
+            return
+        service = configuration.service_by_name.get(pool.service)
+        if service is None:
+            return
+        engines = sum(
+            len(self._routing.directory.usable(name))
+            for name, item in configuration.service_by_name.items()
+            if item.engine is not None
+        )
+        rate = configuration.engine_tokens_per_second / max(1, engines)
+        decisions = admission.set_upstreams(
+            pool_members(self._routing, pool), service, rate, self._app.now()
+        )
+        self._deliver(pool, decisions)
+
+    def _deliver(self, pool: Pool, decisions: list[AdmissionDecision]) -> None:
+        for decision in decisions:
+            self._deliver_decision(pool.service, decision)
+
+    def _on_routing_changed(self) -> None:
+        for pool, admission in self._admission_by_pool.items():
+            self._set_upstreams(pool, admission)
+
+    def _on_peers_changed(self) -> None:
+        lives = {
+            record.life for record in self._peers.alive_by_router_id.values()
+        }
+        now = self._app.now()
+        for life in self._known_lives - lives:
+            _LOGGER.warning("router gone", router_id=life.router_id)
+            for pool, admission in self._admission_by_pool.items():
+                self._deliver(pool, admission.forget_holder(life, now))
+        for life in lives - self._known_lives:
+            _LOGGER.info("router known", router_id=life.router_id)
+        self._known_lives = lives
+
+    def _on_request(self, received: ReceivedMessage) -> None:
+        request = received.message
+        assert isinstance(request, AdmissionRequest)
+        if not self._routing.is_ready:
+            # Without an answer the holder asks the next router.
+            return
+        now = self._app.now()
+        admission = Admission(
+            key=AdmissionKey(received.sender, request.number),
+            workspace=request.workspace,
+            data_centre=received.data_centre,
+            shared_parts=tuple(PromptPart(*part) for part in request.parts),
+            own_tokens=request.own_tokens,
+            output_tokens=request.output_tokens,
+            priority=request.priority,
+            arrived_at=now - request.waited_ms / 1000,
+            aim_at=now + request.aim_ms / 1000,
+            deadline_at=now + request.deadline_ms / 1000,
+            excluded=frozenset(request.excluded),
+        )
+        self.ask(Pool(request.service, request.shard), admission)
+
+    def _on_started(self, received: ReceivedMessage) -> None:
+        started = received.message
+        assert isinstance(started, RunStarted)
+        self.note_first_part(
+            Pool(started.service, started.shard),
+            AdmissionKey(received.sender, started.number),
+        )
+
+    def _on_ended(self, received: ReceivedMessage) -> None:
+        ended = received.message
+        assert isinstance(ended, RunEnded)
+        self.end(
+            Pool(ended.service, ended.shard),
+            AdmissionKey(received.sender, ended.number),
+            RunOutcome(ended.outcome),
+            ended.unreachable,
+        )
+
+    def _on_report(self, received: ReceivedMessage) -> None:
+        report = received.message
+        assert isinstance(report, RunReport)
+        self.reconcile(received.sender, report)
+
+    def reconcile(self, holder: RouterLife, report: RunReport) -> None:
+        """Take over the runs that a holder reports."""
+        now = self._app.now()
+        runs = [
+            ActiveRun(
+                key=AdmissionKey(holder, run.number),
+                upstream_id=run.upstream_id,
+                unread_tokens=run.unread_tokens,
+                memory_tokens=run.memory_tokens,
+                ends_by=now + run.left_ms / 1000,
+                granted_at=now,
+            )
+            for run in report.runs
+        ]
+        pool = Pool(report.service, report.shard)
+        decisions = self._admission(pool).reconcile(holder, runs, now)
+        self._deliver(pool, decisions)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -0,0 +1,104 @@
+"""Pools of upstreams, and the routers that own them."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.messages import RouterState
+from lacewingspar_core.ownership import owner_of, shard_count, shard_of
+from lacewingspar_core.prefix_memory import PromptPart
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission import const
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.routing.models import RoutingView
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """A shard of the upstreams of one service.
+
+    Attributes:
+        service: The service.
+        shard: Number of the shard.
+    """
+
+    service: str
+    shard: int
+
+
+def pool_members(routing: RoutingView, pool: Pool) -> dict[str, UpstreamEntry]:
+    """Return the upstreams of a pool that take new work, by id."""
+    usable = routing.directory.usable(pool.service)
+    shards = shard_count(len(usable))
+    return {
+        upstream_id: entry
+        for upstream_id, entry in usable.items()
+        if shards == 1 or shard_of(upstream_id, shards) == pool.shard
+    }
+
+
+def pool_for(
+    routing: RoutingView,
+    service: str,
+    shared_parts: tuple[PromptPart, ...],
+    number: int,
+) -> Pool:
+    """Return the pool for a request.
+
+    Requests that share parts of their prompts go to the same pool; others
+    are spread by their number.
+    """
+    shards = shard_count(len(routing.directory.usable(service)))
+    if shards == 1:
+        return Pool(service, 0)
+    key = shared_parts[-1].key if shared_parts else number
+    return Pool(service, xxhash.xxh32_intdigest(str(key).encode()) % shards)
+
+
+class PoolOwners:
+    """Chooses the owner of a pool among the routers that answer.
+
+    Args:
+        app: The application.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._own_id = app.life.router_id
+        self._peers = app.get(PEERS)
+        self._suspected_until: dict[str, float] = {}
+
+    def owner(self, pool: Pool) -> str:
+        """Return the router to ask, which may be this one.
+
+        A router whose time of suspicion has passed is tried by one request
+        before the others follow.
+        """
+        chosen = self.present_owner(pool)
+        if chosen in self._suspected_until:
+            self.suspect(chosen, const.ASK_TIMEOUT_SECONDS)
+        return chosen
+
+    def present_owner(self, pool: Pool) -> str:
+        """Return the first router for a pool that is not suspected."""
+        now = self._app.now()
+        candidates = [
+            router_id
+            for router_id, record in self._peers.alive_by_router_id.items()
+            if record.state is RouterState.SERVING
+            and now >= self._suspected_until.get(router_id, 0.0)
+        ]
+        owner = owner_of(pool.service, pool.shard, candidates)
+        return self._own_id if owner is None else owner
+
+    def suspect(
+        self, router_id: str, seconds: float = const.SUSPECT_SECONDS
+    ) -> None:
+        """Ask others instead of a router for some time."""
+        if router_id != self._own_id:
+            self._suspected_until[router_id] = self._app.now() + seconds
+
+    def note_answer(self, router_id: str) -> None:
+        """Take over that a router has answered."""
+        self._suspected_until.pop(router_id, None)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -0,0 +1,101 @@
+"""Forwarding of callers' requests to upstreams."""
+
+import asyncio
+
+import structlog
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding.handler import CallHandler
+from lacewingspar_router.components.forwarding.readiness import ReadinessPage
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    RoutingView,
+)
+from lacewingspar_router.http1.server import ConnectionLimits, Http1Server
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+async def async_setup(app: Application) -> None:
+    """Serve callers, the load balancer and monitoring."""
+    settings = app.settings
+    assert settings.platform is not None
+    routing = app.get(ROUTING)
+    handler = CallHandler(app)
+    callers = Http1Server(handler.async_handle, app.now)
+    page = ReadinessPage(app)
+    readiness = Http1Server(page.async_handle, app.now)
+    metrics = Http1Server(page.async_handle, app.now)
+    servers = (callers, readiness, metrics)
+
+    def apply_limits() -> None:
+        configuration = routing.configuration
+        if configuration is None:
+            return
+        limits = configuration.limits
+        callers.limits = ConnectionLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_seconds,
+            limits.idle_timeout_seconds,
+        )
+
+    async def async_drain() -> None:
+        await _async_drain(app, callers, handler)
+
+    async def async_unload() -> None:
+        for server in servers:
+            server.close()
+        handler.close()
+
+    async def async_cut() -> int:
+        count = callers.busy_connections
+        callers.close()
+        return count
+
+    routing.add_listener(apply_limits)
+    app.on_drain("forwarding", async_drain)
+    app.on_unload("forwarding", async_unload)
+    app.on_cut(async_cut)
+    app.create_task(_async_drop_stale(handler), "drop stale connections")
+    await callers.async_start(settings.caller_address)
+    await readiness.async_start(settings.admin_address)
+    await metrics.async_start(settings.platform.metrics_address)
+    # Callers are answered that this router is not ready until then.
+    await _async_wait_ready(routing)
+
+
+async def _async_wait_ready(routing: RoutingView) -> None:
+    """Wait until configuration and upstreams are known."""
+    ready = asyncio.Event()
+
+    def check() -> None:
+        if routing.is_ready:
+            ready.set()
+
+    routing.add_listener(check)
+    check()
+    await ready.wait()
+
+
+async def _async_drain(
+    app: Application, callers: Http1Server, handler: CallHandler
+) -> None:
+    """Serve until no more requests come, then finish those under way."""
+    assert app.settings.platform is not None
+    grace = app.settings.platform.stop_grace_seconds
+    callers.is_closing_connections = True
+    await asyncio.sleep(const.ACCEPT_GRACE_FRACTION * grace)
+    handler.accepts_requests = False
+    callers.stop_listening()
+    callers.close_idle()
+    _LOGGER.info("requests under way", count=callers.busy_connections)
+    while callers.busy_connections:  # noqa: ASYNC110
+        await asyncio.sleep(0.05)
+
+
+async def _async_drop_stale(handler: CallHandler) -> None:
+    while True:
+        await asyncio.sleep(const.IDLE_CHECK_SECONDS)
+        handler.drop_stale_connections()
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -0,0 +1,268 @@
+"""One attempt at a request, at one upstream."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lacewingspar_core.attempt_rules import AttemptResult
+from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.event_stream import EventSequence, EventSizeError
+from lacewingspar_core.routing import RouteKind
+from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding.models import (
+    AnswerFacts,
+    Call,
+    WireFormat,
+)
+from lacewingspar_router.http1.client import ClientConnection, ConnectionPool
+from lacewingspar_router.http1.errors import (
+    ConnectionBrokenError,
+    ConnectionFailedError,
+    InvalidAnswerError,
+)
+from lacewingspar_router.http1.messages import (
+    Response,
+    ResponseEnd,
+    ResponseHead,
+)
+from lacewingspar_router.http1.server import ServerExchange
+
+_FIRST_FAILURE_STATUS = 500
+# These promise that a request has not run. Without the upstream's word for it
+# they are not passed on for requests that must not run twice.
+_PROMISES_OF_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How an attempt ended.
+
+    Attributes:
+        result: The result.
+        reason: Reason for the log.
+        response: The whole answer, if it was read and not passed on yet.
+    """
+
+    result: AttemptResult
+    reason: str = ""
+    response: Response | None = None
+
+
+@dataclass(slots=True)
+class Relay:
+    """The caller's side of a request over all its attempts.
+
+    Attributes:
+        exchange: Exchange with the caller.
+        events: Events of a stream that were passed on.
+        first_part_at: Time of the first part passed on, or None.
+    """
+
+    exchange: ServerExchange
+    events: EventSequence = field(default_factory=EventSequence)
+    first_part_at: float | None = None
+
+
+class Attempt:
+    """Sends a request to one upstream and passes the answer on.
+
+    Args:
+        call: The request.
+        upstream: The upstream.
+        pool: Connections to it.
+        wire: Wire format.
+        relay: The caller's side.
+        now: Clock in seconds.
+        on_first_part: Called when the first part of an answer has come.
+        may_give_up: Whether a silent upstream may be left for another one.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        upstream: UpstreamEntry,
+        pool: ConnectionPool,
+        wire: WireFormat,
+        relay: Relay,
+        now: Callable[[], float],
+        on_first_part: Callable[[], None],
+        *,
+        may_give_up: bool,
+    ) -> None:
+        self._call = call
+        self._upstream = upstream
+        self._pool = pool
+        self._wire = wire
+        self._relay = relay
+        self._now = now
+        self._on_first_part = on_first_part
+        self._may_give_up = may_give_up
+        self._connection: ClientConnection | None = None
+
+    async def async_run(self, fetch_from: str) -> AttemptEnd:
+        """Run the attempt; cancelling it cancels the upstream's work.
+
+        Args:
+            fetch_from: `host:port` to copy parts of the prompt from, or "".
+        """
+        route = self._call.route
+        idle = None if route.may_run_again else const.SINGLE_RUN_IDLE_SECONDS
+        try:
+            self._connection = await self._pool.async_take(idle)
+        except ConnectionFailedError as error:
+            return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
+        is_complete = False
+        try:
+            self._connection.send(self._request(fetch_from))
+            end = await self._async_answer(self._connection)
+            is_complete = end.result not in _BROKEN_RESULTS
+            return end
+        finally:
+            if is_complete:
+                self._pool.give_back(self._connection)
+            else:
+                self._connection.abort()
+
+    def _request(self, fetch_from: str) -> bytes:
+        resume_after = self._relay.events.last_id
+        return self._wire.upstream_request(
+            self._call,
+            self._upstream,
+            self._call.deadline_at - self._now(),
+            resume_after,
+            fetch_from,
+        )
+
+    async def _async_answer(self, connection: ClientConnection) -> AttemptEnd:
+        try:
+            async with asyncio.timeout(self._silent_limit()):
+                head, facts = await self._async_head(connection)
+            if self._is_stream(head, facts):
+                return await self._async_stream(connection, head)
+            async with asyncio.timeout(self._silent_limit()):
+                response = await self._async_body(connection, head)
+        except TimeoutError:
+            return AttemptEnd(AttemptResult.SILENT, "no answer in time")
+        except ConnectionBrokenError as error:
+            return AttemptEnd(AttemptResult.BROKEN, str(error))
+        except (InvalidAnswerError, EventSizeError) as error:
+            return AttemptEnd(AttemptResult.INVALID, str(error))
+        return self._judge(response, facts)
+
+    async def _async_head(
+        self, connection: ClientConnection
+    ) -> tuple[ResponseHead, AnswerFacts]:
+        """Return the head of the answer to this request.
+
+        Answers to earlier requests, which came late, are skipped.
+        """
+        while True:
+            head = await connection.next_event()
+            if not isinstance(head, ResponseHead):
+                raise InvalidAnswerError("an answer has no head")
+            facts = self._wire.read_answer(self._call, self._upstream, head)
+            if facts.is_own:
+                return head, facts
+            await self._async_body(connection, head)
+
+    async def _async_body(
+        self, connection: ClientConnection, head: ResponseHead
+    ) -> Response:
+        body = bytearray()
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, ResponseEnd):
+                return Response(head.status, head.headers, bytes(body))
+            if isinstance(event, ResponseHead):
+                raise InvalidAnswerError("an answer follows before the end")
+            body += event
+            if len(body) > const.LARGEST_ANSWER_BYTES:
+                raise InvalidAnswerError("the answer is too large")
+
+    async def _async_stream(
+        self, connection: ClientConnection, head: ResponseHead
+    ) -> AttemptEnd:
+        """Pass events on as they arrive."""
+        relay = self._relay
+        is_first = True
+        while True:
+            limit = self._silent_limit() if is_first else self._pause_limit()
+            async with asyncio.timeout(limit):
+                event = await connection.next_event()
+            if isinstance(event, ResponseHead):
+                raise InvalidAnswerError("an answer follows before the end")
+            if isinstance(event, ResponseEnd):
+                break
+            if is_first:
+                is_first = False
+                self._on_first_part()
+            ready = relay.events.push(event)
+            if ready:
+                self._start(head)
+                await relay.exchange.async_write(ready)
+        if relay.events.has_partial_event:
+            return AttemptEnd(AttemptResult.BROKEN, "the last event is cut")
+        self._start(head)
+        relay.exchange.finish()
+        return AttemptEnd(AttemptResult.ANSWERED)
+
+    def _start(self, head: ResponseHead) -> None:
+        """Send the head of the answer, that of the first upstream."""
+        relay = self._relay
+        if relay.exchange.is_started:
+            return
+        relay.first_part_at = self._now()
+        headers = self._wire.answer_headers(head.headers)
+        relay.exchange.start(head.status, headers, length=None)
+
+    def _judge(self, response: Response, facts: AnswerFacts) -> AttemptEnd:
+        """Tell what a whole answer means."""
+        status = response.status
+        if facts.is_wrong_upstream:
+            return AttemptEnd(AttemptResult.WRONG_UPSTREAM, "address reused")
+        if facts.is_not_run:
+            return AttemptEnd(AttemptResult.NOT_RUN, f"status {status}")
+        if facts.is_encoded or not facts.is_genuine:
+            return AttemptEnd(AttemptResult.INVALID, "not the upstream's body")
+        if status in _PROMISES_OF_NOT_RUN:
+            return AttemptEnd(
+                AttemptResult.INVALID, f"status {status} without a promise"
+            )
+        if status >= _FIRST_FAILURE_STATUS:
+            return AttemptEnd(
+                AttemptResult.UPSTREAM_FAILURE, f"status {status}", response
+            )
+        self._on_first_part()
+        return AttemptEnd(AttemptResult.ANSWERED, "", response)
+
+    def _is_stream(self, head: ResponseHead, facts: AnswerFacts) -> bool:
+        return (
+            self._call.route.kind is RouteKind.STREAM
+            and facts.is_event_stream
+            and facts.is_genuine
+            and not facts.is_encoded
+            and head.status < 300
+        )
+
+    def _silent_limit(self) -> float | None:
+        """Return how long the upstream may take to begin its answer."""
+        if not self._may_give_up:
+            return None
+        return max(
+            const.SILENT_LEAST_SECONDS,
+            const.SILENT_AIM_FACTOR * self._call.route.aim_seconds,
+        )
+
+    def _pause_limit(self) -> float | None:
+        """Return how long the upstream may pause within its answer."""
+        if not self._may_give_up:
+            return None
+        return max(
+            const.PAUSE_LEAST_SECONDS,
+            const.PAUSE_FACTOR * self._call.route.pause_aim_seconds,
+        )
+
+
+_BROKEN_RESULTS = frozenset(
+    {AttemptResult.BROKEN, AttemptResult.INVALID, AttemptResult.SILENT}
+)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -0,0 +1,26 @@
+"""Constants of the forwarding component."""
+
+# Largest answer that is read whole before it is passed on; larger ones would
+# fill the memory of a small VM.
+LARGEST_ANSWER_BYTES = 8 * 1024 * 1024
+# Connections that carry requests which must not run twice are reused only
+# after a short idle time, so that the peer is not about to close them.
+SINGLE_RUN_IDLE_SECONDS = 1.0
+# An upstream that stops work at the deadline needs this long to say so.
+DEADLINE_GRACE_SECONDS = 0.05
+# A repeatable request whose answer has not begun after this many times its
+# aim, and at least this long, is sent elsewhere.
+SILENT_AIM_FACTOR = 4.0
+SILENT_LEAST_SECONDS = 0.5
+# A stream that pauses for this many times its longest pause in time, and at
+# least this long, goes on elsewhere, before callers give it up.
+PAUSE_FACTOR = 4.0
+PAUSE_LEAST_SECONDS = 1.0
+# A request is tried again only with at least this much time left.
+LEAST_RETRY_SECONDS = 0.1
+# Callers of a router without configuration come back after this long.
+NOT_READY_RETRY_SECONDS = 0.5
+# Part of the grace after the signal to stop in which new requests are still
+# taken, since the platform goes on sending them until it has noticed.
+ACCEPT_GRACE_FRACTION = 0.4
+IDLE_CHECK_SECONDS = 1.0
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/readiness.py
@@ -0,0 +1,36 @@
+"""Readiness and metrics for the platform's load balancer and monitoring."""
+
+from lacewingspar_router.application import Application, LifeCycle
+from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.http1.server import ServerExchange
+
+
+class ReadinessPage:
+    """Answers whether this router takes new connections.
+
+    Args:
+        app: The application.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._routing = app.get(ROUTING)
+        self._telemetry = app.get(TELEMETRY)
+
+    async def async_handle(self, exchange: ServerExchange) -> None:
+        """Answer one request."""
+        match exchange.request.path:
+            case "/readyz":
+                exchange.answer(200 if self._is_ready() else 503, [], b"")
+            case "/metrics":
+                content_type, body = self._telemetry.render()
+                headers = [(b"content-type", content_type.encode())]
+                exchange.answer(200, headers, body)
+            case _:
+                exchange.answer(404, [], b"")
+
+    def _is_ready(self) -> bool:
+        return (
+            self._app.life_cycle is LifeCycle.SERVING and self._routing.is_ready
+        )
--- a/packages/router/src/lacewingspar_router/components/peers/models.py
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -1,10 +1,11 @@
 """Interface of the peers component."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.membership import Seed
 from lacewingspar_core.messages import (
     AnyPeerMessage,
     MemberRecord,
@@ -38,6 +39,9 @@
             Number of bytes that go over the network.
         """
 
+    def add_seeds(self, seeds: Iterable[Seed]) -> None:
+        """Contact further routers at once."""
+
     def set_applied_offset_source(self, read: Callable[[], int]) -> None:
         """Set the function whose value heartbeats carry as applied offset."""
 
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -1,7 +1,7 @@
 """Sockets between routers and the view of who is alive."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 import structlog
@@ -13,6 +13,7 @@
 from lacewingspar_core.membership import (
     HEARTBEAT_INTERVAL_SECONDS,
     Membership,
+    Seed,
 )
 from lacewingspar_core.messages import (
     AnyPeerMessage,
@@ -91,6 +92,11 @@
             raise PeerBindError(f"cannot bind {address}: {error}") from error
         self._receiver = receiver
 
+    def add_seeds(self, seeds: Iterable[Seed]) -> None:
+        """Contact further routers at once."""
+        self._membership.add_seeds(seeds)
+        self.beat()
+
     def set_applied_offset_source(self, read: Callable[[], int]) -> None:
         """Set the function that gives the applied configuration offset."""
         self._read_applied_offset = read
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -0,0 +1,102 @@
+"""Follows a keyed topic from its newest records on."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.routing.errors import (
+    TopicTruncatedError,
+    TopicUnavailableError,
+)
+from lacewingspar_router.components.routing.models import (
+    KeyedTopic,
+    TopicListing,
+    TopicRecords,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class TopicFollower:
+    """Reads a topic until cancelled.
+
+    Attributes:
+        is_available: Whether the last read succeeded.
+
+    Args:
+        topic: The topic.
+        on_listing: Called with the newest record of each key.
+        on_records: Called with further records.
+        on_failure: Called after each failed read.
+        pause_seconds: Pause between two reads.
+        generator: Generator for the jitter of pauses.
+    """
+
+    def __init__(
+        self,
+        topic: KeyedTopic,
+        on_listing: Callable[[TopicListing], None],
+        on_records: Callable[[TopicRecords], None],
+        on_failure: Callable[[], None],
+        pause_seconds: float,
+        generator: random.Random,
+    ) -> None:
+        self._topic = topic
+        self._on_listing = on_listing
+        self._on_records = on_records
+        self._on_failure = on_failure
+        self._pause_seconds = pause_seconds
+        self._random = generator
+        self._offset: int | None = None
+        self.is_available = True
+
+    async def async_run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self._async_step()
+            except TopicTruncatedError as error:
+                _LOGGER.info(
+                    "topic history dropped; listing it again",
+                    topic=self._topic.name,
+                    offset=self._offset,
+                    reason=str(error),
+                )
+                self._offset = None
+                await self._async_pause(const.FAILED_READ_PAUSE_SECONDS)
+            except TopicUnavailableError as error:
+                self._note(is_available=False, reason=str(error))
+                self._on_failure()
+                await self._async_pause(const.FAILED_READ_PAUSE_SECONDS)
+            else:
+                self._note(is_available=True, reason="")
+                await asyncio.sleep(self._pause_seconds)
+
+    async def _async_step(self) -> None:
+        if self._offset is None:
+            listing = await self._topic.async_newest()
+            self._offset = listing.end
+            self._on_listing(listing)
+            return
+        records = await self._topic.async_read(
+            self._offset, const.READ_WAIT_SECONDS
+        )
+        self._offset = records.next_offset
+        self._on_records(records)
+
+    async def _async_pause(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * self._random.uniform(0.5, 1.0))
+
+    def _note(self, *, is_available: bool, reason: str) -> None:
+        if is_available == self.is_available:
+            return
+        self.is_available = is_available
+        if is_available:
+            _LOGGER.info("log service regained", topic=self._topic.name)
+        else:
+            _LOGGER.warning(
+                "log service lost", topic=self._topic.name, reason=reason
+            )
--- a/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -9,7 +9,12 @@
     structlog.contextvars.merge_contextvars,
     structlog.processors.add_log_level,
     structlog.processors.TimeStamper(fmt="iso", utc=True),
-    structlog.processors.dict_tracebacks,
+    # Local variables could hold keys of callers.
+    structlog.processors.ExceptionRenderer(
+        structlog.tracebacks.ExceptionDictTransformer(
+            show_locals=False, max_frames=12
+        )
+    ),
 ]
 
 
--- a/packages/router/src/lacewingspar_router/components/telemetry/models.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/models.py
@@ -15,6 +15,9 @@
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge of the metrics page."""
 
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a histogram of the metrics page."""
+
     def span(
         self, name: str, *, trace_parent: str | None = None, **attributes: str
     ) -> AbstractContextManager[str]:
--- a/packages/router/src/lacewingspar_router/components/telemetry/telemetry.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/telemetry.py
@@ -25,6 +25,10 @@
         """Set a gauge of the metrics page."""
         self._metrics.gauge(name, value, labels)
 
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a histogram of the metrics page."""
+        self._metrics.observe(name, value, labels)
+
     def span(
         self,
         name: str,
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -0,0 +1,360 @@
+"""Connections to one address, each with one request at a time."""
+
+import asyncio
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from lacewingspar_router.http1.errors import (
+    ConnectionBrokenError,
+    ConnectionFailedError,
+    InvalidAnswerError,
+)
+from lacewingspar_router.http1.messages import (
+    Response,
+    ResponseEnd,
+    ResponseHead,
+)
+from lacewingspar_router.http_headers import RawHeaders
+
+# The networks between VMs have round trips of a few milliseconds; a peer that
+# does not accept within this time is taken to be down.
+CONNECT_TIMEOUT_SECONDS = 0.35
+# Probes of a connection find a peer that has lost power or was cut off. The
+# first is sent after a second without data, and two missing answers end the
+# connection.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+# Sent data that is not acknowledged for this long ends the connection.
+UNACKNOWLEDGED_LIMIT_MS = 2500
+# Received data that waits to be read; reading pauses beyond it.
+READ_BUFFER_BYTES = 256 * 1024
+# Idle time of a connection after which it is not used again, where the peer
+# announces none. Common servers close idle connections after 5 s or later.
+DEFAULT_IDLE_SECONDS = 4.0
+# A connection is not used in the last part of its announced idle time, in
+# which the peer may be closing it already.
+IDLE_SAFETY_FRACTION = 0.5
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_INFORMATIONAL_BELOW = 200
+_SWITCHING_PROTOCOLS = 101
+
+_Event = ResponseHead | bytes | ResponseEnd
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection that carries one request after the other."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._events: deque[_Event] = deque()
+        self._error: Exception | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._buffered_bytes = 0
+        self._is_paused = False
+        self._is_busy = False
+        self._is_closing = False
+        self._idle_since = 0.0
+        self._idle_limit = DEFAULT_IDLE_SECONDS
+        self._headers: RawHeaders = []
+        self._is_unframed = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the socket options."""
+        # The transports of uvloop do not inherit from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        set_socket_options(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if not self._is_busy:
+            # Nothing was asked, so these bytes belong to no request.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(InvalidAnswerError("upstream switched protocols"))
+        except httptools.HttpParserError as error:
+            self._fail(InvalidAnswerError(f"not an HTTP answer: {error}"))
+
+    def eof_received(self) -> None:
+        """End an answer without a length, or break the exchange."""
+        if self._is_unframed:
+            self._push(ResponseEnd())
+            self._is_unframed = False
+        self._is_closing = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Break the exchange under way."""
+        self._is_closing = True
+        reason = "connection closed" if exc is None else f"connection: {exc}"
+        self._fail(ConnectionBrokenError(reason, was_reset=exc is not None))
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head."""
+        status = self._parser.get_status_code()
+        if status < _INFORMATIONAL_BELOW:
+            return
+        names = {name for name, _ in self._headers}
+        self._is_unframed = (
+            b"content-length" not in names
+            and b"transfer-encoding" not in names
+            and status not in _STATUSES_WITHOUT_BODY
+        )
+        self._push(ResponseHead(status, self._headers))
+
+    def on_body(self, body: bytes) -> None:
+        """Hand over a part of the body."""
+        self._push(body)
+        self._buffered_bytes += len(body)
+        if self._buffered_bytes > READ_BUFFER_BYTES and not self._is_paused:
+            assert self._transport is not None
+            self._transport.pause_reading()
+            self._is_paused = True
+
+    def on_message_complete(self) -> None:
+        """Hand over the end of the answer."""
+        if self._parser.get_status_code() < _INFORMATIONAL_BELOW:
+            return
+        if not self._parser.should_keep_alive():
+            self._is_closing = True
+        self._idle_limit = _idle_limit(self._headers)
+        self._is_unframed = False
+        self._push(ResponseEnd())
+
+    # Exchange
+
+    def send(self, data: bytes) -> None:
+        """Send a whole request."""
+        assert self._transport is not None
+        self._is_busy = True
+        self._transport.write(data)
+
+    async def next_event(self) -> _Event:
+        """Return the next part of an answer.
+
+        Raises:
+            ConnectionBrokenError: The connection ended.
+            InvalidAnswerError: The bytes are no HTTP answer.
+        """
+        while not self._events:
+            if self._error is not None:
+                raise self._error
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        event = self._events.popleft()
+        if isinstance(event, bytes):
+            self._buffered_bytes -= len(event)
+            if self._is_paused and self._buffered_bytes == 0:
+                assert self._transport is not None
+                self._transport.resume_reading()
+                self._is_paused = False
+        return event
+
+    def finish(self) -> bool:
+        """End an exchange whose answer was complete.
+
+        Returns:
+            Whether the connection may carry another request.
+        """
+        transport = self._transport
+        is_reusable = (
+            transport is not None
+            and not self._is_closing
+            and self._error is None
+            and not self._events
+            # The peer may still be reading a body that it has answered.
+            and transport.get_write_buffer_size() == 0
+        )
+        if not is_reusable:
+            self.abort()
+            return False
+        self._is_busy = False
+        self._idle_since = time.monotonic()
+        self._parser = httptools.HttpResponseParser(self)
+        return True
+
+    def abort(self) -> None:
+        """Close the connection, which cancels a request under way."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_fresh(self, idle_seconds: float | None) -> bool:
+        """Return whether the idle connection may be used again.
+
+        Args:
+            idle_seconds: Longest idle time, or None for what the peer allows.
+        """
+        limit = IDLE_SAFETY_FRACTION * self._idle_limit
+        if idle_seconds is not None:
+            limit = min(limit, idle_seconds)
+        return (
+            not self._is_closing
+            and time.monotonic() - self._idle_since <= limit
+        )
+
+    def _push(self, event: _Event) -> None:
+        self._events.append(event)
+        self._wake()
+
+    def _fail(self, error: Exception) -> None:
+        if self._error is None:
+            self._error = error
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    Args:
+        address: `host:port`.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._idle: list[ClientConnection] = []
+
+    async def async_take(
+        self, idle_seconds: float | None = None
+    ) -> ClientConnection:
+        """Return an idle connection or a new one.
+
+        Args:
+            idle_seconds: Longest idle time of a connection that is reused,
+                or None for what the peer allows.
+
+        Raises:
+            ConnectionFailedError: No connection could be opened.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh(idle_seconds):
+                return connection
+            connection.abort()
+        return await async_connect(self.address)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep a connection whose exchange is over, if it can be reused."""
+        if connection.finish():
+            self._idle.append(connection)
+
+    def drop_stale(self) -> None:
+        """Close the idle connections that cannot be reused."""
+        stale = [item for item in self._idle if not item.is_fresh(None)]
+        for connection in stale:
+            self._idle.remove(connection)
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().abort()
+
+
+async def async_connect(address: str) -> ClientConnection:
+    """Open a connection.
+
+    Raises:
+        ConnectionFailedError: It could not be opened.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, connection = await loop.create_connection(
+                ClientConnection, host, int(port)
+            )
+    except (OSError, TimeoutError, OverflowError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        raise ConnectionFailedError(f"{address}: {reason}") from error
+    return connection
+
+
+async def async_exchange(
+    connection: ClientConnection,
+    data: bytes,
+    limit_bytes: int,
+    accepts: Callable[[ResponseHead], bool] = lambda _: True,
+) -> Response:
+    """Send a request and return its whole answer.
+
+    Args:
+        connection: An idle connection.
+        data: The request.
+        limit_bytes: Largest body.
+        accepts: Whether a head belongs to this request; others are skipped.
+
+    Raises:
+        ConnectionBrokenError: The connection ended before the answer did.
+        InvalidAnswerError: The answer is too large or not HTTP.
+    """
+    connection.send(data)
+    head: ResponseHead | None = None
+    body = bytearray()
+    while True:
+        match await connection.next_event():
+            case ResponseHead() as received:
+                head = received
+                body.clear()
+            case ResponseEnd():
+                if head is None:
+                    raise InvalidAnswerError("an answer ended without a head")
+                if accepts(head):
+                    return Response(head.status, head.headers, bytes(body))
+            case bytes() as part:
+                body += part
+                if len(body) > limit_bytes:
+                    raise InvalidAnswerError("the answer is too large")
+
+
+def set_socket_options(transport: asyncio.BaseTransport) -> None:
+    """Send without delay, and notice a peer that has gone silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    )
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
+
+
+def _idle_limit(headers: RawHeaders) -> float:
+    """Return how long the peer keeps the connection idle, in seconds."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.strip().isdigit():
+                return float(number)
+    return DEFAULT_IDLE_SECONDS
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/http1/messages.py
@@ -0,0 +1,88 @@
+"""Requests and answers as they stand on the wire."""
+
+from dataclasses import dataclass
+from functools import cached_property
+from http import HTTPStatus
+
+from lacewingspar_router.http_headers import RawHeaders
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A request that has been read completely.
+
+    Attributes:
+        method: Method in upper case.
+        target: Path and query as received.
+        headers: Names in lower case, and values.
+        body: The whole body.
+        received_at: Time at which its first byte arrived, in seconds.
+    """
+
+    method: str
+    target: str
+    headers: RawHeaders
+    body: bytes
+    received_at: float
+
+    @cached_property
+    def value_by_header(self) -> dict[bytes, bytes]:
+        """Return the first value of each header by name."""
+        values: dict[bytes, bytes] = {}
+        for name, value in self.headers:
+            values.setdefault(name, value)
+        return values
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Head of an answer.
+
+    Attributes:
+        status: Status code.
+        headers: Names in lower case, and values.
+    """
+
+    status: int
+    headers: RawHeaders
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseEnd:
+    """The body of an answer is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole answer.
+
+    Attributes:
+        status: Status code.
+        headers: Names in lower case, and values.
+        body: The whole body.
+    """
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+def encode_head(first_line: str, headers: RawHeaders) -> bytes:
+    """Return the head of a message."""
+    lines = [first_line.encode("latin-1")]
+    lines += [name + b": " + value for name, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def status_line(status: int) -> str:
+    """Return the first line of an answer."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"HTTP/1.1 {status} {phrase}"
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -0,0 +1,427 @@
+"""Connections of callers."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+import structlog
+
+from lacewingspar_router.http1.messages import (
+    HttpRequest,
+    encode_head,
+    status_line,
+)
+from lacewingspar_router.http_headers import RawHeaders
+
+_LOGGER = structlog.get_logger(__name__)
+
+LISTEN_BACKLOG = 1024
+# Requests that a caller may send before it has read an answer.
+PIPELINED_REQUESTS = 8
+# Answers that a slow caller has not read; the sender waits beyond it.
+WRITE_BUFFER_BYTES = 256 * 1024
+# A connection that is ended in the middle of a request stays open this long,
+# so that the caller reads the answer before it sees the reset.
+LINGER_SECONDS = 0.5
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits on one connection.
+
+    Attributes:
+        header_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        header_timeout_seconds: Longest time to send a head.
+        idle_timeout_seconds: Longest time without a byte.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout_seconds: float = 3.0
+    idle_timeout_seconds: float = 15.0
+
+
+class _BadRequestError(Exception):
+    """A request breaks a limit; the status tells which."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class ServerExchange:
+    """One request and its answer.
+
+    Attributes:
+        request: The request.
+        is_started: Whether the head of the answer was sent.
+        is_finished: Whether the answer is complete.
+    """
+
+    def __init__(
+        self, connection: "CallerConnection", request: HttpRequest
+    ) -> None:
+        self.request = request
+        self.is_started = False
+        self.is_finished = False
+        self._connection = connection
+        self._is_chunked = False
+
+    def start(
+        self, status: int, headers: RawHeaders, *, length: int | None
+    ) -> None:
+        """Send the head of an answer; without a length it is chunked."""
+        self.is_started = True
+        framed = list(headers)
+        if length is None:
+            self._is_chunked = True
+            framed.append((b"transfer-encoding", b"chunked"))
+        else:
+            framed.append((b"content-length", b"%d" % length))
+        if self._connection.must_close:
+            framed.append((b"connection", b"close"))
+        self._connection.write(encode_head(status_line(status), framed))
+
+    async def async_write(self, data: bytes) -> None:
+        """Send a part of the body, at the pace of the caller."""
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.async_drain()
+
+    def finish(self) -> None:
+        """Send the end of the answer."""
+        self.is_finished = True
+        if self._is_chunked:
+            self._connection.write(b"0\r\n\r\n")
+
+    def answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        self.start(status, headers, length=len(body))
+        self._connection.write(body)
+        self.finish()
+
+
+Handler = Callable[[ServerExchange], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; requests are answered in order."""
+
+    def __init__(self, server: "Http1Server") -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[HttpRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._is_reading = False
+        self._is_head_complete = False
+        self._is_ended = False
+        self._must_close = False
+        self._since = self._loop.time()
+        self._received_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def must_close(self) -> bool:
+        """Return whether the connection ends with the present answer."""
+        return self._must_close or self._server.is_closing_connections
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return self._task is None and not self._is_reading
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read."""
+        # The transports of uvloop do not inherit from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._server.connections.add(self)
+        self._arm_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self._is_ended:
+            return
+        if not self._is_reading:
+            self._received_at = self._server.now()
+            self._head_bytes = 0
+        if not self._is_reading or self._is_head_complete:
+            self._since = self._loop.time()
+        was_reading = self._is_reading
+        try:
+            self._feed(data)
+            if self._is_reading and not was_reading:
+                self._arm_timer()
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            status = cause.status if isinstance(cause, _BadRequestError) else 0
+            self._reject(status or 400)
+        except httptools.HttpParserError:
+            self._reject(400)
+
+    def eof_received(self) -> None:
+        """Let the transport close; the caller has left."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request under way."""
+        del exc
+        self._is_ended = True
+        self._server.connections.discard(self)
+        self._waiting.clear()
+        self._can_write.set()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold answers back until the caller has read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with answers."""
+        self._can_write.set()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._is_reading = True
+        self._is_head_complete = False
+        self._url = b""
+        self._headers: RawHeaders = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Add a part of the target."""
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        self._headers.append((name.lower(), value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Check the announced length of the body."""
+        self._is_head_complete = True
+        values = dict(self._headers)
+        length = values.get(b"content-length", b"0")
+        if int(length) > self._server.limits.body_bytes:
+            raise _BadRequestError(413)
+        if values.get(b"expect", b"").lower() == b"100-continue":
+            self.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.body_bytes:
+            raise _BadRequestError(413)
+
+    def on_message_complete(self) -> None:
+        """Answer the request, or queue it behind the one under way."""
+        self._is_reading = False
+        if not self._parser.should_keep_alive():
+            self._must_close = True
+        request = HttpRequest(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body),
+            received_at=self._received_at,
+        )
+        self._received_at = self._server.now()
+        if len(self._waiting) >= PIPELINED_REQUESTS:
+            raise _BadRequestError(429)
+        self._waiting.append(request)
+        if self._task is None:
+            self._answer_next()
+
+    # For exchanges
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def async_drain(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._can_write.wait()
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        self._is_ended = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def _feed(self, data: bytes) -> None:
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                # The upgrade is not taken; the connection goes on as it is.
+                data = data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+                if data:
+                    continue
+            break
+        if self._is_reading and not self._is_head_complete:
+            self._head_bytes += len(data)
+            if self._head_bytes > self._server.limits.header_bytes:
+                self._reject(431)
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.header_bytes:
+            raise _BadRequestError(431)
+
+    def _answer_next(self) -> None:
+        if self._is_ended or not self._waiting:
+            return
+        exchange = ServerExchange(self, self._waiting.popleft())
+        self._task = self._loop.create_task(self._async_answer(exchange))
+
+    async def _async_answer(self, exchange: ServerExchange) -> None:
+        try:
+            await self._server.handler(exchange)
+        except asyncio.CancelledError:
+            if not self._is_ended:
+                self._abort()
+            raise
+        except Exception:
+            _LOGGER.exception("request handler failed")
+            if not exchange.is_started:
+                exchange.answer(500, [], b"")
+        finally:
+            self._task = None
+        if self._is_ended:
+            return
+        if not exchange.is_finished:
+            self._abort()
+        elif self.must_close:
+            self.close()
+        else:
+            self._since = self._loop.time()
+            self._answer_next()
+
+    def _abort(self) -> None:
+        """Reset the connection, so that the answer does not look complete."""
+        self._is_ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _reject(self, status: int) -> None:
+        """Answer what cannot be read as a request, and stop reading."""
+        _LOGGER.info("unreadable request", status=status)
+        self._is_ended = True
+        if self._task is None:
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            self.write(encode_head(status_line(status), headers))
+        self._loop.call_later(LINGER_SECONDS, self.close)
+
+    def _arm_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        limit = self._time_limit()
+        due = self._since + limit
+        self._timer = self._loop.call_at(due, self._check_time)
+
+    def _time_limit(self) -> float:
+        limits = self._server.limits
+        if self._is_reading and not self._is_head_complete:
+            return limits.header_timeout_seconds
+        return limits.idle_timeout_seconds
+
+    def _check_time(self) -> None:
+        if self._is_ended:
+            return
+        if self._task is not None:
+            self._since = self._loop.time()
+        elif self._loop.time() >= self._since + self._time_limit():
+            if self._is_reading:
+                self._reject(408)
+            else:
+                self.close()
+            return
+        self._arm_timer()
+
+
+class Http1Server:
+    """Server on one address.
+
+    Attributes:
+        handler: Answers each request.
+        limits: Limits on connections; may be replaced at any time.
+        connections: Open connections.
+        is_closing_connections: Whether answers end their connections.
+
+    Args:
+        handler: Answers each request.
+        now: Clock for the arrival of requests, in seconds.
+    """
+
+    def __init__(self, handler: Handler, now: Callable[[], float]) -> None:
+        self.handler = handler
+        self.now = now
+        self.limits = ConnectionLimits()
+        self.connections: set[CallerConnection] = set()
+        self.is_closing_connections = False
+        self._server: asyncio.Server | None = None
+
+    async def async_start(self, address: str) -> None:
+        """Listen on `host:port`.
+
+        Raises:
+            OSError: The address is in use or not available.
+        """
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def busy_connections(self) -> int:
+        """Return the number of connections with a request under way."""
+        return sum(not item.is_idle for item in self.connections)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request under way."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.close()
--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -11,27 +11,40 @@
 import uvloop
 
 from lacewingspar_router.application import Application, SetupFunction
-from lacewingspar_router.components.caller_api.models import CALLER_API
 from lacewingspar_router.errors import ComponentSetupError, SettingsError
 from lacewingspar_router.settings import Settings, load_settings
 from lacewingspar_router.shutdown import SHUTDOWN, Shutdown
 
 _LOGGER = structlog.get_logger(__name__)
 
-COMPONENT_NAMES = (
-    "telemetry",
-    "log_service",
-    "vm_list",
-    "peers",
-    "configuration",
-    "claims",
-    "upstreams",
-    "quarantine",
-    "scheduler",
-    "caller_api",
-    "admin_api",
+COMPONENT_PATHS: tuple[str, ...] = (
+    "components.telemetry",
+    "components.log_service",
+    "components.vm_list",
+    "components.peers",
+    "components.configuration",
+    "components.claims",
+    "components.upstreams",
+    "components.quarantine",
+    "components.scheduler",
+    "components.caller_api",
+    "components.admin_api",
 )
 
+# Components of a router on the users' platform. They have their own interface
+# for callers, and operators reach them through the log service only.
+PLATFORM_COMPONENT_PATHS: tuple[str, ...] = (
+    "components.telemetry",
+    "components.peers",
+    "platform",
+    "components.routing",
+    "components.admission",
+    "components.forwarding",
+)
+
+# Time before the platform kills the process at which it ends by itself.
+STOP_MARGIN_SECONDS = 0.6
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -68,19 +81,22 @@
     cli()
 
 
-def setup_functions() -> list[tuple[str, SetupFunction]]:
+def setup_functions(settings: Settings) -> list[tuple[str, SetupFunction]]:
     """Return the set-up function of every component, in order.
 
     Raises:
         ComponentSetupError: A component is not installed.
     """
     functions: list[tuple[str, SetupFunction]] = []
-    for name in COMPONENT_NAMES:
-        path = f"lacewingspar_router.components.{name}"
+    paths = PLATFORM_COMPONENT_PATHS
+    if settings.platform is None:
+        paths = COMPONENT_PATHS
+    for name in paths:
+        path = f"lacewingspar_router.{name}"
         setup = getattr(importlib.import_module(path), "async_setup", None)
         if setup is None:
             raise ComponentSetupError(f"component {name} is not installed")
-        functions.append((name, setup))
+        functions.append((name.rpartition(".")[2], setup))
     return functions
 
 
@@ -119,7 +135,9 @@
 
 async def _async_start(application: Application, shutdown: Shutdown) -> bool:
     """Start the application unless a signal comes first."""
-    start = asyncio.ensure_future(application.async_start(setup_functions()))
+    start = asyncio.ensure_future(
+        application.async_start(setup_functions(application.settings))
+    )
     stop = asyncio.ensure_future(shutdown.graceful.wait())
     await asyncio.wait({start, stop}, return_when=asyncio.FIRST_COMPLETED)
     stop.cancel()
@@ -137,7 +155,7 @@
     abort = asyncio.ensure_future(shutdown.immediate.wait())
     await asyncio.wait(
         {drain, abort},
-        timeout=application.settings.drain_limit_seconds,
+        timeout=_drain_limit_seconds(application.settings),
         return_when=asyncio.FIRST_COMPLETED,
     )
     is_aborted = abort.done()
@@ -149,11 +167,19 @@
         reason = f"drain failed: {drain.exception()}"
     drain.cancel()
     await asyncio.gather(drain, return_exceptions=True)
-    count = await application.get(CALLER_API).async_cut_requests()
+    count = await application.async_cut()
     _LOGGER.error("drain ended early", reason=reason, cut_requests=count)
     return False
 
 
+def _drain_limit_seconds(settings: Settings) -> float:
+    """Return how long a graceful shutdown may take."""
+    if settings.platform is None:
+        return settings.drain_limit_seconds
+    grace = settings.platform.stop_grace_seconds - STOP_MARGIN_SECONDS
+    return min(settings.drain_limit_seconds, grace)
+
+
 def _load_or_exit(path: Path) -> Settings:
     try:
         return load_settings(path)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/platform/__init__.py
@@ -0,0 +1,37 @@
+"""Adapter to the users' platform; nothing else knows its names."""
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
+from lacewingspar_router.components.routing.models import (
+    ROUTING_SOURCE,
+    RoutingSource,
+)
+from lacewingspar_router.platform import names
+from lacewingspar_router.platform.manifest import decode_configuration
+from lacewingspar_router.platform.store import PlatformStore, StoreTopic
+from lacewingspar_router.platform.upstream_list import decode_upstream
+from lacewingspar_router.platform.wire_format import PlatformWireFormat
+
+
+async def async_setup(app: Application) -> None:
+    """Make the store and the wire format available to the components."""
+    store = PlatformStore(
+        app.settings.log_service_url.removeprefix("http://").rstrip("/")
+    )
+    app.register(WIRE_FORMAT, PlatformWireFormat())
+    app.register(
+        ROUTING_SOURCE,
+        RoutingSource(
+            configuration=StoreTopic(store, names.TOPIC_CONFIGURATION),
+            configuration_key=names.KEY_CONFIGURATION,
+            upstreams=StoreTopic(store, names.TOPIC_UPSTREAMS),
+            members=StoreTopic(store, names.TOPIC_ROUTERS),
+            decode_configuration=decode_configuration,
+            decode_upstream=decode_upstream,
+        ),
+    )
+
+    async def async_unload() -> None:
+        store.close()
+
+    app.on_unload("platform", async_unload)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -0,0 +1,179 @@
+"""Requests of callers and answers of upstreams on the platform's wire."""
+
+from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.prefix_memory import PromptPart
+from lacewingspar_router.components.forwarding.models import (
+    AnswerFacts,
+    Call,
+    CallerFields,
+)
+from lacewingspar_router.errors import RequestRefusedError
+from lacewingspar_router.http1.messages import (
+    HttpRequest,
+    Response,
+    ResponseHead,
+    encode_head,
+)
+from lacewingspar_router.http_headers import RawHeaders, end_to_end_headers
+from lacewingspar_router.platform import names
+
+# Expected part of the largest number of output tokens, without an estimate.
+_OUTPUT_FRACTION = 0.5
+_STATUS_MISDIRECTED = 421
+
+
+class PlatformWireFormat:
+    """The platform's spelling of requests and answers."""
+
+    def read_fields(self, request: HttpRequest) -> CallerFields:
+        """Return what the headers of a request say.
+
+        Raises:
+            RequestRefusedError: A header that is needed cannot be read.
+        """
+        values = request.value_by_header
+        shared, own = _prompt(values)
+        output = _output_tokens(values)
+        return CallerFields(
+            request_id=_text(values, names.HEADER_REQUEST_ID),
+            host=_host(values),
+            key=_key(values),
+            time_left_seconds=_time_left(values),
+            shared_parts=shared,
+            own_tokens=own,
+            output_tokens=output,
+            last_event_id=_integer(values, names.HEADER_LAST_EVENT_ID),
+        )
+
+    def upstream_request(
+        self,
+        call: Call,
+        upstream: UpstreamEntry,
+        time_left_seconds: float,
+        resume_after: int | None,
+        fetch_from: str,
+    ) -> bytes:
+        """Return a request as it is sent to an upstream."""
+        request = call.request
+        headers = end_to_end_headers(request.headers, names.ROUTER_HEADERS)
+        time_left_ms = max(1, int(time_left_seconds * 1000))
+        headers += [
+            (names.HEADER_TIME_LEFT_MS, b"%d" % time_left_ms),
+            (names.HEADER_EXPECTED_UPSTREAM, upstream.upstream_id.encode()),
+        ]
+        if call.workspace:
+            headers.append((names.HEADER_WORKSPACE, call.workspace.encode()))
+        if resume_after is not None:
+            headers.append((names.HEADER_LAST_EVENT_ID, b"%d" % resume_after))
+        if fetch_from:
+            headers.append((names.HEADER_FETCH_PARTS_FROM, fetch_from.encode()))
+        if request.body or request.method not in _METHODS_WITHOUT_BODY:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        first_line = f"{request.method} {request.target} HTTP/1.1"
+        return encode_head(first_line, headers) + request.body
+
+    def read_answer(
+        self, call: Call, upstream: UpstreamEntry, head: ResponseHead
+    ) -> AnswerFacts:
+        """Return what the head of an answer says."""
+        del upstream
+        values = dict(head.headers)
+        answered_id = values.get(names.HEADER_REQUEST_ID)
+        is_not_run = names.HEADER_NOT_RUN in values
+        is_wrong = head.status == _STATUS_MISDIRECTED
+        content_type = values.get(b"content-type", b"")
+        return AnswerFacts(
+            is_own=(
+                answered_id is None
+                or answered_id.decode("latin-1") == call.fields.request_id
+            ),
+            is_genuine=names.HEADER_SEAL in values and answered_id is not None,
+            is_not_run=is_not_run,
+            is_wrong_upstream=is_wrong,
+            is_event_stream=content_type.startswith(names.EVENT_STREAM),
+            is_encoded=(
+                values.get(names.HEADER_CONTENT_ENCODING, b"identity")
+                != b"identity"
+            ),
+        )
+
+    def answer_headers(self, headers: RawHeaders) -> RawHeaders:
+        """Return the headers of an upstream's answer for the caller."""
+        return end_to_end_headers(headers, frozenset({b"content-length"}))
+
+    def refusal(self, error: RequestRefusedError, request_id: str) -> Response:
+        """Return the answer to a request that was refused or has failed."""
+        headers: RawHeaders = [(b"content-type", b"text/plain")]
+        if request_id:
+            headers.append((names.HEADER_REQUEST_ID, request_id.encode()))
+        if error.retry_after_seconds is not None:
+            seconds = f"{error.retry_after_seconds:.3f}"
+            headers.append((b"retry-after", seconds.encode()))
+        body = f"{error.code}: {error.message}\n".encode()
+        return Response(error.status, headers, body)
+
+
+_METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
+
+def _text(values: dict[bytes, bytes], name: bytes) -> str:
+    return values.get(name, b"").decode("latin-1").strip()
+
+
+def _integer(values: dict[bytes, bytes], name: bytes) -> int | None:
+    text = _text(values, name)
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _host(values: dict[bytes, bytes]) -> str:
+    host = _text(values, b"host").lower()
+    return host.partition(":")[0]
+
+
+def _key(values: dict[bytes, bytes]) -> str:
+    authorization = _text(values, names.HEADER_AUTHORIZATION)
+    if not authorization.lower().startswith(names.AUTHORIZATION_SCHEME):
+        return ""
+    return authorization[len(names.AUTHORIZATION_SCHEME) :].strip()
+
+
+def _time_left(values: dict[bytes, bytes]) -> float | None:
+    text = _text(values, names.HEADER_TIME_LEFT_MS)
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < float("inf") else None
+
+
+def _prompt(values: dict[bytes, bytes]) -> tuple[tuple[PromptPart, ...], int]:
+    """Return the shared parts of a prompt and its further tokens."""
+    parts: list[PromptPart] = []
+    for item in _text(values, names.HEADER_PROMPT_PARTS).split(","):
+        identity, _, tokens = item.strip().partition(":")
+        try:
+            parts.append(PromptPart(int(identity, 16), int(tokens)))
+        except ValueError:
+            break
+    total, _ = _token_counts(values)
+    if not parts:
+        return (), total
+    shared = tuple(parts[:-1])
+    rest = total - sum(part.tokens for part in shared)
+    return shared, max(parts[-1].tokens, rest, 0)
+
+
+def _token_counts(values: dict[bytes, bytes]) -> tuple[int, int]:
+    prompt, _, output = _text(values, names.HEADER_TOKEN_COUNTS).partition(",")
+    counts = [
+        int(text) if text.strip().isdigit() else 0 for text in (prompt, output)
+    ]
+    return counts[0], counts[1]
+
+
+def _output_tokens(values: dict[bytes, bytes]) -> int:
+    estimate = _integer(values, names.HEADER_OUTPUT_ESTIMATE)
+    _, largest = _token_counts(values)
+    if estimate is not None:
+        return min(estimate, largest) if largest else estimate
+    return int(largest * _OUTPUT_FRACTION)
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -33,6 +33,36 @@
     address: HostPort
 
 
+@schema_dataclass(frozen=True, slots=True, config=_STRICT)
+class PlatformSettings:
+    """How a router runs on the users' platform.
+
+    Its presence selects the platform's interface for callers, upstreams,
+    operators and the log service.
+
+    Attributes:
+        metrics_address: Host and port of the metrics page.
+        seed_hosts: Hosts or `host:port` of routers that may be running; only
+            the host is used.
+        drain_seconds: Time for which an upstream that leaves still answers.
+        stop_grace_seconds: Time from the signal to stop until the process is
+            killed.
+        retry_ratio: Second sends allowed for each request, over the fleet.
+        retry_window_seconds: Window over which second sends are counted.
+        retry_allowance: Second sends allowed in each window beside the ratio.
+        heartbeat_seconds: Interval at which upstreams renew their entries.
+    """
+
+    metrics_address: HostPort
+    seed_hosts: tuple[str, ...] = ()
+    drain_seconds: Annotated[float, Field(gt=0, le=600)] = 2.0
+    stop_grace_seconds: Annotated[float, Field(gt=0, le=600)] = 8.0
+    retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
+    retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
+    retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
+    heartbeat_seconds: Annotated[float, Field(gt=0, le=60)] = 1.2
+
+
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
 class Settings:
     """Settings of one router.
@@ -57,6 +87,8 @@
         trace_url: OTLP/HTTP address that spans are sent to.
         event_record_file: File that events and decisions are appended to, for
             replay.
+        platform: How the router runs on the users' platform, or null for the
+            project's own interface.
     """
 
     router_id: Name
@@ -76,6 +108,7 @@
     trace_file: str | None = None
     trace_url: HttpUrl | None = None
     event_record_file: str | None = None
+    platform: PlatformSettings | None = None
 
 
 _ADAPTER = TypeAdapter(Settings)
