--- a/packages/core/src/lacewingspar_core/fair_queue.py
+++ b/packages/core/src/lacewingspar_core/fair_queue.py
@@ -1,5 +1,6 @@
 """Waiting requests of one pool of upstreams, shared fairly by workspace."""
 
+import heapq
 from collections.abc import Iterator
 
 from lacewingspar_core.admission_events import Admission, AdmissionKey
@@ -13,8 +14,10 @@
     workspace without waiting requests keeps no credit: its tag is raised to
     the virtual time when it comes back.
 
-    Within a workspace the rank of the route goes first, then the time by
-    which the first part of the answer should be there.
+    Within a workspace the requests that can still be in time go first, then
+    the rank of the route, then the time by which the first part of the answer
+    should be there. Without the first rule a queue that is a little too long
+    makes everybody a little late.
     """
 
     def __init__(self) -> None:
@@ -50,14 +53,20 @@
         """Return the cost of a workspace's waiting requests."""
         return self._cost_by_workspace.get(workspace, 0.0)
 
-    def cost_before(self, admission: Admission) -> float:
-        """Return the cost of what goes before in the same workspace."""
-        urgency = _urgency(admission)
+    def cost_before(self, admission: Admission, in_time_from: float) -> float:
+        """Return the cost of what goes before in the same workspace.
+
+        Args:
+            admission: The request, which need not be queued.
+            in_time_from: Earliest first part of a request that is sent now.
+        """
+        urgency = _urgency(admission, in_time_from)
         waiting = self._waiting_by_workspace.get(admission.workspace, {})
         return sum(
             self._cost_by_key[other.key]
             for other in waiting.values()
-            if _urgency(other) <= urgency and other.key != admission.key
+            if _urgency(other, in_time_from) <= urgency
+            and other.key != admission.key
         )
 
     def add(self, admission: Admission, cost: float) -> None:
@@ -92,10 +101,22 @@
         """Return the waiting workspaces, the next one first."""
         return sorted(self._waiting_by_workspace, key=self._start_tag)
 
-    def most_urgent(self, workspace: str, count: int) -> list[Admission]:
-        """Return the next requests of a workspace, the most urgent first."""
+    def most_urgent(
+        self, workspace: str, count: int, in_time_from: float
+    ) -> list[Admission]:
+        """Return the next requests of a workspace, the most urgent first.
+
+        Args:
+            workspace: The workspace.
+            count: Largest number of requests.
+            in_time_from: Earliest first part of a request that is sent now.
+        """
         waiting = self._waiting_by_workspace.get(workspace, {})
-        return sorted(waiting.values(), key=_urgency)[:count]
+        return heapq.nsmallest(
+            count,
+            waiting.values(),
+            key=lambda admission: _urgency(admission, in_time_from),
+        )
 
     def charge(self, workspace: str, cost: float) -> None:
         """Account for service that a workspace gets now."""
@@ -124,6 +145,9 @@
         }
 
 
-def _urgency(admission: Admission) -> tuple[int, float]:
+def _urgency(
+    admission: Admission, in_time_from: float
+) -> tuple[bool, int, float]:
     """Return a key by which the most urgent request sorts first."""
-    return (admission.priority, admission.aim_at)
+    is_late = admission.aim_at < in_time_from
+    return (is_late, admission.priority, admission.aim_at)
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -25,6 +25,7 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.fair_queue import FairQueue
 from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.ownership import owner_of
 from lacewingspar_core.routing import UpstreamService
 from lacewingspar_core.upstream_load import (
     ActiveRun,
@@ -62,8 +63,13 @@
 LEAST_RETRY_AFTER_SECONDS = 0.25
 # Callers wait at most this part of the time that they have left.
 LONGEST_RETRY_FRACTION = 0.3
-# Requests of one workspace that are looked at for an upstream with room.
-LOOK_AHEAD = 4
+# Requests that are looked at for an upstream with room: of one workspace, and
+# of all. They bound the processor time of a decision.
+LOOK_AHEAD = 3
+LOOK_AHEAD_ALL = 12
+# A wait is longer than expected where other workspaces become active; requests
+# are accepted only if they would be in time with this many times the wait.
+WAIT_MARGIN = 1.5
 # Time over which the rate of grants is measured while requests wait.
 RATE_WINDOW_SECONDS = 1.0
 # Lowest measured rate, as a part of the engines' own, that is believed.
@@ -73,6 +79,8 @@
 UNREPORTED_RUN_SECONDS = 1.0
 # A run whose caller no longer waits has ended, whatever was lost.
 RUN_OVERTIME_SECONDS = 2.0
+# Shared parts whose home is remembered.
+LARGEST_HOME_CACHE = 4096
 
 REASON_OVERLOADED = "overloaded"
 REASON_NO_UPSTREAM = "no_upstream"
@@ -104,6 +112,7 @@
         self._upstream_by_run: dict[AdmissionKey, str] = {}
         self._granted: deque[tuple[float, float]] = deque()
         self._backlogged_since: float | None = None
+        self._home_by_part: dict[int, str] = {}
 
     def set_upstreams(
         self,
@@ -123,6 +132,8 @@
             engine_tokens_per_second: Estimated rate of one engine, or 0.
             now: Time in seconds.
         """
+        if self._member_by_id.keys() != entry_by_id.keys():
+            self._home_by_part.clear()
         for upstream_id in self._member_by_id.keys() - entry_by_id.keys():
             member = self._member_by_id.pop(upstream_id)
             for key in member.load.run_by_key:
@@ -286,13 +297,35 @@
         return decisions
 
     def _grant_next(self, now: float) -> Granted | None:
+        if not self._has_open_member(now):
+            return None
+        in_time_from = now + self._lead_seconds
+        looked_at = 0
         for workspace in self._queue.in_turn():
-            for admission in self._queue.most_urgent(workspace, LOOK_AHEAD):
+            for admission in self._queue.most_urgent(
+                workspace, LOOK_AHEAD, in_time_from
+            ):
+                looked_at += 1
                 member = self._choose(admission, now)
                 if member is not None:
                     return self._grant(admission, member, now)
+            if looked_at >= LOOK_AHEAD_ALL:
+                break
         return None
 
+    def _has_open_member(self, now: float) -> bool:
+        members = self._member_by_id.values()
+        trusted = [item for item in members if not item.trust.is_blocked(now)]
+        return any(item.load.is_open for item in trusted or members)
+
+    @property
+    def _lead_seconds(self) -> float:
+        """Return the shortest time to the first part of a small request."""
+        return min(
+            (item.load.lead_seconds for item in self._member_by_id.values()),
+            default=0.0,
+        )
+
     def _grant(
         self, admission: Admission, member: _Member, now: float
     ) -> Granted:
@@ -352,12 +385,16 @@
         if not admission.shared_parts:
             return None
         key = admission.shared_parts[-1].key
-        return max(
-            members,
-            key=lambda member: xxhash.xxh32_intdigest(
-                f"{self._pool}/{key}/{member.entry.upstream_id}".encode()
-            ),
-        )
+        home_id = self._home_by_part.get(key)
+        if home_id is None:
+            home_id = owner_of(self._pool, key, self._member_by_id)
+            if home_id is None:
+                return None
+            if len(self._home_by_part) >= LARGEST_HOME_CACHE:
+                self._home_by_part.clear()
+            self._home_by_part[key] = home_id
+        home = self._member_by_id[home_id]
+        return home if home in members else None
 
     def _score(
         self, admission: Admission, member: _Member, home: _Member | None
@@ -433,9 +470,8 @@
         rate = self._rate(now)
         if rate <= 0:
             return 0.0
-        own = self._queue.cost_before(admission) * max(
-            1, self._queue.workspaces
-        )
+        before = self._queue.cost_before(admission, now + self._lead_seconds)
+        own = before * max(1, self._queue.workspaces)
         return min(self._queue.cost, own) / rate
 
     def _decline_reason(
@@ -454,7 +490,7 @@
         left = admission.aim_at - now - first_part
         aim = admission.aim_at - admission.arrived_at
         allowed = max(left, LATE_WAIT_FRACTION * aim)
-        if self._expected_wait(admission, now) > allowed:
+        if WAIT_MARGIN * self._expected_wait(admission, now) > allowed:
             return self._declined(admission, REASON_OVERLOADED, now)
         return None
 
@@ -463,6 +499,8 @@
             return REASON_DEADLINE
         if not self._candidates(admission, now):
             return REASON_NO_UPSTREAM
+        if now < admission.aim_at:
+            return None
         aim = admission.aim_at - admission.arrived_at
         expected = now - admission.arrived_at
         expected += self._expected_wait(admission, now)
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -63,6 +63,14 @@
 
     run_by_key: dict[AdmissionKey, ActiveRun]
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether some request may be sent now."""
+
+    @property
+    def lead_seconds(self) -> float:
+        """Return the expected time to the first part of a small request."""
+
     def has_room(self, admission: Admission) -> bool:
         """Return whether a request may be sent now."""
 
@@ -123,6 +131,19 @@
     def _prior_rate(self) -> float:
         return self.prior_tokens_per_second or DEFAULT_TOKENS_PER_SECOND
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether some request may be sent now."""
+        return not self.run_by_key or (
+            len(self.run_by_key) < self.profile.slots
+            and self.unread_tokens < ENGINE_BACKLOG_SECONDS * self.rate
+        )
+
+    @property
+    def lead_seconds(self) -> float:
+        """Return the expected time to the first part of a small request."""
+        return self._first_event.at(self.unread_tokens)
+
     def has_room(self, admission: Admission) -> bool:
         """Return whether a request may be sent now."""
         if not self.run_by_key:
@@ -220,10 +241,20 @@
     run_by_key: dict[AdmissionKey, ActiveRun] = field(default_factory=dict)
     call_seconds: float = DEFAULT_CALL_SECONDS
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether a call may be sent now."""
+        return len(self.run_by_key) < self.slots
+
+    @property
+    def lead_seconds(self) -> float:
+        """Return the expected time of a call."""
+        return self.call_seconds
+
     def has_room(self, admission: Admission) -> bool:
         """Return whether a call may be sent now."""
         del admission
-        return len(self.run_by_key) < self.slots
+        return self.is_open
 
     def first_part_seconds(self, admission: Admission) -> float:
         """Return the expected time until the answer."""
--- a/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -1,10 +1,14 @@
 """Log lines in JSON."""
 
+import io
 import logging
 import sys
+from typing import Any
 
 import structlog
 
+from lacewingspar_router.components.telemetry.line_writer import LineWriter
+
 _SHARED_PROCESSORS: list[structlog.typing.Processor] = [
     structlog.contextvars.merge_contextvars,
     structlog.processors.add_log_level,
@@ -32,6 +36,7 @@
         event["router"] = router_id
         return event
 
+    stream = _stream(router_id)
     processors = [add_router, *_SHARED_PROCESSORS]
     renderer = structlog.processors.JSONRenderer()
     structlog.configure(
@@ -39,9 +44,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(),
+        logger_factory=structlog.PrintLoggerFactory(file=stream),
     )
-    handler = logging.StreamHandler(sys.stdout)
+    handler = logging.StreamHandler(stream or sys.stdout)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             processors=[
@@ -53,3 +58,12 @@
     )
     # Libraries log through the standard module; only their problems matter.
     logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
+
+
+def _stream(router_id: str) -> Any:
+    """Return where lines go instead of standard output, or None."""
+    try:
+        return LineWriter(sys.stdout.fileno(), router_id)
+    except io.UnsupportedOperation:
+        # Standard output was replaced by an object in memory.
+        return None
--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -1,6 +1,7 @@
 """Command line of the router daemon."""
 
 import asyncio
+import dataclasses
 import importlib
 import signal
 from pathlib import Path
@@ -11,6 +12,9 @@
 import uvloop
 
 from lacewingspar_router.application import Application, SetupFunction
+from lacewingspar_router.components.telemetry.log_lines import (
+    configure_log_lines,
+)
 from lacewingspar_router.errors import ComponentSetupError, SettingsError
 from lacewingspar_router.settings import Settings, load_settings
 from lacewingspar_router.shutdown import SHUTDOWN, Shutdown
@@ -63,7 +67,7 @@
     """Run a router until it is told to stop."""
     loaded = _load_or_exit(settings)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        code = runner.run(async_run(loaded))
+        code = runner.run(async_run(loaded, settings))
     raise typer.Exit(code)
 
 
@@ -100,14 +104,20 @@
     return functions
 
 
-async def async_run(settings: Settings) -> int:
+async def async_run(settings: Settings, path: Path | None = None) -> int:
     """Run a router with its signal handlers.
 
+    Args:
+        settings: Settings of the router.
+        path: File to read again on SIGHUP.
+
     Returns:
         Exit status of the process.
     """
     shutdown = Shutdown()
     loop = asyncio.get_running_loop()
+    if path is not None:
+        loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.handle_signal)
     application = Application(settings)
@@ -133,6 +143,26 @@
     return EXIT_OK if is_drained else EXIT_FAILED
 
 
+def _reload(path: Path, running: Settings) -> None:
+    """Read the settings again and apply those that can change."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        _LOGGER.error("settings cannot be reloaded", problem=str(error))
+        return
+    configure_log_lines(settings.log_level, running.router_id)
+    _LOGGER.info(
+        "settings reloaded",
+        log_level=settings.log_level,
+        needs_restart=_differs_beyond_log_level(settings, running),
+    )
+
+
+def _differs_beyond_log_level(settings: Settings, running: Settings) -> bool:
+    same_level = dataclasses.replace(settings, log_level=running.log_level)
+    return same_level != running
+
+
 async def _async_start(application: Application, shutdown: Shutdown) -> bool:
     """Start the application unless a signal comes first."""
     start = asyncio.ensure_future(
--- a/packages/standins/src/lacewingspar_standins/asgi.py
+++ b/packages/standins/src/lacewingspar_standins/asgi.py
@@ -33,6 +33,7 @@
     def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
+        self.query_string: str = scope["query_string"].decode("latin-1")
         self.headers: dict[str, str] = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
@@ -48,7 +49,7 @@
         Raises:
             BadRequestError: The value is not a number from 0 on.
         """
-        query = parse_qs(self._scope["query_string"].decode("latin-1"))
+        query = parse_qs(self.query_string)
         text = query.get(name, [str(default)])[-1]
         if not text.isascii() or not text.isdigit():
             raise BadRequestError(f"{name} must be a number from 0 on")
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/deployed/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the interfaces of the users' platform."""
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/deployed/store.py
@@ -0,0 +1,181 @@
+"""Stand-in for the platform's store: topics with the newest record by key."""
+
+import asyncio
+import base64
+import struct
+from urllib.parse import parse_qs
+
+from lacewingspar_standins.asgi import Request
+from lacewingspar_standins.faults import Faults, StandIn
+
+_LENGTH = struct.Struct(">I")
+_HEAD = struct.Struct(">QQ")
+_LONGEST_WAIT_MS = 30_000
+PAGE_ITEMS = 500
+
+
+class StoreFaults(Faults):
+    """Faults of the store.
+
+    Attributes:
+        outage: Answer every call with 503.
+        busy: Answer every call with 429.
+        silent: Accept calls and never answer.
+        lose_replies: Number of next appends that are done without a reply.
+        delay_ms: Time before each answer.
+    """
+
+    outage: bool = False
+    busy: bool = False
+    silent: bool = False
+    lose_replies: int = 0
+    delay_ms: float = 0
+
+
+class Topic:
+    """Records of one keyed topic."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[str, bytes]] = []
+        self.newest_by_key: dict[str, tuple[int, bytes]] = {}
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        """Append a record; an empty value drops the key."""
+        offset = self.end
+        self.records.append((key, value))
+        if value:
+            self.newest_by_key[key] = (offset, value)
+        else:
+            self.newest_by_key.pop(key, None)
+        self.wake()
+        return offset
+
+    def drop_history(self) -> None:
+        """Forget all records but the newest of each key."""
+        self.first = self.end
+        self.records = []
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake all waiting readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class PlatformStore(StandIn[StoreFaults]):
+    """HTTP interface of the store.
+
+    Attributes:
+        topic_by_name: Topics that were used.
+        calls: Number of calls by path.
+    """
+
+    def __init__(self, faults: StoreFaults) -> None:
+        super().__init__(faults)
+        self.topic_by_name: dict[str, Topic] = {}
+        self.calls: dict[str, int] = {}
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, which is created on first use."""
+        return self.topic_by_name.setdefault(name, Topic())
+
+    def faults_changed(self) -> None:
+        """Let waiting readers notice an outage."""
+        for topic in self.topic_by_name.values():
+            topic.wake()
+
+    async def handle(self, request: Request) -> None:
+        """Answer a call."""
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        query = {
+            name: values[-1]
+            for name, values in parse_qs(request.query_string).items()
+        }
+        body = await request.body()
+        if await self._failed(request):
+            return
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        topic = self.topic(query.get("topic", ""))
+        match request.method, request.path:
+            case "POST", "/log-append":
+                await self._append(request, topic, body)
+            case "GET", "/log-read":
+                await self._read(request, topic, query)
+            case "GET", "/log-newest":
+                await self._newest(request, topic, query)
+            case _:
+                await request.reply(404, {"error": "no such call"})
+
+    async def _append(
+        self, request: Request, topic: Topic, body: bytes
+    ) -> None:
+        position, first = 0, topic.end
+        while position < len(body):
+            (length,) = _LENGTH.unpack_from(body, position)
+            start = position + _LENGTH.size
+            content = body[start : start + length]
+            key_end = 1 + content[0]
+            topic.append(content[1:key_end].decode(), content[key_end:])
+            position = start + length
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            await request.drop()
+            return
+        await request.reply(200, {"offset": first, "end": topic.end})
+
+    async def _read(
+        self, request: Request, topic: Topic, query: dict[str, str]
+    ) -> None:
+        offset = int(query["from"])
+        wait_ms = min(int(query.get("waitMs", "0")), _LONGEST_WAIT_MS)
+        if offset >= topic.end and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await topic.changed.wait()
+            except TimeoutError:
+                pass
+        if await self._failed(request):
+            return
+        if offset < topic.first:
+            await request.reply(410, {"first": topic.first})
+            return
+        data = bytearray(_HEAD.pack(topic.end, topic.first))
+        for key, value in topic.records[offset - topic.first :]:
+            encoded = key.encode()
+            content = bytes([len(encoded)]) + encoded + value
+            data += _LENGTH.pack(len(content)) + content
+        await request.start(200, (("content-length", str(len(data))),))
+        await request.write(bytes(data), more=False)
+
+    async def _newest(
+        self, request: Request, topic: Topic, query: dict[str, str]
+    ) -> None:
+        keys = sorted(
+            key for key in topic.newest_by_key if key > query.get("after", "")
+        )
+        items = []
+        for key in keys[:PAGE_ITEMS]:
+            offset, value = topic.newest_by_key[key]
+            text = base64.b64encode(value).decode()
+            items.append({"key": key, "value": text, "offset": offset})
+        is_truncated = len(keys) > PAGE_ITEMS
+        await request.reply(
+            200, {"items": items, "truncated": is_truncated, "end": topic.end}
+        )
+
+    async def _failed(self, request: Request) -> bool:
+        if self.faults.silent:
+            await request.wait_closed()
+            return True
+        if self.faults.outage or self.faults.busy:
+            status = 503 if self.faults.outage else 429
+            await request.reply(status, {"error": "fault"})
+            return True
+        return False
--- /dev/null
+++ b/tests/core/engine_model.py
@@ -0,0 +1,224 @@
+"""Model of a pool of engines and of its callers, in simulated time.
+
+An engine reads prompts one after the other in order of arrival, at a fixed
+rate, and keeps the shared parts that fit into its memory. A request leaves its
+engine a fixed time after its prompt was read.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from lacewingspar_core.admission_events import (
+    Admission,
+    AdmissionDecision,
+    AdmissionKey,
+    Declined,
+    Granted,
+    RunOutcome,
+)
+from lacewingspar_core.directory import UpstreamEntry, UpstreamState
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.prefix_memory import PrefixMemory, PromptPart
+from lacewingspar_core.routing import EngineProfile, UpstreamService
+
+HOLDER = RouterLife("router", 1)
+PROFILE = EngineProfile(
+    slots=64,
+    memory_tokens=500_000,
+    token_bytes=0,
+    link_bytes_per_second=0.0,
+)
+SERVICE = UpstreamService("models", 100, PROFILE)
+READ_TOKENS_PER_SECOND = 80_000.0
+WRITE_SECONDS = 0.8
+AIM_SECONDS = 0.4
+DEADLINE_SECONDS = 8.0
+
+
+def entry(
+    upstream_id: str, data_centre: str = "dc", slots: int = 64
+) -> UpstreamEntry:
+    return UpstreamEntry(
+        upstream_id=upstream_id,
+        service="models",
+        address="10.0.0.1:80",
+        data_centre=data_centre,
+        slots=slots,
+        state=UpstreamState.READY,
+        born_ms=1,
+        sequence=1,
+        cold_seconds=0.0,
+    )
+
+
+def admission(
+    number: int,
+    now: float,
+    workspace: str = "w",
+    shared: tuple[PromptPart, ...] = (),
+    tokens: int = 2000,
+    **changes: Any,
+) -> Admission:
+    values: dict[str, Any] = {
+        "key": AdmissionKey(HOLDER, number),
+        "workspace": workspace,
+        "data_centre": "dc",
+        "shared_parts": shared,
+        "own_tokens": tokens,
+        "output_tokens": 0,
+        "priority": 1,
+        "arrived_at": now,
+        "aim_at": now + AIM_SECONDS,
+        "deadline_at": now + DEADLINE_SECONDS,
+    }
+    return Admission(**values | changes)
+
+
+@dataclass(slots=True)
+class Engine:
+    """One engine."""
+
+    free_at: float = 0.0
+    memory: PrefixMemory = field(
+        default_factory=lambda: PrefixMemory(PROFILE.memory_tokens)
+    )
+    shared_tokens_read: int = 0
+
+    def read(self, request: Admission, now: float) -> float:
+        """Return when the prompt has been read."""
+        held = self.memory.held_tokens(request.shared_parts)
+        shared = request.prompt_tokens - request.own_tokens
+        self.shared_tokens_read += shared - held
+        self.memory.note_use(request.shared_parts)
+        tokens = request.prompt_tokens - held
+        begin = max(now, self.free_at)
+        self.free_at = begin + tokens / READ_TOKENS_PER_SECOND
+        return self.free_at
+
+
+@dataclass(slots=True)
+class Served:
+    """What the callers of one workspace got."""
+
+    asked: int = 0
+    in_aim: int = 0
+    late: int = 0
+    declined: int = 0
+    longest_decline_seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class Request:
+    """A request of the load."""
+
+    at: float
+    workspace: str
+    shared: tuple[PromptPart, ...]
+    tokens: int
+
+
+def poisson(
+    generator: random.Random,
+    rate: float,
+    seconds: float,
+    workspace: str,
+    shared_keys: int,
+    tokens: int,
+    start: float = 0.0,
+) -> Iterator[Request]:
+    """Yield requests whose prompts begin with one of some shared parts."""
+    now = start
+    while True:
+        now += generator.expovariate(rate)
+        if now >= start + seconds:
+            return
+        part = PromptPart(generator.randrange(shared_keys), 5000)
+        yield Request(now, workspace, (part,), tokens)
+
+
+class Play:
+    """Plays a load against the admission to a pool.
+
+    Args:
+        engines: Number of engines.
+    """
+
+    def __init__(self, engines: int) -> None:
+        self.pool = PoolAdmission("models/0")
+        self.engine_by_id = {f"e{n}": Engine() for n in range(engines)}
+        self.pool.set_upstreams(
+            {name: entry(name) for name in self.engine_by_id},
+            SERVICE,
+            READ_TOKENS_PER_SECOND,
+            0.0,
+        )
+        self.served_by_workspace: dict[str, Served] = {}
+        self._admission_by_key: dict[AdmissionKey, Admission] = {}
+        self._events: list[tuple[float, int, str, Any]] = []
+        self._order = itertools.count()
+
+    def run(self, load: list[Request]) -> dict[str, Served]:
+        """Play a load to its end."""
+        for number, request in enumerate(sorted(load, key=lambda r: r.at)):
+            self._push(request.at, "ask", (number, request))
+        last = max(request.at for request in load) + DEADLINE_SECONDS
+        for step in range(int(last * 10)):
+            self._push(step / 10, "tick", None)
+        while self._events:
+            now, _, kind, value = heapq.heappop(self._events)
+            self._handle(kind, value, now)
+        return self.served_by_workspace
+
+    def _push(self, at: float, kind: str, value: Any) -> None:
+        heapq.heappush(self._events, (at, next(self._order), kind, value))
+
+    def _handle(self, kind: str, value: Any, now: float) -> None:
+        match kind:
+            case "ask":
+                number, request = value
+                wish = admission(
+                    number,
+                    now,
+                    request.workspace,
+                    request.shared,
+                    request.tokens,
+                )
+                self._admission_by_key[wish.key] = wish
+                self._served(wish).asked += 1
+                self._apply(self.pool.ask(wish, now), now)
+            case "first":
+                wish = self._admission_by_key[value]
+                served = self._served(wish)
+                if now <= wish.aim_at:
+                    served.in_aim += 1
+                else:
+                    served.late += 1
+                self._push(now + WRITE_SECONDS, "end", value)
+                self._apply(self.pool.note_first_part(value, now), now)
+            case "end":
+                outcome = RunOutcome.COMPLETED
+                self._apply(self.pool.end(value, outcome, now), now)
+            case "tick":
+                self._apply(self.pool.tick(now), now)
+
+    def _apply(self, decisions: list[AdmissionDecision], now: float) -> None:
+        for decision in decisions:
+            wish = self._admission_by_key[decision.key]
+            match decision:
+                case Granted(key, upstream_id, _):
+                    engine = self.engine_by_id[upstream_id]
+                    self._push(engine.read(wish, now), "first", key)
+                case Declined():
+                    served = self._served(wish)
+                    served.declined += 1
+                    served.longest_decline_seconds = max(
+                        served.longest_decline_seconds, now - wish.arrived_at
+                    )
+
+    def _served(self, wish: Admission) -> Served:
+        return self.served_by_workspace.setdefault(wish.workspace, Served())
--- /dev/null
+++ b/tests/core/test_attempt_rules.py
@@ -0,0 +1,42 @@
+"""What follows when an attempt has ended."""
+
+import pytest
+
+from lacewingspar_core.attempt_rules import AttemptHistory, AttemptResult
+
+Result = AttemptResult
+
+
+@pytest.mark.parametrize(
+    ("results", "may_run_again", "limit", "expected", "may_have_run"),
+    [
+        ([Result.ANSWERED], True, 3, False, True),
+        ([Result.NOT_RUN], False, 2, True, False),
+        ([Result.NOT_RUN], False, 1, False, False),
+        ([Result.WRONG_UPSTREAM], False, 2, True, False),
+        ([Result.UNREACHABLE], False, 1, True, False),
+        ([Result.UNREACHABLE] * 3, False, 1, True, False),
+        ([Result.UNREACHABLE] * 4, False, 1, False, False),
+        ([Result.BROKEN], False, 3, False, True),
+        ([Result.BROKEN], True, 2, True, True),
+        ([Result.BROKEN] * 2, True, 2, False, True),
+        ([Result.INVALID], False, 3, False, True),
+        ([Result.SILENT], True, 2, True, True),
+        ([Result.UPSTREAM_FAILURE], True, 2, True, True),
+        ([Result.UPSTREAM_FAILURE], False, 2, False, True),
+        ([Result.BROKEN, Result.NOT_RUN], True, 2, False, True),
+    ],
+)
+def test_what_may_be_tried_again(
+    results: list[AttemptResult],
+    may_run_again: bool,
+    limit: int,
+    expected: bool,
+    may_have_run: bool,
+) -> None:
+    """Guards against second runs and false statements that none took place."""
+    history = AttemptHistory(may_run_again, limit)
+    for number, result in enumerate(results):
+        history.note(result, f"u{number}")
+    assert history.may_try_again(results[-1]) is expected
+    assert history.may_have_run is may_have_run
--- /dev/null
+++ b/tests/core/test_directory.py
@@ -0,0 +1,105 @@
+"""Directory of upstreams: order of reports, lapses and late copies."""
+
+from dataclasses import replace
+
+import pytest
+
+from lacewingspar_core.directory import (
+    LAPSE_GRACE_SECONDS,
+    ChangeKind,
+    DirectoryChange,
+    UpstreamDirectory,
+    UpstreamEntry,
+    UpstreamState,
+)
+
+ENTRY = UpstreamEntry(
+    upstream_id="u1",
+    service="s",
+    address="10.0.0.1:80",
+    data_centre="dc",
+    slots=4,
+    state=UpstreamState.READY,
+    born_ms=1000,
+    sequence=5,
+    cold_seconds=0.0,
+)
+DRAINING = replace(ENTRY, state=UpstreamState.DRAINING, sequence=6)
+
+
+def kind_of(change: DirectoryChange | None) -> ChangeKind | None:
+    return None if change is None else change.kind
+
+
+@pytest.mark.parametrize(
+    ("entry", "expected"),
+    [
+        (ENTRY, None),
+        (replace(ENTRY, sequence=4), None),
+        (replace(ENTRY, sequence=6), None),
+        (DRAINING, ChangeKind.CHANGED),
+        (replace(ENTRY, sequence=6, slots=2), ChangeKind.CHANGED),
+        (replace(ENTRY, born_ms=999, sequence=9), None),
+        (replace(ENTRY, born_ms=1001, sequence=0), ChangeKind.RESTARTED),
+    ],
+)
+def test_only_newer_reports_count(
+    entry: UpstreamEntry, expected: ChangeKind | None
+) -> None:
+    """Guards against late reports that bring a leaving upstream back."""
+    directory = UpstreamDirectory()
+    assert kind_of(directory.apply(ENTRY)) is ChangeKind.ADDED
+    assert kind_of(directory.apply(entry)) is expected
+
+
+def test_draining_upstream_gets_no_new_work_and_no_late_report_revives_it() -> (
+    None
+):
+    directory = UpstreamDirectory()
+    directory.apply(DRAINING)
+    assert directory.usable("s") == {}
+    assert directory.entry_by_id == {"u1": DRAINING}
+    directory.remove("u1", 10.0, may_have_lapsed=False)
+    assert directory.apply(replace(ENTRY, sequence=5)) is None
+    assert directory.entry_by_id == {}
+
+
+def test_lapsed_upstream_is_kept_until_the_grace_is_over() -> None:
+    """Guards against an empty pool after an outage of the registry."""
+    directory = UpstreamDirectory()
+    directory.apply(ENTRY)
+    change = directory.remove("u1", 10.0, may_have_lapsed=True)
+    assert kind_of(change) is ChangeKind.LAPSED
+    assert set(directory.usable("s")) == {"u1"}
+    assert directory.expire(10.0 + LAPSE_GRACE_SECONDS / 2) == []
+    (gone,) = directory.expire(10.0 + LAPSE_GRACE_SECONDS)
+    assert gone.kind is ChangeKind.REMOVED
+    assert directory.usable("s") == {}
+
+
+def test_lapsed_upstream_that_reports_again_stays() -> None:
+    directory = UpstreamDirectory()
+    directory.apply(ENTRY)
+    directory.remove("u1", 10.0, may_have_lapsed=True)
+    directory.apply(replace(ENTRY, sequence=7))
+    assert directory.expire(20.0) == []
+    assert set(directory.usable("s")) == {"u1"}
+
+
+def test_draining_upstream_does_not_lapse() -> None:
+    """Guards against new work for an upstream that has left."""
+    directory = UpstreamDirectory()
+    directory.apply(DRAINING)
+    change = directory.remove("u1", 10.0, may_have_lapsed=True)
+    assert kind_of(change) is ChangeKind.REMOVED
+
+
+def test_listing_removes_what_it_lacks() -> None:
+    directory = UpstreamDirectory()
+    directory.apply(ENTRY)
+    other = replace(ENTRY, upstream_id="u2")
+    changes = directory.replace_all({"u2": other}, 1.0, may_have_lapsed=False)
+    assert [(item.kind, item.entry.upstream_id) for item in changes] == [
+        (ChangeKind.ADDED, "u2"),
+        (ChangeKind.REMOVED, "u1"),
+    ]
--- /dev/null
+++ b/tests/core/test_pool_admission.py
@@ -0,0 +1,213 @@
+"""Admission to a pool: rules one by one, then loads and what callers get."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from tests.core.engine_model import (
+    HOLDER,
+    READ_TOKENS_PER_SECOND,
+    SERVICE,
+    Play,
+    admission,
+    entry,
+    poisson,
+)
+
+from lacewingspar_core.admission_events import (
+    AdmissionDecision,
+    Declined,
+    Granted,
+    Queued,
+    RunOutcome,
+)
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.prefix_memory import PromptPart
+from lacewingspar_core.routing import UpstreamService
+from lacewingspar_core.upstream_load import ActiveRun
+
+PART = PromptPart(7, 5000)
+LARGE = 60_000
+
+
+def make_pool(*upstream_ids: str) -> PoolAdmission:
+    pool = PoolAdmission("models/0")
+    entries = {name: entry(name) for name in upstream_ids}
+    pool.set_upstreams(entries, SERVICE, READ_TOKENS_PER_SECOND, 0.0)
+    return pool
+
+
+def upstream_of(decisions: list[AdmissionDecision]) -> str:
+    (granted,) = [item for item in decisions if isinstance(item, Granted)]
+    return granted.upstream_id
+
+
+def test_prompts_with_a_shared_part_go_where_it_was_read() -> None:
+    """Guards against shared parts that every engine reads."""
+    pool = make_pool("a", "b", "c")
+    used = set()
+    for number in range(6):
+        wish = admission(number, float(number), shared=(PART,))
+        used.add(upstream_of(pool.ask(wish, float(number))))
+        pool.note_first_part(wish.key, number + 0.1)
+        pool.end(wish.key, RunOutcome.COMPLETED, number + 0.5)
+    assert len(used) == 1
+
+
+def test_owners_that_follow_each_other_choose_the_same_engine() -> None:
+    """Guards against a cold start of all engines at a change of owner."""
+    wishes = [
+        admission(n, 0.0, shared=(PromptPart(n, 5000),)) for n in range(9)
+    ]
+
+    def homes() -> list[str]:
+        return [
+            upstream_of(make_pool("a", "b", "c").ask(wish, 0.0))
+            for wish in wishes
+        ]
+
+    assert homes() == homes()
+    assert len(set(homes())) == 3
+
+
+def test_full_engines_make_requests_wait_and_the_next_room_is_granted() -> None:
+    pool = make_pool("a")
+    assert upstream_of(pool.ask(admission(1, 0.0, tokens=LARGE), 0.0)) == "a"
+    (queued,) = pool.ask(admission(2, 0.0), 0.0)
+    assert isinstance(queued, Queued)
+    assert upstream_of(pool.note_first_part(admission(1, 0.0).key, 0.2)) == "a"
+
+
+def test_repeated_question_is_answered_again() -> None:
+    """Guards against a second grant after a lost reply."""
+    pool = make_pool("a")
+    wish = admission(1, 0.0)
+    assert upstream_of(pool.ask(wish, 0.0)) == "a"
+    assert upstream_of(pool.ask(wish, 0.1)) == "a"
+    assert pool.running == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"excluded": frozenset("a")}, "no_upstream"),
+        ({"deadline_at": 0.05}, "deadline_unreachable"),
+    ],
+)
+def test_hopeless_requests_are_declined_at_once(
+    change: dict[str, object], reason: str
+) -> None:
+    (decision,) = make_pool("a").ask(admission(1, 0.0, **change), 0.0)
+    assert isinstance(decision, Declined)
+    assert decision.reason == reason
+    assert decision.retry_after_seconds > 0
+
+
+def test_unreachable_upstream_is_left_out_until_its_block_ends() -> None:
+    pool = make_pool("a", "b")
+    wish = admission(1, 0.0, shared=(PART,))
+    home = upstream_of(pool.ask(wish, 0.0))
+    pool.end(wish.key, RunOutcome.NOT_RUN, 0.0)
+    pool.note_unreachable(home, 0.0)
+    other = admission(2, 0.0, shared=(PART,))
+    assert upstream_of(pool.ask(other, 0.0)) != home
+
+
+def test_pool_without_trusted_upstreams_still_tries() -> None:
+    """Guards against an outage that outlasts its cause."""
+    pool = make_pool("a")
+    pool.note_unreachable("a", 0.0)
+    assert upstream_of(pool.ask(admission(1, 0.0), 0.0)) == "a"
+
+
+def test_new_owner_learns_of_runs_and_drops_those_that_ended() -> None:
+    pool = make_pool("a")
+    key = admission(1, 0.0).key
+    run = ActiveRun(key, "a", LARGE, LARGE, 8.0, 0.0)
+    pool.reconcile(HOLDER, [run], 0.0)
+    assert pool.running == 1
+    (queued,) = pool.ask(admission(2, 0.0), 0.0)
+    assert isinstance(queued, Queued)
+    decisions = pool.reconcile(HOLDER, [], 2.0)
+    assert upstream_of(decisions) == "a"
+
+
+def test_requests_of_a_router_that_is_gone_are_dropped() -> None:
+    pool = make_pool("a")
+    pool.ask(admission(1, 0.0, tokens=LARGE), 0.0)
+    pool.ask(admission(2, 0.0), 0.0)
+    assert pool.forget_holder(HOLDER, 0.1) == []
+    assert (pool.running, pool.waiting) == (0, 0)
+    other = replace(admission(3, 0.1), key=admission(3, 0.1).key)
+    assert upstream_of(pool.ask(other, 0.1)) == "a"
+    pool.forget_holder(RouterLife("another", 1), 0.2)
+    assert pool.running == 1
+
+
+def test_plain_upstreams_get_no_more_calls_than_slots() -> None:
+    pool = PoolAdmission("swap/0")
+    service = UpstreamService("swap", 100, None)
+    pool.set_upstreams({"a": entry("a", slots=2)}, service, 0.0, 0.0)
+    decisions = [pool.ask(admission(n, 0.0), 0.0) for n in range(3)]
+    kinds = [type(item) for items in decisions for item in items]
+    assert kinds == [Granted, Granted, Queued]
+
+
+def test_steady_load_below_capacity_is_served_in_time() -> None:
+    """Guards against refusals and re-reads where there is room.
+
+    Load: 4 engines at 60% of their reading rate, 40 shared parts, after a
+    third of that for 3 s in which the parts are read for the first time.
+    """
+    generator = random.Random(5)
+    load = list(poisson(generator, 32.0, 3.0, "w", 40, 2000))
+    load += poisson(generator, 96.0, 20.0, "w", 40, 2000, start=3.0)
+    play = Play(4)
+    served = play.run(load)["w"]
+    assert served.declined == 0
+    assert served.in_aim >= 0.97 * served.asked
+    read = sum(item.shared_tokens_read for item in play.engine_by_id.values())
+    # Each shared part has to be read once at least; twice is the target.
+    assert read <= 2 * 40 * 5000
+
+
+def test_large_workspace_does_not_starve_small_ones() -> None:
+    """Guards against a workspace that takes the engines for itself.
+
+    Load: one workspace asks for twice what all engines can read, five small
+    ones for 4% each.
+    """
+    generator = random.Random(6)
+    load = list(poisson(generator, 320.0, 20.0, "large", 20, 2000))
+    for name in ("s1", "s2", "s3", "s4", "s5"):
+        load += poisson(generator, 6.0, 20.0, name, 20, 2000)
+    served = Play(4).run(load)
+    for name in ("s1", "s2", "s3", "s4", "s5"):
+        assert served[name].in_aim >= 0.9 * served[name].asked, name
+    large = served["large"]
+    # What the small ones leave is used: 80% of the engines, a third of what
+    # the large one asks.
+    assert large.in_aim + large.late >= 0.33 * large.asked
+
+
+def test_overload_refuses_at_once_and_keeps_the_rest_in_time() -> None:
+    """Guards against queues in which everybody comes too late.
+
+    Load: 20 equal workspaces that together ask for 1.6 times what the
+    engines can read.
+    """
+    generator = random.Random(7)
+    load = [
+        request
+        for number in range(20)
+        for request in poisson(generator, 12.8, 20.0, f"w{number}", 60, 2000)
+    ]
+    served = Play(4).run(load)
+    asked = sum(item.asked for item in served.values())
+    in_aim = sum(item.in_aim for item in served.values())
+    late = sum(item.late for item in served.values())
+    assert in_aim >= 0.5 * asked
+    assert late <= 0.1 * asked
+    shares = [item.in_aim / item.asked for item in served.values()]
+    assert min(shares) >= 0.5 * max(shares)
--- /dev/null
+++ b/tests/core/test_prefix_memory.py
@@ -0,0 +1,48 @@
+"""Model of the prompt parts that an engine holds, and the fitted line."""
+
+import pytest
+
+from lacewingspar_core.linear_fit import LinearFit
+from lacewingspar_core.prefix_memory import PrefixMemory, PromptPart
+
+A, B, C = (PromptPart(key, 100) for key in (1, 2, 3))
+
+
+@pytest.mark.parametrize(
+    ("used", "asked", "held"),
+    [
+        ([(A, B)], (A, B), 200),
+        ([(A, B)], (A, C), 100),
+        ([(A, B)], (B,), 100),
+        ([(A, B)], (C, A), 0),
+        ([(A,), (B,), (C,)], (A,), 0),
+        ([(A, B), (A, C)], (A, B), 100),
+    ],
+)
+def test_held_parts_are_the_leading_ones_last_used(
+    used: list[tuple[PromptPart, ...]],
+    asked: tuple[PromptPart, ...],
+    held: int,
+) -> None:
+    """Guards against parts that count as held after they were pushed out."""
+    memory = PrefixMemory(200)
+    for parts in used:
+        memory.note_use(parts)
+    assert memory.held_tokens(asked) == held
+
+
+def test_restart_forgets_all() -> None:
+    memory = PrefixMemory(200)
+    memory.note_use((A, B))
+    memory.clear()
+    assert memory.held_tokens((A, B)) == 0
+
+
+def test_fit_finds_the_line_behind_a_wrong_prior() -> None:
+    fit = LinearFit(slope=1e-3, intercept=0.0, prior_x=1000.0)
+    for step in range(400):
+        tokens = float(step % 10 * 1000)
+        fit.add(tokens, 0.04 + tokens / 80_000)
+    assert fit.slope == pytest.approx(1 / 80_000, rel=0.01)
+    assert fit.intercept == pytest.approx(0.04, rel=0.02)
+    assert fit.at(8000.0) == pytest.approx(0.14, rel=0.01)
--- /dev/null
+++ b/tests/core/test_retry_allowance.py
@@ -0,0 +1,50 @@
+"""Second sends of all routers together stay within the fleet's bound."""
+
+import random
+
+import pytest
+
+from lacewingspar_core.retry_allowance import RetryAllowance, RetryBound
+
+BOUND = RetryBound(ratio=0.2, window_seconds=10.0, allowance=54.0)
+
+
+@pytest.mark.parametrize("routers", [1, 7, 10, 87])
+@pytest.mark.parametrize("rate", [0.0, 20.0, 200.0])
+def test_fleet_keeps_its_bound(routers: int, rate: float) -> None:
+    """Guards against a retry storm when every upstream fails.
+
+    Load: requests at a steady rate over the fleet, unevenly spread; every
+    one fails and asks for a second send at each router as often as it can.
+    """
+    generator = random.Random(1)
+    allowances = [RetryAllowance(BOUND) for _ in range(routers)]
+    weights = [generator.random() for _ in range(routers)]
+    requests: list[float] = []
+    retries: list[float] = []
+    for step in range(300):
+        now = step * 0.1
+        for _ in range(round(rate * 0.1)):
+            generator.choices(allowances, weights)[0].note_request(now)
+            requests.append(now)
+        for allowance in allowances:
+            while allowance.take(routers, now):
+                retries.append(now)
+    for end in (10.0, 15.0, 20.0, 29.9):
+        in_window = [t for t in retries if end - 10.0 < t <= end]
+        asked = [t for t in requests if end - 10.0 < t <= end]
+        assert len(in_window) <= 0.2 * len(asked) + 54
+        # Half of the bound is used at least where one router can use it.
+        if routers == 1:
+            assert len(in_window) >= 0.08 * len(asked) + 20
+
+
+def test_restarted_routers_do_not_break_the_bound() -> None:
+    """Guards against restarts that each bring a new allowance."""
+    retries = 0
+    for _ in range(2):
+        allowances = [RetryAllowance(BOUND) for _ in range(7)]
+        for allowance in allowances:
+            while allowance.take(7, 1.0):
+                retries += 1
+    assert retries <= 54
--- /dev/null
+++ b/tests/router/deployed/conftest.py
@@ -0,0 +1,257 @@
+"""A small deployment in one process: store, upstreams and routers."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.messages import (
+    Response,
+    ResponseEnd,
+    ResponseHead,
+)
+from lacewingspar_router.main import setup_functions
+from lacewingspar_router.settings import PlatformSettings, Settings
+from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
+from lacewingspar_standins.deployed.upstream import Upstream
+from lacewingspar_standins.ports import PortReservations
+from lacewingspar_standins.server import running
+
+KEY = "key-of-alpha"
+HOST = "calls.example"
+LIMITS: dict[str, Any] = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 100_000,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+    "tokensPerS": 150_000,
+}
+
+
+def route(prefix: str, kind: str, service: str, **changes: Any) -> Any:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "maxAttempts": 2,
+        "public": False,
+        "resumable": False,
+        "gapAimMs": 300,
+    } | changes
+
+
+def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
+    engine = {
+        "slots": 8,
+        "kvTokens": 100_000,
+        "kvBytes": 1000,
+        "linkMbps": 1000.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("/stream/", "streaming", "engines", resumable=True),
+            route("/stream-once/", "streaming", "engines"),
+            route("/read/", "idempotent", "plain"),
+            route("/write/", "non_idempotent", "plain"),
+            route("/open/", "idempotent", "plain", public=True),
+        ],
+        "services": [
+            {"name": "engines", "maxConnections": 100, "engine": engine},
+            {"name": "plain", "maxConnections": 100},
+        ],
+        "limits": LIMITS,
+        "tenants": [{"name": "alpha", "apiKeys": [KEY]}],
+    } | changes
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer as the caller has seen it.
+
+    Attributes:
+        status: Status, or 0 without an answer.
+        headers: Headers.
+        body: Body as far as it came.
+        is_complete: Whether its end came.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    is_complete: bool = False
+
+
+class Caller:
+    """Sends requests to one router."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    async def call(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"",
+        budget_ms: int = 3000,
+        key: str | None = KEY,
+        host: str = HOST,
+        **headers: str,
+    ) -> Answer:
+        """Send one request on a connection of its own."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {host}",
+            f"X-Time-Budget-Ms: {budget_ms}",
+            f"Content-Length: {len(body)}",
+        ]
+        headers.setdefault("x_attempt_id", f"a{next(self.ids)}")
+        if key is not None:
+            lines.append(f"Authorization: Token {key}")
+        lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
+        return await self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def send(self, data: bytes) -> Answer:
+        """Send bytes and return the answer."""
+        connection = await async_connect(self.address)
+        connection.send(data)
+        answer = Answer()
+        try:
+            while True:
+                match await connection.next_event():
+                    case ResponseHead(status, pairs):
+                        answer.status = status
+                        answer.headers = {
+                            name.decode(): value.decode()
+                            for name, value in pairs
+                        }
+                    case ResponseEnd():
+                        answer.is_complete = True
+                        return answer
+                    case bytes() as part:
+                        answer.body += part
+        except Exception:
+            return answer
+        finally:
+            connection.abort()
+
+
+class Deployment:
+    """Store, upstreams and routers of one test."""
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self._stack = stack
+        self.store = PlatformStore(StoreFaults())
+        self.store_address = ""
+        self.upstream_by_id: dict[str, Upstream] = {}
+        self.apps: list[Application] = []
+        self._sequences = itertools.count(1)
+        self._ports = PortReservations()
+        stack.callback(self._ports.close)
+
+    async def async_start(self) -> None:
+        self.store_address = await self._stack.enter_async_context(
+            running(self.store)
+        )
+
+    def publish(self, value: dict[str, Any]) -> None:
+        """Write the operators' configuration."""
+        data = msgspec.json.encode(value)
+        self.store.topic("keyed.op").append("config", data)
+
+    async def add_upstream(
+        self, upstream_id: str, service: str, **options: Any
+    ) -> Upstream:
+        """Start and register an upstream."""
+        upstream = Upstream(upstream_id, **options)
+        await upstream.async_start()
+        self._stack.push_async_callback(upstream.async_stop)
+        self.upstream_by_id[upstream_id] = upstream
+        self.register(upstream_id, service)
+        return upstream
+
+    def register(
+        self, upstream_id: str, service: str, state: str = "ready"
+    ) -> None:
+        """Write the entry of an upstream."""
+        entry = {
+            "service": service,
+            "address": self.upstream_by_id[upstream_id].address,
+            "zone": "dc-a",
+            "slots": 8,
+            "state": state,
+            "sequence": next(self._sequences),
+            "born": 1,
+            "coldRemainingMs": 0,
+        }
+        self.store.topic("keyed.servers").append(
+            upstream_id, msgspec.json.encode(entry)
+        )
+
+    async def add_router(self, name: str = "r1", **changes: Any) -> Caller:
+        """Start a router and return a caller of it."""
+        addresses = [self._ports.reserve() for _ in range(4)]
+        platform: dict[str, Any] = {"stop_grace_seconds": 2.0}
+        settings = Settings(
+            router_id=name,
+            data_centre="dc-a",
+            caller_address=addresses[0],
+            admin_address=addresses[1],
+            peer_address=addresses[2],
+            admin_token_sha256="0" * 64,
+            log_service_url=f"http://{self.store_address}",
+            vm_list_url=f"http://{self.store_address}",
+            platform=PlatformSettings(
+                metrics_address=addresses[3], **(platform | changes)
+            ),
+        )
+        app = Application(settings)
+        self.apps.append(app)
+        self._stack.push_async_callback(app.async_stop)
+        start = asyncio.create_task(app.async_start(setup_functions(settings)))
+        self._stack.callback(start.cancel)
+        await asyncio.wait({start}, timeout=1.0)
+        return Caller(addresses[0])
+
+
+@pytest.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    async with AsyncExitStack() as stack:
+        made = Deployment(stack)
+        await made.async_start()
+        yield made
+
+
+@pytest.fixture
+async def served(deployment: Deployment) -> Deployment:
+    """Return a deployment with two upstreams of each service."""
+    deployment.publish(manifest())
+    for name in ("e1", "e2"):
+        await deployment.add_upstream(name, "engines")
+    for name in ("p1", "p2"):
+        await deployment.add_upstream(name, "plain")
+    return deployment
+
+
+async def until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+__all__ = ["Answer", "Caller", "Deployment", "Response", "manifest", "until"]
--- /dev/null
+++ b/tests/router/deployed/test_forwarding.py
@@ -0,0 +1,349 @@
+"""Requests through a router, and what upstreams and callers see."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from tests.router.deployed.conftest import (
+    KEY,
+    Caller,
+    Deployment,
+    manifest,
+    route,
+    until,
+)
+
+from lacewingspar_standins.deployed.upstream import SEAL
+
+STREAM = b"".join(
+    b"id: %d\ndata: event %d\n\n" % (number, number) for number in range(1, 6)
+)
+
+
+def upstreams(deployment: Deployment, service: str) -> list[Any]:
+    letter = service[0]
+    return [
+        item
+        for name, item in deployment.upstream_by_id.items()
+        if name.startswith(letter)
+    ]
+
+
+def total_runs(deployment: Deployment) -> int:
+    return sum(item.runs.total() for item in deployment.upstream_by_id.values())
+
+
+async def test_request_and_answer_pass_unchanged(served: Deployment) -> None:
+    """Guards against changed requests, a shown key and a forged workspace."""
+    caller = await served.add_router()
+    answer = await caller.call(
+        "/write/a%20b?c=1",
+        body=b"body",
+        x_attempt_id="id-1",
+        x_tenant="forged",
+        x_hold="forged",
+        kv_from="forged",
+        x_custom="kept",
+    )
+    assert answer.status == 200
+    assert answer.headers["x-server-seal"] == SEAL
+    assert answer.headers["x-attempt-id"] == "id-1"
+    (upstream,) = [item for item in upstreams(served, "p") if item.runs]
+    assert answer.body == b"answer of " + upstream.upstream_id.encode()
+    (request,) = upstream.received
+    assert request.method == "POST"
+    assert request.target == "/write/a%20b?c=1"
+    assert request.body == b"body"
+    headers = request.value_by_header
+    assert headers["x-tenant"] == "alpha"
+    assert headers["x-expect-instance"] == upstream.upstream_id
+    assert headers["x-custom"] == "kept"
+    assert 0 < int(headers["x-time-budget-ms"]) <= 3000
+    assert not {"authorization", "x-hold", "kv-from"} & headers.keys()
+
+
+@pytest.mark.parametrize(
+    ("path", "options", "status"),
+    [
+        ("/none/", {}, 404),
+        ("/read/", {"host": "other.example"}, 404),
+        ("/read/", {"key": None}, 401),
+        ("/read/", {"key": "wrong"}, 401),
+        ("/open/", {"key": None}, 200),
+        ("/read/", {"host": "CALLS.example:80"}, 200),
+    ],
+)
+async def test_route_and_key_decide(
+    served: Deployment, path: str, options: dict[str, Any], status: int
+) -> None:
+    caller = await served.add_router()
+    answer = await caller.call(path, "GET", **options)
+    assert answer.status == status
+    assert total_runs(served) == (status == 200)
+
+
+async def test_router_without_configuration_says_so(
+    deployment: Deployment,
+) -> None:
+    """Guards against 401 and 404 from a router that knows nothing yet."""
+    caller = await deployment.add_router()
+    answer = await caller.call("/read/", "GET")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+NOT_RUN = {"refuse": True}
+WRONG = {"is_other_upstream": True}
+
+
+@pytest.mark.parametrize(
+    ("path", "faults", "status", "runs"),
+    [
+        # What did not run goes elsewhere, also where it must run once.
+        ("/write/", NOT_RUN, 200, 1),
+        ("/write/", WRONG, 200, 1),
+        ("/read/", NOT_RUN, 200, 1),
+        # What may have run is repeated only where that is allowed.
+        ("/write/", {"unframed": True, "reset_unframed": True}, 502, 1),
+        ("/read/", {"unframed": True, "reset_unframed": True}, 200, 2),
+        ("/write/", {"refuse_silently": True}, 502, 0),
+        ("/read/", {"refuse_silently": True}, 200, 1),
+        ("/write/", {"no_seal": True}, 502, 1),
+        ("/read/", {"encoding": "gzip"}, 200, 2),
+        # The upstream's own failures are passed on.
+        ("/write/", {"status": 500}, 500, 1),
+        ("/read/", {"status": 500}, 200, 2),
+        ("/write/", {"status": 400}, 400, 1),
+        # Framing does not matter.
+        ("/write/", {"unframed": True}, 200, 1),
+        ("/write/", {"extra_answer": True}, 200, 1),
+        ("/write/", {"stray_id": True}, 200, 1),
+    ],
+)
+async def test_faults_of_one_upstream(
+    served: Deployment,
+    path: str,
+    faults: dict[str, Any],
+    status: int,
+    runs: int,
+) -> None:
+    """Guards against second runs, false answers and needless failures."""
+    caller = await served.add_router()
+    first = (await caller.call(path)).body.decode().rpartition(" ")[2]
+    chosen = served.upstream_by_id[first]
+    for name, value in faults.items():
+        setattr(chosen.faults, name, value)
+    before = total_runs(served)
+    answer = await caller.call(path)
+    assert answer.status == status
+    assert total_runs(served) - before == runs
+    if status == 200:
+        assert answer.is_complete
+        assert answer.body.startswith(b"answer of p")
+
+
+async def test_extra_answers_reach_nobody(served: Deployment) -> None:
+    """Guards against an answer that goes to the next request."""
+    caller = await served.add_router()
+    for upstream in upstreams(served, "p"):
+        upstream.faults.extra_answer = True
+    for _ in range(10):
+        answer = await caller.call("/write/")
+        assert answer.body.startswith(b"answer of p")
+
+
+async def test_all_upstreams_refuse(served: Deployment) -> None:
+    caller = await served.add_router()
+    for upstream in upstreams(served, "p"):
+        upstream.faults.refuse = True
+    answer = await caller.call("/write/")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert total_runs(served) == 0
+
+
+async def test_stream_passes_in_order(served: Deployment) -> None:
+    caller = await served.add_router()
+    answer = await caller.call("/stream/1")
+    assert (answer.status, answer.body) == (200, STREAM)
+    assert answer.is_complete
+
+
+@pytest.mark.parametrize("after", [0, 1, 4])
+@pytest.mark.parametrize("cut_event", [False, True])
+async def test_resumable_stream_goes_on_elsewhere(
+    served: Deployment, after: int, cut_event: bool
+) -> None:
+    """Guards against missing, doubled and half events."""
+    caller = await served.add_router()
+    first, second = upstreams(served, "e")
+    first.faults.break_after_events = after
+    first.faults.cut_event = cut_event
+    for _ in range(8):
+        answer = await caller.call("/stream/1")
+        assert (answer.status, answer.body) == (200, STREAM)
+        assert answer.is_complete
+        if first.runs and second.runs:
+            break
+    assert first.runs
+
+
+@pytest.mark.parametrize(("after", "status"), [(0, 502), (2, 200)])
+async def test_broken_stream_never_looks_complete(
+    served: Deployment, after: int, status: int
+) -> None:
+    caller = await served.add_router()
+    for upstream in upstreams(served, "e"):
+        upstream.faults.break_after_events = after
+    answer = await caller.call("/stream-once/1")
+    assert answer.status == status
+    assert total_runs(served) == 1
+    if status == 200:
+        assert not answer.is_complete
+        assert STREAM.startswith(answer.body)
+
+
+async def test_caller_resumes_by_event_id(served: Deployment) -> None:
+    caller = await served.add_router()
+    answer = await caller.call("/stream/1", last_event_id="3")
+    assert answer.body == STREAM[STREAM.index(b"id: 4") :]
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/stream-once/1", "/read/"])
+async def test_caller_that_leaves_ends_the_run(
+    served: Deployment, path: str
+) -> None:
+    """Guards against upstreams that work for nobody."""
+    caller = await served.add_router()
+    for upstream in served.upstream_by_id.values():
+        upstream.pause_seconds = 5.0
+    call = asyncio.create_task(caller.call(path))
+    running = served.upstream_by_id.values()
+    await until(lambda: any(item.running for item in running))
+    call.cancel()
+    await until(lambda: not any(item.running for item in running), 0.5)
+
+
+@pytest.mark.parametrize(
+    ("path", "budget_ms", "status"),
+    [("/write/", 300, 504), ("/stream-once/1", 300, 504), ("/read/", 300, 504)],
+)
+async def test_answer_comes_at_the_deadline(
+    served: Deployment, path: str, budget_ms: int, status: int
+) -> None:
+    caller = await served.add_router()
+    for upstream in served.upstream_by_id.values():
+        upstream.faults.mute = True
+    begin = asyncio.get_running_loop().time()
+    answer = await caller.call(path, budget_ms=budget_ms)
+    assert answer.status == status
+    assert asyncio.get_running_loop().time() - begin < budget_ms / 1000 + 0.25
+
+
+async def test_silent_upstream_is_left_for_another(served: Deployment) -> None:
+    """Guards against callers that wait for an upstream which hangs."""
+    caller = await served.add_router()
+    upstreams(served, "e")[0].faults.mute = True
+    for _ in range(3):
+        answer = await caller.call("/stream/1")
+        assert answer.body == STREAM
+
+
+async def test_dead_upstream_costs_no_request(served: Deployment) -> None:
+    caller = await served.add_router()
+    await upstreams(served, "p")[0].async_stop()
+    for _ in range(5):
+        assert (await caller.call("/write/")).status == 200
+
+
+async def test_timeout_of_the_route_ends_the_wait(
+    deployment: Deployment,
+) -> None:
+    slow = route("/slow/", "idempotent", "plain", timeoutMs=200)
+    deployment.publish(manifest(routes=[slow]))
+    upstream = await deployment.add_upstream("p1", "plain")
+    upstream.faults.mute = True
+    caller = await deployment.add_router()
+    begin = asyncio.get_running_loop().time()
+    assert (await caller.call("/slow/")).status == 504
+    assert asyncio.get_running_loop().time() - begin < 0.5
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GARBAGE\r\n\r\n", 400),
+        (b"GET /read/ HTTP/1.1\r\nHost a\r\n\r\n", 400),
+        (b"GET /read/ HTTP/1.1\r\nX: " + b"a" * 20000 + b"\r\n\r\n", 431),
+        (
+            b"POST /write/ HTTP/1.1\r\nHost: calls.example\r\n"
+            b"Content-Length: 200000\r\n\r\n",
+            413,
+        ),
+        (
+            b"POST /write/ HTTP/1.1\r\nHost: calls.example\r\n"
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nGET /read/ HTTP/1.1\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /write/ HTTP/1.1\r\nHost: calls.example\r\n"
+            b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd",
+            400,
+        ),
+        (b"GET http://calls.example/read/ HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+    ],
+)
+async def test_unreadable_requests_are_refused(
+    served: Deployment, data: bytes, status: int
+) -> None:
+    """Guards against requests that are smuggled inside others."""
+    caller = await served.add_router()
+    answer = await caller.send(data)
+    assert answer.status == status
+    assert total_runs(served) == 0
+    assert (await caller.call("/read/", "GET")).status == 200
+
+
+async def test_connection_is_kept_and_pipelined(served: Deployment) -> None:
+    caller = await served.add_router()
+    head = (
+        f"GET /read/ HTTP/1.1\r\nHost: calls.example\r\n"
+        f"Authorization: Token {KEY}\r\nX-Attempt-Id: %s\r\n\r\n"
+    )
+    host, _, port = caller.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write((head % "one" + head % "two").encode())
+    data = b""
+    while data.count(b"answer of p") < 2:
+        data += await asyncio.wait_for(reader.read(4096), 5.0)
+    assert data.index(b": one") < data.index(b": two")
+    writer.close()
+
+
+async def test_load_beyond_the_slots_is_refused_at_once(
+    deployment: Deployment,
+) -> None:
+    """Guards against requests that are held until their callers give up.
+
+    Load: 60 calls at once, of 0.4 s each, for 8 slots.
+    """
+    deployment.publish(manifest())
+    await deployment.add_upstream("p1", "plain", pause_seconds=0.4)
+    caller = await deployment.add_router()
+    begin = asyncio.get_running_loop().time()
+
+    async def timed(caller: Caller) -> tuple[int, float, dict[str, str]]:
+        answer = await caller.call("/write/", budget_ms=2500)
+        seconds = asyncio.get_running_loop().time() - begin
+        return answer.status, seconds, answer.headers
+
+    results = await asyncio.gather(*(timed(caller) for _ in range(60)))
+    served = [item for item in results if item[0] == 200]
+    refused = [item for item in results if item[0] == 503]
+    assert len(served) + len(refused) == 60
+    assert len(served) >= 8
+    assert all(float(item[2]["retry-after"]) > 0 for item in refused)
+    # An eighth of the waiting time that the callers have.
+    early = [item for item in refused if item[1] < 2.5 / 8]
+    assert len(early) >= 0.5 * len(refused)
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -135,7 +135,7 @@
             self.is_started.set()
 
         functions = components([port], started)
-        monkeypatch.setattr(main, "setup_functions", lambda: functions)
+        monkeypatch.setattr(main, "setup_functions", lambda _: functions)
 
     def start(self, **changes: Any) -> "asyncio.Task[int]":
         changed = settings(caller_address=self.address, **changes)
@@ -219,7 +219,7 @@
         is_asked.set()
         raise ComponentNotReadyError("no configuration")
 
-    monkeypatch.setattr(main, "setup_functions", lambda: [("x", never_ready)])
+    monkeypatch.setattr(main, "setup_functions", lambda _: [("x", never_ready)])
     run = asyncio.create_task(main.async_run(settings()))
     await is_asked.wait()
     signal.raise_signal(signal.SIGTERM)
