--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -82,13 +82,15 @@
 async def _async_drain(
     app: Application, callers: Http1Server, handler: CallHandler
 ) -> None:
-    """Serve until no more requests come, then finish those under way."""
+    """Serve until no more requests come, then finish those under way.
+
+    Requests that come later are refused, and not left without an answer.
+    """
     assert app.settings.platform is not None
     grace = app.settings.platform.stop_grace_seconds
     callers.is_closing_connections = True
     await asyncio.sleep(const.ACCEPT_GRACE_FRACTION * grace)
     handler.accepts_requests = False
-    callers.stop_listening()
     callers.close_idle()
     _LOGGER.info("requests under way", count=callers.busy_connections)
     while callers.busy_connections:  # noqa: ASYNC110
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -21,6 +21,7 @@
 # Callers of a router without configuration come back after this long.
 NOT_READY_RETRY_SECONDS = 0.5
 # Part of the grace after the signal to stop in which new requests are still
-# taken, since the platform goes on sending them until it has noticed.
-ACCEPT_GRACE_FRACTION = 0.4
+# taken. The platform goes on sending them until it has asked twice, once a
+# second; a longer time would take streams that cannot end before the kill.
+ACCEPT_GRACE_FRACTION = 0.28
 IDLE_CHECK_SECONDS = 1.0
