--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -15,14 +15,16 @@
 )
 from lacewingspar_router.components.routing.registration import Registration
 from lacewingspar_router.components.routing.relay import StateRelay
-from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_router.components.routing.state import (
+    ORIGIN_LOG,
+    RoutingState,
+)
 
 
 async def async_setup(app: Application) -> None:
     """Follow the shared topics and register this router."""
     source = app.get(ROUTING_SOURCE)
-    assert app.settings.platform is not None
-    state = RoutingState(app, source, app.settings.platform.heartbeat_seconds)
+    state = RoutingState(app, source)
     app.register(ROUTING, state)
     app.get(PEERS).set_applied_offset_source(
         lambda: max(0, state.configuration_version)
@@ -59,7 +61,7 @@
         # Only the newest of several versions comes into force.
         newest = [item for item in records.records if item.key == key]
         if newest:
-            state.apply_configuration(newest[-1].value, "log")
+            state.apply_configuration(newest[-1].value, ORIGIN_LOG)
 
     return TopicFollower(
         source.configuration,
@@ -84,7 +86,7 @@
     def on_records(records: TopicRecords) -> None:
         is_cut_off.clear()
         state.apply_upstream_records(
-            records.records, records.next_offset, "log"
+            records.records, records.next_offset, ORIGIN_LOG
         )
 
     def on_failure() -> None:
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -12,9 +12,9 @@
 UPSTREAM_READ_PAUSE_SECONDS = 0.5
 # Pause after a failed read; it is drawn between half of it and all of it.
 FAILED_READ_PAUSE_SECONDS = 0.3
-# Upstreams whose entries vanish this soon after the list could not be read may
-# only have failed to renew them: three heartbeats, at which entries expire.
-LAPSE_HEARTBEATS = 3.0
+# Entries that expired during an outage of the log are among the first records
+# read after it; what vanishes later than this has left.
+LAPSE_READ_SECONDS = 1.0
 EXPIRY_CHECK_SECONDS = 0.25
 
 # A router that is behind a peer asks it for the difference after this long;
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -24,6 +24,9 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
+# Origin of records that this router has read itself.
+ORIGIN_LOG = "log"
+
 
 @dataclass(frozen=True, slots=True)
 class StoredConfiguration:
@@ -39,18 +42,11 @@
     Args:
         app: The application.
         source: Decodes the records.
-        heartbeat_seconds: Interval at which upstreams renew their entries.
     """
 
-    def __init__(
-        self,
-        app: Application,
-        source: RoutingSource,
-        heartbeat_seconds: float,
-    ) -> None:
+    def __init__(self, app: Application, source: RoutingSource) -> None:
         self._app = app
         self._source = source
-        self._lapse_seconds = const.LAPSE_HEARTBEATS * heartbeat_seconds
         self._telemetry = app.get(TELEMETRY)
         self._stored: StoredConfiguration | None = None
         self._table = RouteTable()
@@ -58,7 +54,8 @@
         self._record_by_upstream: dict[str, KeyedRecord] = {}
         self._directory_offset = -1
         self._confirmed_at = float("-inf")
-        self._failed_at = float("-inf")
+        self._is_unavailable = False
+        self._regained_at = float("-inf")
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -134,6 +131,7 @@
         entries = self._decode(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
         self._note_confirmed(listing.end)
+        self._note_available()
         self._publish(
             self._directory.replace_all(
                 entries,
@@ -146,7 +144,15 @@
     def apply_upstream_records(
         self, records: Iterable[KeyedRecord], next_offset: int, origin: str
     ) -> None:
-        """Take over records of the list of upstreams."""
+        """Take over records of the list of upstreams.
+
+        Args:
+            records: The records in order.
+            next_offset: Offset up to which the list is known then.
+            origin: Where they came from: `log`, or a router.
+        """
+        if origin == ORIGIN_LOG:
+            self._note_available()
         changes: list[DirectoryChange | None] = []
         for record in records:
             known = self._record_by_upstream.get(record.key)
@@ -169,7 +175,7 @@
 
     def note_unavailable(self) -> None:
         """Take over that the list of upstreams could not be read."""
-        self._failed_at = self._app.now()
+        self._is_unavailable = True
 
     def expire(self) -> None:
         """Drop upstreams that lapsed and did not come back."""
@@ -185,7 +191,8 @@
 
     @property
     def _may_have_lapsed(self) -> bool:
-        return self._app.now() - self._failed_at <= self._lapse_seconds
+        since = self._app.now() - self._regained_at
+        return self._is_unavailable or since <= const.LAPSE_READ_SECONDS
 
     def _apply(self, stored: StoredConfiguration, origin: str) -> bool:
         version = stored.configuration.version
@@ -224,6 +231,11 @@
                     )
         return entries
 
+    def _note_available(self) -> None:
+        if self._is_unavailable:
+            self._is_unavailable = False
+            self._regained_at = self._app.now()
+
     def _note_confirmed(self, next_offset: int) -> None:
         self._directory_offset = max(self._directory_offset, next_offset)
         self._confirmed_at = self._app.now()
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -44,23 +44,19 @@
         metrics_address: Host and port of the metrics page.
         seed_hosts: Hosts or `host:port` of routers that may be running; only
             the host is used.
-        drain_seconds: Time for which an upstream that leaves still answers.
         stop_grace_seconds: Time from the signal to stop until the process is
             killed.
         retry_ratio: Second sends allowed for each request, over the fleet.
         retry_window_seconds: Window over which second sends are counted.
         retry_allowance: Second sends allowed in each window beside the ratio.
-        heartbeat_seconds: Interval at which upstreams renew their entries.
     """
 
     metrics_address: HostPort
     seed_hosts: tuple[str, ...] = ()
-    drain_seconds: Annotated[float, Field(gt=0, le=600)] = 2.0
     stop_grace_seconds: Annotated[float, Field(gt=0, le=600)] = 8.0
     retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
     retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
     retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
-    heartbeat_seconds: Annotated[float, Field(gt=0, le=60)] = 1.2
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
