--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -41,10 +41,10 @@
 OUTPUT_TOKEN_COST = 2.0
 # Reading a shared part again costs time now and pushes other parts out of
 # memory, which are then read again as well.
-REREAD_WEIGHT = 2.0
+REREAD_WEIGHT = 4.0
 # Part of the aim that a request waits for the engine that suits it best
 # before it takes another one with room.
-PATIENCE_FRACTION = 0.2
+PATIENCE_FRACTION = 0.4
 # Expected time that a use in another data centre must save.
 CROSS_DATA_CENTRE_SECONDS = 0.004
 # Credit, in tokens, of the engine that a prompt falls to by hash. Owners that
@@ -363,10 +363,9 @@
             return None
         other = min(with_room)
         patience = PATIENCE_FRACTION * (admission.aim_at - admission.arrived_at)
-        is_impatient = now - admission.arrived_at >= patience
-        if is_impatient or other[0] - best[0] <= patience:
-            return other[2]
-        return None
+        if now - admission.arrived_at < patience:
+            return None
+        return other[2]
 
     def _candidates(self, admission: Admission, now: float) -> list[_Member]:
         members = [
