Model what pushes shared parts out of the engines' memory

Cause: requests' own tokens stay in an engine's memory until they are the least recently used, and an engine reads its whole memory anew in some 8 s; the model counted shared parts only and took dropped ones for held.

--- a/packages/core/src/lacewingspar_core/prefix_memory.py
+++ b/packages/core/src/lacewingspar_core/prefix_memory.py
@@ -1,5 +1,6 @@
 """Model of the prompt parts that one engine keeps in its memory."""
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -21,14 +22,15 @@
 class PrefixMemory:
     """Parts that an engine has read, the least recently used first.
 
-    The model follows what was sent to the engine. It holds shared parts only,
-    since the last part of a prompt belongs to one request or session.
+    The model follows what was sent to the engine. What belongs to one request
+    alone stays in the memory as well, and pushes shared parts out.
     """
 
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity_tokens = capacity_tokens
         self._tokens = 0
         self._tokens_by_key: OrderedDict[int, int] = OrderedDict()
+        self._unshared_keys = itertools.count(-1, -1)
 
     def held_tokens(self, parts: Sequence[PromptPart]) -> int:
         """Return the tokens of the leading parts that are held."""
@@ -39,8 +41,18 @@
             held += part.tokens
         return held
 
-    def note_use(self, parts: Sequence[PromptPart]) -> None:
-        """Note that a prompt with these leading parts was sent."""
+    def note_use(
+        self, parts: Sequence[PromptPart], unshared_tokens: int = 0
+    ) -> None:
+        """Note that a request was sent.
+
+        Args:
+            parts: Leading parts of its prompt that others may share.
+            unshared_tokens: Further tokens of its prompt and its answer.
+        """
+        if unshared_tokens:
+            self._tokens_by_key[next(self._unshared_keys)] = unshared_tokens
+            self._tokens += unshared_tokens
         for part in parts:
             self._tokens += part.tokens - self._tokens_by_key.get(part.key, 0)
             self._tokens_by_key[part.key] = part.tokens
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -182,7 +182,10 @@
     def begin(self, admission: Admission, now: float) -> None:
         """Note that a request was granted."""
         unread = self.tokens_to_read(admission)
-        self.memory.note_use(admission.shared_parts)
+        self.memory.note_use(
+            admission.shared_parts,
+            admission.own_tokens + admission.output_tokens,
+        )
         self.adopt(
             ActiveRun(
                 key=admission.key,
--- a/tests/core/engine_model.py
+++ b/tests/core/engine_model.py
@@ -94,7 +94,7 @@
         held = self.memory.held_tokens(request.shared_parts)
         shared = request.prompt_tokens - request.own_tokens
         self.shared_tokens_read += shared - held
-        self.memory.note_use(request.shared_parts)
+        self.memory.note_use(request.shared_parts, request.own_tokens)
         tokens = request.prompt_tokens - held
         begin = max(now, self.free_at)
         self.free_at = begin + tokens / READ_TOKENS_PER_SECOND
--- a/tests/core/test_prefix_memory.py
+++ b/tests/core/test_prefix_memory.py
@@ -31,6 +31,21 @@
     assert memory.held_tokens(asked) == held
 
 
+def test_what_is_not_shared_pushes_shared_parts_out() -> None:
+    """Guards against parts that count as held long after they were dropped.
+
+    Load: a part that is used once, then requests without it.
+    """
+    memory = PrefixMemory(1000)
+    memory.note_use((A,), unshared_tokens=300)
+    assert memory.held_tokens((A,)) == 100
+    memory.note_use((), unshared_tokens=500)
+    assert memory.held_tokens((A,)) == 100
+    memory.note_use((B,), unshared_tokens=500)
+    assert memory.held_tokens((A,)) == 0
+    assert memory.held_tokens((B,)) == 100
+
+
 def test_restart_forgets_all() -> None:
     memory = PrefixMemory(200)
     memory.note_use((A, B))
