Let engines with little backlog take a prompt of any size

Cause: the worst class is the largest prompts; small ones filled each gap of an engine's backlog before a long one fitted.

--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -12,6 +12,9 @@
 # Engines admit in order of arrival, so whatever waits there can no longer be
 # reordered; a shorter time would leave the engine idle between two grants.
 ENGINE_BACKLOG_SECONDS = 0.12
+# An engine with less than this part of that backlog takes a prompt of any size.
+# Otherwise small prompts would fill each gap before a long one fits.
+ANY_SIZE_FRACTION = 0.5
 # Part of an engine's memory that requests may fill. The rest keeps the shared
 # parts of prompts and absorbs answers that are longer than expected.
 MEMORY_FRACTION = 0.9
@@ -153,10 +156,10 @@
         memory = self.memory_tokens + _memory_tokens(admission)
         if memory > MEMORY_FRACTION * self.profile.memory_tokens:
             return False
-        if self.unread_tokens == 0:
+        limit = ENGINE_BACKLOG_SECONDS * self.rate
+        if self.unread_tokens <= ANY_SIZE_FRACTION * limit:
             return True
-        unread = self.unread_tokens + self.tokens_to_read(admission)
-        return unread <= ENGINE_BACKLOG_SECONDS * self.rate
+        return self.unread_tokens + self.tokens_to_read(admission) <= limit
 
     def tokens_to_read(self, admission: Admission) -> int:
         """Return the prompt tokens that the engine does not hold."""
--- a/tests/core/engine_model.py
+++ b/tests/core/engine_model.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -161,6 +161,7 @@
         self._admission_by_key: dict[AdmissionKey, Admission] = {}
         self._events: list[tuple[float, int, str, Any]] = []
         self._order = itertools.count()
+        self._served_keys: set[AdmissionKey] = set()
 
     def run(self, load: list[Request]) -> dict[str, Served]:
         """Play a load to its end."""
@@ -174,6 +175,14 @@
             self._handle(kind, value, now)
         return self.served_by_workspace
 
+    def share_served(self, is_counted: Callable[[Admission], bool]) -> float:
+        """Return the share of some requests that were served, also late."""
+        counted = [
+            wish for wish in self._admission_by_key.values() if is_counted(wish)
+        ]
+        served = [wish for wish in counted if wish.key in self._served_keys]
+        return len(served) / len(counted)
+
     def _push(self, at: float, kind: str, value: Any) -> None:
         heapq.heappush(self._events, (at, next(self._order), kind, value))
 
@@ -194,6 +203,7 @@
             case "first":
                 wish = self._admission_by_key[value]
                 served = self._served(wish)
+                self._served_keys.add(value)
                 if now <= wish.aim_at:
                     served.in_aim += 1
                 else:
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -191,6 +191,23 @@
     assert large.in_aim + large.late >= 0.33 * large.asked
 
 
+def test_long_prompts_do_not_starve_behind_short_ones() -> None:
+    """Guards against small requests that fill each gap of the engines.
+
+    Load: one workspace asks for 1.3 times what the engines can read, 40% of
+    it in prompts of 16,000 tokens, the rest in prompts of 1,000.
+    """
+    generator = random.Random(8)
+    total = 1.3 * 4 * READ_TOKENS_PER_SECOND
+    load = list(poisson(generator, 0.6 * total / 1000, 15.0, "w", 4, 1000))
+    long = list(poisson(generator, 0.4 * total / 16_000, 15.0, "w", 4, 16_000))
+    play = Play(4)
+    play.run(load + long)
+    served = play.share_served(lambda wish: wish.own_tokens == 16_000)
+    everybody = play.share_served(lambda _: True)
+    assert served >= 0.5 * everybody
+
+
 def test_overload_refuses_at_once_and_keeps_the_rest_in_time() -> None:
     """Guards against queues in which everybody comes too late.
 
