Refuse long prompts no sooner than short ones

Cause: the reading time of a prompt counted against the wait that it may have, so that under load all long ones were refused. They are due later by 1.5 times their reading time. The margin on expected waits is 2.

--- a/packages/core/src/lacewingspar_core/fair_queue.py
+++ b/packages/core/src/lacewingspar_core/fair_queue.py
@@ -16,8 +16,8 @@
 
     Within a workspace the requests that can still be in time go first, then
     the rank of the route, then the time by which the first part of the answer
-    should be there. Without the first rule a queue that is a little too long
-    makes everybody a little late.
+    is due. Without the first rule a queue that is a little too long makes
+    everybody a little late.
     """
 
     def __init__(self) -> None:
@@ -25,6 +25,7 @@
             str, dict[AdmissionKey, Admission]
         ] = {}
         self._cost_by_key: dict[AdmissionKey, float] = {}
+        self._due_at_by_key: dict[AdmissionKey, float] = {}
         self._cost_by_workspace: dict[str, float] = {}
         self._finish_by_workspace: dict[str, float] = {}
         self._virtual_time = 0.0
@@ -53,24 +54,34 @@
         """Return the cost of a workspace's waiting requests."""
         return self._cost_by_workspace.get(workspace, 0.0)
 
-    def cost_before(self, admission: Admission, in_time_from: float) -> float:
+    def cost_before(
+        self, admission: Admission, due_at: float, in_time_from: float
+    ) -> float:
         """Return the cost of what goes before in the same workspace.
 
         Args:
             admission: The request, which need not be queued.
+            due_at: Time by which its first part is due.
             in_time_from: Earliest first part of a request that is sent now.
         """
-        urgency = _urgency(admission, in_time_from)
+        urgency = _urgency(admission, due_at, in_time_from)
         waiting = self._waiting_by_workspace.get(admission.workspace, {})
         return sum(
             self._cost_by_key[other.key]
             for other in waiting.values()
-            if _urgency(other, in_time_from) <= urgency
-            and other.key != admission.key
+            if other.key != admission.key
+            and self._urgency(other, in_time_from) <= urgency
         )
 
-    def add(self, admission: Admission, cost: float) -> None:
-        """Queue a request; its cost is in units of the pool's rate."""
+    def add(self, admission: Admission, cost: float, due_at: float) -> None:
+        """Queue a request.
+
+        Args:
+            admission: The request.
+            cost: Its cost in units of the pool's rate.
+            due_at: Time by which its first part is due.
+        """
+        self._due_at_by_key[admission.key] = due_at
         waiting = self._waiting_by_workspace.setdefault(admission.workspace, {})
         waiting[admission.key] = admission
         self._cost_by_key[admission.key] = cost
@@ -84,6 +95,7 @@
         waiting = self._waiting_by_workspace[workspace]
         del waiting[admission.key]
         cost = self._cost_by_key.pop(admission.key)
+        del self._due_at_by_key[admission.key]
         if waiting:
             self._cost_by_workspace[workspace] -= cost
         else:
@@ -115,7 +127,7 @@
         return heapq.nsmallest(
             count,
             waiting.values(),
-            key=lambda admission: _urgency(admission, in_time_from),
+            key=lambda admission: self._urgency(admission, in_time_from),
         )
 
     def charge(self, workspace: str, cost: float) -> None:
@@ -132,6 +144,12 @@
         if len(self._finish_by_workspace) > 2 * self.workspaces + 64:
             self._forget_idle()
 
+    def _urgency(
+        self, admission: Admission, in_time_from: float
+    ) -> tuple[bool, int, float]:
+        due_at = self._due_at_by_key[admission.key]
+        return _urgency(admission, due_at, in_time_from)
+
     def _start_tag(self, workspace: str) -> float:
         finish = self._finish_by_workspace.get(workspace, 0.0)
         return max(finish, self._virtual_time)
@@ -146,8 +164,7 @@
 
 
 def _urgency(
-    admission: Admission, in_time_from: float
+    admission: Admission, due_at: float, in_time_from: float
 ) -> tuple[bool, int, float]:
     """Return a key by which the most urgent request sorts first."""
-    is_late = admission.aim_at < in_time_from
-    return (is_late, admission.priority, admission.aim_at)
+    return (due_at < in_time_from, admission.priority, due_at)
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -56,6 +56,9 @@
 # A waiting request is declined when its expected wait has grown to this many
 # times its aim, as after the loss of engines.
 SHED_FACTOR = 2.5
+# A prompt is due later than its aim by this many times its reading time, so
+# that long ones are refused no sooner than short ones.
+LONG_PROMPT_FACTOR = 1.5
 # Shortest time in which an upstream can still do something useful.
 LEAST_RUN_SECONDS = 0.1
 # Callers come back after the expected wait, spread over as long again, and
@@ -69,7 +72,7 @@
 LOOK_AHEAD_ALL = 12
 # A wait is longer than expected where other workspaces become active; requests
 # are accepted only if they would be in time with this many times the wait.
-WAIT_MARGIN = 1.5
+WAIT_MARGIN = 2.0
 # Time over which the rate of grants is measured while requests wait.
 RATE_WINDOW_SECONDS = 1.0
 # Lowest measured rate, as a part of the engines' own, that is believed.
@@ -169,7 +172,8 @@
             return [declined]
         if not len(self._queue):
             self._backlogged_since = now
-        self._queue.add(admission, self._least_cost(admission))
+        cost = self._least_cost(admission)
+        self._queue.add(admission, cost, self._due_at(admission))
         decisions = self._grant_waiting(now)
         if key in self._queue:
             decisions.append(Queued(key, self._expected_wait(admission, now)))
@@ -437,6 +441,15 @@
         read_seconds = (most - held) / load.rate
         return source_id if copy_seconds < read_seconds else ""
 
+    def _due_at(self, admission: Admission) -> float:
+        """Return when the first part is due, with time for a long prompt."""
+        rate = max(
+            (item.load.rate for item in self._member_by_id.values()),
+            default=1.0,
+        )
+        read_seconds = self._least_cost(admission) / rate
+        return admission.aim_at + LONG_PROMPT_FACTOR * read_seconds
+
     def _least_cost(self, admission: Admission) -> float:
         return min(
             (
@@ -469,7 +482,9 @@
         rate = self._rate(now)
         if rate <= 0:
             return 0.0
-        before = self._queue.cost_before(admission, now + self._lead_seconds)
+        before = self._queue.cost_before(
+            admission, self._due_at(admission), now + self._lead_seconds
+        )
         own = before * max(1, self._queue.workspaces)
         return min(self._queue.cost, own) / rate
 
@@ -486,7 +501,7 @@
         first_part = min(
             member.load.first_part_seconds(admission) for member in members
         )
-        left = admission.aim_at - now - first_part
+        left = self._due_at(admission) - now - first_part
         aim = admission.aim_at - admission.arrived_at
         allowed = max(left, LATE_WAIT_FRACTION * aim)
         if WAIT_MARGIN * self._expected_wait(admission, now) > allowed:
