Let one request try an upstream after its block

Found by the log of failed attempts; ruled out: a late removal from the directory (it was never removed while dark). The test fails on the code before.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -187,6 +187,7 @@
         if member is None:
             return []
         member.load.note_first_part(key, now)
+        member.trust.note_answer()
         return self._grant_waiting(now)
 
     def end(
@@ -344,6 +345,7 @@
         fetch_from = self._fetch_source(admission, member)
         upstream_id = member.entry.upstream_id
         member.load.begin(admission, now)
+        member.trust.note_grant(now)
         self._upstream_by_run[admission.key] = upstream_id
         return Granted(admission.key, upstream_id, fetch_from)
 
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -11,7 +11,7 @@
 # Prompt tokens that wait at an engine are bounded to this much reading time.
 # Engines admit in order of arrival, so whatever waits there can no longer be
 # reordered; a shorter time would leave the engine idle between two grants.
-ENGINE_BACKLOG_SECONDS = 0.1
+ENGINE_BACKLOG_SECONDS = 0.12
 # An engine with less than this part of that backlog takes a prompt of any size.
 # Otherwise small prompts would fill each gap before a long one fits.
 ANY_SIZE_FRACTION = 0.5
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -26,6 +26,7 @@
 from lacewingspar_core.prefix_memory import PromptPart
 from lacewingspar_core.routing import UpstreamService
 from lacewingspar_core.upstream_load import ActiveRun
+from lacewingspar_core.upstream_trust import FIRST_BLOCK_SECONDS
 
 PART = PromptPart(7, 5000)
 LARGE = 60_000
@@ -114,6 +115,26 @@
     assert upstream_of(pool.ask(other, 0.0)) != home
 
 
+def test_one_request_tries_an_upstream_after_its_block() -> None:
+    """Guards against requests that all wait for a dead upstream again.
+
+    Load: requests for a shared part whose engine accepts no connection.
+    """
+    pool = make_pool("a", "b")
+    wish = admission(1, 0.0, shared=(PART,))
+    home = upstream_of(pool.ask(wish, 0.0))
+    pool.note_unreachable(home, 0.0)
+    pool.end(wish.key, RunOutcome.NOT_RUN, 0.0)
+    after = 0.0 + FIRST_BLOCK_SECONDS
+    wishes = [admission(n, after, shared=(PART,), tokens=10) for n in (2, 3, 4)]
+    chosen = [upstream_of(pool.ask(wish, after)) for wish in wishes]
+    assert chosen.count(home) == 1
+    (trial,) = [w for w, u in zip(wishes, chosen, strict=True) if u == home]
+    pool.note_first_part(trial.key, after + 0.1)
+    last = admission(5, after + 0.1, shared=(PART,), tokens=10)
+    assert upstream_of(pool.ask(last, after + 0.1)) == home
+
+
 def test_pool_without_trusted_upstreams_still_tries() -> None:
     """Guards against an outage that outlasts its cause."""
     pool = make_pool("a")
