Do not begin answers that cannot end in time

The owner learns the time to write a token, and declines a request that has less than 0.7 of its expected run time left. The test fails on the code before.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -66,6 +66,9 @@
 LONG_PROMPT_FACTOR = 1.5
 # Shortest time in which an upstream can still do something useful.
 LEAST_RUN_SECONDS = 0.1
+# Part of its expected run time that a request must have left. The length of an
+# answer is known only when it ends, and half of them are shorter than expected.
+RUN_FRACTION = 0.7
 # Callers come back after the expected wait, spread over as long again, and
 # not sooner than this.
 LEAST_RETRY_AFTER_SECONDS = 0.25
@@ -513,7 +516,7 @@
         members = self._candidates(admission, now)
         if not members:
             return self._declined(admission, REASON_NO_UPSTREAM, now)
-        if admission.deadline_at - now < LEAST_RUN_SECONDS:
+        if not self._can_end_in_time(admission, members, now):
             return self._declined(admission, REASON_DEADLINE, now)
         if not len(self._queue):
             return None
@@ -531,11 +534,20 @@
             return self._declined(admission, REASON_OVERLOADED, now)
         return None
 
+    def _can_end_in_time(
+        self, admission: Admission, members: list[_Member], now: float
+    ) -> bool:
+        """Return whether the whole answer may be there by the deadline."""
+        run_seconds = min(item.load.run_seconds(admission) for item in members)
+        needed = max(LEAST_RUN_SECONDS, RUN_FRACTION * run_seconds)
+        return admission.deadline_at - now >= needed
+
     def _shed_reason(self, admission: Admission, now: float) -> str | None:
-        if admission.deadline_at - now < LEAST_RUN_SECONDS:
-            return REASON_DEADLINE
-        if not self._candidates(admission, now):
+        members = self._candidates(admission, now)
+        if not members:
             return REASON_NO_UPSTREAM
+        if not self._can_end_in_time(admission, members, now):
+            return REASON_DEADLINE
         if now < admission.aim_at:
             return None
         limit = SHED_FACTOR * (admission.aim_at - admission.arrived_at)
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -1,6 +1,6 @@
 """What runs on one upstream, and what it can take beside that."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from lacewingspar_core.admission_events import Admission, AdmissionKey
@@ -28,6 +28,11 @@
 # Time from sending to the first event without any reading, before anything
 # was measured.
 DEFAULT_FIRST_EVENT_SECONDS = 0.03
+# Time to write one token before anything was measured, and the bound of what is
+# measured, since estimates of the length of an answer are often far too short.
+DEFAULT_TOKEN_SECONDS = 0.01
+LONGEST_TOKEN_SECONDS = 0.1
+TOKEN_SECONDS_WEIGHT = 0.05
 # Mean run time of a plain call before anything was measured.
 DEFAULT_CALL_SECONDS = 0.05
 CALL_SECONDS_WEIGHT = 0.1
@@ -50,6 +55,7 @@
         granted_at: Time of the grant.
         read_ahead_tokens: Unread tokens at the upstream when it was granted,
             its own included.
+        output_tokens: Expected tokens of the answer.
     """
 
     key: AdmissionKey
@@ -59,6 +65,7 @@
     ends_by: float
     granted_at: float
     read_ahead_tokens: int = 0
+    output_tokens: int = 0
 
 
 class UpstreamLoad(Protocol):
@@ -80,6 +87,9 @@
     def first_part_seconds(self, admission: Admission) -> float:
         """Return the expected time from sending to the first part."""
 
+    def run_seconds(self, admission: Admission) -> float:
+        """Return the expected time from sending to the end of the answer."""
+
     def read_cost(self, admission: Admission) -> float:
         """Return what the request costs here, in units of the rate."""
 
@@ -119,6 +129,7 @@
     run_by_key: dict[AdmissionKey, ActiveRun] = field(default_factory=dict)
     unread_tokens: int = 0
     memory_tokens: int = 0
+    token_seconds: float = DEFAULT_TOKEN_SECONDS
     memory: PrefixMemory = field(init=False)
     _first_event: LinearFit = field(init=False)
 
@@ -198,6 +209,7 @@
                 ends_by=admission.deadline_at,
                 granted_at=now,
                 read_ahead_tokens=self.unread_tokens + unread,
+                output_tokens=admission.output_tokens,
             )
         )
 
@@ -215,19 +227,32 @@
         if run.read_ahead_tokens:
             self._first_event.add(run.read_ahead_tokens, now - run.granted_at)
         self.unread_tokens -= run.unread_tokens
-        self.run_by_key[key] = ActiveRun(
-            key, run.upstream_id, 0, run.memory_tokens, run.ends_by, now
+        self.run_by_key[key] = replace(
+            run, unread_tokens=0, granted_at=now, read_ahead_tokens=0
         )
 
     def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
         """Note the end of a run and return it, if it was known."""
-        del now
         run = self.run_by_key.pop(key, None)
         if run is not None:
+            self._learn_write_time(run, now)
             self.unread_tokens -= run.unread_tokens
             self.memory_tokens -= run.memory_tokens
         return run
 
+    def run_seconds(self, admission: Admission) -> float:
+        """Return the expected time from sending to the end of the answer."""
+        write_seconds = admission.output_tokens * self.token_seconds
+        return self.first_part_seconds(admission) + write_seconds
+
+    def _learn_write_time(self, run: ActiveRun, now: float) -> None:
+        if run.unread_tokens or not run.output_tokens:
+            return
+        seconds = max(0.0, now - run.granted_at) / run.output_tokens
+        self.token_seconds += TOKEN_SECONDS_WEIGHT * (
+            min(seconds, LONGEST_TOKEN_SECONDS) - self.token_seconds
+        )
+
     def forget_memory(self) -> None:
         """Note that the engine has started anew and holds nothing."""
         self.memory.clear()
@@ -269,6 +294,10 @@
         busy = len(self.run_by_key) / self.slots
         return self.call_seconds * (1 + waiting / self.slots + 0.1 * busy)
 
+    def run_seconds(self, admission: Admission) -> float:
+        """Return the expected time until the answer."""
+        return self.first_part_seconds(admission)
+
     def read_cost(self, admission: Admission) -> float:
         """Return the cost of one call."""
         del admission
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -105,6 +105,29 @@
     assert decision.retry_after_seconds > 0
 
 
+def test_answer_that_cannot_end_in_time_is_not_begun() -> None:
+    """Guards against answers that are cut at the deadline of their caller.
+
+    Load: engines that write a token in 20 ms, and a request for 300 tokens.
+    """
+    pool = make_pool("a")
+    now = 0.0
+    for number in range(100):
+        wish = admission(number, now, output_tokens=100, deadline_at=now + 10.0)
+        assert upstream_of(pool.ask(wish, now)) == "a"
+        pool.note_first_part(wish.key, now + 0.1)
+        pool.end(wish.key, RunOutcome.COMPLETED, now + 2.1)
+        now += 3.0
+    # The whole answer takes 6 s.
+    for left, expected in ((8.0, Granted), (3.0, Declined)):
+        wish = admission(
+            int(now), now, output_tokens=300, deadline_at=now + left
+        )
+        (decision,) = pool.ask(wish, now)
+        assert isinstance(decision, expected)
+        now += 3.0
+
+
 def test_unreachable_upstream_is_left_out_until_its_block_ends() -> None:
     pool = make_pool("a", "b")
     wish = admission(1, 0.0, shared=(PART,))
