Quarantine requests that crash upstreams, over the whole fleet

A request that ends every upstream that runs it was sent on without end. A router that finds a connection broken and the address refusing the next one records a crash with the requests in flight, and tells all routers; the decision logic is that of the product's quarantine.

--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -24,4 +24,9 @@
 # taken. The platform goes on sending them until it has asked twice, once a
 # second; a longer time would take streams that cannot end before the kill.
 ACCEPT_GRACE_FRACTION = 0.28
+# A process that has died has closed its listener this long after its
+# connections broke.
+CRASH_CHECK_DELAY_SECONDS = 0.02
+# Runs that broke count as suspects of a crash noticed this much later.
+CRASH_MEMORY_SECONDS = 0.5
 IDLE_CHECK_SECONDS = 1.0
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -0,0 +1,173 @@
+"""Keeps requests that crash upstreams away from further ones."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
+import structlog
+
+from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.messages import Quarantine
+from lacewingspar_core.quarantine import QuarantineState, fingerprint
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding import const, refusals
+from lacewingspar_router.components.forwarding.models import Call
+from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.errors import ConnectionFailedError
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class GuardedRun:
+    """A request that was sent to an upstream.
+
+    Attributes:
+        service: Service of the upstream.
+        upstream_id: The upstream.
+        fingerprint: Fingerprint of the request.
+        epoch: Number of the upstream's known crashes when it was sent.
+    """
+
+    service: str
+    upstream_id: str
+    fingerprint: str
+    epoch: int
+
+
+class CrashGuard:
+    """Crash records of all services, shared with the other routers.
+
+    An upstream has crashed if a connection to it breaks and its address
+    refuses the next one. An address that does not answer at all may only be
+    cut off.
+
+    Args:
+        app: The application.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._peers = app.get(PEERS)
+        self._telemetry = app.get(TELEMETRY)
+        self._state_by_service: dict[str, QuarantineState] = {}
+        self._runs_by_upstream: dict[str, Counter[GuardedRun]] = {}
+        self._checked_upstreams: set[str] = set()
+        self._peers.subscribe(Quarantine, self._on_quarantine)
+
+    def check(self, call: Call) -> str:
+        """Return the fingerprint of a request.
+
+        Raises:
+            RequestRefusedError: The request has crashed upstreams.
+        """
+        request = call.request
+        mark = fingerprint(
+            call.service,
+            f"{call.workspace} {call.fields.host}{request.target}",
+            request.body,
+        )
+        now = self._app.now()
+        seconds = self._state(call.service).refused_until(mark, now) - now
+        if seconds > 0:
+            self._telemetry.count("quarantined_total", service=call.service)
+            raise refusals.quarantined(seconds)
+        return mark
+
+    def begin(self, call: Call, mark: str, upstream_id: str) -> GuardedRun:
+        """Note that a request is sent."""
+        epoch = self._state(call.service).epoch(upstream_id)
+        run = GuardedRun(call.service, upstream_id, mark, epoch)
+        self._runs_by_upstream.setdefault(upstream_id, Counter())[run] += 1
+        return run
+
+    def end(
+        self, run: GuardedRun, upstream: UpstreamEntry, *, is_broken: bool
+    ) -> None:
+        """Note the end of a run.
+
+        Args:
+            run: The run.
+            upstream: Its upstream.
+            is_broken: Whether the connection broke.
+        """
+        if is_broken:
+            # The other runs of a crash break within moments of this one.
+            loop = asyncio.get_running_loop()
+            loop.call_later(const.CRASH_MEMORY_SECONDS, self._forget, run)
+            self._check_crash(run, upstream)
+            return
+        self._forget(run)
+
+    def note_success(self, run: GuardedRun) -> None:
+        """Note that a request was answered completely."""
+        state = self._state(run.service)
+        state.on_success(run.fingerprint, self._app.now())
+        self._publish(state)
+
+    def _forget(self, run: GuardedRun) -> None:
+        runs = self._runs_by_upstream.get(run.upstream_id)
+        if runs is None:
+            return
+        runs[run] -= 1
+        if runs[run] <= 0:
+            del runs[run]
+        if not runs:
+            del self._runs_by_upstream[run.upstream_id]
+
+    def _check_crash(self, run: GuardedRun, upstream: UpstreamEntry) -> None:
+        if run.upstream_id in self._checked_upstreams:
+            return
+        self._checked_upstreams.add(run.upstream_id)
+        self._app.create_task(
+            self._async_check_crash(run, upstream), "check for a crash"
+        )
+
+    async def _async_check_crash(
+        self, run: GuardedRun, upstream: UpstreamEntry
+    ) -> None:
+        try:
+            await asyncio.sleep(const.CRASH_CHECK_DELAY_SECONDS)
+            connection = await async_connect(upstream.address)
+        except ConnectionFailedError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._note_crash(run)
+        else:
+            connection.abort()
+        finally:
+            self._checked_upstreams.discard(run.upstream_id)
+
+    def _note_crash(self, run: GuardedRun) -> None:
+        runs = self._runs_by_upstream.get(run.upstream_id, Counter())
+        marks = {item.fingerprint for item in runs} | {run.fingerprint}
+        epoch = max([item.epoch for item in runs] + [run.epoch])
+        state = self._state(run.service)
+        state.on_crash(run.upstream_id, epoch, marks, self._app.now())
+        _LOGGER.warning(
+            "upstream crashed",
+            upstream=run.upstream_id,
+            service=run.service,
+            suspects=len(marks),
+        )
+        self._publish(state)
+
+    def _publish(self, state: QuarantineState) -> None:
+        message = state.publish(self._app.now())
+        if message is None:
+            return
+        for router_id in self._peers.alive_by_router_id:
+            if router_id != self._app.life.router_id:
+                self._peers.send(router_id, message)
+
+    def _on_quarantine(self, received: ReceivedMessage) -> None:
+        message = received.message
+        assert isinstance(message, Quarantine)
+        self._state(message.service).merge(message, self._app.now())
+
+    def _state(self, service: str) -> QuarantineState:
+        state = self._state_by_service.get(service)
+        if state is None:
+            state = self._state_by_service[service] = QuarantineState(service)
+        return state
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -11,6 +11,7 @@
     AttemptHistory,
     AttemptResult,
 )
+from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_core.retry_allowance import RetryAllowance, RetryBound
 from lacewingspar_core.routing import choose_target
@@ -26,6 +27,7 @@
     AttemptEnd,
     Relay,
 )
+from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
 from lacewingspar_router.components.forwarding.models import (
     WIRE_FORMAT,
     Call,
@@ -85,6 +87,7 @@
         )
         self._allowance_by_service: dict[str, RetryAllowance] = {}
         self._pool_by_address: dict[str, ConnectionPool] = {}
+        self._guard = CrashGuard(app)
         self.accepts_requests = True
 
     async def async_handle(self, exchange: ServerExchange) -> None:
@@ -188,8 +191,9 @@
         call, history = progress.call, progress.history
         demand = self._demand(call)
         while True:
+            mark = self._guard.check(call)
             grant = await self._admission.async_acquire(demand, history.tried)
-            end = await self._async_attempt(progress, grant)
+            end = await self._async_attempt(progress, grant, mark)
             progress.last = end
             if end.result is AttemptResult.ANSWERED:
                 if end.response is not None:
@@ -208,10 +212,16 @@
             )
 
     async def _async_attempt(
-        self, progress: _Progress, grant: Grant
+        self, progress: _Progress, grant: Grant, mark: str
     ) -> AttemptEnd:
-        """Run one attempt and report how it ended."""
-        call, history = progress.call, progress.history
+        """Run one attempt and report how it ended.
+
+        Args:
+            progress: The request.
+            grant: Upstream to use.
+            mark: Fingerprint of the request.
+        """
+        _call, history = progress.call, progress.history
         entries = self._routing.directory.entry_by_id
         upstream = entries.get(grant.upstream_id)
         progress.upstream_id = grant.upstream_id
@@ -223,20 +233,7 @@
             if upstream is None:
                 end = AttemptEnd(AttemptResult.UNREACHABLE, "upstream is gone")
             else:
-                source = entries.get(grant.fetch_from)
-                attempt = Attempt(
-                    call,
-                    upstream,
-                    self._pool(upstream.address),
-                    self._wire,
-                    progress.relay,
-                    self._app.now,
-                    lambda: self._admission.note_first_part(grant),
-                    may_give_up=self._may_give_up(history),
-                )
-                end = await attempt.async_run(
-                    "" if source is None else source.address
-                )
+                end = await self._async_send(progress, grant, upstream, mark)
             history.may_have_run = ran_before
             history.note(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
@@ -247,6 +244,40 @@
             self._note_failed_attempt(progress, end)
         return end
 
+    async def _async_send(
+        self,
+        progress: _Progress,
+        grant: Grant,
+        upstream: UpstreamEntry,
+        mark: str,
+    ) -> AttemptEnd:
+        """Send a request and pass its answer on."""
+        call = progress.call
+        attempt = Attempt(
+            call,
+            upstream,
+            self._pool(upstream.address),
+            self._wire,
+            progress.relay,
+            self._app.now,
+            lambda: self._admission.note_first_part(grant),
+            may_give_up=self._may_give_up(progress.history),
+        )
+        entries = self._routing.directory.entry_by_id
+        source = entries.get(grant.fetch_from)
+        run = self._guard.begin(call, mark, upstream.upstream_id)
+        is_broken = False
+        try:
+            end = await attempt.async_run(
+                "" if source is None else source.address
+            )
+            is_broken = end.result is AttemptResult.BROKEN
+        finally:
+            self._guard.end(run, upstream, is_broken=is_broken)
+        if end.result is AttemptResult.ANSWERED:
+            self._guard.note_success(run)
+        return end
+
     def _may_give_up(self, history: AttemptHistory) -> bool:
         return history.may_run_again and history.sent + 1 < history.sent_limit
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -31,6 +31,16 @@
     )
 
 
+def quarantined(seconds: float) -> RequestRefusedError:
+    """Return the refusal of a request that has crashed upstreams."""
+    return RequestRefusedError(
+        503,
+        "quarantined",
+        "the request has crashed upstreams",
+        retry_after_seconds=seconds,
+    )
+
+
 def deadline_passed(*, may_have_run: bool) -> RequestRefusedError:
     """Return the answer to a request whose time is over."""
     if may_have_run:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -33,6 +33,8 @@
         reset_unframed: Reset such an answer in the middle.
         encoding: Content encoding that is announced.
         no_seal: Leave out the proof that the answer is the upstream's own.
+        crash_marker: A request whose body contains this text ends the
+            upstream, and resets all its connections.
     """
 
     refuse: bool = False
@@ -48,6 +50,7 @@
     reset_unframed: bool = False
     encoding: str = ""
     no_seal: bool = False
+    crash_marker: str = ""
 
 
 @dataclass(slots=True)
@@ -95,6 +98,8 @@
         self.running = 0
         self.cancelled = 0
         self.connections = 0
+        self.crashes = 0
+        self.open_connections: set[_Connection] = set()
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -107,6 +112,15 @@
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
+    def crash(self) -> None:
+        """Stop to listen and reset all connections."""
+        self.crashes += 1
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self.open_connections):
+            connection.reset()
+
     async def async_stop(self) -> None:
         """Stop to listen."""
         if self._server is not None:
@@ -127,9 +141,11 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._upstream.connections += 1
+        self._upstream.open_connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
+        self._upstream.open_connections.discard(self)
         if self._task is not None and not self._task.done():
             self._upstream.cancelled += 1
             self._task.cancel()
@@ -171,6 +187,10 @@
         self._upstream.running += 1
         try:
             await asyncio.sleep(self._upstream.pause_seconds)
+            marker = faults.crash_marker.encode()
+            if marker and marker in request.body:
+                self._upstream.crash()
+                return
             if faults.mute:
                 await asyncio.Event().wait()
             if "stream" in request.target:
@@ -193,7 +213,7 @@
             self._head(request, faults.status, headers)
             self._transport.write(body)
             if faults.reset_unframed:
-                self._reset()
+                self.reset()
             else:
                 self._transport.close()
             return
@@ -219,13 +239,13 @@
                 if faults.cut_event:
                     self._chunk(data[: len(data) // 2])
                     await asyncio.sleep(0.01)
-                self._reset()
+                self.reset()
                 return
             self._chunk(data)
             await asyncio.sleep(self._upstream.pause_seconds)
         self._transport.write(b"0\r\n\r\n")
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
         """Close the connection with a reset instead of an orderly end."""
         sock = self._transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
