--- a/packages/core/src/lacewingspar_core/admission_events.py
+++ b/packages/core/src/lacewingspar_core/admission_events.py
@@ -1,6 +1,6 @@
 """What a request needs of an upstream, and the answers to it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 from lacewingspar_core.identity import RouterLife
@@ -38,6 +38,7 @@
         identity: Hash that is the same when the caller sends the request
             again, or 0 if there is none.
         excluded: Upstreams that must not be used.
+        prompt_tokens: Length of the whole prompt in tokens.
     """
 
     key: AdmissionKey
@@ -52,12 +53,12 @@
     deadline_at: float
     identity: int = 0
     excluded: frozenset[str] = frozenset()
+    prompt_tokens: int = field(init=False, default=0)
 
-    @property
-    def prompt_tokens(self) -> int:
-        """Return the length of the whole prompt in tokens."""
+    def __post_init__(self) -> None:
+        # Needed for each upstream at each decision, so it is kept.
         shared = sum(part.tokens for part in self.shared_parts)
-        return shared + self.own_tokens
+        object.__setattr__(self, "prompt_tokens", shared + self.own_tokens)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -421,7 +421,7 @@
         if member.entry.data_centre != admission.data_centre:
             score += CROSS_DATA_CENTRE_SECONDS
         if admission.shared_parts:
-            shared = sum(part.tokens for part in admission.shared_parts)
+            shared = admission.prompt_tokens - admission.own_tokens
             held = held_prefix_tokens(load, admission.shared_parts)
             if member is home:
                 held += int((shared - held) * HOME_CREDIT_FRACTION)
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -121,6 +121,7 @@
         upstream_id: The engine.
         profile: What the operators say about it.
         prior_tokens_per_second: Reading rate before measurements.
+        rate: Prompt tokens that the engine reads in a second.
     """
 
     upstream_id: str
@@ -130,6 +131,7 @@
     unread_tokens: int = 0
     memory_tokens: int = 0
     token_seconds: float = DEFAULT_TOKEN_SECONDS
+    rate: float = field(init=False)
     memory: PrefixMemory = field(init=False)
     _first_event: LinearFit = field(init=False)
 
@@ -140,6 +142,7 @@
             intercept=DEFAULT_FIRST_EVENT_SECONDS,
             prior_x=_PRIOR_TOKENS,
         )
+        self.rate = self._measured_rate()
 
     @property
     def _prior_rate(self) -> float:
@@ -187,9 +190,7 @@
         """Return the prompt tokens that the engine would have to read."""
         return float(self.tokens_to_read(admission))
 
-    @property
-    def rate(self) -> float:
-        """Return the tokens that the engine reads in a second."""
+    def _measured_rate(self) -> float:
         least = LEAST_RATE_FRACTION * self._prior_rate
         return max(least, 1 / max(_FASTEST_TOKEN, self._first_event.slope))
 
@@ -226,6 +227,7 @@
             return
         if run.read_ahead_tokens:
             self._first_event.add(run.read_ahead_tokens, now - run.granted_at)
+            self.rate = self._measured_rate()
         self.unread_tokens -= run.unread_tokens
         self.run_by_key[key] = replace(
             run, unread_tokens=0, granted_at=now, read_ahead_tokens=0
