--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -35,6 +35,8 @@
     configuration = _configuration_follower(app, state, source, is_cut_off)
     upstreams = _upstream_follower(app, state, source, is_cut_off)
     registration = Registration(app, source.members)
+    assert app.settings.platform is not None
+    registration.contact_seeds(app.settings.platform.seed_hosts)
     app.create_task(configuration.async_run(), "follow configuration")
     app.create_task(upstreams.async_run(), "follow upstreams")
     app.create_task(registration.async_register(), "register router")
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -1,6 +1,7 @@
 """Registers this router and finds the others."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 import structlog
@@ -15,6 +16,9 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
+# Stands for the unknown name of a router on a seed host.
+_SEED_PREFIX = "seed:"
+
 
 class _RegisteredRouter(msgspec.Struct, frozen=True):
     """Record of a router; later lives replace earlier ones."""
@@ -40,6 +44,18 @@
         self._topic = topic
         self._peers = app.get(PEERS)
 
+    def contact_seeds(self, hosts: Iterable[str]) -> None:
+        """Contact routers on hosts where one may be running.
+
+        All routers of a fleet use the same port for peers.
+        """
+        _, _, port = self._app.settings.peer_address.rpartition(":")
+        names = [host.rpartition(":")[0] or host for host in hosts]
+        self._peers.add_seeds(
+            Seed(f"{_SEED_PREFIX}{name}", "", f"tcp://{name}:{port}")
+            for name in names
+        )
+
     async def async_register(self) -> None:
         """Register this router and contact the others; retry until done."""
         while True:
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -42,8 +42,8 @@
 
     Attributes:
         metrics_address: Host and port of the metrics page.
-        seed_hosts: Hosts or `host:port` of routers that may be running; only
-            the host is used.
+        seed_hosts: Hosts, or `host:port`, on which routers may be running;
+            the port is ignored.
         stop_grace_seconds: Time from the signal to stop until the process is
             killed.
         retry_ratio: Second sends allowed for each request, over the fleet.
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -19,7 +19,9 @@
 
 
 def target(field: dict[str, Any]) -> Any:
-    return DEFINITIONS.get(field.get("$ref", "").rsplit("/", 1)[-1], {})
+    """Return the object that a field, also an optional one, refers to."""
+    inner = field.get("anyOf", [field])[0]
+    return DEFINITIONS.get(inner.get("$ref", "").rsplit("/", 1)[-1], {})
 
 
 def schema_by_heading() -> dict[str, dict[str, Any]]:
@@ -85,7 +87,7 @@
 
 def test_operations_page_has_every_fault() -> None:
     """Guards against a fault that the person on call finds nothing about."""
-    headings = re.findall(r"^### (.+)$", PAGES["operations"], re.M)
+    headings = re.findall(r"^### (.+)$", PAGES["OPERATIONS"], re.M)
     assert headings == first_cells(PAGES["design"], "Failure")
 
 
--- /dev/null
+++ b/tests/router/deployed/test_registration.py
@@ -0,0 +1,26 @@
+"""Registration of routers and the seeds of a fleet."""
+
+from unittest import mock
+
+import pytest
+
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_router.components.routing.registration import Registration
+
+
+@pytest.mark.parametrize(
+    ("host", "address"),
+    [
+        ("10.0.0.2:8785", "tcp://10.0.0.2:7400"),
+        ("10.0.0.2", "tcp://10.0.0.2:7400"),
+    ],
+)
+def test_seeds_are_contacted_on_the_port_of_peers(
+    host: str, address: str
+) -> None:
+    """Guards against a router that finds nobody while the log is away."""
+    app = mock.Mock(life=RouterLife("r1", 1))
+    app.settings.peer_address = "10.0.0.1:7400"
+    Registration(app, mock.Mock()).contact_seeds([host])
+    ((seeds,), _) = app.get.return_value.add_seeds.call_args
+    assert [seed.address for seed in seeds] == [address]
--- /dev/null
+++ b/tests/router/test_line_writer.py
@@ -0,0 +1,71 @@
+"""Log lines that never wait for a reader."""
+
+import os
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from lacewingspar_router.components.telemetry.line_writer import (
+    BURST_LINES,
+    LINES_PER_SECOND,
+    LineWriter,
+)
+
+LINE = "x" * 200
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def read_lines(descriptor: int) -> list[bytes]:
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(descriptor, 1 << 20)
+        except BlockingIOError:
+            return data.splitlines()
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted(
+    pipe: tuple[int, int],
+) -> None:
+    """Guards against a log that takes the processor in an outage."""
+    now = 0.0
+    writer = LineWriter(pipe[1], "r1", lambda: now)
+    lines: list[bytes] = []
+    for number in range(int(BURST_LINES) + 500):
+        writer.write(f"line {number}")
+        if number % 100 == 0:
+            lines += read_lines(pipe[0])
+    lines += read_lines(pipe[0])
+    assert len(lines) == BURST_LINES
+    assert writer.dropped == 500
+    now = 1 / LINES_PER_SECOND
+    writer.write("after")
+    notice, after = read_lines(pipe[0])
+    assert msgspec.json.decode(notice)["count"] == 500
+    assert after == b"after"
+
+
+def test_reader_that_does_not_read_blocks_nothing(
+    pipe: tuple[int, int],
+) -> None:
+    """Guards against a router that stops when nobody reads its log."""
+    now = 0.0
+    writer = LineWriter(pipe[1], "r1", lambda: now)
+    for _ in range(900):
+        writer.write(LINE)
+    assert writer.dropped > 0
+    lines = read_lines(pipe[0])
+    writer.write("last")
+    lines += read_lines(pipe[0])
+    assert lines[-1] == b"last"
+    # Every line but the notice is whole.
+    assert {line for line in lines if line[:1] == b"x"} == {LINE.encode()}
