Split the admission to a pool, its messages and its placing

The choice of an upstream moves to placement.py, the messages of the platform path to admission_messages.py and state_messages.py, and the conversion between messages and decisions to the component's messages.py. No change of behaviour.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import xxhash
 
@@ -26,31 +26,15 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.fair_queue import FairQueue
 from lacewingspar_core.identity import RouterLife
-from lacewingspar_core.ownership import owner_of
+from lacewingspar_core.placement import Placement, PoolMember
 from lacewingspar_core.routing import UpstreamService
 from lacewingspar_core.upstream_load import (
     ActiveRun,
-    EngineLoad,
-    PlainLoad,
-    UpstreamLoad,
-    held_prefix_tokens,
 )
-from lacewingspar_core.upstream_trust import UpstreamTrust
 
 # A generated token takes the engines as long as two that are read (unit of
 # the operators' estimate of the engines' rate).
 OUTPUT_TOKEN_COST = 2.0
-# Reading a shared part again costs time now and pushes other parts out of
-# memory, which are then read again as well.
-REREAD_WEIGHT = 4.0
-# Part of the aim that a request waits for the engine that suits it best
-# before it takes another one with room.
-PATIENCE_FRACTION = 0.4
-# Expected time that a use in another data centre must save.
-CROSS_DATA_CENTRE_SECONDS = 0.004
-# Credit, in tokens, of the engine that a prompt falls to by hash. Owners that
-# follow each other then send the same prompts to the same engines.
-HOME_CREDIT_FRACTION = 0.5
 # A request that cannot be in time anyway, since its prompt is long, may wait
 # this part of its aim.
 LATE_WAIT_FRACTION = 0.3
@@ -90,23 +74,12 @@
 UNREPORTED_RUN_SECONDS = 1.0
 # A run whose caller no longer waits has ended, whatever was lost.
 RUN_OVERTIME_SECONDS = 2.0
-# Shared parts whose home is remembered.
-LARGEST_HOME_CACHE = 4096
 
 REASON_OVERLOADED = "overloaded"
 REASON_NO_UPSTREAM = "no_upstream"
 REASON_DEADLINE = "deadline_unreachable"
 
 
-@dataclass(slots=True)
-class _Member:
-    """One upstream of the pool."""
-
-    entry: UpstreamEntry
-    load: UpstreamLoad
-    trust: UpstreamTrust
-
-
 class PoolAdmission:
     """Admission of requests to one pool of upstreams.
 
@@ -117,13 +90,11 @@
     """
 
     def __init__(self, pool: str) -> None:
-        self._pool = pool
+        self._placement = Placement(pool)
         self._queue = FairQueue()
-        self._member_by_id: dict[str, _Member] = {}
         self._upstream_by_run: dict[AdmissionKey, str] = {}
         self._granted: deque[tuple[float, float]] = deque()
         self._backlogged_since: float | None = None
-        self._home_by_part: dict[int, str] = {}
         self._declined_requests = DeclinedRequests()
 
     def set_upstreams(
@@ -144,25 +115,12 @@
             engine_tokens_per_second: Estimated rate of one engine, or 0.
             now: Time in seconds.
         """
-        if self._member_by_id.keys() != entry_by_id.keys():
-            self._home_by_part.clear()
-        for upstream_id in self._member_by_id.keys() - entry_by_id.keys():
-            member = self._member_by_id.pop(upstream_id)
+        left = self._placement.update(
+            entry_by_id, service, engine_tokens_per_second
+        )
+        for member in left:
             for key in member.load.run_by_key:
                 self._upstream_by_run.pop(key, None)
-        for upstream_id, entry in entry_by_id.items():
-            known = self._member_by_id.get(upstream_id)
-            if known is None:
-                self._member_by_id[upstream_id] = _Member(
-                    entry,
-                    _new_load(entry, service, engine_tokens_per_second),
-                    UpstreamTrust(),
-                )
-            else:
-                if known.entry.born_ms != entry.born_ms:
-                    known.load.forget_memory()
-                    known.trust = UpstreamTrust()
-                known.entry = entry
         return self._grant_waiting(now)
 
     def ask(self, admission: Admission, now: float) -> list[AdmissionDecision]:
@@ -182,7 +140,7 @@
             return [declined]
         if not len(self._queue):
             self._backlogged_since = now
-        cost = self._least_cost(admission)
+        cost = self._placement.least_cost(admission)
         self._queue.add(admission, cost, self._due_at(admission))
         decisions = self._grant_waiting(now)
         if key in self._queue:
@@ -218,7 +176,7 @@
 
     def note_unreachable(self, upstream_id: str, now: float) -> None:
         """Take over that an upstream refuses connections or is silent."""
-        member = self._member_by_id.get(upstream_id)
+        member = self._placement.member_by_id.get(upstream_id)
         if member is not None:
             member.trust.note_unreachable(now)
 
@@ -234,12 +192,12 @@
         for key, upstream_id in list(self._upstream_by_run.items()):
             if key.holder != holder or key in reported:
                 continue
-            load = self._member_by_id[upstream_id].load
+            load = self._placement.member_by_id[upstream_id].load
             granted_at = load.run_by_key[key].granted_at
             if now - granted_at > UNREPORTED_RUN_SECONDS:
                 self._forget_run(key)
         for key, run in reported.items():
-            member = self._member_by_id.get(run.upstream_id)
+            member = self._placement.member_by_id.get(run.upstream_id)
             if member is not None and key not in self._upstream_by_run:
                 self._upstream_by_run[key] = run.upstream_id
                 member.load.adopt(run)
@@ -263,7 +221,7 @@
         To be called some ten times a second.
         """
         for key, upstream_id in list(self._upstream_by_run.items()):
-            run = self._member_by_id[upstream_id].load.run_by_key[key]
+            run = self._placement.member_by_id[upstream_id].load.run_by_key[key]
             if now > run.ends_by + RUN_OVERTIME_SECONDS:
                 self._forget_run(key)
         decisions = self._grant_waiting(now)
@@ -287,15 +245,19 @@
     @property
     def upstream_ids(self) -> frozenset[str]:
         """Return the upstreams of the pool."""
-        return frozenset(self._member_by_id)
+        return frozenset(self._placement.member_by_id)
 
-    def _member_of(self, key: AdmissionKey) -> _Member | None:
+    def _member_of(self, key: AdmissionKey) -> PoolMember | None:
         upstream_id = self._upstream_by_run.get(key)
-        return None if upstream_id is None else self._member_by_id[upstream_id]
+        return (
+            None
+            if upstream_id is None
+            else self._placement.member_by_id[upstream_id]
+        )
 
     def _forget_run(self, key: AdmissionKey) -> None:
         upstream_id = self._upstream_by_run.pop(key)
-        load = self._member_by_id[upstream_id].load
+        load = self._placement.member_by_id[upstream_id].load
         run = load.run_by_key[key]
         load.end(key, run.granted_at)
 
@@ -312,37 +274,24 @@
         return decisions
 
     def _grant_next(self, now: float) -> Granted | None:
-        if not self._has_open_member(now):
+        if not self._placement.has_open_member(now):
             return None
-        in_time_from = now + self._lead_seconds
+        in_time_from = now + self._placement.lead_seconds
         looked_at = 0
         for workspace in self._queue.in_turn():
             for admission in self._queue.most_urgent(
                 workspace, LOOK_AHEAD, in_time_from
             ):
                 looked_at += 1
-                member = self._choose(admission, now)
+                member = self._placement.choose(admission, now)
                 if member is not None:
                     return self._grant(admission, member, now)
             if looked_at >= LOOK_AHEAD_ALL:
                 break
         return None
 
-    def _has_open_member(self, now: float) -> bool:
-        members = self._member_by_id.values()
-        trusted = [item for item in members if not item.trust.is_blocked(now)]
-        return any(item.load.is_open for item in trusted or members)
-
-    @property
-    def _lead_seconds(self) -> float:
-        """Return the shortest time to the first part of a small request."""
-        return min(
-            (item.load.lead_seconds for item in self._member_by_id.values()),
-            default=0.0,
-        )
-
     def _grant(
-        self, admission: Admission, member: _Member, now: float
+        self, admission: Admission, member: PoolMember, now: float
     ) -> Granted:
         self._queue.remove(admission)
         cost = member.load.read_cost(admission)
@@ -352,108 +301,13 @@
             admission.workspace,
             cost + OUTPUT_TOKEN_COST * admission.output_tokens,
         )
-        fetch_from = self._fetch_source(admission, member)
+        fetch_from = self._placement.fetch_source(admission, member)
         upstream_id = member.entry.upstream_id
         member.load.begin(admission, now)
         member.trust.note_grant(now)
         self._upstream_by_run[admission.key] = upstream_id
         return Granted(admission.key, upstream_id, fetch_from)
 
-    def _choose(self, admission: Admission, now: float) -> _Member | None:
-        """Return the upstream for a request, or None if it should wait."""
-        members = self._candidates(admission, now)
-        if not members:
-            return None
-        home = self._home(admission, members)
-        scored = [
-            (self._score(admission, member, home), position, member)
-            for position, member in enumerate(members)
-        ]
-        best = min(scored)
-        if best[2].load.has_room(admission):
-            return best[2]
-        with_room = [
-            item for item in scored if item[2].load.has_room(admission)
-        ]
-        if not with_room:
-            return None
-        other = min(with_room)
-        aim = max(0.0, admission.aim_at - admission.arrived_at)
-        patience = PATIENCE_FRACTION * aim
-        if now - admission.arrived_at < patience:
-            return None
-        return other[2]
-
-    def _candidates(self, admission: Admission, now: float) -> list[_Member]:
-        members = [
-            member
-            for upstream_id, member in self._member_by_id.items()
-            if upstream_id not in admission.excluded
-        ]
-        trusted = [item for item in members if not item.trust.is_blocked(now)]
-        # If all of them fail, any may be the one that works again.
-        return trusted or members
-
-    def _home(
-        self, admission: Admission, members: list[_Member]
-    ) -> _Member | None:
-        """Return the upstream that a prompt falls to by hash."""
-        if not admission.shared_parts:
-            return None
-        key = admission.shared_parts[-1].key
-        home_id = self._home_by_part.get(key)
-        if home_id is None:
-            home_id = owner_of(self._pool, key, self._member_by_id)
-            if home_id is None:
-                return None
-            if len(self._home_by_part) >= LARGEST_HOME_CACHE:
-                self._home_by_part.clear()
-            self._home_by_part[key] = home_id
-        home = self._member_by_id[home_id]
-        return home if home in members else None
-
-    def _score(
-        self, admission: Admission, member: _Member, home: _Member | None
-    ) -> float:
-        """Return the expected time to the first part, with what it costs."""
-        load = member.load
-        score = load.first_part_seconds(admission)
-        if member.entry.data_centre != admission.data_centre:
-            score += CROSS_DATA_CENTRE_SECONDS
-        if admission.shared_parts:
-            shared = admission.prompt_tokens - admission.own_tokens
-            held = held_prefix_tokens(load, admission.shared_parts)
-            if member is home:
-                held += int((shared - held) * HOME_CREDIT_FRACTION)
-            score += (REREAD_WEIGHT - 1) * (shared - held) / load.rate
-        return score
-
-    def _fetch_source(self, admission: Admission, member: _Member) -> str:
-        """Return the engine to copy shared parts from, or "".
-
-        A copy is worth it where it takes less time than reading.
-        """
-        load = member.load
-        if not isinstance(load, EngineLoad) or not admission.shared_parts:
-            return ""
-        parts = admission.shared_parts
-        held = load.memory.held_tokens(parts)
-        source_id, most = "", held
-        for upstream_id, other in self._member_by_id.items():
-            tokens = held_prefix_tokens(other.load, parts)
-            if tokens > most:
-                source_id, most = upstream_id, tokens
-        if not source_id:
-            return ""
-        profile = load.profile
-        copy_seconds = (
-            (most - held)
-            * profile.token_bytes
-            / max(1.0, profile.link_bytes_per_second)
-        )
-        read_seconds = (most - held) / load.rate
-        return source_id if copy_seconds < read_seconds else ""
-
     def _with_first_aim(self, admission: Admission, now: float) -> Admission:
         """Return a request with the aim of its caller's first attempt."""
         aim_at = self._declined_requests.take(
@@ -466,26 +320,17 @@
     def _due_at(self, admission: Admission) -> float:
         """Return when the first part is due, with time for a long prompt."""
         rate = max(
-            (item.load.rate for item in self._member_by_id.values()),
+            (item.load.rate for item in self._placement.member_by_id.values()),
             default=1.0,
         )
-        read_seconds = self._least_cost(admission) / rate
+        read_seconds = self._placement.least_cost(admission) / rate
         return admission.aim_at + LONG_PROMPT_FACTOR * read_seconds
 
-    def _least_cost(self, admission: Admission) -> float:
-        return min(
-            (
-                member.load.read_cost(admission)
-                for member in self._member_by_id.values()
-            ),
-            default=1.0,
-        )
-
     def _rate(self, now: float) -> float:
         """Return the cost that the pool takes in a second."""
         nominal = sum(
             member.load.rate
-            for member in self._member_by_id.values()
+            for member in self._placement.member_by_id.values()
             if not member.trust.is_blocked(now)
         )
         since = self._backlogged_since
@@ -504,8 +349,9 @@
         rate = self._rate(now)
         if rate <= 0:
             return 0.0
+        in_time_from = now + self._placement.lead_seconds
         before = self._queue.cost_before(
-            admission, self._due_at(admission), now + self._lead_seconds
+            admission, self._due_at(admission), in_time_from
         )
         own = before * max(1, self._queue.workspaces)
         return min(self._queue.cost, own) / rate
@@ -513,7 +359,7 @@
     def _decline_reason(
         self, admission: Admission, now: float
     ) -> Declined | None:
-        members = self._candidates(admission, now)
+        members = self._placement.candidates(admission, now)
         if not members:
             return self._declined(admission, REASON_NO_UPSTREAM, now)
         if not self._can_end_in_time(admission, members, now):
@@ -535,7 +381,7 @@
         return None
 
     def _can_end_in_time(
-        self, admission: Admission, members: list[_Member], now: float
+        self, admission: Admission, members: list[PoolMember], now: float
     ) -> bool:
         """Return whether the whole answer may be there by the deadline."""
         run_seconds = min(item.load.run_seconds(admission) for item in members)
@@ -543,7 +389,7 @@
         return admission.deadline_at - now >= needed
 
     def _shed_reason(self, admission: Admission, now: float) -> str | None:
-        members = self._candidates(admission, now)
+        members = self._placement.candidates(admission, now)
         if not members:
             return REASON_NO_UPSTREAM
         if not self._can_end_in_time(admission, members, now):
@@ -572,15 +418,3 @@
         return Declined(
             admission.key, reason, wait, max(0.05, min(longest, seconds))
         )
-
-
-def _new_load(
-    entry: UpstreamEntry,
-    service: UpstreamService,
-    engine_tokens_per_second: float,
-) -> UpstreamLoad:
-    if service.engine is None:
-        return PlainLoad(entry.upstream_id, entry.slots)
-    return EngineLoad(
-        entry.upstream_id, service.engine, engine_tokens_per_second
-    )
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -0,0 +1,55 @@
+"""Messages by which routers share configuration and upstreams."""
+
+import msgspec
+
+from lacewingspar_core.peer_message import PeerMessage
+
+
+class StateNotice(PeerMessage, frozen=True, tag="state!"):
+    """Says how new the sender's shared state is.
+
+    Attributes:
+        configuration_version: Version of the configuration in force.
+        directory_offset: Offset up to which the list of upstreams is known.
+    """
+
+    configuration_version: int
+    directory_offset: int
+
+
+class StateRequest(PeerMessage, frozen=True, tag="state?"):
+    """Asks for shared state that is newer than the sender's."""
+
+    configuration_version: int
+    directory_offset: int
+
+
+class DirectoryRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One record of the list of upstreams.
+
+    Attributes:
+        key: Identity of the upstream.
+        value: Its entry as stored, or empty if it was removed.
+        offset: Offset of the record.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+class StateReply(PeerMessage, frozen=True, tag="state"):
+    """Shared state that is newer than the receiver's.
+
+    Attributes:
+        configuration_version: Version of the configuration.
+        configuration: The configuration as stored, or empty if the receiver
+            has it.
+        directory_offset: Offset up to which the list is known.
+        records: Newest records of the list after the receiver's offset.
+    """
+
+    configuration_version: int
+    configuration: bytes
+    directory_offset: int
+    records: tuple[DirectoryRecord, ...]
--- a/packages/router/src/lacewingspar_router/components/admission/holder.py
+++ b/packages/router/src/lacewingspar_router/components/admission/holder.py
@@ -15,12 +15,7 @@
     Queued,
     RunOutcome,
 )
-from lacewingspar_core.messages import (
-    AdmissionDeclined,
-    AdmissionGranted,
-    AdmissionQueued,
-    AdmissionRequest,
-    AnyPeerMessage,
+from lacewingspar_core.admission_messages import (
     ReportedRun,
     RunEnded,
     RunReport,
@@ -28,6 +23,13 @@
 )
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
+from lacewingspar_router.components.admission.messages import (
+    DECISION_MESSAGES,
+    decision_of,
+    message_of,
+    milliseconds,
+    request_of,
+)
 from lacewingspar_router.components.admission.models import Demand, Grant
 from lacewingspar_router.components.admission.owner import PoolOwner
 from lacewingspar_router.components.admission.pools import (
@@ -98,9 +100,8 @@
         self._numbers = itertools.count(1)
         self._asked_by_number: dict[int, _Asked] = {}
         self._run_by_number: dict[int, _Run] = {}
-        self._peers.subscribe(AdmissionGranted, self._on_granted)
-        self._peers.subscribe(AdmissionQueued, self._on_queued)
-        self._peers.subscribe(AdmissionDeclined, self._on_declined)
+        for message_type in DECISION_MESSAGES:
+            self._peers.subscribe(message_type, self._on_decision)
 
     async def async_acquire(
         self, demand: Demand, excluded: frozenset[str]
@@ -241,27 +242,8 @@
         if asked.owner == self._app.life.router_id:
             self._own_pools.ask(asked.pool, admission)
             return
-        now = self._app.now()
-        self._peers.send(
-            asked.owner,
-            AdmissionRequest(
-                service=asked.pool.service,
-                shard=asked.pool.shard,
-                number=admission.key.number,
-                workspace=admission.workspace,
-                parts=tuple(
-                    (part.key, part.tokens) for part in admission.shared_parts
-                ),
-                own_tokens=admission.own_tokens,
-                output_tokens=admission.output_tokens,
-                priority=admission.priority,
-                waited_ms=_ms(now - admission.arrived_at),
-                aim_ms=_ms(admission.aim_at - now),
-                deadline_ms=_ms(admission.deadline_at - now),
-                identity=admission.identity,
-                excluded=tuple(admission.excluded),
-            ),
-        )
+        request = request_of(asked.pool, admission, self._app.now())
+        self._peers.send(asked.owner, request)
 
     def _withdraw(self, asked: _Asked) -> None:
         """Tell an owner that a request no longer needs an upstream."""
@@ -302,8 +284,8 @@
             upstream=granted.upstream_id,
             fetch_from=granted.fetch_from,
             owner=asked.owner,
-            waited_ms=_ms(self._app.now() - demand.arrived_at),
-            directory_age_ms=_ms(self._routing.directory_age_seconds),
+            waited_ms=milliseconds(self._app.now() - demand.arrived_at),
+            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
         return Grant(
             number, granted.upstream_id, granted.fetch_from, asked.owner
@@ -321,10 +303,10 @@
             service=demand.service,
             workspace=demand.workspace,
             reason=declined.reason,
-            expected_wait_ms=_ms(declined.wait_seconds),
-            retry_after_ms=_ms(declined.retry_after_seconds),
+            expected_wait_ms=milliseconds(declined.wait_seconds),
+            retry_after_ms=milliseconds(declined.retry_after_seconds),
             owner=asked.owner,
-            directory_age_ms=_ms(self._routing.directory_age_seconds),
+            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
         return RequestRefusedError(
             503,
@@ -359,7 +341,7 @@
             upstream_id=run.upstream_id,
             unread_tokens=0 if run.is_read else admission.own_tokens,
             memory_tokens=admission.prompt_tokens + admission.output_tokens,
-            left_ms=max(0, _ms(left)),
+            left_ms=max(0, milliseconds(left)),
         )
 
     def _deliver(self, service: str, decision: AdmissionDecision) -> None:
@@ -368,7 +350,7 @@
         if key.holder == self._app.life:
             self._receive(self._app.life.router_id, decision)
             return
-        self._peers.send(key.holder.router_id, _message_of(service, decision))
+        self._peers.send(key.holder.router_id, message_of(service, decision))
 
     def _receive(self, owner: str, decision: AdmissionDecision) -> None:
         # A request that has gone elsewhere was withdrawn from this owner.
@@ -376,59 +358,7 @@
         if asked is not None and asked.owner == owner:
             asked.decisions.put_nowait(decision)
 
-    def _on_granted(self, received: ReceivedMessage) -> None:
-        message = received.message
-        assert isinstance(message, AdmissionGranted)
-        self._receive(
-            received.sender.router_id,
-            Granted(
-                AdmissionKey(self._app.life, message.number),
-                message.upstream_id,
-                message.fetch_from,
-            ),
-        )
-
-    def _on_queued(self, received: ReceivedMessage) -> None:
-        message = received.message
-        assert isinstance(message, AdmissionQueued)
-        self._receive(
-            received.sender.router_id,
-            Queued(
-                AdmissionKey(self._app.life, message.number),
-                message.wait_ms / 1000,
-            ),
-        )
-
-    def _on_declined(self, received: ReceivedMessage) -> None:
-        message = received.message
-        assert isinstance(message, AdmissionDeclined)
-        self._receive(
-            received.sender.router_id,
-            Declined(
-                AdmissionKey(self._app.life, message.number),
-                message.reason,
-                message.wait_ms / 1000,
-                message.retry_after_ms / 1000,
-            ),
-        )
-
-
-def _message_of(service: str, decision: AdmissionDecision) -> AnyPeerMessage:
-    number = decision.key.number
-    match decision:
-        case Granted(_, upstream_id, fetch_from):
-            return AdmissionGranted(service, number, upstream_id, fetch_from)
-        case Queued(_, wait_seconds):
-            return AdmissionQueued(service, number, _ms(wait_seconds))
-        case Declined():
-            return AdmissionDeclined(
-                service,
-                number,
-                decision.reason,
-                _ms(decision.wait_seconds),
-                _ms(decision.retry_after_seconds),
-            )
-
-
-def _ms(seconds: float) -> int:
-    return round(seconds * 1000)
+    def _on_decision(self, received: ReceivedMessage) -> None:
+        decision = decision_of(self._app.life, received.message)
+        if decision is not None:
+            self._receive(received.sender.router_id, decision)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/admission/messages.py
@@ -0,0 +1,119 @@
+"""Requests and decisions as messages between holders and owners."""
+
+from lacewingspar_core.admission_events import (
+    Admission,
+    AdmissionDecision,
+    AdmissionKey,
+    Declined,
+    Granted,
+    Queued,
+)
+from lacewingspar_core.admission_messages import (
+    AdmissionDeclined,
+    AdmissionGranted,
+    AdmissionQueued,
+    AdmissionRequest,
+)
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import AnyPeerMessage
+from lacewingspar_core.prefix_memory import PromptPart
+from lacewingspar_router.components.admission.pools import Pool
+
+DECISION_MESSAGES = (AdmissionGranted, AdmissionQueued, AdmissionDeclined)
+
+
+def milliseconds(seconds: float) -> int:
+    """Return a time in whole milliseconds."""
+    return round(seconds * 1000)
+
+
+def request_of(
+    pool: Pool, admission: Admission, now: float
+) -> AdmissionRequest:
+    """Return the message that asks for an upstream."""
+    return AdmissionRequest(
+        service=pool.service,
+        shard=pool.shard,
+        number=admission.key.number,
+        workspace=admission.workspace,
+        parts=tuple((part.key, part.tokens) for part in admission.shared_parts),
+        own_tokens=admission.own_tokens,
+        output_tokens=admission.output_tokens,
+        priority=admission.priority,
+        waited_ms=milliseconds(now - admission.arrived_at),
+        aim_ms=milliseconds(admission.aim_at - now),
+        deadline_ms=milliseconds(admission.deadline_at - now),
+        identity=admission.identity,
+        excluded=tuple(admission.excluded),
+    )
+
+
+def admission_of(
+    holder: RouterLife, data_centre: str, request: AdmissionRequest, now: float
+) -> Admission:
+    """Return the request that a message asks for.
+
+    Args:
+        holder: Sender of the message.
+        data_centre: Its data centre.
+        request: The message.
+        now: Time of the receiver in seconds.
+    """
+    return Admission(
+        key=AdmissionKey(holder, request.number),
+        workspace=request.workspace,
+        data_centre=data_centre,
+        shared_parts=tuple(PromptPart(*part) for part in request.parts),
+        own_tokens=request.own_tokens,
+        output_tokens=request.output_tokens,
+        priority=request.priority,
+        arrived_at=now - request.waited_ms / 1000,
+        aim_at=now + request.aim_ms / 1000,
+        deadline_at=now + request.deadline_ms / 1000,
+        identity=request.identity,
+        excluded=frozenset(request.excluded),
+    )
+
+
+def message_of(service: str, decision: AdmissionDecision) -> AnyPeerMessage:
+    """Return the message that carries a decision."""
+    number = decision.key.number
+    match decision:
+        case Granted(_, upstream_id, fetch_from):
+            return AdmissionGranted(service, number, upstream_id, fetch_from)
+        case Queued(_, wait_seconds):
+            return AdmissionQueued(service, number, milliseconds(wait_seconds))
+        case Declined():
+            return AdmissionDeclined(
+                service,
+                number,
+                decision.reason,
+                milliseconds(decision.wait_seconds),
+                milliseconds(decision.retry_after_seconds),
+            )
+
+
+def decision_of(
+    holder: RouterLife, message: AnyPeerMessage
+) -> AdmissionDecision | None:
+    """Return the decision that a message carries, or None for others."""
+    match message:
+        case AdmissionGranted():
+            return Granted(
+                AdmissionKey(holder, message.number),
+                message.upstream_id,
+                message.fetch_from,
+            )
+        case AdmissionQueued():
+            return Queued(
+                AdmissionKey(holder, message.number), message.wait_ms / 1000
+            )
+        case AdmissionDeclined():
+            return Declined(
+                AdmissionKey(holder, message.number),
+                message.reason,
+                message.wait_ms / 1000,
+                message.retry_after_ms / 1000,
+            )
+        case _:
+            return None
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -10,17 +10,17 @@
     AdmissionKey,
     RunOutcome,
 )
-from lacewingspar_core.identity import RouterLife
-from lacewingspar_core.messages import (
+from lacewingspar_core.admission_messages import (
     AdmissionRequest,
     RunEnded,
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.identity import RouterLife
 from lacewingspar_core.pool_admission import PoolAdmission
-from lacewingspar_core.prefix_memory import PromptPart
 from lacewingspar_core.upstream_load import ActiveRun
 from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission.messages import admission_of
 from lacewingspar_router.components.admission.pools import Pool, pool_members
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import ROUTING
@@ -157,20 +157,8 @@
         if not self._routing.is_ready:
             # Without an answer the holder asks the next router.
             return
-        now = self._app.now()
-        admission = Admission(
-            key=AdmissionKey(received.sender, request.number),
-            workspace=request.workspace,
-            data_centre=received.data_centre,
-            shared_parts=tuple(PromptPart(*part) for part in request.parts),
-            own_tokens=request.own_tokens,
-            output_tokens=request.output_tokens,
-            priority=request.priority,
-            arrived_at=now - request.waited_ms / 1000,
-            aim_at=now + request.aim_ms / 1000,
-            deadline_at=now + request.deadline_ms / 1000,
-            identity=request.identity,
-            excluded=frozenset(request.excluded),
+        admission = admission_of(
+            received.sender, received.data_centre, request, self._app.now()
         )
         self.ask(Pool(request.service, request.shard), admission)
 
--- a/packages/router/src/lacewingspar_router/components/peers/models.py
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -9,8 +9,8 @@
 from lacewingspar_core.messages import (
     AnyPeerMessage,
     MemberRecord,
-    PeerMessage,
 )
+from lacewingspar_core.peer_message import PeerMessage
 from lacewingspar_router.application import ComponentKey
 
 
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -19,11 +19,11 @@
     AnyPeerMessage,
     Heartbeat,
     MemberRecord,
-    PeerMessage,
     RouterState,
     decode_message,
     encode_message,
 )
+from lacewingspar_core.peer_message import PeerMessage
 from lacewingspar_router.application import Application, LifeCycle
 from lacewingspar_router.components.peers import const
 from lacewingspar_router.components.peers.errors import PeerBindError
--- a/packages/router/src/lacewingspar_router/components/routing/relay.py
+++ b/packages/router/src/lacewingspar_router/components/routing/relay.py
@@ -4,9 +4,9 @@
 
 import structlog
 
-from lacewingspar_core.messages import (
+from lacewingspar_core.messages import RouterState
+from lacewingspar_core.state_messages import (
     DirectoryRecord,
-    RouterState,
     StateNotice,
     StateReply,
     StateRequest,
--- a/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
+++ b/packages/router/src/lacewingspar_router/components/scheduler/scheduler.py
@@ -24,7 +24,6 @@
     Offer,
     OfferAccepted,
     OfferDeclined,
-    PeerMessage,
     RouterState,
     SlotOutcome,
     SlotReleased,
@@ -32,6 +31,7 @@
     SlotReportRequest,
 )
 from lacewingspar_core.ownership import ServiceOwnership, assign_owners
+from lacewingspar_core.peer_message import PeerMessage
 from lacewingspar_core.slots import OwnedUpstream
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.configuration.models import (
