Split the request handler and the server, and drop what nothing reads

The connection limit of a service and one field of the relay were not read. The reload on SIGHUP gets a test.

--- a/packages/core/src/lacewingspar_core/routing.py
+++ b/packages/core/src/lacewingspar_core/routing.py
@@ -91,13 +91,10 @@
 
     Attributes:
         name: Name of the service.
-        connection_limit: Connections that one upstream accepts from all
-            routers together.
         engine: Profile of its model engines; None for a plain service.
     """
 
     name: str
-    connection_limit: int
     engine: EngineProfile | None
 
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -12,7 +12,8 @@
     ROUTING,
     RoutingView,
 )
-from lacewingspar_router.http1.server import ConnectionLimits, Http1Server
+from lacewingspar_router.http1.exchange import ConnectionLimits
+from lacewingspar_router.http1.server import Http1Server
 
 _LOGGER = structlog.get_logger(__name__)
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -20,12 +20,12 @@
     ConnectionFailedError,
     InvalidAnswerError,
 )
+from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import (
     Response,
     ResponseEnd,
     ResponseHead,
 )
-from lacewingspar_router.http1.server import ServerExchange
 
 _FIRST_FAILURE_STATUS = 500
 # These promise that a request has not run. Without the upstream's word for it
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,7 +1,6 @@
 """Path of a caller's request from its head to its final answer."""
 
 import asyncio
-from dataclasses import dataclass
 
 import structlog
 
@@ -33,37 +32,22 @@
     Call,
     CallerFields,
 )
+from lacewingspar_router.components.forwarding.records import (
+    CallProgress,
+    CallRecords,
+)
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.client import ConnectionPool
+from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import HttpRequest, Response
-from lacewingspar_router.http1.server import ServerExchange
 from lacewingspar_router.http_headers import RawHeaders
 
 _LOGGER = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What has happened to a request so far.
-
-    Attributes:
-        call: The request.
-        relay: The caller's side.
-        history: Its attempts.
-        last: How the last attempt ended.
-        upstream_id: Upstream of the last attempt.
-    """
-
-    call: Call
-    relay: Relay
-    history: AttemptHistory
-    last: AttemptEnd | None = None
-    upstream_id: str = ""
-
-
 class CallHandler:
     """Answers the requests of callers.
 
@@ -88,6 +72,7 @@
         self._allowance_by_service: dict[str, RetryAllowance] = {}
         self._pool_by_address: dict[str, ConnectionPool] = {}
         self._guard = CrashGuard(app)
+        self._records = CallRecords(app)
         self.accepts_requests = True
 
     async def async_handle(self, exchange: ServerExchange) -> None:
@@ -102,7 +87,7 @@
             self._refuse(exchange, error, request_id, None)
             return
         events = EventSequence(last_id=fields.last_event_id)
-        progress = _Progress(
+        progress = CallProgress(
             call,
             Relay(exchange, events),
             AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
@@ -114,7 +99,7 @@
             outcome = error.code
             self._refuse(exchange, error, request_id, progress)
         finally:
-            self._note_end(progress, outcome)
+            self._records.note_end(progress, outcome)
 
     def drop_stale_connections(self) -> None:
         """Close connections to upstreams that are not used any more."""
@@ -165,7 +150,7 @@
             configuration_version=configuration.version,
         )
 
-    async def _async_run(self, progress: _Progress) -> str:
+    async def _async_run(self, progress: CallProgress) -> str:
         """Try upstreams until one has answered.
 
         Returns:
@@ -187,7 +172,7 @@
                 may_have_run=progress.history.may_have_run
             ) from error
 
-    async def _async_attempts(self, progress: _Progress) -> str:
+    async def _async_attempts(self, progress: CallProgress) -> str:
         call, history = progress.call, progress.history
         demand = self._demand(call)
         while True:
@@ -212,7 +197,7 @@
             )
 
     async def _async_attempt(
-        self, progress: _Progress, grant: Grant, mark: str
+        self, progress: CallProgress, grant: Grant, mark: str
     ) -> AttemptEnd:
         """Run one attempt and report how it ended.
 
@@ -241,12 +226,12 @@
         finally:
             self._admission.end(grant, outcome, is_unreachable=is_unreachable)
         if end.result is not AttemptResult.ANSWERED:
-            self._note_failed_attempt(progress, end)
+            self._records.note_failed_attempt(progress, end)
         return end
 
     async def _async_send(
         self,
-        progress: _Progress,
+        progress: CallProgress,
         grant: Grant,
         upstream: UpstreamEntry,
         mark: str,
@@ -281,7 +266,7 @@
     def _may_give_up(self, history: AttemptHistory) -> bool:
         return history.may_run_again and history.sent + 1 < history.sent_limit
 
-    def _may_try_again(self, progress: _Progress, end: AttemptEnd) -> bool:
+    def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
         now = self._app.now()
         if not history.may_try_again(end.result):
@@ -327,82 +312,14 @@
         exchange: ServerExchange,
         error: RequestRefusedError,
         request_id: str,
-        progress: _Progress | None,
+        progress: CallProgress | None,
     ) -> None:
         """Send the final answer to a request that was not served."""
-        _LOGGER.info(
-            "request refused",
-            request_id=request_id,
-            status=error.status,
-            code=error.code,
-            run=error.run,
-            retry_after_seconds=error.retry_after_seconds,
-            sent=0 if progress is None else progress.history.sent,
-            configuration_version=self._version(),
-        )
-        if progress is None:
-            self._telemetry.count("requests_total", outcome=error.code)
+        self._records.note_refusal(error, request_id, progress)
         if not exchange.is_started:
             response = self._wire.refusal(error, request_id)
             exchange.answer(response.status, response.headers, response.body)
 
-    def _version(self) -> int:
-        configuration = self._routing.configuration
-        return -1 if configuration is None else configuration.version
-
-    def _note_failed_attempt(
-        self, progress: _Progress, end: AttemptEnd
-    ) -> None:
-        self._telemetry.count(
-            "failed_attempts_total",
-            service=progress.call.service,
-            result=end.result,
-        )
-        _LOGGER.warning(
-            "attempt failed",
-            request_id=progress.call.fields.request_id,
-            upstream=progress.upstream_id,
-            result=end.result,
-            reason=end.reason,
-            sent=progress.history.sent,
-            directory_age_ms=round(self._routing.directory_age_seconds * 1000),
-        )
-
-    def _note_end(self, progress: _Progress, outcome: str) -> None:
-        call = progress.call
-        now = self._app.now()
-        seconds = now - call.request.received_at
-        first_part_at = progress.relay.first_part_at
-        self._telemetry.count(
-            "requests_total", service=call.service, outcome=outcome
-        )
-        self._telemetry.observe(
-            "request_seconds", seconds, service=call.service
-        )
-        if first_part_at is not None:
-            self._telemetry.observe(
-                "first_part_seconds",
-                first_part_at - call.request.received_at,
-                service=call.service,
-            )
-        _LOGGER.info(
-            "request ended",
-            request_id=call.fields.request_id,
-            outcome=outcome,
-            route=call.route.name,
-            service=call.service,
-            workspace=call.workspace,
-            upstream=progress.upstream_id,
-            sent=progress.history.sent,
-            duration_ms=round(seconds * 1000),
-            first_part_ms=(
-                None
-                if first_part_at is None
-                else round((first_part_at - call.request.received_at) * 1000)
-            ),
-            configuration_version=call.configuration_version,
-        )
-
     def _allowance(self, service: str) -> RetryAllowance:
         allowance = self._allowance_by_service.get(service)
         if allowance is None:
--- a/packages/router/src/lacewingspar_router/components/forwarding/readiness.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/readiness.py
@@ -3,7 +3,7 @@
 from lacewingspar_router.application import Application, LifeCycle
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.http1.server import ServerExchange
+from lacewingspar_router.http1.exchange import ServerExchange
 
 
 class ReadinessPage:
--- a/packages/router/src/lacewingspar_router/components/routing/relay.py
+++ b/packages/router/src/lacewingspar_router/components/routing/relay.py
@@ -32,7 +32,6 @@
         self._app = app
         self._state = state
         self._peers = app.get(PEERS)
-        self._told: tuple[int, int] = (-1, -1)
         self._peers.subscribe(StateNotice, self._on_notice)
         self._peers.subscribe(StateRequest, self._on_request)
         self._peers.subscribe(StateReply, self._on_reply)
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
 import structlog
 
+from lacewingspar_router.http1.exchange import ConnectionLimits, ServerExchange
 from lacewingspar_router.http1.messages import (
     HttpRequest,
     encode_head,
@@ -30,23 +30,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Limits on one connection.
-
-    Attributes:
-        header_bytes: Largest head of a request.
-        body_bytes: Largest body of a request.
-        header_timeout_seconds: Longest time to send a head.
-        idle_timeout_seconds: Longest time without a byte.
-    """
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout_seconds: float = 3.0
-    idle_timeout_seconds: float = 15.0
-
-
 class _BadRequestError(Exception):
     """A request breaks a limit; the status tells which."""
 
@@ -55,59 +38,6 @@
         self.status = status
 
 
-class ServerExchange:
-    """One request and its answer.
-
-    Attributes:
-        request: The request.
-        is_started: Whether the head of the answer was sent.
-        is_finished: Whether the answer is complete.
-    """
-
-    def __init__(
-        self, connection: "CallerConnection", request: HttpRequest
-    ) -> None:
-        self.request = request
-        self.is_started = False
-        self.is_finished = False
-        self._connection = connection
-        self._is_chunked = False
-
-    def start(
-        self, status: int, headers: RawHeaders, *, length: int | None
-    ) -> None:
-        """Send the head of an answer; without a length it is chunked."""
-        self.is_started = True
-        framed = list(headers)
-        if length is None:
-            self._is_chunked = True
-            framed.append((b"transfer-encoding", b"chunked"))
-        else:
-            framed.append((b"content-length", b"%d" % length))
-        if self._connection.must_close:
-            framed.append((b"connection", b"close"))
-        self._connection.write(encode_head(status_line(status), framed))
-
-    async def async_write(self, data: bytes) -> None:
-        """Send a part of the body, at the pace of the caller."""
-        if self._is_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.write(data)
-        await self._connection.async_drain()
-
-    def finish(self) -> None:
-        """Send the end of the answer."""
-        self.is_finished = True
-        if self._is_chunked:
-            self._connection.write(b"0\r\n\r\n")
-
-    def answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
-        """Send a whole answer."""
-        self.start(status, headers, length=len(body))
-        self._connection.write(body)
-        self.finish()
-
-
 Handler = Callable[[ServerExchange], Awaitable[None]]
 
 
--- a/packages/router/src/lacewingspar_router/platform/manifest.py
+++ b/packages/router/src/lacewingspar_router/platform/manifest.py
@@ -20,7 +20,6 @@
 # Where a route names no limits, those of the longest requests apply.
 _DEFAULT_TIMEOUT_MS = 60_000.0
 _DEFAULT_AIM_MS = 1000.0
-_DEFAULT_CONNECTIONS = 100
 _DEFAULT_LIMITS = CallerLimits()
 
 
@@ -71,8 +70,6 @@
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    # Over all callers, and for each upstream.
-    max_connections: int = _DEFAULT_CONNECTIONS
     engine: _Engine | None = None
 
 
@@ -162,4 +159,4 @@
             token_bytes=int(engine.kv_bytes),
             link_bytes_per_second=megabits / _BITS_PER_BYTE,
         )
-    return UpstreamService(item.name, item.max_connections, profile)
+    return UpstreamService(item.name, profile)
--- a/tests/core/engine_model.py
+++ b/tests/core/engine_model.py
@@ -33,7 +33,7 @@
     token_bytes=0,
     link_bytes_per_second=0.0,
 )
-SERVICE = UpstreamService("models", 100, PROFILE)
+SERVICE = UpstreamService("models", PROFILE)
 READ_TOKENS_PER_SECOND = 80_000.0
 WRITE_SECONDS = 0.8
 AIM_SECONDS = 0.4
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -191,7 +191,7 @@
 
 def test_plain_upstreams_get_no_more_calls_than_slots() -> None:
     pool = PoolAdmission("swap/0")
-    service = UpstreamService("swap", 100, None)
+    service = UpstreamService("swap", None)
     pool.set_upstreams({"a": entry("a", slots=2)}, service, 0.0, 0.0)
     decisions = [pool.ask(admission(n, 0.0), 0.0) for n in range(3)]
     kinds = [type(item) for items in decisions for item in items]
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -10,6 +10,7 @@
 
 import httpx
 import pytest
+import structlog
 from tests.router.conftest import (
     AUTHORIZED,
     FakeClaims,
@@ -237,3 +238,35 @@
         daemon.address = f"127.0.0.1:{used.getsockname()[1]}"
         assert await daemon.start() == 1
     assert f"cannot bind {daemon.address}" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("changes", "event", "expected"),
+    [
+        ({"log_level": "error"}, "settings reloaded", False),
+        ({"peer_address": "127.0.0.1:9"}, "settings reloaded", True),
+        ({"log_level": "loud"}, "settings cannot be reloaded", None),
+    ],
+)
+def test_reload_applies_the_log_level_and_names_the_rest(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    changes: dict[str, Any],
+    event: str,
+    expected: bool | None,
+) -> None:
+    """Guards against a signal to reload that ends the process."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(VALUES))
+    running = main.load_settings(path)
+    path.write_text(json.dumps(VALUES | changes))
+    levels: list[str] = []
+    monkeypatch.setattr(
+        main, "configure_log_lines", lambda level, _: levels.append(level)
+    )
+    with structlog.testing.capture_logs() as lines:
+        main._reload(path, running)
+    assert lines[-1]["event"] == event
+    assert lines[-1].get("needs_restart") is expected
+    is_applied = expected is not None
+    assert levels == [changes.get("log_level", "info")] * is_applied
