Read answers in one place, and drop fields that nothing reads

The body of an answer was read by one loop for the store and by a copy of it for requests; both call async_read_body now. The fingerprint of a request was computed again for each attempt. Not read by anything: the last attempt of a request's progress, whether a connection was reset, the skipping of foreign heads in async_exchange, PoolAdmission.upstream_ids, a constant and a logger.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -242,11 +242,6 @@
         """Return the number of granted requests that have not ended."""
         return len(self._upstream_by_run)
 
-    @property
-    def upstream_ids(self) -> frozenset[str]:
-        """Return the upstreams of the pool."""
-        return frozenset(self._placement.member_by_id)
-
     def _member_of(self, key: AdmissionKey) -> PoolMember | None:
         upstream_id = self._upstream_by_run.get(key)
         return (
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -14,7 +14,12 @@
     Call,
     WireFormat,
 )
-from lacewingspar_router.http1.client import ClientConnection, ConnectionPool
+from lacewingspar_router.http1.client import (
+    ClientConnection,
+    ConnectionPool,
+    async_read_body,
+    async_read_head,
+)
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
@@ -97,7 +102,6 @@
         self._now = now
         self._on_first_part = on_first_part
         self._may_give_up = may_give_up
-        self._connection: ClientConnection | None = None
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it cancels the upstream's work.
@@ -108,20 +112,20 @@
         route = self._call.route
         idle = None if route.may_run_again else const.SINGLE_RUN_IDLE_SECONDS
         try:
-            self._connection = await self._pool.async_take(idle)
+            connection = await self._pool.async_take(idle)
         except ConnectionFailedError as error:
             return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
         is_complete = False
         try:
-            self._connection.send(self._request(fetch_from))
-            end = await self._async_answer(self._connection)
+            connection.send(self._request(fetch_from))
+            end = await self._async_answer(connection)
             is_complete = end.result not in _BROKEN_RESULTS
             return end
         finally:
             if is_complete:
-                self._pool.give_back(self._connection)
+                self._pool.give_back(connection)
             else:
-                self._connection.abort()
+                connection.abort()
 
     def _request(self, fetch_from: str) -> bytes:
         resume_after = self._relay.events.last_id
@@ -140,7 +144,9 @@
             if self._is_stream(head, facts):
                 return await self._async_stream(connection, head)
             async with asyncio.timeout(self._silent_limit()):
-                response = await self._async_body(connection, head)
+                response = await async_read_body(
+                    connection, head, const.LARGEST_ANSWER_BYTES
+                )
         except TimeoutError:
             return AttemptEnd(AttemptResult.SILENT, "no answer in time")
         except ConnectionBrokenError as error:
@@ -157,27 +163,11 @@
         Answers to earlier requests, which came late, are skipped.
         """
         while True:
-            head = await connection.next_event()
-            if not isinstance(head, ResponseHead):
-                raise InvalidAnswerError("an answer has no head")
+            head = await async_read_head(connection)
             facts = self._wire.read_answer(self._call, self._upstream, head)
             if facts.is_own:
                 return head, facts
-            await self._async_body(connection, head)
-
-    async def _async_body(
-        self, connection: ClientConnection, head: ResponseHead
-    ) -> Response:
-        body = bytearray()
-        while True:
-            event = await connection.next_event()
-            if isinstance(event, ResponseEnd):
-                return Response(head.status, head.headers, bytes(body))
-            if isinstance(event, ResponseHead):
-                raise InvalidAnswerError("an answer follows before the end")
-            body += event
-            if len(body) > const.LARGEST_ANSWER_BYTES:
-                raise InvalidAnswerError("the answer is too large")
+            await async_read_body(connection, head, const.LARGEST_ANSWER_BYTES)
 
     async def _async_stream(
         self, connection: ClientConnection, head: ResponseHead
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -57,24 +57,26 @@
         self._checked_upstreams: set[str] = set()
         self._peers.subscribe(Quarantine, self._on_quarantine)
 
-    def check(self, call: Call) -> str:
-        """Return the fingerprint of a request.
-
-        Raises:
-            RequestRefusedError: The request has crashed upstreams.
-        """
+    def mark_of(self, call: Call) -> str:
+        """Return the fingerprint of a request."""
         request = call.request
-        mark = fingerprint(
+        return fingerprint(
             call.service,
             f"{call.workspace} {call.fields.host}{request.target}",
             request.body,
         )
+
+    def check(self, call: Call, mark: str) -> None:
+        """Check that a request is not in quarantine.
+
+        Raises:
+            RequestRefusedError: The request has crashed upstreams.
+        """
         now = self._app.now()
         seconds = self._state(call.service).refused_until(mark, now) - now
         if seconds > 0:
             self._telemetry.count("quarantined_total", service=call.service)
             raise refusals.quarantined(seconds)
-        return mark
 
     def begin(self, call: Call, mark: str, upstream_id: str) -> GuardedRun:
         """Note that a request is sent."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -175,11 +175,11 @@
     async def _async_attempts(self, progress: CallProgress) -> str:
         call, history = progress.call, progress.history
         demand = self._demand(call)
+        mark = self._guard.mark_of(call)
         while True:
-            mark = self._guard.check(call)
+            self._guard.check(call, mark)
             grant = await self._admission.async_acquire(demand, history.tried)
             end = await self._async_attempt(progress, grant, mark)
-            progress.last = end
             if end.result is AttemptResult.ANSWERED:
                 if end.response is not None:
                     self._pass_on(progress.relay.exchange, end.response)
@@ -206,7 +206,7 @@
             grant: Upstream to use.
             mark: Fingerprint of the request.
         """
-        _call, history = progress.call, progress.history
+        history = progress.history
         entries = self._routing.directory.entry_by_id
         upstream = entries.get(grant.upstream_id)
         progress.upstream_id = grant.upstream_id
--- a/packages/router/src/lacewingspar_router/components/forwarding/records.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/records.py
@@ -26,14 +26,12 @@
         call: The request.
         relay: The caller's side.
         history: Its attempts.
-        last: How the last attempt ended.
         upstream_id: Upstream of the last attempt.
     """
 
     call: Call
     relay: Relay
     history: AttemptHistory
-    last: AttemptEnd | None = None
     upstream_id: str = ""
 
 
--- a/packages/router/src/lacewingspar_router/components/routing/relay.py
+++ b/packages/router/src/lacewingspar_router/components/routing/relay.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import structlog
-
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.state_messages import (
     DirectoryRecord,
@@ -17,8 +15,6 @@
 from lacewingspar_router.components.routing.models import KeyedRecord
 from lacewingspar_router.components.routing.state import RoutingState
 
-_LOGGER = structlog.get_logger(__name__)
-
 
 class StateRelay:
     """Tells peers of changes and fetches what this router has missed.
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -4,7 +4,6 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
 from typing import cast
 
 import httptools
@@ -42,7 +41,6 @@
 IDLE_SAFETY_FRACTION = 0.5
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _INFORMATIONAL_BELOW = 200
-_SWITCHING_PROTOCOLS = 101
 
 _Event = ResponseHead | bytes | ResponseEnd
 
@@ -97,7 +95,7 @@
         """Break the exchange under way."""
         self._is_closing = True
         reason = "connection closed" if exc is None else f"connection: {exc}"
-        self._fail(ConnectionBrokenError(reason, was_reset=exc is not None))
+        self._fail(ConnectionBrokenError(reason))
 
     # httptools callbacks
 
@@ -295,10 +293,7 @@
 
 
 async def async_exchange(
-    connection: ClientConnection,
-    data: bytes,
-    limit_bytes: int,
-    accepts: Callable[[ResponseHead], bool] = lambda _: True,
+    connection: ClientConnection, data: bytes, limit_bytes: int
 ) -> Response:
     """Send a request and return its whole answer.
 
@@ -306,29 +301,49 @@
         connection: An idle connection.
         data: The request.
         limit_bytes: Largest body.
-        accepts: Whether a head belongs to this request; others are skipped.
 
     Raises:
         ConnectionBrokenError: The connection ended before the answer did.
         InvalidAnswerError: The answer is too large or not HTTP.
     """
     connection.send(data)
-    head: ResponseHead | None = None
+    head = await async_read_head(connection)
+    return await async_read_body(connection, head, limit_bytes)
+
+
+async def async_read_head(connection: ClientConnection) -> ResponseHead:
+    """Return the head of the next answer.
+
+    Raises:
+        ConnectionBrokenError: The connection ended before it.
+        InvalidAnswerError: What comes is no head.
+    """
+    head = await connection.next_event()
+    if not isinstance(head, ResponseHead):
+        raise InvalidAnswerError("an answer has no head")
+    return head
+
+
+async def async_read_body(
+    connection: ClientConnection, head: ResponseHead, limit_bytes: int
+) -> Response:
+    """Return the whole answer to a head that was read.
+
+    Raises:
+        ConnectionBrokenError: The connection ended before the answer did.
+        InvalidAnswerError: The body is too large, or another answer follows
+            before its end.
+    """
     body = bytearray()
     while True:
-        match await connection.next_event():
-            case ResponseHead() as received:
-                head = received
-                body.clear()
-            case ResponseEnd():
-                if head is None:
-                    raise InvalidAnswerError("an answer ended without a head")
-                if accepts(head):
-                    return Response(head.status, head.headers, bytes(body))
-            case bytes() as part:
-                body += part
-                if len(body) > limit_bytes:
-                    raise InvalidAnswerError("the answer is too large")
+        event = await connection.next_event()
+        if isinstance(event, ResponseEnd):
+            return Response(head.status, head.headers, bytes(body))
+        if isinstance(event, ResponseHead):
+            raise InvalidAnswerError("an answer follows before the end")
+        body += event
+        if len(body) > limit_bytes:
+            raise InvalidAnswerError("the answer is too large")
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
--- a/packages/router/src/lacewingspar_router/http1/errors.py
+++ b/packages/router/src/lacewingspar_router/http1/errors.py
@@ -8,15 +8,7 @@
 
 
 class ConnectionBrokenError(RouterError):
-    """A connection ended, or went silent, before its answer was complete.
-
-    Attributes:
-        was_reset: Whether the other side reset the connection.
-    """
-
-    def __init__(self, message: str, *, was_reset: bool = False) -> None:
-        super().__init__(message)
-        self.was_reset = was_reset
+    """A connection ended before its answer was complete."""
 
 
 class InvalidAnswerError(RouterError):
