--- a/packages/core/src/lacewingspar_core/fair_queue.py
+++ b/packages/core/src/lacewingspar_core/fair_queue.py
@@ -109,6 +109,10 @@
                 return waiting[key]
         return None
 
+    def due_at(self, key: AdmissionKey) -> float:
+        """Return the time by which a waiting request's first part is due."""
+        return self._due_at_by_key[key]
+
     def in_turn(self) -> list[str]:
         """Return the waiting workspaces, the next one first."""
         return sorted(self._waiting_by_workspace, key=self._start_tag)
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -41,6 +41,7 @@
         state: Announced life-cycle state.
         heartbeat: Number of heartbeats that this life has sent.
         applied_offset: First configuration offset not yet applied.
+        capacity: Processor time that the router may use, in cores.
     """
 
     life: RouterLife
@@ -49,6 +50,7 @@
     state: RouterState
     heartbeat: int
     applied_offset: int
+    capacity: float = 1.0
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/lacewingspar_core/ownership.py
+++ b/packages/core/src/lacewingspar_core/ownership.py
@@ -9,6 +9,9 @@
 # One owner carries at most this many upstreams of a service, which keeps its
 # grants within its share of the control budget at the target size.
 UPSTREAMS_PER_SHARD = 16
+# A router with less than this part of the largest router's processor time owns
+# no shards.
+LEAST_OWNER_CAPACITY_FRACTION = 0.5
 
 
 def shard_count(upstream_count: int) -> int:
@@ -36,6 +39,23 @@
     )
 
 
+def capable_routers(capacity_by_router_id: Mapping[str, float]) -> list[str]:
+    """Return the routers that may own shards.
+
+    An owner decides for all entry VMs beside its own callers, so that small
+    VMs own nothing while there are larger ones.
+
+    Args:
+        capacity_by_router_id: Processor time of each router, in cores.
+    """
+    largest = max(capacity_by_router_id.values(), default=0.0)
+    return [
+        router_id
+        for router_id, capacity in capacity_by_router_id.items()
+        if capacity >= LEAST_OWNER_CAPACITY_FRACTION * largest
+    ]
+
+
 def rank_of(router_id: str, key: str, router_ids: Sequence[str]) -> int:
     """Return the position of a router in the rendezvous order of a key."""
     ordered = sorted(
--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -4,10 +4,11 @@
 engine keeps, beside prompts without any.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from operator import itemgetter
 
-from lacewingspar_core.admission_events import Admission
+from lacewingspar_core.admission_events import Admission, AdmissionKey
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.ownership import owner_of
 from lacewingspar_core.routing import UpstreamService
@@ -32,15 +33,48 @@
 HOME_CREDIT_FRACTION = 0.5
 # Shared parts whose home is remembered.
 LARGEST_HOME_CACHE = 4096
+# After a request found no room it is compared only with upstreams whose load
+# has changed since, and with all of them again after this long. That bounds
+# the processor time of a decision.
+REJECTION_SECONDS = 0.05
+# Waiting requests for which that is remembered.
+LARGEST_REJECTION_CACHE = 4096
 
+_SCORE = itemgetter(0)
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, eq=False)
 class PoolMember:
-    """One upstream of the pool."""
+    """One upstream of the pool.
+
+    Attributes:
+        entry: What it reports about itself.
+        load: What runs on it.
+        trust: Whether it is believed to work.
+        changed: Number of the last change of its load.
+    """
 
     entry: UpstreamEntry
     load: UpstreamLoad
     trust: UpstreamTrust
+    changed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Rejection:
+    """A request found no upstream with room.
+
+    Attributes:
+        best: The upstream that suited it best.
+        is_patient: Whether it waited for that one.
+        changes: Changes of load that were known then.
+        until: Time until which that is remembered.
+    """
+
+    best: PoolMember
+    is_patient: bool
+    changes: int
+    until: float
 
 
 class Placement:
@@ -57,6 +91,8 @@
         self._pool = pool
         self.member_by_id: dict[str, PoolMember] = {}
         self._home_by_part: dict[int, str] = {}
+        self._rejection_by_key: dict[AdmissionKey, _Rejection] = {}
+        self._changes = 0
 
     def update(
         self,
@@ -77,6 +113,7 @@
         members = self.member_by_id
         if members.keys() != entry_by_id.keys():
             self._home_by_part.clear()
+            self._rejection_by_key.clear()
         left = [
             members.pop(name) for name in members.keys() - entry_by_id.keys()
         ]
@@ -92,11 +129,11 @@
             known.entry = entry
         return left
 
-    def has_open_member(self, now: float) -> bool:
-        """Return whether some upstream takes requests now."""
+    def open_members(self, now: float) -> list[PoolMember]:
+        """Return the upstreams that take requests now."""
         members = self.member_by_id.values()
-        trusted = [item for item in members if not item.trust.is_blocked(now)]
-        return any(item.load.is_open for item in trusted or members)
+        trusted = [item for item in members if now >= item.trust.blocked_until]
+        return [item for item in trusted or members if item.load.is_open]
 
     @property
     def lead_seconds(self) -> float:
@@ -108,39 +145,117 @@
 
     def candidates(self, admission: Admission, now: float) -> list[PoolMember]:
         """Return the upstreams that a request may use."""
-        members = [
-            member
-            for upstream_id, member in self.member_by_id.items()
-            if upstream_id not in admission.excluded
-        ]
-        trusted = [item for item in members if not item.trust.is_blocked(now)]
+        members: Iterable[PoolMember] = self.member_by_id.values()
+        if admission.excluded:
+            members = [
+                member
+                for upstream_id, member in self.member_by_id.items()
+                if upstream_id not in admission.excluded
+            ]
+        trusted = [item for item in members if now >= item.trust.blocked_until]
         # If all of them fail, any may be the one that works again.
-        return trusted or members
+        return trusted or list(members)
 
-    def choose(self, admission: Admission, now: float) -> PoolMember | None:
-        """Return the upstream for a request, or None if it should wait."""
-        members = self.candidates(admission, now)
-        if not members:
-            return None
-        home = self._home(admission, members)
-        scored = [
-            (self._score(admission, member, home), position, member)
-            for position, member in enumerate(members)
-        ]
-        best = min(scored)
-        if best[2].load.has_room(admission):
-            return best[2]
-        with_room = [
-            item for item in scored if item[2].load.has_room(admission)
-        ]
-        if not with_room:
+    def choose(
+        self, admission: Admission, open_members: list[PoolMember], now: float
+    ) -> PoolMember | None:
+        """Return the upstream for a request, or None if it should wait.
+
+        Args:
+            admission: The request.
+            open_members: The upstreams that take requests now.
+            now: Time in seconds.
+        """
+        if admission.excluded:
+            open_members = [
+                member
+                for member in self.candidates(admission, now)
+                if member.load.is_open
+            ]
+        if not open_members:
             return None
-        other = min(with_room)
         aim = max(0.0, admission.aim_at - admission.arrived_at)
-        patience = PATIENCE_FRACTION * aim
-        if now - admission.arrived_at < patience:
+        is_patient = now - admission.arrived_at < PATIENCE_FRACTION * aim
+        rejection = self._rejection_by_key.get(admission.key)
+        if (
+            rejection is None
+            or now >= rejection.until
+            or is_patient != rejection.is_patient
+        ):
+            if is_patient:
+                open_members = self.candidates(admission, now)
+            return self._choose_among(admission, open_members, is_patient, now)
+        changed = [
+            member
+            for member in open_members
+            if member.changed > rejection.changes
+        ]
+        if not changed:
             return None
-        return other[2]
+        if is_patient and rejection.best not in changed:
+            changed.append(rejection.best)
+        return self._choose_among(admission, changed, is_patient, now)
+
+    def note_change(self, member: PoolMember) -> None:
+        """Take over that the load of an upstream has changed."""
+        self._changes += 1
+        member.changed = self._changes
+
+    def _choose_among(
+        self,
+        admission: Admission,
+        members: list[PoolMember],
+        is_patient: bool,
+        now: float,
+    ) -> PoolMember | None:
+        """Return the upstream for a request, and remember if there is none.
+
+        A patient request waits for the upstream that suits it best; others
+        take the best of those that have room.
+        """
+        scored = self._scored(admission, members)
+        _, best, has_room = min(scored, key=_SCORE)
+        if has_room:
+            return best
+        with_room = [] if is_patient else [item for item in scored if item[2]]
+        if with_room:
+            return min(with_room, key=_SCORE)[1]
+        key = admission.key
+        known = self._rejection_by_key.get(key)
+        until = now + REJECTION_SECONDS
+        if known is not None and now < known.until:
+            until = known.until
+        elif len(self._rejection_by_key) >= LARGEST_REJECTION_CACHE:
+            self._rejection_by_key.clear()
+        self._rejection_by_key[key] = _Rejection(
+            best, is_patient, self._changes, until
+        )
+        return None
+
+    def _scored(
+        self, admission: Admission, members: list[PoolMember]
+    ) -> list[tuple[float, PoolMember, bool]]:
+        """Return the score of each upstream and whether it has room.
+
+        The score is the expected time to the first part, with what the choice
+        costs others; the lowest is the best.
+        """
+        home = self._home(admission, members)
+        data_centre = admission.data_centre
+        shared = admission.prompt_tokens - admission.own_tokens
+        scored: list[tuple[float, PoolMember, bool]] = []
+        for member in members:
+            score, held, has_room = member.load.assess(admission)
+            if member.entry.data_centre != data_centre:
+                score += CROSS_DATA_CENTRE_SECONDS
+            if shared:
+                if member is home:
+                    held += int((shared - held) * HOME_CREDIT_FRACTION)
+                score += (
+                    (REREAD_WEIGHT - 1) * (shared - held) / member.load.rate
+                )
+            scored.append((score, member, has_room))
+        return scored
 
     def fetch_source(self, admission: Admission, member: PoolMember) -> str:
         """Return the engine to copy shared parts from, or "".
@@ -196,22 +311,6 @@
         home = self.member_by_id[home_id]
         return home if home in members else None
 
-    def _score(
-        self, admission: Admission, member: PoolMember, home: PoolMember | None
-    ) -> float:
-        """Return the expected time to the first part, with what it costs."""
-        load = member.load
-        score = load.first_part_seconds(admission)
-        if member.entry.data_centre != admission.data_centre:
-            score += CROSS_DATA_CENTRE_SECONDS
-        if admission.shared_parts:
-            shared = admission.prompt_tokens - admission.own_tokens
-            held = held_prefix_tokens(load, admission.shared_parts)
-            if member is home:
-                held += int((shared - held) * HOME_CREDIT_FRACTION)
-            score += (REREAD_WEIGHT - 1) * (shared - held) / load.rate
-        return score
-
 
 def _new_load(
     entry: UpstreamEntry,
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -133,18 +133,22 @@
         if key in self._upstream_by_run:
             return [Granted(key, self._upstream_by_run[key], "")]
         if key in self._queue:
-            return [Queued(key, self._expected_wait(admission, now))]
+            due_at = self._queue.due_at(key)
+            wait = self._expected_wait(admission, due_at, now)
+            return [Queued(key, wait)]
         admission = self._with_first_aim(admission, now)
-        declined = self._decline_reason(admission, now)
-        if declined is not None:
-            return [declined]
+        cost = self._placement.least_cost(admission)
+        due_at = self._due_at(admission, cost)
+        reason = self._decline_reason(admission, due_at, now)
+        if reason is not None:
+            return [self._declined(admission, due_at, reason, now)]
         if not len(self._queue):
             self._backlogged_since = now
-        cost = self._placement.least_cost(admission)
-        self._queue.add(admission, cost, self._due_at(admission))
+        self._queue.add(admission, cost, due_at)
         decisions = self._grant_waiting(now)
         if key in self._queue:
-            decisions.append(Queued(key, self._expected_wait(admission, now)))
+            wait = self._expected_wait(admission, due_at, now)
+            decisions.append(Queued(key, wait))
         return decisions
 
     def note_first_part(
@@ -155,6 +159,7 @@
         if member is None:
             return []
         member.load.note_first_part(key, now)
+        self._placement.note_change(member)
         member.trust.note_answer()
         return self._grant_waiting(now)
 
@@ -171,6 +176,7 @@
             return []
         del self._upstream_by_run[key]
         member.load.end(key, now)
+        self._placement.note_change(member)
         member.trust.note(outcome, now)
         return self._grant_waiting(now)
 
@@ -201,6 +207,7 @@
             if member is not None and key not in self._upstream_by_run:
                 self._upstream_by_run[key] = run.upstream_id
                 member.load.adopt(run)
+                self._placement.note_change(member)
         return self._grant_waiting(now)
 
     def forget_holder(
@@ -228,8 +235,9 @@
         for admission in list(self._queue):
             reason = self._shed_reason(admission, now)
             if reason is not None:
+                due_at = self._queue.due_at(admission.key)
                 self._queue.remove(admission)
-                decisions.append(self._declined(admission, reason, now))
+                decisions.append(self._declined(admission, due_at, reason, now))
         return decisions
 
     @property
@@ -252,9 +260,10 @@
 
     def _forget_run(self, key: AdmissionKey) -> None:
         upstream_id = self._upstream_by_run.pop(key)
-        load = self._placement.member_by_id[upstream_id].load
-        run = load.run_by_key[key]
-        load.end(key, run.granted_at)
+        member = self._placement.member_by_id[upstream_id]
+        run = member.load.run_by_key[key]
+        member.load.end(key, run.granted_at)
+        self._placement.note_change(member)
 
     def _grant_waiting(self, now: float) -> list[AdmissionDecision]:
         """Grant upstreams until none with room suits a waiting request."""
@@ -269,7 +278,8 @@
         return decisions
 
     def _grant_next(self, now: float) -> Granted | None:
-        if not self._placement.has_open_member(now):
+        open_members = self._placement.open_members(now)
+        if not open_members:
             return None
         in_time_from = now + self._placement.lead_seconds
         looked_at = 0
@@ -278,7 +288,7 @@
                 workspace, LOOK_AHEAD, in_time_from
             ):
                 looked_at += 1
-                member = self._placement.choose(admission, now)
+                member = self._placement.choose(admission, open_members, now)
                 if member is not None:
                     return self._grant(admission, member, now)
             if looked_at >= LOOK_AHEAD_ALL:
@@ -299,6 +309,7 @@
         fetch_from = self._placement.fetch_source(admission, member)
         upstream_id = member.entry.upstream_id
         member.load.begin(admission, now)
+        self._placement.note_change(member)
         member.trust.note_grant(now)
         self._upstream_by_run[admission.key] = upstream_id
         return Granted(admission.key, upstream_id, fetch_from)
@@ -312,14 +323,13 @@
             return admission
         return replace(admission, aim_at=min(aim_at, admission.aim_at))
 
-    def _due_at(self, admission: Admission) -> float:
+    def _due_at(self, admission: Admission, cost: float) -> float:
         """Return when the first part is due, with time for a long prompt."""
         rate = max(
             (item.load.rate for item in self._placement.member_by_id.values()),
             default=1.0,
         )
-        read_seconds = self._placement.least_cost(admission) / rate
-        return admission.aim_at + LONG_PROMPT_FACTOR * read_seconds
+        return admission.aim_at + LONG_PROMPT_FACTOR * cost / rate
 
     def _rate(self, now: float) -> float:
         """Return the cost that the pool takes in a second."""
@@ -339,41 +349,40 @@
         while self._granted and self._granted[0][0] < now - RATE_WINDOW_SECONDS:
             self._granted.popleft()
 
-    def _expected_wait(self, admission: Admission, now: float) -> float:
+    def _expected_wait(
+        self, admission: Admission, due_at: float, now: float
+    ) -> float:
         """Return the wait for a grant by the shares of the workspaces."""
         rate = self._rate(now)
         if rate <= 0:
             return 0.0
         in_time_from = now + self._placement.lead_seconds
-        before = self._queue.cost_before(
-            admission, self._due_at(admission), in_time_from
-        )
+        before = self._queue.cost_before(admission, due_at, in_time_from)
         own = before * max(1, self._queue.workspaces)
         return min(self._queue.cost, own) / rate
 
     def _decline_reason(
-        self, admission: Admission, now: float
-    ) -> Declined | None:
+        self, admission: Admission, due_at: float, now: float
+    ) -> str | None:
         members = self._placement.candidates(admission, now)
         if not members:
-            return self._declined(admission, REASON_NO_UPSTREAM, now)
+            return REASON_NO_UPSTREAM
         if not self._can_end_in_time(admission, members, now):
-            return self._declined(admission, REASON_DEADLINE, now)
+            return REASON_DEADLINE
         if not len(self._queue):
             return None
         first_part = min(
             member.load.first_part_seconds(admission) for member in members
         )
-        left = self._due_at(admission) - now - first_part
+        left = due_at - now - first_part
         aim = max(0.0, admission.aim_at - admission.arrived_at)
         allowed = max(left, LATE_WAIT_FRACTION * aim)
         if admission.aim_at < now:
             # The caller has come back and is late in any case.
             time_left = admission.deadline_at - now
             allowed = max(allowed, RETURNED_WAIT_FRACTION * time_left)
-        if WAIT_MARGIN * self._expected_wait(admission, now) > allowed:
-            return self._declined(admission, REASON_OVERLOADED, now)
-        return None
+        wait = self._expected_wait(admission, due_at, now)
+        return REASON_OVERLOADED if WAIT_MARGIN * wait > allowed else None
 
     def _can_end_in_time(
         self, admission: Admission, members: list[PoolMember], now: float
@@ -396,16 +405,17 @@
             left = admission.deadline_at - admission.arrived_at
             limit = SHED_FACTOR * RETURNED_WAIT_FRACTION * left
         expected = now - admission.arrived_at
-        expected += self._expected_wait(admission, now)
+        due_at = self._queue.due_at(admission.key)
+        expected += self._expected_wait(admission, due_at, now)
         return REASON_OVERLOADED if expected > limit else None
 
     def _declined(
-        self, admission: Admission, reason: str, now: float
+        self, admission: Admission, due_at: float, reason: str, now: float
     ) -> Declined:
         self._declined_requests.note(
             admission.workspace, admission.identity, admission.aim_at, now
         )
-        wait = self._expected_wait(admission, now)
+        wait = self._expected_wait(admission, due_at, now)
         digest = xxhash.xxh32_intdigest(str(admission.key.number).encode())
         spread = 1.0 + digest / 2**32
         longest = LONGEST_RETRY_FRACTION * (admission.deadline_at - now)
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -1,7 +1,7 @@
 """What runs on one upstream, and what it can take beside that."""
 
 from dataclasses import dataclass, field, replace
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lacewingspar_core.admission_events import Admission, AdmissionKey
 from lacewingspar_core.linear_fit import LinearFit
@@ -68,6 +68,20 @@
     output_tokens: int = 0
 
 
+class Fit(NamedTuple):
+    """How a request suits an upstream now.
+
+    Attributes:
+        first_part_seconds: Expected time from sending to the first part.
+        held_tokens: Tokens of the prompt that the upstream holds.
+        has_room: Whether the request may be sent now.
+    """
+
+    first_part_seconds: float
+    held_tokens: int
+    has_room: bool
+
+
 class UpstreamLoad(Protocol):
     """Load of one upstream."""
 
@@ -81,8 +95,8 @@
     def lead_seconds(self) -> float:
         """Return the expected time to the first part of a small request."""
 
-    def has_room(self, admission: Admission) -> bool:
-        """Return whether a request may be sent now."""
+    def assess(self, admission: Admission) -> Fit:
+        """Return how a request suits the upstream now."""
 
     def first_part_seconds(self, admission: Admission) -> float:
         """Return the expected time from sending to the first part."""
@@ -161,19 +175,39 @@
         """Return the expected time to the first part of a small request."""
         return self._first_event.at(self.unread_tokens)
 
-    def has_room(self, admission: Admission) -> bool:
-        """Return whether a request may be sent now."""
-        if not self.run_by_key:
-            return True
-        if len(self.run_by_key) >= self.profile.slots:
+    def assess(self, admission: Admission) -> Fit:
+        """Return how a request suits the engine now.
+
+        This is asked for each engine at each decision, so it does in one call
+        what the other methods do in several.
+        """
+        parts = admission.shared_parts
+        held = self.memory.held_tokens(parts) if parts else 0
+        unread = self.unread_tokens + admission.prompt_tokens - held
+        first_part = self._first_event
+        return Fit(
+            first_part.intercept + first_part.slope * unread,
+            held,
+            not self.run_by_key or self._has_room(admission, unread),
+        )
+
+    def _has_room(self, admission: Admission, unread: int) -> bool:
+        """Return whether a request may join those that run.
+
+        Args:
+            admission: The request.
+            unread: Tokens that the engine would have to read with it.
+        """
+        profile = self.profile
+        if len(self.run_by_key) >= profile.slots:
             return False
         memory = self.memory_tokens + _memory_tokens(admission)
-        if memory > MEMORY_FRACTION * self.profile.memory_tokens:
+        if memory > MEMORY_FRACTION * profile.memory_tokens:
             return False
         limit = ENGINE_BACKLOG_SECONDS * self.rate
-        if self.unread_tokens <= ANY_SIZE_FRACTION * limit:
-            return True
-        return self.unread_tokens + self.tokens_to_read(admission) <= limit
+        return self.unread_tokens <= ANY_SIZE_FRACTION * limit or (
+            unread <= limit
+        )
 
     def tokens_to_read(self, admission: Admission) -> int:
         """Return the prompt tokens that the engine does not hold."""
@@ -284,10 +318,9 @@
         """Return the expected time of a call."""
         return self.call_seconds
 
-    def has_room(self, admission: Admission) -> bool:
-        """Return whether a call may be sent now."""
-        del admission
-        return self.is_open
+    def assess(self, admission: Admission) -> Fit:
+        """Return how a call suits the upstream now."""
+        return Fit(self.first_part_seconds(admission), 0, self.is_open)
 
     def first_part_seconds(self, admission: Admission) -> float:
         """Return the expected time until the answer."""
--- a/packages/router/src/lacewingspar_router/components/admission/pools.py
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -6,7 +6,12 @@
 
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.messages import RouterState
-from lacewingspar_core.ownership import owner_of, shard_count, shard_of
+from lacewingspar_core.ownership import (
+    capable_routers,
+    owner_of,
+    shard_count,
+    shard_of,
+)
 from lacewingspar_core.prefix_memory import PromptPart
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
@@ -68,6 +73,10 @@
         self._own_id = app.life.router_id
         self._peers = app.get(PEERS)
         self._suspected_until: dict[str, float] = {}
+        self._owner_by_pool: dict[Pool, str] = {}
+        # Time at which the next suspicion ends and owners may change.
+        self._owners_valid_until = float("inf")
+        self._peers.add_listener(self._owner_by_pool.clear)
 
     def owner(self, pool: Pool) -> str:
         """Return the router to ask, which may be this one.
@@ -83,22 +92,42 @@
     def present_owner(self, pool: Pool) -> str:
         """Return the first router for a pool that is not suspected."""
         now = self._app.now()
-        candidates = [
-            router_id
-            for router_id, record in self._peers.alive_by_router_id.items()
-            if record.state is RouterState.SERVING
-            and now >= self._suspected_until.get(router_id, 0.0)
-        ]
-        owner = owner_of(pool.service, pool.shard, candidates)
-        return self._own_id if owner is None else owner
+        if now >= self._owners_valid_until:
+            self._forget_owners(now)
+        owner = self._owner_by_pool.get(pool)
+        if owner is None:
+            owner = self._choose_owner(pool, now)
+            self._owner_by_pool[pool] = owner
+        return owner
 
     def suspect(
         self, router_id: str, seconds: float = const.SUSPECT_SECONDS
     ) -> None:
         """Ask others instead of a router for some time."""
         if router_id != self._own_id:
-            self._suspected_until[router_id] = self._app.now() + seconds
+            now = self._app.now()
+            self._suspected_until[router_id] = now + seconds
+            self._forget_owners(now)
 
     def note_answer(self, router_id: str) -> None:
         """Take over that a router has answered."""
-        self._suspected_until.pop(router_id, None)
+        if self._suspected_until.pop(router_id, None) is not None:
+            self._forget_owners(self._app.now())
+
+    def _choose_owner(self, pool: Pool, now: float) -> str:
+        capacity_by_router_id = {
+            router_id: record.capacity
+            for router_id, record in self._peers.alive_by_router_id.items()
+            if record.state is RouterState.SERVING
+            and now >= self._suspected_until.get(router_id, 0.0)
+        }
+        candidates = capable_routers(capacity_by_router_id)
+        return owner_of(pool.service, pool.shard, candidates) or self._own_id
+
+    def _forget_owners(self, now: float) -> None:
+        """Choose owners anew, as suspicions have begun or ended."""
+        self._owner_by_pool.clear()
+        self._owners_valid_until = min(
+            (until for until in self._suspected_until.values() if until > now),
+            default=float("inf"),
+        )
--- a/packages/router/src/lacewingspar_router/components/peers/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/peers/__init__.py
@@ -10,6 +10,7 @@
 async def async_setup(app: Application) -> None:
     """Set up the peer sockets and start heartbeats."""
     settings = app.settings
+    platform = settings.platform
     own = MemberRecord(
         life=app.life,
         data_centre=settings.data_centre,
@@ -17,6 +18,7 @@
         state=RouterState.STARTING,
         heartbeat=0,
         applied_offset=0,
+        capacity=1.0 if platform is None else platform.capacity,
     )
     seeds = [
         Seed(peer.router_id, peer.data_centre, f"tcp://{peer.address}")
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -49,6 +49,8 @@
         retry_ratio: Second sends allowed for each request, over the fleet.
         retry_window_seconds: Window over which second sends are counted.
         retry_allowance: Second sends allowed in each window beside the ratio.
+        processor_share: Part of a processor that the router may use.
+        processor_speed: Speed of that processor, in those of a common one.
     """
 
     metrics_address: HostPort
@@ -57,6 +59,13 @@
     retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
     retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
     retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
+    processor_share: Annotated[float, Field(gt=0, le=1024)] = 1.0
+    processor_speed: Annotated[float, Field(gt=0, le=1024)] = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Return the processor time that the router may use, in cores."""
+        return self.processor_share * self.processor_speed
 
 
 @schema_dataclass(frozen=True, slots=True, config=_STRICT)
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from lacewingspar_core.ownership import owner_of, shard_count, shard_of
+from lacewingspar_core.ownership import (
+    capable_routers,
+    owner_of,
+    shard_count,
+    shard_of,
+)
 
 ROUTERS = [f"router-{number}" for number in range(8)]
 
@@ -32,3 +37,26 @@
 def test_upstreams_spread_over_all_shards() -> None:
     shards = {shard_of(f"upstream-{number}", 4) for number in range(64)}
     assert shards == {0, 1, 2, 3}
+
+
+@pytest.mark.parametrize(
+    ("capacities", "expected"),
+    [
+        ([], []),
+        ([1.0, 1.0, 1.0], [0, 1, 2]),
+        ([0.5, 2.0, 0.5, 1.9], [1, 3]),
+        ([0.5, 1.0, 0.7], [0, 1, 2]),
+        ([0.5, 0.4], [0, 1]),
+    ],
+)
+def test_small_routers_own_nothing_beside_larger_ones(
+    capacities: list[float], expected: list[int]
+) -> None:
+    """Guards against a pool whose decisions wait for a small VM."""
+    capacity_by_id = {
+        f"router-{number}": capacity
+        for number, capacity in enumerate(capacities)
+    }
+    assert capable_routers(capacity_by_id) == [
+        f"router-{number}" for number in expected
+    ]
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,57 @@
+"""Work that the choice of an upstream takes."""
+
+from typing import Any
+
+import pytest
+from tests.core.engine_model import SERVICE, admission, entry
+
+from lacewingspar_core.admission_events import Admission, AdmissionDecision
+from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.upstream_load import EngineLoad
+
+ENGINES = 16
+RATE = 80_000.0
+# More than half of what an engine may have to read at once, so that no other
+# request of this length fits beside it.
+LONG = 6000
+
+
+def full_pool() -> tuple[PoolAdmission, list[Admission]]:
+    """Return a pool in which each engine reads one long prompt."""
+    pool = PoolAdmission("models/0")
+    engines = {f"e{number}": entry(f"e{number}") for number in range(ENGINES)}
+    pool.set_upstreams(engines, SERVICE, RATE, 0.0)
+    running = [admission(number, 0.0, tokens=LONG) for number in range(ENGINES)]
+    for request in running:
+        pool.ask(request, 0.0)
+    return pool, running
+
+
+@pytest.mark.parametrize("waiting", [1, 3])
+def test_event_of_one_engine_does_not_compare_all_of_them(
+    monkeypatch: pytest.MonkeyPatch, waiting: int
+) -> None:
+    """Guards against a pool whose owner cannot keep up.
+
+    Load: requests wait while each of 16 engines reads a long prompt.
+    """
+    pool, running = full_pool()
+    for number in range(waiting):
+        request = admission(100 + number, 0.0, f"w{number}", tokens=LONG)
+        pool.ask(request, 0.0)
+    assessed = 0
+    assess = EngineLoad.assess
+
+    def counted(load: EngineLoad, request: Admission) -> Any:
+        nonlocal assessed
+        assessed += 1
+        return assess(load, request)
+
+    monkeypatch.setattr(EngineLoad, "assess", counted)
+    decisions: list[AdmissionDecision] = pool.note_first_part(
+        running[0].key, 0.01
+    )
+    assert len(decisions) == 1
+    # The engine that changed and the one that suits the request best, for
+    # each request before the grant and for each that still waits after it.
+    assert assessed <= 2 * 2 * waiting
