--- a/packages/core/src/lacewingspar_core/ownership.py
+++ b/packages/core/src/lacewingspar_core/ownership.py
@@ -1,7 +1,7 @@
 """Assignment of upstream shards to routers by rendezvous hashing."""
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -13,6 +13,8 @@
 # no shards.
 LEAST_OWNER_CAPACITY_FRACTION = 0.5
 
+_HASH_VALUES = 2**64
+
 
 def shard_count(upstream_count: int) -> int:
     """Return the number of shards of a service in one data centre."""
@@ -39,6 +41,41 @@
     )
 
 
+def owners_of(
+    service: str, shards: int, router_ids: Collection[str]
+) -> list[str]:
+    """Return the owner of each shard of a service, or none without routers.
+
+    No router owns two shards more than another one, since shards are few.
+    """
+    owners: list[str] = []
+    if not router_ids:
+        return owners
+    free = set(router_ids)
+    for shard in range(shards):
+        owner = owner_of(service, shard, free)
+        assert owner is not None
+        owners.append(owner)
+        free.discard(owner)
+        free = free or set(router_ids)
+    return owners
+
+
+def weighted_shard_of(key: str, weights: Sequence[float]) -> int:
+    """Return the shard of a key, each in proportion to its weight.
+
+    A change of one weight moves keys to or from its shard only.
+
+    Args:
+        key: The key.
+        weights: Weight of each shard; some are above 0.
+    """
+    return max(
+        range(len(weights)),
+        key=lambda shard: _weighted_rank(f"{shard}/{key}", weights[shard]),
+    )
+
+
 def capable_routers(capacity_by_router_id: Mapping[str, float]) -> list[str]:
     """Return the routers that may own shards.
 
@@ -152,5 +189,11 @@
     }
 
 
+def _weighted_rank(text: str, weight: float) -> float:
+    """Return a rank; the chance to have the highest one is as the weight."""
+    uniform = (_hash(text) + 1) / (_HASH_VALUES + 1)
+    return weight / -math.log(uniform) if weight > 0 else 0.0
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
--- a/packages/router/src/lacewingspar_router/components/admission/holder.py
+++ b/packages/router/src/lacewingspar_router/components/admission/holder.py
@@ -35,7 +35,7 @@
 from lacewingspar_router.components.admission.pools import (
     Pool,
     PoolOwners,
-    pool_for,
+    Pools,
 )
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import ROUTING
@@ -95,7 +95,8 @@
         self._routing = app.get(ROUTING)
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
-        self._owners = PoolOwners(app)
+        self._pools = Pools(self._routing)
+        self._owners = PoolOwners(app, self._pools)
         self._own_pools = PoolOwner(app, self._deliver)
         self._numbers = itertools.count(1)
         self._asked_by_number: dict[int, _Asked] = {}
@@ -112,9 +113,7 @@
             RequestRefusedError: The request is refused; it was not sent.
         """
         number = next(self._numbers)
-        pool = pool_for(
-            self._routing, demand.service, demand.shared_parts, number
-        )
+        pool = self._pools.pool_for(demand.service, demand.shared_parts, number)
         admission = self._admission(demand, excluded, number)
         while True:
             asked = _Asked(pool, admission, self._owners.owner(pool))
--- a/packages/router/src/lacewingspar_router/components/admission/pools.py
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -2,21 +2,20 @@
 
 from dataclasses import dataclass
 
-import xxhash
-
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.ownership import (
     capable_routers,
-    owner_of,
+    owners_of,
     shard_count,
     shard_of,
+    weighted_shard_of,
 )
 from lacewingspar_core.prefix_memory import PromptPart
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
 from lacewingspar_router.components.peers.models import PEERS
-from lacewingspar_router.components.routing.models import RoutingView
+from lacewingspar_router.components.routing.models import ROUTING, RoutingView
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,22 +42,48 @@
     }
 
 
-def pool_for(
-    routing: RoutingView,
-    service: str,
-    shared_parts: tuple[PromptPart, ...],
-    number: int,
-) -> Pool:
-    """Return the pool for a request.
+class Pools:
+    """Chooses the pool of a request.
 
-    Requests that share parts of their prompts go to the same pool; others
-    are spread by their number.
+    Args:
+        routing: Configuration and upstreams as this router knows them.
     """
-    shards = shard_count(len(routing.directory.usable(service)))
-    if shards == 1:
-        return Pool(service, 0)
-    key = shared_parts[-1].key if shared_parts else number
-    return Pool(service, xxhash.xxh32_intdigest(str(key).encode()) % shards)
+
+    def __init__(self, routing: RoutingView) -> None:
+        self._routing = routing
+        self._weights_by_service: dict[str, list[int]] = {}
+        routing.add_listener(self._weights_by_service.clear)
+
+    def shards(self, service: str) -> int:
+        """Return the number of pools of a service."""
+        return len(self._weights(service))
+
+    def pool_for(
+        self, service: str, shared_parts: tuple[PromptPart, ...], number: int
+    ) -> Pool:
+        """Return the pool for a request.
+
+        Requests that share parts of their prompts go to the same pool; others
+        are spread by their number. Each pool gets requests in proportion to
+        its upstreams.
+        """
+        weights = self._weights(service)
+        if len(weights) == 1:
+            return Pool(service, 0)
+        key = shared_parts[-1].key if shared_parts else number
+        return Pool(service, weighted_shard_of(str(key), weights))
+
+    def _weights(self, service: str) -> list[int]:
+        """Return the number of upstreams of each shard."""
+        weights = self._weights_by_service.get(service)
+        if weights is None:
+            usable = self._routing.directory.usable(service)
+            shards = shard_count(len(usable))
+            weights = [0] * shards
+            for upstream_id in usable:
+                weights[shard_of(upstream_id, shards)] += 1
+            self._weights_by_service[service] = weights
+        return weights
 
 
 class PoolOwners:
@@ -66,10 +91,12 @@
 
     Args:
         app: The application.
+        pools: Pools of each service.
     """
 
-    def __init__(self, app: Application) -> None:
+    def __init__(self, app: Application, pools: Pools) -> None:
         self._app = app
+        self._pools = pools
         self._own_id = app.life.router_id
         self._peers = app.get(PEERS)
         self._suspected_until: dict[str, float] = {}
@@ -77,6 +104,7 @@
         # Time at which the next suspicion ends and owners may change.
         self._owners_valid_until = float("inf")
         self._peers.add_listener(self._owner_by_pool.clear)
+        app.get(ROUTING).add_listener(self._owner_by_pool.clear)
 
     def owner(self, pool: Pool) -> str:
         """Return the router to ask, which may be this one.
@@ -121,8 +149,11 @@
             if record.state is RouterState.SERVING
             and now >= self._suspected_until.get(router_id, 0.0)
         }
+        # Runs may be left in a pool that exists no longer.
+        shards = max(pool.shard + 1, self._pools.shards(pool.service))
         candidates = capable_routers(capacity_by_router_id)
-        return owner_of(pool.service, pool.shard, candidates) or self._own_id
+        owners = owners_of(pool.service, shards, candidates)
+        return owners[pool.shard] if owners else self._own_id
 
     def _forget_owners(self, now: float) -> None:
         """Choose owners anew, as suspicions have begun or ended."""
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -5,8 +5,10 @@
 from lacewingspar_core.ownership import (
     capable_routers,
     owner_of,
+    owners_of,
     shard_count,
     shard_of,
+    weighted_shard_of,
 )
 
 ROUTERS = [f"router-{number}" for number in range(8)]
@@ -60,3 +62,35 @@
     assert capable_routers(capacity_by_id) == [
         f"router-{number}" for number in expected
     ]
+
+
+@pytest.mark.parametrize(("shards", "routers"), [(3, 6), (6, 6), (9, 4)])
+def test_shards_of_a_service_spread_over_the_routers(
+    shards: int, routers: int
+) -> None:
+    """Guards against one router that owns all shards of a service."""
+    for number in range(50):
+        owners = owners_of(f"service-{number}", shards, ROUTERS[:routers])
+        counts = [owners.count(router) for router in ROUTERS[:routers]]
+        assert len(owners) == shards
+        assert max(counts) - min(counts) <= 1
+
+
+def test_no_router_means_no_owners() -> None:
+    assert owners_of("service", 3, []) == []
+
+
+def test_keys_spread_as_the_weights() -> None:
+    """Guards against a small shard that gets as much as a large one."""
+    weights = [14, 11, 20, 0]
+    shards = [weighted_shard_of(str(key), weights) for key in range(9000)]
+    for shard, weight in enumerate(weights):
+        share = shards.count(shard) / len(shards)
+        assert share == pytest.approx(weight / sum(weights), abs=0.03)
+
+
+def test_change_of_a_weight_moves_keys_of_that_shard_only() -> None:
+    before = [weighted_shard_of(str(key), [14, 11, 20]) for key in range(2000)]
+    after = [weighted_shard_of(str(key), [14, 10, 20]) for key in range(2000)]
+    moved = {old for old, new in zip(before, after, strict=True) if old != new}
+    assert moved == {1}
