Let two routers of each data centre read the log for the others

Readers now confirm to their data centre after each read how new the state is, and hand out what has changed; a router without a confirmation for 1.2 s reads itself, and at a slower pace while that fails. Ruled out: fetching the state from any peer on demand, since a router would not know that it is behind.

The tests with five routers fail without the change.

--- a/packages/core/src/lacewingspar_core/state_messages.py
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -11,10 +11,15 @@
     Attributes:
         configuration_version: Version of the configuration in force.
         directory_offset: Offset up to which the list of upstreams is known.
+        changed_offset: Offset after the last record that changed the list.
+        is_confirmed: Whether the sender has just read the log for its data
+            centre.
     """
 
     configuration_version: int
     directory_offset: int
+    changed_offset: int
+    is_confirmed: bool
 
 
 class StateRequest(PeerMessage, frozen=True, tag="state?"):
@@ -46,10 +51,14 @@
         configuration: The configuration as stored, or empty if the receiver
             has it.
         directory_offset: Offset up to which the list is known.
-        records: Newest records of the list after the receiver's offset.
+        records: Newest records of the upstreams that have changed after the
+            receiver's offset.
+        may_have_lapsed: Whether upstreams may be missing because the log was
+            disturbed.
     """
 
     configuration_version: int
     configuration: bytes
     directory_offset: int
     records: tuple[DirectoryRecord, ...]
+    may_have_lapsed: bool
--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -13,6 +13,7 @@
     TopicListing,
     TopicRecords,
 )
+from lacewingspar_router.components.routing.reading import ReadingRole
 from lacewingspar_router.components.routing.registration import Registration
 from lacewingspar_router.components.routing.relay import StateRelay
 from lacewingspar_router.components.routing.state import (
@@ -29,20 +30,23 @@
     app.get(PEERS).set_applied_offset_source(
         lambda: max(0, state.configuration_version)
     )
-    relay = StateRelay(app, state)
     is_cut_off = asyncio.Event()
     is_cut_off.set()
-    configuration = _configuration_follower(app, state, source, is_cut_off)
-    upstreams = _upstream_follower(app, state, source, is_cut_off)
+    role = ReadingRole(app)
+    relay = StateRelay(app, state, role, is_cut_off)
+    configuration = _configuration_follower(
+        app, state, source, role, is_cut_off
+    )
+    upstreams = _upstream_follower(
+        app, state, source, role, relay, configuration, is_cut_off
+    )
     registration = Registration(app, source.members)
     assert app.settings.platform is not None
     registration.contact_seeds(app.settings.platform.seed_hosts)
     app.create_task(configuration.async_run(), "follow configuration")
     app.create_task(upstreams.async_run(), "follow upstreams")
     app.create_task(registration.async_register(), "register router")
-    app.create_task(
-        relay.async_fetch_while_unavailable(is_cut_off), "fetch shared state"
-    )
+    app.create_task(relay.async_fetch_while_unavailable(), "fetch shared state")
     app.create_task(_async_expire(state), "expire upstreams")
 
 
@@ -50,6 +54,7 @@
     app: Application,
     state: RoutingState,
     source: RoutingSource,
+    role: ReadingRole,
     is_cut_off: asyncio.Event,
 ) -> TopicFollower:
     key = source.configuration_key
@@ -70,7 +75,9 @@
         on_listing,
         on_records,
         is_cut_off.set,
+        const.CONFIGURATION_READ_WAIT_SECONDS,
         const.CONFIGURATION_READ_PAUSE_SECONDS,
+        role,
         app.random,
     )
 
@@ -79,17 +86,25 @@
     app: Application,
     state: RoutingState,
     source: RoutingSource,
+    role: ReadingRole,
+    relay: StateRelay,
+    configuration: TopicFollower,
     is_cut_off: asyncio.Event,
 ) -> TopicFollower:
-    def on_listing(listing: TopicListing) -> None:
+    def note_read() -> None:
         is_cut_off.clear()
+        if configuration.is_available:
+            relay.confirm()
+
+    def on_listing(listing: TopicListing) -> None:
         state.apply_upstream_listing(listing)
+        note_read()
 
     def on_records(records: TopicRecords) -> None:
-        is_cut_off.clear()
         state.apply_upstream_records(
             records.records, records.next_offset, ORIGIN_LOG
         )
+        note_read()
 
     def on_failure() -> None:
         is_cut_off.set()
@@ -100,8 +115,11 @@
         on_listing,
         on_records,
         on_failure,
+        const.UPSTREAM_READ_WAIT_SECONDS,
         const.UPSTREAM_READ_PAUSE_SECONDS,
+        role,
         app.random,
+        lambda: state.directory_offset,
     )
 
 
--- a/packages/router/src/lacewingspar_router/components/routing/follower.py
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -16,6 +16,7 @@
     TopicListing,
     TopicRecords,
 )
+from lacewingspar_router.components.routing.reading import ReadingRole
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -31,8 +32,12 @@
         on_listing: Called with the newest record of each key.
         on_records: Called with further records.
         on_failure: Called after each failed read.
+        wait_seconds: Longest time that a read waits for a record.
         pause_seconds: Pause between two reads.
+        role: Tells when this router has to read.
         generator: Generator for the jitter of pauses.
+        known_offset: Returns the offset up to which the topic is known from
+            other routers.
     """
 
     def __init__(
@@ -41,13 +46,19 @@
         on_listing: Callable[[TopicListing], None],
         on_records: Callable[[TopicRecords], None],
         on_failure: Callable[[], None],
+        wait_seconds: float,
         pause_seconds: float,
+        role: ReadingRole,
         generator: random.Random,
+        known_offset: Callable[[], int] = lambda: 0,
     ) -> None:
         self._topic = topic
+        self._role = role
+        self._known_offset = known_offset
         self._on_listing = on_listing
         self._on_records = on_records
         self._on_failure = on_failure
+        self._wait_seconds = wait_seconds
         self._pause_seconds = pause_seconds
         self._random = generator
         self._offset: int | None = None
@@ -70,7 +81,11 @@
             except TopicUnavailableError as error:
                 self._note(is_available=False, reason=str(error))
                 self._on_failure()
-                await self._async_pause(const.FAILED_READ_PAUSE_SECONDS)
+                await self._async_pause(
+                    const.FAILED_READ_PAUSE_SECONDS
+                    if self._role.is_reader
+                    else const.FOLLOWER_FAILED_READ_PAUSE_SECONDS
+                )
             else:
                 self._note(is_available=True, reason="")
                 await asyncio.sleep(self._pause_seconds)
@@ -81,9 +96,9 @@
             self._offset = listing.end
             self._on_listing(listing)
             return
-        records = await self._topic.async_read(
-            self._offset, const.READ_WAIT_SECONDS
-        )
+        await self._role.async_wait_to_read()
+        self._offset = max(self._offset, self._known_offset())
+        records = await self._topic.async_read(self._offset, self._wait_seconds)
         self._offset = records.next_offset
         self._on_records(records)
 
--- a/packages/router/src/lacewingspar_router/components/routing/relay.py
+++ b/packages/router/src/lacewingspar_router/components/routing/relay.py
@@ -13,6 +13,7 @@
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing import const
 from lacewingspar_router.components.routing.models import KeyedRecord
+from lacewingspar_router.components.routing.reading import ReadingRole
 from lacewingspar_router.components.routing.state import RoutingState
 
 
@@ -22,31 +23,64 @@
     Args:
         app: The application.
         state: State of this router.
+        role: Whether this router reads the log for its data centre.
+        is_cut_off: Set while this router knows of nobody who reads the log.
     """
 
-    def __init__(self, app: Application, state: RoutingState) -> None:
+    def __init__(
+        self,
+        app: Application,
+        state: RoutingState,
+        role: ReadingRole,
+        is_cut_off: asyncio.Event,
+    ) -> None:
         self._app = app
         self._state = state
+        self._role = role
+        self._is_cut_off = is_cut_off
+        self._asked_at = float("-inf")
         self._peers = app.get(PEERS)
         self._peers.subscribe(StateNotice, self._on_notice)
         self._peers.subscribe(StateRequest, self._on_request)
         self._peers.subscribe(StateReply, self._on_reply)
         state.add_listener(self._tell)
 
-    async def async_fetch_while_unavailable(
-        self, is_cut_off: asyncio.Event
-    ) -> None:
+    async def async_fetch_while_unavailable(self) -> None:
         """Ask peers for newer state while the log cannot be read."""
         while True:
-            await is_cut_off.wait()
+            await self._is_cut_off.wait()
             self._ask(self._some_peer())
             await asyncio.sleep(const.RELAY_INTERVAL_SECONDS)
 
-    def _tell(self) -> None:
-        """Tell some peers how new the state of this router is."""
-        notice = StateNotice(
-            self._state.configuration_version, self._state.directory_offset
+    def confirm(self) -> None:
+        """Tell the own data centre that this router has just read the log."""
+        if not self._role.is_reader:
+            return
+        notice = self._notice()
+        for router_id, record in self._peers.alive_by_router_id.items():
+            if (
+                record.data_centre == self._app.settings.data_centre
+                and router_id != self._app.life.router_id
+            ):
+                self._peers.send(router_id, notice)
+
+    def _notice(self) -> StateNotice:
+        return StateNotice(
+            self._state.configuration_version,
+            self._state.directory_offset,
+            self._state.changed_offset,
+            self._role.is_reader and not self._is_cut_off.is_set(),
         )
+
+    def _tell(self) -> None:
+        """Tell some peers how new the state of this router is.
+
+        A reader tells its whole data centre, whose routers wait for nothing
+        else.
+        """
+        if self._role.is_following:
+            return
+        notice = self._notice()
         by_data_centre: dict[str, list[str]] = {}
         for router_id, record in self._peers.alive_by_router_id.items():
             if router_id != self._app.life.router_id:
@@ -60,6 +94,8 @@
                 if is_local
                 else const.NOTICE_REMOTE_FANOUT
             )
+            if is_local and self._role.is_reader:
+                fanout = len(router_ids)
             count = min(fanout, len(router_ids))
             for router_id in self._app.random.sample(router_ids, count):
                 self._peers.send(router_id, notice)
@@ -67,11 +103,21 @@
     def _on_notice(self, received: ReceivedMessage) -> None:
         notice = received.message
         assert isinstance(notice, StateNotice)
-        if self._is_behind(notice):
+        router_id = received.sender.router_id
+        if notice.is_confirmed:
+            self._role.note_confirmation(router_id)
+            self._is_cut_off.clear()
+        if not self._is_behind(notice):
+            if notice.is_confirmed:
+                self._state.confirm_directory(notice.directory_offset)
+            return
+        if notice.is_confirmed and not self._role.is_reader:
+            self._ask(router_id)
+        else:
             asyncio.get_running_loop().call_later(
                 const.CATCH_UP_DELAY_SECONDS,
                 self._catch_up,
-                received.sender.router_id,
+                router_id,
                 notice,
             )
 
@@ -82,12 +128,14 @@
     def _is_behind(self, notice: StateNotice) -> bool:
         return (
             notice.configuration_version > self._state.configuration_version
-            or notice.directory_offset > self._state.directory_offset
+            or notice.changed_offset > self._state.directory_offset
         )
 
     def _ask(self, router_id: str | None) -> None:
-        if router_id is None:
+        now = self._app.now()
+        if router_id is None or now < self._asked_at + const.ASK_AGAIN_SECONDS:
             return
+        self._asked_at = now
         request = StateRequest(
             self._state.configuration_version, self._state.directory_offset
         )
@@ -128,6 +176,7 @@
                     DirectoryRecord(item.key, item.value, item.offset)
                     for item in records
                 ),
+                may_have_lapsed=self._state.may_have_lapsed,
             ),
         )
 
@@ -145,4 +194,5 @@
                 ],
                 reply.directory_offset,
                 origin,
+                may_have_lapsed=reply.may_have_lapsed,
             )
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -53,6 +53,8 @@
         self._directory = UpstreamDirectory()
         self._record_by_upstream: dict[str, KeyedRecord] = {}
         self._directory_offset = -1
+        self._changed_offset = -1
+        self._change_offset_by_upstream: dict[str, int] = {}
         self._confirmed_at = float("-inf")
         self._is_unavailable = False
         self._regained_at = float("-inf")
@@ -88,6 +90,20 @@
         """Return the offset up to which the list of upstreams is known."""
         return self._directory_offset
 
+    @property
+    def changed_offset(self) -> int:
+        """Return the offset after the last record that changed the list."""
+        return self._changed_offset
+
+    @property
+    def may_have_lapsed(self) -> bool:
+        """Return whether the log was disturbed until a moment ago.
+
+        Upstreams that are missing then may be listed again soon.
+        """
+        since = self._app.now() - self._regained_at
+        return self._is_unavailable or since <= const.LAPSE_READ_SECONDS
+
     @property
     def directory_age_seconds(self) -> float:
         """Return the time since the list of upstreams was last confirmed."""
@@ -130,19 +146,28 @@
         """Take over the whole list of upstreams."""
         entries = self._decode(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
+        self._change_offset_by_upstream = {
+            key: record.offset for key, record in listing.record_by_key.items()
+        }
+        self._changed_offset = max(self._changed_offset, listing.end)
         self._note_confirmed(listing.end)
         self._note_available()
         self._publish(
             self._directory.replace_all(
                 entries,
                 self._app.now(),
-                may_have_lapsed=self._may_have_lapsed,
+                may_have_lapsed=self.may_have_lapsed,
             ),
             "listing",
         )
 
     def apply_upstream_records(
-        self, records: Iterable[KeyedRecord], next_offset: int, origin: str
+        self,
+        records: Iterable[KeyedRecord],
+        next_offset: int,
+        origin: str,
+        *,
+        may_have_lapsed: bool = False,
     ) -> None:
         """Take over records of the list of upstreams.
 
@@ -150,28 +175,31 @@
             records: The records in order.
             next_offset: Offset up to which the list is known then.
             origin: Where they came from: `log`, or a router.
+            may_have_lapsed: Whether that router saw the log disturbed.
         """
         if origin == ORIGIN_LOG:
             self._note_available()
-        changes: list[DirectoryChange | None] = []
+        may_have_lapsed = may_have_lapsed or self.may_have_lapsed
+        changes: list[DirectoryChange] = []
         for record in records:
             known = self._record_by_upstream.get(record.key)
             if known is not None and known.offset >= record.offset:
                 continue
             self._record_by_upstream[record.key] = record
-            if not record.value:
-                changes.append(
-                    self._directory.remove(
-                        record.key,
-                        self._app.now(),
-                        may_have_lapsed=self._may_have_lapsed,
-                    )
+            change = self._apply_record(record, may_have_lapsed)
+            if change is not None:
+                changes.append(change)
+                self._change_offset_by_upstream[record.key] = record.offset
+                self._changed_offset = max(
+                    self._changed_offset, record.offset + 1
                 )
-                continue
-            for entry in self._decode([record]).values():
-                changes.append(self._directory.apply(entry))
         self._note_confirmed(next_offset)
-        self._publish([item for item in changes if item is not None], origin)
+        self._publish(changes, origin)
+
+    def confirm_directory(self, offset: int) -> None:
+        """Take over that the list has not changed up to an offset."""
+        self._note_available()
+        self._note_confirmed(offset)
 
     def note_unavailable(self) -> None:
         """Take over that the list of upstreams could not be read."""
@@ -182,18 +210,13 @@
         self._publish(self._directory.expire(self._app.now()), "expiry")
 
     def records_after(self, offset: int) -> list[KeyedRecord]:
-        """Return the newest record of each upstream from an offset on."""
+        """Return the newest record of each upstream changed since an offset."""
         return [
-            record
-            for record in self._record_by_upstream.values()
-            if record.offset >= offset
+            self._record_by_upstream[upstream_id]
+            for upstream_id, changed in self._change_offset_by_upstream.items()
+            if changed >= offset
         ]
 
-    @property
-    def _may_have_lapsed(self) -> bool:
-        since = self._app.now() - self._regained_at
-        return self._is_unavailable or since <= const.LAPSE_READ_SECONDS
-
     def _apply(self, stored: StoredConfiguration, origin: str) -> bool:
         version = stored.configuration.version
         if version <= self.configuration_version:
@@ -213,6 +236,16 @@
         self._notify()
         return True
 
+    def _apply_record(
+        self, record: KeyedRecord, may_have_lapsed: bool
+    ) -> DirectoryChange | None:
+        if not record.value:
+            return self._directory.remove(
+                record.key, self._app.now(), may_have_lapsed=may_have_lapsed
+            )
+        entry = self._decode([record]).get(record.key)
+        return None if entry is None else self._directory.apply(entry)
+
     def _decode(
         self, records: Iterable[KeyedRecord]
     ) -> dict[str, UpstreamEntry]:
--- /dev/null
+++ b/tests/router/deployed/test_reading.py
@@ -0,0 +1,183 @@
+"""Few routers of a data centre read the log; the others follow them."""
+
+import asyncio
+from unittest import mock
+
+import msgspec
+import pytest
+from tests.router.deployed.conftest import Deployment, manifest, until
+from tests.router.deployed.test_routing_state import entry
+
+from lacewingspar_core.messages import RouterState
+from lacewingspar_core.ownership import rank_of
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    KeyedRecord,
+    TopicListing,
+)
+from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_router.platform.upstream_list import decode_upstream
+
+ROUTERS = 5
+
+
+def state_of(app: Application) -> RoutingState:
+    state = app.get(ROUTING)
+    assert isinstance(state, RoutingState)
+    return state
+
+
+def knows_fleet(app: Application) -> bool:
+    alive = app.get(PEERS).alive_by_router_id.values()
+    serving = [item for item in alive if item.state is RouterState.SERVING]
+    return len(serving) == ROUTERS
+
+
+def readers(apps: list[Application]) -> list[Application]:
+    ids = [app.life.router_id for app in apps]
+    return [
+        app
+        for app in apps
+        if rank_of(app.life.router_id, "readers/dc-a", ids)
+        < const.READERS_PER_DATA_CENTRE
+    ]
+
+
+@pytest.fixture
+async def fleet(served: Deployment) -> Deployment:
+    """Return a deployment in which five routers know one another."""
+    for number in range(ROUTERS):
+        seeds = [app.settings.peer_address for app in served.apps[:1]]
+        await served.add_router(f"r{number}", seed_hosts=seeds)
+    await until(lambda: all(knows_fleet(app) for app in served.apps), 10.0)
+    return served
+
+
+async def reads_per_second(deployment: Deployment, seconds: float) -> float:
+    before = deployment.store.calls["/log-read"]
+    await asyncio.sleep(seconds)
+    return (deployment.store.calls["/log-read"] - before) / seconds
+
+
+async def test_calls_do_not_grow_with_the_routers(fleet: Deployment) -> None:
+    """Guards against a fleet that overloads the log service.
+
+    A reader makes some 2 reads a second here, one of each topic.
+    """
+    await asyncio.sleep(2 * const.CONFIRMATION_SECONDS)
+    limit = const.READERS_PER_DATA_CENTRE * 2.5
+    assert await reads_per_second(fleet, 2.0) <= limit
+
+
+async def test_followers_get_versions_and_upstreams(fleet: Deployment) -> None:
+    await asyncio.sleep(2 * const.CONFIRMATION_SECONDS)
+    fleet.publish(manifest(7))
+    await until(
+        lambda: all(
+            state_of(app).configuration_version == 7 for app in fleet.apps
+        ),
+        1.0,
+    )
+    fleet.register("p1", "plain", "draining")
+    await until(
+        lambda: all(
+            "p1" not in state_of(app).directory.usable("plain")
+            for app in fleet.apps
+        ),
+        1.5,
+    )
+
+
+async def test_lost_readers_are_replaced(fleet: Deployment) -> None:
+    """Guards against followers that wait for readers which are gone."""
+    await asyncio.sleep(2 * const.CONFIRMATION_SECONDS)
+    lost = readers(fleet.apps)
+    assert len(lost) == const.READERS_PER_DATA_CENTRE
+    for app in lost:
+        await app.async_cut()
+        await app.async_stop()
+    fleet.publish(manifest(8))
+    left = [app for app in fleet.apps if app not in lost]
+    await until(
+        lambda: all(state_of(app).configuration_version == 8 for app in left),
+        2.0,
+    )
+
+
+async def test_followers_learn_after_an_outage(fleet: Deployment) -> None:
+    fleet.store.faults.outage = True
+    fleet.store.faults_changed()
+    await asyncio.sleep(2 * const.CONFIRMATION_SECONDS)
+    before = sum(fleet.store.calls.values())
+    await asyncio.sleep(2.0)
+    calls = sum(fleet.store.calls.values()) - before
+    # Two topics; a reader pauses for 0.15 s at the least, others for 0.75 s.
+    assert calls <= 2 * 2.0 * (2 / 0.15 + 3 / 0.75)
+    fleet.store.faults.outage = False
+    fleet.publish(manifest(9))
+    await until(
+        lambda: all(
+            state_of(app).configuration_version == 9 for app in fleet.apps
+        ),
+        2.0,
+    )
+
+
+class _Bed:
+    """States of a reader and of a router that follows it."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        app = mock.Mock()
+        app.now = lambda: self.now
+        source = mock.Mock(decode_upstream=decode_upstream)
+        self.reader = RoutingState(app, source)
+        self.follower = RoutingState(app, source)
+        records = {
+            key: KeyedRecord(key, entry(), offset)
+            for offset, key in enumerate(("u1", "u2"))
+        }
+        for state in (self.reader, self.follower):
+            state.apply_upstream_listing(TopicListing(records, 2))
+        self.now += 10.0
+
+    def relay(self) -> int:
+        """Hand over what the follower lacks; return the number of records."""
+        records = self.reader.records_after(self.follower.directory_offset)
+        self.follower.apply_upstream_records(
+            records,
+            self.reader.directory_offset,
+            "router r1",
+            may_have_lapsed=self.reader.may_have_lapsed,
+        )
+        return len(records)
+
+
+def test_reports_without_news_are_not_relayed() -> None:
+    bed = _Bed()
+    renewed = [KeyedRecord("u1", entry(2), 2), KeyedRecord("u2", entry(2), 3)]
+    bed.reader.apply_upstream_records(renewed, 4, "log")
+    assert bed.reader.changed_offset == 2
+    assert bed.relay() == 0
+    changed = msgspec.json.encode(msgspec.json.decode(entry(3)) | {"slots": 9})
+    record = KeyedRecord("u1", changed, 4)
+    bed.reader.apply_upstream_records([record], 5, "log")
+    assert bed.reader.changed_offset == 5
+    assert bed.relay() == 1
+    assert bed.follower.directory.entry_by_id["u1"].slots == 9
+
+
+def test_lapse_that_only_the_reader_saw_is_no_departure() -> None:
+    """Guards against upstreams dropped after an outage of the log."""
+    bed = _Bed()
+    bed.reader.note_unavailable()
+    record = KeyedRecord("u1", b"", 2)
+    bed.reader.apply_upstream_records([record], 3, "log")
+    assert bed.relay() == 1
+    assert "u1" in bed.follower.directory.usable("plain")
+    bed.now += 3.0
+    bed.follower.expire()
+    assert "u1" not in bed.follower.directory.usable("plain")
