Limit the requests under way by the delay of the event loop

A router whose event loop is late now refuses at once what goes beyond the even shares of its workspaces. Parts of an answer that have arrived together are passed on in one write, and log lines that will be dropped are not rendered.

--- /dev/null
+++ b/packages/core/src/lacewingspar_core/entry_limit.py
@@ -0,0 +1,74 @@
+"""How many requests of callers one router works on at once.
+
+Load that this answers: the connections of a large workspace all lead to one
+entry VM and bring more requests than its processor can forward. Without a
+limit each of them is served too late, and new connections wait unread.
+"""
+
+from collections import Counter
+
+# An event loop that is this late leaves no time for the requests that it has;
+# it is a quarter of the shortest aims in use.
+DELAY_LIMIT_SECONDS = 0.1
+# One late round of the loop may have another cause, such as a large
+# configuration.
+LATE_SAMPLES = 2
+# Part of the requests under way that stay after a late sample.
+DECREASE_FACTOR = 0.8
+# Requests that the limit grows by after each sample that is not late.
+INCREASE = 4
+# A router works on at least this many requests, however slow it is.
+LEAST_LIMIT = 8
+# Limit before the first late sample.
+NO_LIMIT = 1_000_000
+
+
+class EntryLimit:
+    """Limit that falls while the event loop is late, and grows otherwise.
+
+    The requests under way are shared by the workspaces that have some: a
+    workspace is refused only beyond its even share of the limit.
+
+    Attributes:
+        limit: Requests that may be under way.
+        active: Requests under way.
+    """
+
+    def __init__(self) -> None:
+        self.limit = NO_LIMIT
+        self.active = 0
+        self._late_samples = 0
+        self._active_by_workspace: Counter[str] = Counter()
+
+    def note_delay(self, seconds: float) -> None:
+        """Take over how late the event loop was.
+
+        Args:
+            seconds: Delay of a timer, measured some ten times a second.
+        """
+        if seconds <= DELAY_LIMIT_SECONDS:
+            self._late_samples = 0
+            self.limit = min(NO_LIMIT, self.limit + INCREASE)
+            return
+        self._late_samples += 1
+        if self._late_samples >= LATE_SAMPLES:
+            present = min(self.limit, self.active)
+            self.limit = max(LEAST_LIMIT, int(DECREASE_FACTOR * present))
+
+    def begin(self, workspace: str) -> bool:
+        """Return whether a request may be worked on, and count it if so."""
+        own = self._active_by_workspace.get(workspace, 0)
+        if self.active >= self.limit:
+            workspaces = len(self._active_by_workspace) + (own == 0)
+            if own >= self.limit / workspaces:
+                return False
+        self._active_by_workspace[workspace] += 1
+        self.active += 1
+        return True
+
+    def end(self, workspace: str) -> None:
+        """Take over that a request has ended."""
+        self.active -= 1
+        self._active_by_workspace[workspace] -= 1
+        if not self._active_by_workspace[workspace]:
+            del self._active_by_workspace[workspace]
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -176,9 +176,13 @@
         relay = self._relay
         is_first = True
         while True:
-            limit = self._silent_limit() if is_first else self._pause_limit()
-            async with asyncio.timeout(limit):
-                event = await connection.next_event()
+            event = connection.ready_event()
+            if event is None:
+                limit = (
+                    self._silent_limit() if is_first else self._pause_limit()
+                )
+                async with asyncio.timeout(limit):
+                    event = await connection.next_event()
             if isinstance(event, ResponseHead):
                 raise InvalidAnswerError("an answer follows before the end")
             if isinstance(event, ResponseEnd):
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -20,6 +20,11 @@
 LEAST_RETRY_SECONDS = 0.1
 # Callers of a router without configuration come back after this long.
 NOT_READY_RETRY_SECONDS = 0.5
+# Interval at which the delay of the event loop is measured.
+DELAY_SAMPLE_SECONDS = 0.1
+# Callers of a router that is overloaded come back after one to two times this
+# long. Most of their deadlines are some seconds away.
+OVERLOADED_RETRY_SECONDS = 0.8
 # Part of the grace after the signal to stop in which new requests are still
 # taken. The platform goes on sending them until it has asked twice, once a
 # second; a longer time would take streams that cannot end before the kill.
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -11,6 +11,7 @@
     AttemptResult,
 )
 from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.entry_limit import EntryLimit
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_core.retry_allowance import RetryAllowance, RetryBound
 from lacewingspar_core.routing import choose_target
@@ -74,6 +75,7 @@
         self._guard = CrashGuard(app)
         self._records = CallRecords(app)
         self.accepts_requests = True
+        self.entry_limit = EntryLimit()
 
     async def async_handle(self, exchange: ServerExchange) -> None:
         """Answer one request."""
@@ -83,9 +85,19 @@
             fields = self._wire.read_fields(request)
             request_id = fields.request_id
             call = self._accept(request, fields)
+            if not self.entry_limit.begin(call.workspace):
+                raise self._overloaded()
         except RequestRefusedError as error:
             self._refuse(exchange, error, request_id, None)
             return
+        try:
+            await self._async_serve(exchange, call)
+        finally:
+            self.entry_limit.end(call.workspace)
+
+    async def _async_serve(self, exchange: ServerExchange, call: Call) -> None:
+        """Answer a request that is allowed."""
+        fields = call.fields
         events = EventSequence(last_id=fields.last_event_id)
         progress = CallProgress(
             call,
@@ -97,7 +109,7 @@
             outcome = await self._async_run(progress)
         except RequestRefusedError as error:
             outcome = error.code
-            self._refuse(exchange, error, request_id, progress)
+            self._refuse(exchange, error, fields.request_id, progress)
         finally:
             self._records.note_end(progress, outcome)
 
@@ -118,6 +130,13 @@
         for pool in self._pool_by_address.values():
             pool.close()
 
+    def _overloaded(self) -> RequestRefusedError:
+        self._telemetry.count("entry_refusals_total")
+        spread = self._app.random.uniform(1.0, 2.0)
+        return refusals.router_overloaded(
+            const.OVERLOADED_RETRY_SECONDS * spread
+        )
+
     def _accept(self, request: HttpRequest, fields: CallerFields) -> Call:
         """Check a request against the configuration in force.
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -41,6 +41,16 @@
     )
 
 
+def router_overloaded(seconds: float) -> RequestRefusedError:
+    """Return the refusal of a router whose processor is used up."""
+    return RequestRefusedError(
+        503,
+        "router_overloaded",
+        "this router has more requests than it can forward",
+        retry_after_seconds=seconds,
+    )
+
+
 def deadline_passed(*, may_have_run: bool) -> RequestRefusedError:
     """Return the answer to a request whose time is over."""
     if may_have_run:
--- a/packages/router/src/lacewingspar_router/components/telemetry/line_writer.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/line_writer.py
@@ -42,6 +42,12 @@
         self._rest = b""
         self.dropped = 0
 
+    @property
+    def takes_lines(self) -> bool:
+        """Return whether the rate leaves room for a line now."""
+        self._refill()
+        return self._tokens >= 1
+
     def write(self, text: str) -> None:
         """Write a line, with or without its end, or drop it."""
         line = text.rstrip("\n").encode("utf-8", "replace") + b"\n"
@@ -63,11 +69,14 @@
         """Write what is left of the last line, if the reader takes it."""
         self._flush_rest()
 
-    def _take(self) -> bool:
+    def _refill(self) -> None:
         now = self._clock()
         gained = (now - self._refilled_at) * LINES_PER_SECOND
         self._tokens = min(BURST_LINES, self._tokens + gained)
         self._refilled_at = now
+
+    def _take(self) -> bool:
+        self._refill()
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -3,8 +3,9 @@
 import io
 import logging
 import sys
-from typing import Any
+from typing import TextIO, cast
 
+import msgspec
 import structlog
 
 from lacewingspar_router.components.telemetry.line_writer import LineWriter
@@ -37,16 +38,28 @@
         return event
 
     stream = _stream(router_id)
+
+    def drop_early(
+        _logger: object, _method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        # A line that will be dropped is not rendered.
+        if stream is not None and not stream.takes_lines:
+            stream.dropped += 1
+            raise structlog.DropEvent
+        return event
+
     processors = [add_router, *_SHARED_PROCESSORS]
-    renderer = structlog.processors.JSONRenderer()
+    renderer = structlog.processors.JSONRenderer(serializer=_encode)
     structlog.configure(
-        processors=[*processors, renderer],
+        processors=[drop_early, *processors, renderer],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=stream),
+        logger_factory=structlog.PrintLoggerFactory(
+            file=cast(TextIO | None, stream)
+        ),
     )
-    handler = logging.StreamHandler(stream or sys.stdout)
+    handler = logging.StreamHandler(cast(TextIO | None, stream) or sys.stdout)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             processors=[
@@ -60,7 +73,12 @@
     logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
 
 
-def _stream(router_id: str) -> Any:
+def _encode(event: object, **_options: object) -> str:
+    """Return a line; values that JSON does not have are written as text."""
+    return msgspec.json.encode(event, enc_hook=str).decode()
+
+
+def _stream(router_id: str) -> LineWriter | None:
     """Return where lines go instead of standard output, or None."""
     try:
         return LineWriter(sys.stdout.fileno(), router_id)
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -154,13 +154,31 @@
             ConnectionBrokenError: The connection ended.
             InvalidAnswerError: The bytes are no HTTP answer.
         """
-        while not self._events:
+        while True:
+            event = self.ready_event()
+            if event is not None:
+                return event
             if self._error is not None:
                 raise self._error
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        event = self._events.popleft()
+
+    def ready_event(self) -> _Event | None:
+        """Return the next part of an answer if it has arrived.
+
+        Parts of a body that have arrived together are one.
+        """
+        events = self._events
+        if not events:
+            return None
+        event = events.popleft()
         if isinstance(event, bytes):
+            if events and isinstance(events[0], bytes):
+                parts = [event]
+                while events and isinstance(part := events[0], bytes):
+                    parts.append(part)
+                    events.popleft()
+                event = b"".join(parts)
             self._buffered_bytes -= len(event)
             if self._is_paused and self._buffered_bytes == 0:
                 assert self._transport is not None
--- /dev/null
+++ b/tests/core/test_entry_limit.py
@@ -0,0 +1,98 @@
+"""Requests that one router works on at once."""
+
+import random
+from collections import Counter, deque
+
+import pytest
+
+from lacewingspar_core.entry_limit import (
+    DELAY_LIMIT_SECONDS,
+    LEAST_LIMIT,
+    EntryLimit,
+)
+
+LATE = 2 * DELAY_LIMIT_SECONDS
+SAMPLE_SECONDS = 0.1
+
+
+def loaded(**active_by_workspace: int) -> EntryLimit:
+    limit = EntryLimit()
+    for workspace, active in active_by_workspace.items():
+        for _ in range(active):
+            assert limit.begin(workspace)
+    return limit
+
+
+def late(limit: EntryLimit, samples: int) -> None:
+    for _ in range(samples):
+        limit.note_delay(LATE)
+
+
+def test_one_late_round_changes_nothing() -> None:
+    limit = loaded(a=50)
+    for _ in range(10):
+        late(limit, 1)
+        limit.note_delay(0.0)
+    assert limit.begin("a")
+
+
+def test_late_loop_lowers_the_limit_below_what_is_under_way() -> None:
+    limit = loaded(a=50)
+    late(limit, 2)
+    assert limit.limit == 40
+    assert not limit.begin("a")
+    for _ in range(11):
+        limit.end("a")
+    assert limit.begin("a")
+
+
+def test_limit_keeps_a_least_value() -> None:
+    limit = loaded(a=50)
+    late(limit, 1000)
+    assert limit.limit == LEAST_LIMIT
+
+
+def test_small_workspace_is_served_beside_a_large_one() -> None:
+    """Guards against one workspace that shuts out all others of its VM."""
+    limit = loaded(large=100, small=3)
+    late(limit, 2)
+    assert not limit.begin("large")
+    assert limit.begin("small")
+    assert limit.begin("new")
+
+
+@pytest.mark.parametrize("offered_per_second", [150.0, 600.0])
+def test_requests_that_are_let_in_are_served_soon(
+    offered_per_second: float,
+) -> None:
+    """Load: one VM forwards 200 requests a second and gets fewer, or more.
+
+    The limit must refuse nothing in the first case, and keep the processor
+    busy and the others' time in the queue short in the second one.
+    """
+    generator = random.Random(1)
+    limit, queue = EntryLimit(), deque[float]()
+    outcomes: Counter[str] = Counter()
+    now = arrival = work = 0.0
+    while now < 30.0:
+        now += SAMPLE_SECONDS
+        while arrival < now:
+            arrival += generator.expovariate(offered_per_second)
+            if limit.begin("w"):
+                queue.append(arrival)
+            else:
+                outcomes["refused"] += 1
+        work += 200.0 * SAMPLE_SECONDS
+        while queue and work >= 1:
+            work -= 1
+            waited = now - queue.popleft()
+            limit.end("w")
+            if now > 5.0:
+                outcomes["soon" if waited < 0.5 else "late"] += 1
+        work = min(work, 1.0) if not queue else work
+        limit.note_delay(len(queue) / 200.0)
+    assert outcomes["late"] <= 0.02 * outcomes["soon"]
+    if offered_per_second < 200.0:
+        assert not outcomes["refused"]
+    else:
+        assert outcomes["soon"] >= 0.9 * 200.0 * 25.0
