Send all crash records to a router that has started

Cause: the guard of the platform path sent changed records only, so that a router which had just started let a request in quarantine crash upstreams again. Both guards now share one exchange of records, which sends all of them to new routers; a copy of its code is gone.

The new test fails without the change (the second router passes the request on).

--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -7,13 +7,12 @@
 import structlog
 
 from lacewingspar_core.directory import UpstreamEntry
-from lacewingspar_core.messages import Quarantine
-from lacewingspar_core.quarantine import QuarantineState, fingerprint
+from lacewingspar_core.quarantine import fingerprint
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.models import Call
-from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.crash_exchange import CrashExchange
 from lacewingspar_router.http1.client import async_connect
 from lacewingspar_router.http1.errors import ConnectionFailedError
 
@@ -50,12 +49,10 @@
 
     def __init__(self, app: Application) -> None:
         self._app = app
-        self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
-        self._state_by_service: dict[str, QuarantineState] = {}
+        self._exchange = CrashExchange(app)
         self._runs_by_upstream: dict[str, Counter[GuardedRun]] = {}
         self._checked_upstreams: set[str] = set()
-        self._peers.subscribe(Quarantine, self._on_quarantine)
 
     def mark_of(self, call: Call) -> str:
         """Return the fingerprint of a request."""
@@ -72,15 +69,19 @@
         Raises:
             RequestRefusedError: The request has crashed upstreams.
         """
+        state = self._exchange.known_state(call.service)
+        if state is None:
+            return
         now = self._app.now()
-        seconds = self._state(call.service).refused_until(mark, now) - now
+        seconds = state.refused_until(mark, now) - now
         if seconds > 0:
             self._telemetry.count("quarantined_total", service=call.service)
             raise refusals.quarantined(seconds)
 
     def begin(self, call: Call, mark: str, upstream_id: str) -> GuardedRun:
         """Note that a request is sent."""
-        epoch = self._state(call.service).epoch(upstream_id)
+        state = self._exchange.known_state(call.service)
+        epoch = 0 if state is None else state.epoch(upstream_id)
         run = GuardedRun(call.service, upstream_id, mark, epoch)
         self._runs_by_upstream.setdefault(upstream_id, Counter())[run] += 1
         return run
@@ -105,9 +106,10 @@
 
     def note_success(self, run: GuardedRun) -> None:
         """Note that a request was answered completely."""
-        state = self._state(run.service)
-        state.on_success(run.fingerprint, self._app.now())
-        self._publish(state)
+        state = self._exchange.known_state(run.service)
+        if state is not None:
+            state.on_success(run.fingerprint, self._app.now())
+            self._exchange.publish(state)
 
     def _forget(self, run: GuardedRun) -> None:
         runs = self._runs_by_upstream.get(run.upstream_id)
@@ -145,7 +147,7 @@
         runs = self._runs_by_upstream.get(run.upstream_id, Counter())
         marks = {item.fingerprint for item in runs} | {run.fingerprint}
         epoch = max([item.epoch for item in runs] + [run.epoch])
-        state = self._state(run.service)
+        state = self._exchange.state(run.service)
         state.on_crash(run.upstream_id, epoch, marks, self._app.now())
         _LOGGER.warning(
             "upstream crashed",
@@ -153,23 +155,4 @@
             service=run.service,
             suspects=len(marks),
         )
-        self._publish(state)
-
-    def _publish(self, state: QuarantineState) -> None:
-        message = state.publish(self._app.now())
-        if message is None:
-            return
-        for router_id in self._peers.alive_by_router_id:
-            if router_id != self._app.life.router_id:
-                self._peers.send(router_id, message)
-
-    def _on_quarantine(self, received: ReceivedMessage) -> None:
-        message = received.message
-        assert isinstance(message, Quarantine)
-        self._state(message.service).merge(message, self._app.now())
-
-    def _state(self, service: str) -> QuarantineState:
-        state = self._state_by_service.get(service)
-        if state is None:
-            state = self._state_by_service[service] = QuarantineState(service)
-        return state
+        self._exchange.publish(state)
--- a/packages/router/src/lacewingspar_router/components/quarantine/const.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/const.py
@@ -8,4 +8,3 @@
 RECHECK_SECONDS = 0.25
 
 METRIC_CRASHES = "upstream_crashes_total"
-METRIC_RECORDS = "quarantine_records_received_total"
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -5,15 +5,11 @@
 
 import structlog
 
-from lacewingspar_core.identity import RouterLife
-from lacewingspar_core.messages import Quarantine, SuspectRun
-from lacewingspar_core.quarantine import QuarantineState
+from lacewingspar_core.messages import SuspectRun
 from lacewingspar_router.application import Application
-from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.quarantine.const import (
     LEFT_RUN_SECONDS,
     METRIC_CRASHES,
-    METRIC_RECORDS,
 )
 from lacewingspar_router.components.quarantine.models import (
     Subject,
@@ -22,6 +18,7 @@
 from lacewingspar_router.components.quarantine.suspects import SuspectRunGate
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.components.upstreams.models import UPSTREAMS
+from lacewingspar_router.crash_exchange import CrashExchange
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -40,20 +37,15 @@
     def __init__(self, app: Application, gate: SuspectRunGate) -> None:
         self._app = app
         self._gate = gate
-        self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
         self._upstreams = app.get(UPSTREAMS)
-        # A service without a known crash has no state, which keeps the path
-        # of its requests short.
-        self._state_by_service: dict[str, QuarantineState] = {}
+        self._exchange = CrashExchange(app)
         self._runs_by_upstream: dict[tuple[str, str], set[UpstreamRun]] = {}
         self._broken_runs_by_check: dict[
             asyncio.Task[None], frozenset[UpstreamRun]
         ] = {}
-        self._known_lives: set[RouterLife] = set()
         self._listeners: list[Callable[[], None]] = []
-        self._peers.subscribe(Quarantine, self._receive)
-        self._peers.add_listener(self._routers_changed)
+        self._exchange.add_listener(self._notify)
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after new crashes have become known."""
@@ -61,7 +53,7 @@
 
     def refused_seconds(self, subject: Subject) -> float:
         """Return how long a request is still refused, or 0."""
-        state = self._state_by_service.get(subject.service)
+        state = self._exchange.known_state(subject.service)
         if state is None:
             return 0.0
         now = self._app.now()
@@ -69,7 +61,7 @@
 
     def is_suspect(self, subject: Subject) -> bool:
         """Return whether a request must run apart from other suspects."""
-        state = self._state_by_service.get(subject.service)
+        state = self._exchange.known_state(subject.service)
         if state is None:
             return False
         return state.must_run_alone(subject.fingerprint, self._app.now())
@@ -112,7 +104,7 @@
             reservation = SuspectRun(upstream_id, subject.fingerprint)
             if not await self._gate.async_reserve(subject.service, reservation):
                 return None
-        state = self._state_by_service.get(subject.service)
+        state = self._exchange.known_state(subject.service)
         epoch = state.epoch(upstream_id) if state else 0
         run = UpstreamRun(subject, upstream_id, epoch, reservation)
         key = (subject.service, upstream_id)
@@ -171,10 +163,10 @@
             run.reservation = None
 
     def _clear(self, subject: Subject) -> None:
-        state = self._state_by_service.get(subject.service)
+        state = self._exchange.known_state(subject.service)
         if state is not None:
             state.on_success(subject.fingerprint, self._app.now())
-            self._publish(state)
+            self._exchange.publish(state)
 
     async def _async_confirm(
         self, key: tuple[str, str], runs: frozenset[UpstreamRun]
@@ -207,52 +199,16 @@
         self._telemetry.count(
             METRIC_CRASHES, service=service, upstream=upstream_id
         )
-        state = self._state(service)
+        state = self._exchange.state(service)
         epoch = max(run.epoch for run in runs)
         state.on_crash(upstream_id, epoch, suspects, self._app.now())
-        self._publish(state)
-        self._notify()
-
-    def _state(self, service: str) -> QuarantineState:
-        state = self._state_by_service.get(service)
-        if state is None:
-            state = self._state_by_service[service] = QuarantineState(service)
-        return state
-
-    def _publish(self, state: QuarantineState) -> None:
-        """Send the changed records to all routers."""
-        message = state.publish(self._app.now())
-        if message is None:
-            return
-        for router_id in self._peers.alive_by_router_id:
-            if router_id != self._app.life.router_id:
-                self._peers.send(router_id, message)
-
-    def _receive(self, received: ReceivedMessage) -> None:
-        message = received.message
-        assert isinstance(message, Quarantine)
-        self._state(message.service).merge(message, self._app.now())
-        self._telemetry.count(METRIC_RECORDS, len(message.crashes))
+        self._exchange.publish(state)
         self._notify()
 
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
 
-    def _routers_changed(self) -> None:
-        """Send all records to routers that have started or come back."""
-        lives = {
-            record.life for record in self._peers.alive_by_router_id.values()
-        }
-        new = lives - self._known_lives - {self._app.life}
-        self._known_lives = lives
-        for state in self._state_by_service.values() if new else ():
-            message = state.publish(self._app.now(), full=True)
-            if message is None or not message.crashes:
-                continue
-            for life in new:
-                self._peers.send(life.router_id, message)
-
 
 def _is_same(one: Subject, other: Subject) -> bool:
     return one.service == other.service and one.fingerprint == other.fingerprint
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -0,0 +1,78 @@
+"""Crash records of all services, exchanged with the other routers."""
+
+from collections.abc import Callable
+
+from lacewingspar_core.identity import RouterLife
+from lacewingspar_core.messages import Quarantine
+from lacewingspar_core.quarantine import QuarantineState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+
+METRIC_RECORDS = "quarantine_records_received_total"
+
+
+class CrashExchange:
+    """Sends changed records to all routers, and all records to new ones.
+
+    Args:
+        app: The application.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._peers = app.get(PEERS)
+        self._telemetry = app.get(TELEMETRY)
+        # A service without a known crash has no state, which keeps the path
+        # of its requests short.
+        self._state_by_service: dict[str, QuarantineState] = {}
+        self._known_lives: set[RouterLife] = set()
+        self._listeners: list[Callable[[], None]] = []
+        self._peers.subscribe(Quarantine, self._receive)
+        self._peers.add_listener(self._routers_changed)
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after records of other routers were merged."""
+        self._listeners.append(listener)
+
+    def known_state(self, service: str) -> QuarantineState | None:
+        """Return the records of a service, or None before its first crash."""
+        return self._state_by_service.get(service)
+
+    def state(self, service: str) -> QuarantineState:
+        """Return the records of a service, to add to them."""
+        state = self._state_by_service.get(service)
+        if state is None:
+            state = self._state_by_service[service] = QuarantineState(service)
+        return state
+
+    def publish(self, state: QuarantineState) -> None:
+        """Send the changed records of a service to all routers."""
+        message = state.publish(self._app.now())
+        if message is None:
+            return
+        for router_id in self._peers.alive_by_router_id:
+            if router_id != self._app.life.router_id:
+                self._peers.send(router_id, message)
+
+    def _receive(self, received: ReceivedMessage) -> None:
+        message = received.message
+        assert isinstance(message, Quarantine)
+        self.state(message.service).merge(message, self._app.now())
+        self._telemetry.count(METRIC_RECORDS, len(message.crashes))
+        for listener in self._listeners:
+            listener()
+
+    def _routers_changed(self) -> None:
+        """Send all records to routers that have started or come back."""
+        lives = {
+            record.life for record in self._peers.alive_by_router_id.values()
+        }
+        new = lives - self._known_lives - {self._app.life}
+        self._known_lives = lives
+        for state in self._state_by_service.values() if new else ():
+            message = state.publish(self._app.now(), full=True)
+            if message is None or not message.crashes:
+                continue
+            for life in new:
+                self._peers.send(life.router_id, message)
--- a/tests/router/deployed/test_crash_guard.py
+++ b/tests/router/deployed/test_crash_guard.py
@@ -4,6 +4,8 @@
 
 from tests.router.deployed.conftest import Deployment, manifest, until
 
+from lacewingspar_router.components.peers.models import PEERS
+
 POISON = b"poison"
 
 
@@ -63,3 +65,23 @@
     for upstream in served.upstream_by_id.values():
         upstream.faults.reset_unframed = False
     assert (await caller.call("/write/", body=POISON)).status == 200
+
+
+async def test_router_that_has_started_knows_the_crashes(
+    deployment: Deployment,
+) -> None:
+    """Guards against a restart that lets a request crash upstreams again."""
+    await poisoned(deployment, 8)
+    first = await deployment.add_router("r1")
+    for _ in range(6):
+        await first.call("/write/", body=POISON)
+        await asyncio.sleep(0.15)
+    assert crashes(deployment) == 2
+    seed = deployment.apps[0].settings.peer_address
+    second = await deployment.add_router("r2", seed_hosts=[seed])
+    await until(
+        lambda: len(deployment.apps[1].get(PEERS).alive_by_router_id) == 2
+    )
+    await asyncio.sleep(1.5)
+    assert (await second.call("/write/", body=POISON)).status == 503
+    assert crashes(deployment) == 2
--- a/tests/router/test_retries.py
+++ b/tests/router/test_retries.py
@@ -127,7 +127,7 @@
         crashes = tuple(
             CrashRecord(upstream, 0, 1.0, (name,), ()) for upstream in "uv"
         )
-        registry._receive(
+        registry._exchange._receive(
             ReceivedMessage(
                 RouterLife("r2", 1), "dc-a", Quarantine("chat", crashes)
             )
