Add a fault soak of the platform path

script/bench soak runs routers as processes between a store, upstreams and links that it disturbs from outside, in overlapping series drawn from a seed, and checks what callers and upstreams have seen: own whole answers, one run, true refusals, answers in time, nothing sent for callers who left, versions in force, leaving upstreams, graceful shutdowns, recovery.

--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -8,6 +8,7 @@
     path,
     propagation,
     share,
+    soak,
 )
 
 app = typer.Typer(help="Benchmarks of the fleet.", add_completion=False)
@@ -16,6 +17,7 @@
 app.command("propagation")(propagation.main)
 app.command("capacity")(capacity.main)
 app.command("faults")(faults.main)
+app.command("soak")(soak.main)
 
 
 @app.callback()
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -0,0 +1,252 @@
+"""Deployment of the fault soak: routers as processes behind faulty links."""
+
+import asyncio
+import itertools
+import time
+from contextlib import AsyncExitStack
+from typing import Any
+
+import httpx
+import msgspec
+
+from lacewingspar_standins.bench.soak_callers import HOST, KEY
+from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
+from lacewingspar_standins.deployed.upstream import Upstream
+from lacewingspar_standins.fleet import Fleet
+from lacewingspar_standins.fleet_settings import RouterPlan
+from lacewingspar_standins.link import Link, LinkFaults
+from lacewingspar_standins.process import RouterProcess
+from lacewingspar_standins.server import running
+
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+SERVICE_BY_UPSTREAM = {
+    "e1": "engines",
+    "e2": "engines",
+    "e3": "engines",
+    "p1": "plain",
+    "p2": "plain",
+    "p3": "plain",
+}
+EVENTS = 8
+EVENT_SECONDS = 0.01
+STOP_GRACE_SECONDS = 4.0
+HEARTBEAT_SECONDS = 0.4
+# An upstream without a heartbeat for this long is taken off the list.
+LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
+READY_SECONDS = 30.0
+HISTORY_RECORDS = 400
+
+
+class SoakFleet:
+    """Store, upstreams and routers, with a link in front of each.
+
+    Attributes:
+        store: The store, in this process.
+        upstream_by_id: The upstreams, in this process.
+        link_by_name: Links: `store/ROUTER`, `peer/ROUTER`, `upstream/ID`.
+        plan_by_id: Names and addresses of the routers.
+        router_by_id: The latest process of each router.
+        draining: Upstreams that announce that they leave.
+
+    Args:
+        fleet: Owner of the processes.
+        stack: Ends everything else.
+        routers: Number of routers.
+    """
+
+    def __init__(
+        self, fleet: Fleet, stack: AsyncExitStack, routers: int
+    ) -> None:
+        self._fleet = fleet
+        self._stack = stack
+        self._routers = routers
+        self.store = PlatformStore(StoreFaults())
+        self.upstream_by_id = {
+            name: Upstream(name, EVENTS, EVENT_SECONDS)
+            for name in SERVICE_BY_UPSTREAM
+        }
+        self.link_by_name: dict[str, Link] = {}
+        self.plan_by_id: dict[str, RouterPlan] = {}
+        self.router_by_id: dict[str, RouterProcess] = {}
+        self.draining: set[str] = set()
+        self._address_by_link: dict[str, str] = {}
+        self._born_ms_by_upstream: dict[str, int] = {}
+        self._down: set[str] = set()
+        self._sequences = itertools.count(1)
+        self._version = itertools.count(1)
+
+    async def async_start(self) -> None:
+        """Start everything and wait until all routers are ready."""
+        store_address = await self._stack.enter_async_context(
+            running(self.store)
+        )
+        self.publish(0)
+        for name, upstream in self.upstream_by_id.items():
+            await upstream.async_start()
+            self._stack.push_async_callback(upstream.async_stop)
+            await self._async_link(f"upstream/{name}", upstream.address)
+            self._born_ms_by_upstream[name] = int(time.time() * 1000)
+            self.beat(name)
+        for number in range(self._routers):
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            plan = self._fleet.plan_router(f"r{number}", data_centre)
+            self.plan_by_id[plan.router_id] = plan
+            await self._async_link(f"store/{plan.router_id}", store_address)
+            await self._async_link(f"peer/{plan.router_id}", plan.peer_address)
+        for router_id in self.plan_by_id:
+            await self.async_start_router(router_id)
+        for router_id in self.plan_by_id:
+            await self.async_wait_ready(router_id)
+
+    async def async_start_router(self, router_id: str) -> None:
+        """Start a router, or start it again after its end."""
+        plan = self.plan_by_id[router_id]
+        store = self._address_by_link[f"store/{router_id}"]
+        seeds = [
+            other.peer_address
+            for other in self.plan_by_id.values()
+            if other.router_id != router_id
+        ]
+        self.router_by_id[router_id] = await self._fleet.start_router(
+            plan,
+            log_url=f"http://{store}",
+            vms_url=f"http://{store}",
+            peers=list(self.plan_by_id.values()),
+            address_map={
+                other.peer_address: self._address_by_link[
+                    f"peer/{other.router_id}"
+                ]
+                for other in self.plan_by_id.values()
+                if other.router_id != router_id
+            },
+            platform={
+                "metrics_address": self._fleet.reserve_address(),
+                "seed_hosts": seeds[:1],
+                "stop_grace_seconds": STOP_GRACE_SECONDS,
+            },
+        )
+
+    async def async_wait_ready(self, router_id: str) -> None:
+        """Wait until a router is ready.
+
+        Raises:
+            TimeoutError: It is not.
+        """
+        url = f"http://{self.plan_by_id[router_id].admin_address}/readyz"
+        async with (
+            asyncio.timeout(READY_SECONDS),
+            httpx.AsyncClient(trust_env=False) as client,
+        ):
+            while True:
+                try:
+                    if (await client.get(url)).status_code == 200:
+                        return
+                except httpx.TransportError:
+                    pass  # It does not listen yet.
+                await asyncio.sleep(0.05)
+
+    async def async_beat(self) -> None:
+        """Renew the entries of the upstreams until cancelled."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for name in self.upstream_by_id:
+                if name not in self._down:
+                    self.beat(name)
+            topic = self.store.topic("keyed.servers")
+            if len(topic.records) > HISTORY_RECORDS:
+                topic.drop_history()
+
+    def beat(self, upstream_id: str) -> None:
+        """Write the entry of an upstream."""
+        entry = {
+            "service": SERVICE_BY_UPSTREAM[upstream_id],
+            "address": self._address_by_link[f"upstream/{upstream_id}"],
+            "zone": DATA_CENTRES[int(upstream_id[1:]) - 1],
+            "slots": 8,
+            "state": "draining" if upstream_id in self.draining else "ready",
+            "sequence": next(self._sequences),
+            "born": self._born_ms_by_upstream[upstream_id],
+            "coldRemainingMs": 0,
+        }
+        self.store.topic("keyed.servers").append(
+            upstream_id, msgspec.json.encode(entry)
+        )
+
+    async def async_crash_upstream(self, name: str, seconds: float) -> None:
+        """Let an upstream crash and come back."""
+        upstream = self.upstream_by_id[name]
+        _, _, port = upstream.address.rpartition(":")
+        self._down.add(name)
+        upstream.crash()
+        if seconds > LAPSE_SECONDS:
+            await asyncio.sleep(LAPSE_SECONDS)
+            self.store.topic("keyed.servers").append(name, b"")
+            seconds -= LAPSE_SECONDS
+        await asyncio.sleep(seconds)
+        await upstream.async_start(port=int(port))
+        self._born_ms_by_upstream[name] = int(time.time() * 1000)
+        self._down.discard(name)
+        self.beat(name)
+
+    def publish(self, number: int) -> None:
+        """Publish a configuration with one of the paths that flip."""
+        data = msgspec.json.encode(_manifest(next(self._version), number))
+        self.store.topic("keyed.op").append("config", data)
+
+    async def _async_link(self, name: str, target: str) -> None:
+        link = Link(target, LinkFaults())
+        self.link_by_name[name] = link
+        self._address_by_link[name] = await self._stack.enter_async_context(
+            link.listening("127.0.0.1", 0)
+        )
+
+
+def _manifest(version: int, number: int) -> dict[str, Any]:
+    engine = {
+        "slots": 8,
+        "kvTokens": 100_000,
+        "kvBytes": 1000,
+        "linkMbps": 1000.0,
+    }
+    routes = [
+        _route("/stream/", "streaming", "engines", resumable=True),
+        _route("/stream-once/", "streaming", "engines"),
+        _route("/read/", "idempotent", "plain"),
+        _route("/write/", "non_idempotent", "plain"),
+        _route(f"/flip-{number}/", "idempotent", "plain"),
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "maxConnections": 100, "engine": engine},
+            {"name": "plain", "maxConnections": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+            "tokensPerS": 150_000,
+        },
+        "tenants": [{"name": "soak", "apiKeys": [KEY]}],
+    }
+
+
+def _route(
+    prefix: str, kind: str, service: str, *, resumable: bool = False
+) -> dict[str, Any]:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "maxAttempts": 2,
+        "public": False,
+        "resumable": resumable,
+        "gapAimMs": 300,
+    }
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -62,8 +62,10 @@
         target: Path and query.
         value_by_header: Headers in lower case.
         body: Whole body.
+        at: Time of arrival in seconds of the event loop.
     """
 
+    at: float = 0.0
     method: str = ""
     target: str = ""
     value_by_header: dict[str, str] = field(default_factory=dict)
@@ -154,7 +156,7 @@
         self._parser.feed_data(data)
 
     def on_message_begin(self) -> None:
-        self._request = Received()
+        self._request = Received(at=asyncio.get_running_loop().time())
 
     def on_url(self, url: bytes) -> None:
         self._request.target += url.decode()
--- a/packages/standins/src/lacewingspar_standins/link.py
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -22,11 +22,13 @@
         silent: Set to true, it makes existing connections swallow the bytes
             of both directions without closing; later ones work, so it is
             always read as false.
+        mute: Discard the bytes from the targets; those to them pass.
         delay_ms: Delay of each direction.
     """
 
     cut: bool = False
     silent: bool = False
+    mute: bool = False
     delay_ms: float = 0
 
 
@@ -156,7 +158,7 @@
         try:
             await asyncio.gather(
                 self._pump(connection, reader, target_writer),
-                self._pump(connection, target_reader, writer),
+                self._pump(connection, target_reader, writer, is_return=True),
             )
         finally:
             self._connections.discard(connection)
@@ -167,6 +169,8 @@
         connection: _Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        *,
+        is_return: bool = False,
     ) -> None:
         """Relay one direction until its end."""
         chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(
@@ -178,7 +182,8 @@
             while True:
                 data = await reader.read(READ_BYTES)
                 due_at = loop.time() + self.faults.delay_ms / 1000
-                if not connection.is_silent:
+                is_lost = is_return and self.faults.mute
+                if not connection.is_silent and not (is_lost and data):
                     await chunks.put((due_at, data))
                 if not data:
                     break
