--- a/packages/ctl/src/lacewingspar_ctl/main.py
+++ b/packages/ctl/src/lacewingspar_ctl/main.py
@@ -9,6 +9,7 @@
 from lacewingspar_ctl.commands import documents, fleet
 from lacewingspar_ctl.commands.publish import publish
 from lacewingspar_ctl.commands.replay import replay_command
+from lacewingspar_ctl.commands.story import story
 from lacewingspar_ctl.errors import CtlError
 from lacewingspar_ctl.output import Output
 from lacewingspar_ctl.session import ENV_ROUTER, ENV_TOKEN, Session
@@ -73,6 +74,7 @@
     fleet.accounts,
     fleet.drain,
     fleet.requests,
+    story,
 ):
     app.command()(command)
 app.command("replay")(replay_command)
