--- a/tests/router/test_line_writer.py
+++ b/tests/router/test_line_writer.py
@@ -69,3 +69,17 @@
     assert lines[-1] == b"last"
     # Every line but the notice is whole.
     assert {line for line in lines if line[:1] == b"x"} == {LINE.encode()}
+
+
+def test_writer_tells_when_the_rate_leaves_no_room(
+    pipe: tuple[int, int],
+) -> None:
+    """Guards against lines that are rendered only to be dropped."""
+    now = 0.0
+    writer = LineWriter(pipe[1], "r1", lambda: now)
+    for _ in range(int(BURST_LINES)):
+        assert writer.takes_lines
+        writer.write("x")
+    assert not writer.takes_lines
+    now += 2 / LINES_PER_SECOND
+    assert writer.takes_lines
