Hand out the whole list after a reader has listed upstreams anew

After dropped history a reader lists upstreams anew; those that left in between have no record, so followers never learned of them. Routers that are older than the reader's list now get the whole list.

The new test fails without the change.

--- a/packages/core/src/lacewingspar_core/state_messages.py
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -53,6 +53,8 @@
         directory_offset: Offset up to which the list is known.
         records: Newest records of the upstreams that have changed after the
             receiver's offset.
+        is_listing: Whether the records are the whole list, and upstreams that
+            are not among them have gone.
         may_have_lapsed: Whether upstreams may be missing because the log was
             disturbed.
     """
@@ -61,4 +63,5 @@
     configuration: bytes
     directory_offset: int
     records: tuple[DirectoryRecord, ...]
+    is_listing: bool
     may_have_lapsed: bool
--- a/packages/router/src/lacewingspar_router/components/routing/relay.py
+++ b/packages/router/src/lacewingspar_router/components/routing/relay.py
@@ -12,7 +12,10 @@
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing import const
-from lacewingspar_router.components.routing.models import KeyedRecord
+from lacewingspar_router.components.routing.models import (
+    KeyedRecord,
+    TopicListing,
+)
 from lacewingspar_router.components.routing.reading import ReadingRole
 from lacewingspar_router.components.routing.state import RoutingState
 
@@ -163,7 +166,12 @@
             stored is not None
             and stored.configuration.version > request.configuration_version
         )
-        records = self._state.records_after(request.directory_offset)
+        is_listing = self._state.needs_listing(request.directory_offset)
+        records = (
+            self._state.listed_records()
+            if is_listing
+            else self._state.records_after(request.directory_offset)
+        )
         if not has_newer and not records:
             return
         self._peers.send(
@@ -176,6 +184,7 @@
                     DirectoryRecord(item.key, item.value, item.offset)
                     for item in records
                 ),
+                is_listing=is_listing,
                 may_have_lapsed=self._state.may_have_lapsed,
             ),
         )
@@ -186,13 +195,24 @@
         origin = f"router {received.sender.router_id}"
         if reply.configuration:
             self._state.apply_configuration(reply.configuration, origin)
-        if reply.directory_offset > self._state.directory_offset:
-            self._state.apply_upstream_records(
-                [
-                    KeyedRecord(item.key, item.value, item.offset)
-                    for item in reply.records
-                ],
-                reply.directory_offset,
+        if reply.directory_offset <= self._state.directory_offset:
+            return
+        records = [
+            KeyedRecord(item.key, item.value, item.offset)
+            for item in reply.records
+        ]
+        if reply.is_listing:
+            self._state.apply_upstream_listing(
+                TopicListing(
+                    {item.key: item for item in records}, reply.directory_offset
+                ),
                 origin,
                 may_have_lapsed=reply.may_have_lapsed,
             )
+            return
+        self._state.apply_upstream_records(
+            records,
+            reply.directory_offset,
+            origin,
+            may_have_lapsed=reply.may_have_lapsed,
+        )
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -54,6 +54,7 @@
         self._record_by_upstream: dict[str, KeyedRecord] = {}
         self._directory_offset = -1
         self._changed_offset = -1
+        self._listed_offset = -1
         self._change_offset_by_upstream: dict[str, int] = {}
         self._confirmed_at = float("-inf")
         self._is_unavailable = False
@@ -142,23 +143,37 @@
                 )
         return False
 
-    def apply_upstream_listing(self, listing: TopicListing) -> None:
-        """Take over the whole list of upstreams."""
+    def apply_upstream_listing(
+        self,
+        listing: TopicListing,
+        origin: str = ORIGIN_LOG,
+        *,
+        may_have_lapsed: bool = False,
+    ) -> None:
+        """Take over the whole list of upstreams.
+
+        Args:
+            listing: The list.
+            origin: Where it came from: `log`, or a router.
+            may_have_lapsed: Whether that router saw the log disturbed.
+        """
         entries = self._decode(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
         self._change_offset_by_upstream = {
             key: record.offset for key, record in listing.record_by_key.items()
         }
         self._changed_offset = max(self._changed_offset, listing.end)
+        self._listed_offset = max(self._listed_offset, listing.end)
         self._note_confirmed(listing.end)
-        self._note_available()
+        if origin == ORIGIN_LOG:
+            self._note_available()
         self._publish(
             self._directory.replace_all(
                 entries,
                 self._app.now(),
-                may_have_lapsed=self.may_have_lapsed,
+                may_have_lapsed=may_have_lapsed or self.may_have_lapsed,
             ),
-            "listing",
+            f"listing of {origin}",
         )
 
     def apply_upstream_records(
@@ -209,6 +224,19 @@
         """Drop upstreams that lapsed and did not come back."""
         self._publish(self._directory.expire(self._app.now()), "expiry")
 
+    def needs_listing(self, offset: int) -> bool:
+        """Return whether only a whole list tells what changed since an offset.
+
+        A list that was read anew does not tell which upstreams have gone.
+        """
+        return offset < self._listed_offset
+
+    def listed_records(self) -> list[KeyedRecord]:
+        """Return the record of each upstream that is on the list."""
+        return [
+            item for item in self._record_by_upstream.values() if item.value
+        ]
+
     def records_after(self, offset: int) -> list[KeyedRecord]:
         """Return the newest record of each upstream changed since an offset."""
         return [
--- a/tests/router/deployed/test_reading.py
+++ b/tests/router/deployed/test_reading.py
@@ -181,3 +181,20 @@
     bed.now += 3.0
     bed.follower.expire()
     assert "u1" not in bed.follower.directory.usable("plain")
+
+
+async def test_followers_learn_who_is_missing_from_a_new_list(
+    fleet: Deployment,
+) -> None:
+    """Guards against upstreams that stay known after history was dropped."""
+    await asyncio.sleep(2 * const.CONFIRMATION_SECONDS)
+    topic = fleet.store.topic("keyed.servers")
+    topic.append("p1", b"")
+    topic.drop_history()
+    await until(
+        lambda: all(
+            "p1" not in state_of(app).directory.entry_by_id
+            for app in fleet.apps
+        ),
+        2.0,
+    )
