Let the limit of an entry VM fall with the delay of its event loop

Cause: an event loop that takes seconds for one round is measured only once in these seconds, and the limit fell by a fifth each time. One delay above 0.5 s now counts at once, and the limit falls to between 0.8 and 0.1 of what is under way as the delay grows; it doubles in less than a second afterwards.

The new test fails without the change.

--- a/packages/core/src/lacewingspar_core/entry_limit.py
+++ b/packages/core/src/lacewingspar_core/entry_limit.py
@@ -13,10 +13,17 @@
 # One late round of the loop may have another cause, such as a large
 # configuration.
 LATE_SAMPLES = 2
-# Part of the requests under way that stay after a late sample.
-DECREASE_FACTOR = 0.8
-# Requests that the limit grows by after each sample that is not late.
+# A delay of this many times the limit counts at once. A loop that takes seconds
+# for one round is measured only once in these seconds.
+VERY_LATE_FACTOR = 5.0
+# Part of the requests under way that stays after a late sample, at most and at
+# least. In between it falls as the delay grows.
+LARGEST_DECREASE_FACTOR = 0.8
+LEAST_DECREASE_FACTOR = 0.1
+# Requests, and part of the limit, by which it grows after each sample that is
+# not late; it doubles in less than a second.
 INCREASE = 4
+INCREASE_FRACTION = 0.1
 # A router works on at least this many requests, however slow it is.
 LEAST_LIMIT = 8
 # Limit before the first late sample.
@@ -48,12 +55,18 @@
         """
         if seconds <= DELAY_LIMIT_SECONDS:
             self._late_samples = 0
-            self.limit = min(NO_LIMIT, self.limit + INCREASE)
+            increase = max(INCREASE, int(INCREASE_FRACTION * self.limit))
+            self.limit = min(NO_LIMIT, self.limit + increase)
             return
         self._late_samples += 1
-        if self._late_samples >= LATE_SAMPLES:
-            present = min(self.limit, self.active)
-            self.limit = max(LEAST_LIMIT, int(DECREASE_FACTOR * present))
+        lateness = seconds / DELAY_LIMIT_SECONDS
+        if self._late_samples < LATE_SAMPLES and lateness < VERY_LATE_FACTOR:
+            return
+        factor = min(
+            LARGEST_DECREASE_FACTOR, max(LEAST_DECREASE_FACTOR, 2 / lateness)
+        )
+        present = min(self.limit, self.active)
+        self.limit = max(LEAST_LIMIT, int(factor * present))
 
     def begin(self, workspace: str) -> bool:
         """Return whether a request may be worked on, and count it if so."""
--- a/tests/core/test_entry_limit.py
+++ b/tests/core/test_entry_limit.py
@@ -96,3 +96,22 @@
         assert not outcomes["refused"]
     else:
         assert outcomes["soon"] >= 0.9 * 200.0 * 25.0
+
+
+@pytest.mark.parametrize(
+    ("delay_seconds", "expected"),
+    [(0.2, 800), (0.4, 1000), (0.5, 400), (1.0, 200), (4.0, 100)],
+)
+def test_loop_that_is_seconds_late_is_relieved_at_once(
+    delay_seconds: float, expected: int
+) -> None:
+    """Guards against a router that accepts no connection for seconds.
+
+    Load: 1000 requests are under way, and one round of the loop takes as long
+    as they need.
+    """
+    limit = loaded(a=1000)
+    if delay_seconds < 0.4:
+        limit.note_delay(delay_seconds)
+    limit.note_delay(delay_seconds)
+    assert min(limit.limit, limit.active) == expected
