Draw the soak's faults from a table; write the platform's documents once

Each fault of the soak repeated the choice of a free part and the note of its span; a table of disturbances replaces them, and the run is split from the making of its facts. Configurations, entries of upstreams and requests in the platform's names stood in the soak and in the tests; both now use deployed/documents.py. The soak ends and awaits routers by the existing methods of their processes. An argument of a check that named nothing is gone. Placement keeps one copy of the choice of trusted upstreams.

No check or bound changes.

--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -4,7 +4,7 @@
 engine keeps, beside prompts without any.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from operator import itemgetter
 
@@ -131,9 +131,8 @@
 
     def open_members(self, now: float) -> list[PoolMember]:
         """Return the upstreams that take requests now."""
-        members = self.member_by_id.values()
-        trusted = [item for item in members if now >= item.trust.blocked_until]
-        return [item for item in trusted or members if item.load.is_open]
+        members = _trusted(self.member_by_id.values(), now)
+        return [item for item in members if item.load.is_open]
 
     @property
     def lead_seconds(self) -> float:
@@ -145,16 +144,14 @@
 
     def candidates(self, admission: Admission, now: float) -> list[PoolMember]:
         """Return the upstreams that a request may use."""
-        members: Iterable[PoolMember] = self.member_by_id.values()
+        members: Collection[PoolMember] = self.member_by_id.values()
         if admission.excluded:
             members = [
                 member
                 for upstream_id, member in self.member_by_id.items()
                 if upstream_id not in admission.excluded
             ]
-        trusted = [item for item in members if now >= item.trust.blocked_until]
-        # If all of them fail, any may be the one that works again.
-        return trusted or list(members)
+        return _trusted(members, now)
 
     def choose(
         self, admission: Admission, open_members: list[PoolMember], now: float
@@ -312,6 +309,15 @@
         return home if home in members else None
 
 
+def _trusted(members: Collection[PoolMember], now: float) -> list[PoolMember]:
+    """Return the upstreams that are not blocked, or all if all of them are.
+
+    If all of them fail, any may be the one that works again.
+    """
+    trusted = [item for item in members if now >= item.trust.blocked_until]
+    return trusted or list(members)
+
+
 def _new_load(
     entry: UpstreamEntry,
     service: UpstreamService,
--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -11,8 +11,8 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine
-from contextlib import AsyncExitStack
+from collections.abc import Callable, Collection, Coroutine, Iterator
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -26,6 +26,7 @@
     STOP_GRACE_SECONDS,
     SoakFleet,
 )
+from lacewingspar_standins.faults import Faults
 from lacewingspar_standins.fleet import Fleet
 
 DEFAULT_ROUTERS = 5
@@ -41,7 +42,8 @@
 RECOVERY_SECONDS = 6.0
 CHECKED_SECONDS = 3.0
 
-Action = Callable[["Soak", random.Random], Coroutine[Any, Any, None]]
+# Field of a fault set and its value.
+Fault = tuple[str, Any]
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,182 +83,165 @@
         """Return the time of the event loop in seconds."""
         return asyncio.get_running_loop().time()
 
-    def free(self, names: list[str], generator: random.Random) -> str | None:
-        """Return a part that no other fault works on, or None."""
-        free = sorted(set(names) - self._busy)
-        return generator.choice(free) if len(free) > 1 else None
-
-    async def async_during(
-        self,
-        subject: str,
-        name: str,
-        kind: str,
-        work: Coroutine[Any, Any, None],
+    async def async_apply(
+        self, disturbance: "Disturbance", generator: random.Random
     ) -> None:
-        """Do some work and note it as a disturbance."""
+        """Disturb a part that nothing else disturbs, and note when."""
+        parts = disturbance.parts(self.fleet)
+        free = sorted(set(parts) - self._busy)
+        if len(free) < disturbance.least_free:
+            return
+        name = generator.choice(free)
+        kind, fault = disturbance.kind, ("", None)
+        if disturbance.faults:
+            fault = generator.choice(disturbance.faults)
+            kind = fault[0]
         start = self.now
         self._busy.add(name)
         typer.echo(f"  {kind} {name}", err=True)
         try:
-            await work
+            await disturbance.work(self, name, fault, generator)
         finally:
             self._busy.discard(name)
             end = self.now + NOTICE_SECONDS
+            subject = disturbance.subject or name
             self.spans.append(Span(subject, kind, start, end))
 
 
-async def _async_pause(soak: Soak, generator: random.Random) -> None:
-    router_id = soak.free(list(soak.fleet.plan_by_id), generator)
-    if router_id is None:
-        return
-    router = soak.fleet.router_by_id[router_id]
+Work = Callable[[Soak, str, Fault, random.Random], Coroutine[Any, Any, None]]
 
-    async def work() -> None:
-        router.stop()
-        await asyncio.sleep(generator.uniform(0.3, 3.0))
-        router.resume()
 
-    await soak.async_during(router_id, router_id, "pause", work())
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A way to disturb one part of the deployment.
 
+    Attributes:
+        kind: Name of the fault, unless it is one of `faults`.
+        parts: Returns the names of the parts that it may disturb.
+        work: Disturbs a part and returns when that is over.
+        faults: Faults, of which one is drawn, or none.
+        subject: What callers may notice, if it is not the part itself.
+        least_free: Undisturbed parts that there must be before. By default one
+            is left afterwards.
+    """
 
-async def _async_kill(soak: Soak, generator: random.Random) -> None:
-    router_id = soak.free(list(soak.fleet.plan_by_id), generator)
-    if router_id is None:
-        return
-    router = soak.fleet.router_by_id[router_id]
+    kind: str
+    parts: Callable[[SoakFleet], Collection[str]]
+    work: Work
+    faults: tuple[Fault, ...] = ()
+    subject: str = ""
+    least_free: int = 2
 
-    async def work() -> None:
-        router.kill()
-        await router.wait()
-        await asyncio.sleep(generator.uniform(0.0, 2.0))
-        await soak.fleet.async_start_router(router_id)
-        await soak.fleet.async_wait_ready(router_id)
 
-    await soak.async_during(router_id, router_id, "kill", work())
+def _routers(fleet: SoakFleet) -> Collection[str]:
+    return fleet.plan_by_id
 
 
-async def _async_terminate(soak: Soak, generator: random.Random) -> None:
-    router_id = soak.free(list(soak.fleet.plan_by_id), generator)
-    if router_id is None:
-        return
-    router = soak.fleet.router_by_id[router_id]
+def _links(fleet: SoakFleet) -> Collection[str]:
+    return fleet.link_by_name
 
-    async def work() -> None:
-        router.terminate()
-        try:
-            async with asyncio.timeout(STOP_GRACE_SECONDS):
-                await router.wait()
-        except TimeoutError:
-            router.kill()
-            await router.wait()
-        await soak.fleet.async_start_router(router_id)
-        await soak.fleet.async_wait_ready(router_id)
 
-    await soak.async_during(router_id, router_id, "terminate", work())
+def _store(fleet: SoakFleet) -> Collection[str]:
+    del fleet
+    return ("store",)
 
 
-async def _async_link(soak: Soak, generator: random.Random) -> None:
-    name = soak.free(list(soak.fleet.link_by_name), generator)
-    if name is None:
-        return
-    link = soak.fleet.link_by_name[name]
-    fault, value = generator.choice(
-        (("cut", True), ("silent", True), ("mute", True), ("delay_ms", 200.0))
-    )
+def _upstreams(fleet: SoakFleet) -> Collection[str]:
+    return fleet.upstream_by_id
 
-    async def work() -> None:
-        normal = getattr(link.faults, fault)
-        setattr(link.faults, fault, value)
-        link.faults_changed()
-        await asyncio.sleep(generator.uniform(0.2, 3.0))
-        setattr(link.faults, fault, normal)
 
-    await soak.async_during("link", name, f"{fault} of", work())
+async def _async_pause(
+    soak: Soak, name: str, _fault: Fault, generator: random.Random
+) -> None:
+    router = soak.fleet.router_by_id[name]
+    router.stop()
+    await asyncio.sleep(generator.uniform(0.3, 3.0))
+    router.resume()
 
 
-async def _async_store(soak: Soak, generator: random.Random) -> None:
-    if soak.free(["store", "none"], generator) is None:
-        return
-    store = soak.fleet.store
-    fault, value, normal = generator.choice(
-        (
-            ("outage", True, False),
-            ("busy", True, False),
-            ("silent", True, False),
-            ("lose_replies", 3, 0),
-            ("delay_ms", 250.0, 0.0),
-            ("history", None, None),
-        )
-    )
+async def _async_kill(
+    soak: Soak, name: str, _fault: Fault, generator: random.Random
+) -> None:
+    router = soak.fleet.router_by_id[name]
+    router.kill()
+    await router.wait()
+    await asyncio.sleep(generator.uniform(0.0, 2.0))
+    await _async_restart(soak, name)
 
-    async def work() -> None:
-        if fault == "history":
-            for topic in store.topic_by_name.values():
-                topic.drop_history()
-            return
-        setattr(store.faults, fault, value)
-        store.faults_changed()
-        await asyncio.sleep(generator.uniform(0.3, 3.0))
-        setattr(store.faults, fault, normal)
 
-    await soak.async_during("store", "store", fault, work())
+async def _async_terminate(
+    soak: Soak, name: str, _fault: Fault, _generator: random.Random
+) -> None:
+    await soak.fleet.router_by_id[name].end(STOP_GRACE_SECONDS)
+    await _async_restart(soak, name)
 
 
-async def _async_crash(soak: Soak, generator: random.Random) -> None:
-    name = soak.free(list(soak.fleet.upstream_by_id), generator)
-    if name is None:
-        return
-    seconds = generator.uniform(0.2, 3.0)
-    work = soak.fleet.async_crash_upstream(name, seconds)
-    await soak.async_during(name, name, "crash", work)
+async def _async_restart(soak: Soak, name: str) -> None:
+    await soak.fleet.async_start_router(name)
+    await soak.fleet.async_wait_ready(name)
+
+
+async def _async_link(
+    soak: Soak, name: str, fault: Fault, generator: random.Random
+) -> None:
+    link = soak.fleet.link_by_name[name]
+    with _in_force(link.faults, fault):
+        link.faults_changed()
+        await asyncio.sleep(generator.uniform(0.2, 3.0))
 
 
-async def _async_drain(soak: Soak, generator: random.Random) -> None:
-    name = soak.free(list(soak.fleet.upstream_by_id), generator)
-    if name is None:
+async def _async_store(
+    soak: Soak, _name: str, fault: Fault, generator: random.Random
+) -> None:
+    store = soak.fleet.store
+    if fault == _DROPPED_HISTORY:
+        for topic in store.topic_by_name.values():
+            topic.drop_history()
         return
+    with _in_force(store.faults, fault):
+        store.faults_changed()
+        await asyncio.sleep(generator.uniform(0.3, 3.0))
+
 
-    async def work() -> None:
-        since = soak.now
-        soak.fleet.draining.add(name)
-        soak.fleet.beat(name)
-        await asyncio.sleep(generator.uniform(1.0, 4.0))
-        soak.fleet.draining.discard(name)
-        soak.drains.append((name, since, soak.now))
-        soak.fleet.beat(name)
+async def _async_upstream(
+    soak: Soak, name: str, fault: Fault, generator: random.Random
+) -> None:
+    with _in_force(soak.fleet.upstream_by_id[name].faults, fault):
+        await asyncio.sleep(generator.uniform(0.2, 2.0))
 
-    await soak.async_during(name, name, "drain", work())
 
+@contextmanager
+def _in_force(faults: Faults, fault: Fault) -> Iterator[None]:
+    """Put a fault in force, and take it back."""
+    field, value = fault
+    normal = getattr(faults, field)
+    setattr(faults, field, value)
+    try:
+        yield
+    finally:
+        setattr(faults, field, normal)
 
-async def _async_upstream(soak: Soak, generator: random.Random) -> None:
-    name = soak.free(list(soak.fleet.upstream_by_id), generator)
-    if name is None:
-        return
-    faults = soak.fleet.upstream_by_id[name].faults
-    fault, value = generator.choice(
-        (
-            ("refuse", True),
-            ("refuse_silently", True),
-            ("is_other_upstream", True),
-            ("break_after_events", 3),
-            ("extra_answer", True),
-            ("stray_id", True),
-            ("mute", True),
-            ("no_seal", True),
-            ("status", 500),
-        )
-    )
 
-    async def work() -> None:
-        normal = getattr(faults, fault)
-        setattr(faults, fault, value)
-        await asyncio.sleep(generator.uniform(0.2, 2.0))
-        setattr(faults, fault, normal)
+async def _async_crash(
+    soak: Soak, name: str, _fault: Fault, generator: random.Random
+) -> None:
+    await soak.fleet.async_crash_upstream(name, generator.uniform(0.2, 3.0))
 
-    await soak.async_during(name, name, fault, work())
+
+async def _async_drain(
+    soak: Soak, name: str, _fault: Fault, generator: random.Random
+) -> None:
+    since = soak.now
+    soak.fleet.draining.add(name)
+    soak.fleet.beat(name)
+    await asyncio.sleep(generator.uniform(1.0, 4.0))
+    soak.fleet.draining.discard(name)
+    soak.drains.append((name, since, soak.now))
+    soak.fleet.beat(name)
 
 
 async def _async_flip(soak: Soak, generator: random.Random) -> None:
+    """Publish other configurations, which disturbs nothing."""
     for _ in range(generator.choice((1, 1, 4))):
         number = 1 - soak.flips[-1][1]
         soak.fleet.publish(number)
@@ -264,16 +249,45 @@
         await asyncio.sleep(generator.uniform(0.0, 0.3))
 
 
-_WEIGHT_BY_ACTION: dict[Action, int] = {
-    _async_pause: 2,
-    _async_kill: 2,
-    _async_terminate: 3,
-    _async_link: 4,
-    _async_store: 2,
-    _async_crash: 2,
-    _async_drain: 2,
-    _async_upstream: 3,
-    _async_flip: 3,
+_DROPPED_HISTORY: Fault = ("history", None)
+_LINK_FAULTS: tuple[Fault, ...] = (
+    ("cut", True),
+    ("silent", True),
+    ("mute", True),
+    ("delay_ms", 200.0),
+)
+_STORE_FAULTS: tuple[Fault, ...] = (
+    ("outage", True),
+    ("busy", True),
+    ("silent", True),
+    ("lose_replies", 3),
+    ("delay_ms", 250.0),
+    _DROPPED_HISTORY,
+)
+_UPSTREAM_FAULTS: tuple[Fault, ...] = (
+    ("refuse", True),
+    ("refuse_silently", True),
+    ("is_other_upstream", True),
+    ("break_after_events", 3),
+    ("extra_answer", True),
+    ("stray_id", True),
+    ("mute", True),
+    ("no_seal", True),
+    ("status", 500),
+)
+# None publishes configurations.
+_WEIGHT_BY_DISTURBANCE: dict[Disturbance | None, int] = {
+    Disturbance("pause", _routers, _async_pause): 2,
+    Disturbance("kill", _routers, _async_kill): 2,
+    Disturbance("terminate", _routers, _async_terminate): 3,
+    Disturbance("", _links, _async_link, _LINK_FAULTS, "link"): 4,
+    Disturbance(
+        "", _store, _async_store, _STORE_FAULTS, "store", least_free=1
+    ): 2,
+    Disturbance("crash", _upstreams, _async_crash): 2,
+    Disturbance("drain", _upstreams, _async_drain): 2,
+    Disturbance("", _upstreams, _async_upstream, _UPSTREAM_FAULTS): 3,
+    None: 3,
 }
 
 
@@ -325,23 +339,9 @@
             for plan in fleet.plan_by_id.values()
         }
         callers = SoakCallers(addresses, seed)
-        tasks = [
-            asyncio.create_task(fleet.async_beat()),
-            asyncio.create_task(
-                callers.async_run(CALLERS_PER_ROUTER * routers)
-            ),
-        ]
-        await asyncio.sleep(WARM_UP_SECONDS)
-        async with asyncio.TaskGroup() as group:
-            for _ in range(rounds):
-                _begin_round(soak, generator, group)
-                await asyncio.sleep(ROUND_SECONDS)
-        await asyncio.sleep(RECOVERY_SECONDS)
-        faults_end_at = soak.now
-        await asyncio.sleep(CHECKED_SECONDS)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        faults_end_at = await _async_play(
+            soak, callers, generator, rounds, CALLERS_PER_ROUTER * routers
+        )
         facts = Facts(
             calls=callers.calls,
             upstreams=list(fleet.upstream_by_id.values()),
@@ -358,18 +358,59 @@
         )
 
 
+async def _async_play(
+    soak: Soak,
+    callers: SoakCallers,
+    generator: random.Random,
+    rounds: int,
+    count: int,
+) -> float:
+    """Play all rounds under load.
+
+    Args:
+        soak: The soak.
+        callers: The callers.
+        generator: Generator of the faults.
+        rounds: Number of rounds of faults.
+        count: Number of callers.
+
+    Returns:
+        Time from which on everything should be served again.
+    """
+    tasks = [
+        asyncio.create_task(soak.fleet.async_beat()),
+        asyncio.create_task(callers.async_run(count)),
+    ]
+    await asyncio.sleep(WARM_UP_SECONDS)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(rounds):
+            _begin_round(soak, generator, group)
+            await asyncio.sleep(ROUND_SECONDS)
+    await asyncio.sleep(RECOVERY_SECONDS)
+    faults_end_at = soak.now
+    await asyncio.sleep(CHECKED_SECONDS)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return faults_end_at
+
+
 def _begin_round(
     soak: Soak, generator: random.Random, group: asyncio.TaskGroup
 ) -> None:
     """Begin the faults of a round, each at its own moment."""
-    actions = list(_WEIGHT_BY_ACTION)
-    weights = list(_WEIGHT_BY_ACTION.values())
-    for action in generator.choices(
-        actions, weights, k=generator.choice((1, 2, 3))
-    ):
+    disturbances = list(_WEIGHT_BY_DISTURBANCE)
+    weights = list(_WEIGHT_BY_DISTURBANCE.values())
+    count = generator.choice((1, 2, 3))
+    for disturbance in generator.choices(disturbances, weights, k=count):
         delay = generator.uniform(0.0, ROUND_SECONDS)
         own = random.Random(generator.random())
-        group.create_task(_async_later(delay, action(soak, own)))
+        work = (
+            _async_flip(soak, own)
+            if disturbance is None
+            else soak.async_apply(disturbance, own)
+        )
+        group.create_task(_async_later(delay, work))
 
 
 async def _async_later(seconds: float, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -12,9 +12,8 @@
     InvalidAnswerError,
 )
 from lacewingspar_router.http1.messages import ResponseEnd, ResponseHead
+from lacewingspar_standins.deployed.documents import request_bytes
 
-KEY = "key-of-soak"
-HOST = "soak.example"
 # Paths by weight. Those that flip exist in every other configuration.
 WEIGHT_BY_PATH = {
     "/stream/": 4,
@@ -141,7 +140,14 @@
         patience = call.deadline_seconds + OVERTIME_SECONDS
         if generator.random() < LEAVING_FRACTION:
             patience = generator.uniform(0.0, 0.05)
-        connection.send(_encoded(call))
+        connection.send(
+            request_bytes(
+                call.path,
+                call.request_id,
+                round(call.deadline_seconds * 1000),
+                call.request_id.encode(),
+            )
+        )
         try:
             async with asyncio.timeout(patience):
                 await _async_read(connection, call)
@@ -156,19 +162,6 @@
         return connection.finish()
 
 
-def _encoded(call: SeenCall) -> bytes:
-    body = call.request_id.encode()
-    lines = [
-        f"POST {call.path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Authorization: Token {KEY}",
-        f"X-Attempt-Id: {call.request_id}",
-        f"X-Time-Budget-Ms: {round(call.deadline_seconds * 1000)}",
-        f"Content-Length: {len(body)}",
-    ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 async def _async_read(connection: ClientConnection, call: SeenCall) -> None:
     while True:
         match await connection.next_event():
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -34,7 +34,7 @@
     """Time during which something was disturbed.
 
     Attributes:
-        subject: Router, upstream, `store` or `link`.
+        subject: Router or upstream by id, `store`, or `link` for each link.
         kind: Kind of the fault.
         start: Begin in seconds of the event loop.
         end: End, with the time that the fleet needs to notice it.
@@ -212,7 +212,7 @@
             f" {received.at - left_at:.2f} s after"
             for received in upstream_by_id[upstream_id].received
             if since < received.at < back_at
-            and facts.is_calm(left_at, received.at, "store", "link", "router")
+            and facts.is_calm(left_at, received.at, "store", "link")
         ]
     return found
 
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -6,10 +6,13 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-import httpx
 import msgspec
 
-from lacewingspar_standins.bench.soak_callers import HOST, KEY
+from lacewingspar_standins.deployed.documents import (
+    manifest,
+    route,
+    upstream_entry,
+)
 from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
 from lacewingspar_standins.deployed.upstream import Upstream
 from lacewingspar_standins.fleet import Fleet
@@ -35,6 +38,8 @@
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
 READY_SECONDS = 30.0
 HISTORY_RECORDS = 400
+# Longer than the deadlines of all callers.
+ROUTE_LIMIT_MS = 5000
 
 
 class SoakFleet:
@@ -130,20 +135,11 @@
         """Wait until a router is ready.
 
         Raises:
-            TimeoutError: It is not.
+            FleetError: It has ended, or is not ready in time.
         """
-        url = f"http://{self.plan_by_id[router_id].admin_address}/readyz"
-        async with (
-            asyncio.timeout(READY_SECONDS),
-            httpx.AsyncClient(trust_env=False) as client,
-        ):
-            while True:
-                try:
-                    if (await client.get(url)).status_code == 200:
-                        return
-                except httpx.TransportError:
-                    pass  # It does not listen yet.
-                await asyncio.sleep(0.05)
+        await self.router_by_id[router_id].wait_ready(
+            self.plan_by_id[router_id].admin_address, READY_SECONDS, "/readyz"
+        )
 
     async def async_beat(self) -> None:
         """Renew the entries of the upstreams until cancelled."""
@@ -158,16 +154,14 @@
 
     def beat(self, upstream_id: str) -> None:
         """Write the entry of an upstream."""
-        entry = {
-            "service": SERVICE_BY_UPSTREAM[upstream_id],
-            "address": self._address_by_link[f"upstream/{upstream_id}"],
-            "zone": DATA_CENTRES[int(upstream_id[1:]) - 1],
-            "slots": 8,
-            "state": "draining" if upstream_id in self.draining else "ready",
-            "sequence": next(self._sequences),
-            "born": self._born_ms_by_upstream[upstream_id],
-            "coldRemainingMs": 0,
-        }
+        entry = upstream_entry(
+            SERVICE_BY_UPSTREAM[upstream_id],
+            self._address_by_link[f"upstream/{upstream_id}"],
+            next(self._sequences),
+            zone=DATA_CENTRES[int(upstream_id[1:]) - 1],
+            state="draining" if upstream_id in self.draining else "ready",
+            born=self._born_ms_by_upstream[upstream_id],
+        )
         self.store.topic("keyed.servers").append(
             upstream_id, msgspec.json.encode(entry)
         )
@@ -190,7 +184,7 @@
 
     def publish(self, number: int) -> None:
         """Publish a configuration with one of the paths that flip."""
-        data = msgspec.json.encode(_manifest(next(self._version), number))
+        data = msgspec.json.encode(_configuration(next(self._version), number))
         self.store.topic("keyed.op").append("config", data)
 
     async def _async_link(self, name: str, target: str) -> None:
@@ -201,52 +195,18 @@
         )
 
 
-def _manifest(version: int, number: int) -> dict[str, Any]:
-    engine = {
-        "slots": 8,
-        "kvTokens": 100_000,
-        "kvBytes": 1000,
-        "linkMbps": 1000.0,
-    }
-    routes = [
-        _route("/stream/", "streaming", "engines", resumable=True),
-        _route("/stream-once/", "streaming", "engines"),
-        _route("/read/", "idempotent", "plain"),
-        _route("/write/", "non_idempotent", "plain"),
-        _route(f"/flip-{number}/", "idempotent", "plain"),
-    ]
-    return {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "engines", "maxConnections": 100, "engine": engine},
-            {"name": "plain", "maxConnections": 100},
+def _configuration(version: int, number: int) -> dict[str, Any]:
+    return manifest(
+        version,
+        routes=[
+            _route("/stream/", "streaming", "engines", resumable=True),
+            _route("/stream-once/", "streaming", "engines"),
+            _route("/read/", "idempotent", "plain"),
+            _route("/write/", "non_idempotent", "plain"),
+            _route(f"/flip-{number}/", "idempotent", "plain"),
         ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 100_000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-            "tokensPerS": 150_000,
-        },
-        "tenants": [{"name": "soak", "apiKeys": [KEY]}],
-    }
-
-
-def _route(
-    prefix: str, kind: str, service: str, *, resumable: bool = False
-) -> dict[str, Any]:
-    return {
-        "name": prefix.strip("/"),
-        "host": HOST,
-        "pathPrefix": prefix,
-        "kind": kind,
-        "service": service,
-        "timeoutMs": 5000,
-        "targetLatencyMs": 300,
-        "priority": 1,
-        "maxAttempts": 2,
-        "public": False,
-        "resumable": resumable,
-        "gapAimMs": 300,
-    }
+    )
+
+
+def _route(prefix: str, kind: str, service: str, **changes: Any) -> Any:
+    return route(prefix, kind, service, timeoutMs=ROUTE_LIMIT_MS, **changes)
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -154,13 +154,20 @@
 class RouterProcess(ManagedProcess):
     """A router."""
 
-    async def wait_ready(self, admin_address: str, seconds: float) -> None:
-        """Wait until `GET /ready` succeeds.
+    async def wait_ready(
+        self, admin_address: str, seconds: float, path: str = "/ready"
+    ) -> None:
+        """Wait until the router says that it is ready.
+
+        Args:
+            admin_address: Where it says so.
+            seconds: Longest time to wait.
+            path: Path of its answer.
 
         Raises:
             FleetError: The router has ended or the time is over.
         """
-        await self._wait_for(f"http://{admin_address}/ready", seconds)
+        await self._wait_for(f"http://{admin_address}{path}", seconds)
 
     async def wait_live(self, admin_address: str, seconds: float) -> None:
         """Wait until `GET /live` succeeds.
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -19,63 +19,20 @@
 )
 from lacewingspar_router.main import setup_functions
 from lacewingspar_router.settings import PlatformSettings, Settings
+from lacewingspar_standins.deployed.documents import (
+    HOST,
+    KEY,
+    LIMITS,
+    manifest,
+    request_bytes,
+    route,
+    upstream_entry,
+)
 from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
 from lacewingspar_standins.deployed.upstream import Upstream
 from lacewingspar_standins.ports import PortReservations
 from lacewingspar_standins.server import running
 
-KEY = "key-of-alpha"
-HOST = "calls.example"
-LIMITS: dict[str, Any] = {
-    "maxHeaderBytes": 16384,
-    "maxBodyBytes": 100_000,
-    "headerTimeoutMs": 3000,
-    "idleTimeoutMs": 15000,
-    "tokensPerS": 150_000,
-}
-
-
-def route(prefix: str, kind: str, service: str, **changes: Any) -> Any:
-    return {
-        "name": prefix.strip("/"),
-        "host": HOST,
-        "pathPrefix": prefix,
-        "kind": kind,
-        "service": service,
-        "timeoutMs": 3000,
-        "targetLatencyMs": 300,
-        "priority": 1,
-        "maxAttempts": 2,
-        "public": False,
-        "resumable": False,
-        "gapAimMs": 300,
-    } | changes
-
-
-def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
-    engine = {
-        "slots": 8,
-        "kvTokens": 100_000,
-        "kvBytes": 1000,
-        "linkMbps": 1000.0,
-    }
-    return {
-        "version": version,
-        "routes": [
-            route("/stream/", "streaming", "engines", resumable=True),
-            route("/stream-once/", "streaming", "engines"),
-            route("/read/", "idempotent", "plain"),
-            route("/write/", "non_idempotent", "plain"),
-            route("/open/", "idempotent", "plain", public=True),
-        ],
-        "services": [
-            {"name": "engines", "maxConnections": 100, "engine": engine},
-            {"name": "plain", "maxConnections": 100},
-        ],
-        "limits": LIMITS,
-        "tenants": [{"name": "alpha", "apiKeys": [KEY]}],
-    } | changes
-
 
 @dataclass(slots=True)
 class Answer:
@@ -113,17 +70,19 @@
         **headers: str,
     ) -> Answer:
         """Send one request on a connection of its own."""
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {host}",
-            f"X-Time-Budget-Ms: {budget_ms}",
-            f"Content-Length: {len(body)}",
-        ]
-        headers.setdefault("x_attempt_id", f"a{next(self.ids)}")
-        if key is not None:
-            lines.append(f"Authorization: Token {key}")
-        lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
-        return await self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        request_id = headers.pop("x_attempt_id", f"a{next(self.ids)}")
+        return await self.send(
+            request_bytes(
+                path,
+                request_id,
+                budget_ms,
+                body,
+                method=method,
+                key=key,
+                host=host,
+                **headers,
+            )
+        )
 
     async def send(self, data: bytes) -> Answer:
         """Send bytes and return the answer."""
@@ -188,16 +147,12 @@
         self, upstream_id: str, service: str, state: str = "ready"
     ) -> None:
         """Write the entry of an upstream."""
-        entry = {
-            "service": service,
-            "address": self.upstream_by_id[upstream_id].address,
-            "zone": "dc-a",
-            "slots": 8,
-            "state": state,
-            "sequence": next(self._sequences),
-            "born": 1,
-            "coldRemainingMs": 0,
-        }
+        entry = upstream_entry(
+            service,
+            self.upstream_by_id[upstream_id].address,
+            next(self._sequences),
+            state=state,
+        )
         self.store.topic("keyed.servers").append(
             upstream_id, msgspec.json.encode(entry)
         )
@@ -254,4 +209,15 @@
             await asyncio.sleep(0.01)
 
 
-__all__ = ["Answer", "Caller", "Deployment", "Response", "manifest", "until"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "LIMITS",
+    "Answer",
+    "Caller",
+    "Deployment",
+    "Response",
+    "manifest",
+    "route",
+    "until",
+]
