--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -7,12 +7,12 @@
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.forwarding.handler import CallHandler
+from lacewingspar_router.components.forwarding.load_monitor import LoadMonitor
 from lacewingspar_router.components.forwarding.readiness import ReadinessPage
 from lacewingspar_router.components.routing.models import (
     ROUTING,
     RoutingView,
 )
-from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.exchange import ConnectionLimits
 from lacewingspar_router.http1.server import Http1Server
 
@@ -61,7 +61,8 @@
     app.on_unload("forwarding", async_unload)
     app.on_cut(async_cut)
     app.create_task(_async_drop_stale(handler), "drop stale connections")
-    app.create_task(_async_watch_delay(app, handler), "watch loop delay")
+    monitor = LoadMonitor(app, callers, handler.entry_limit)
+    app.create_task(monitor.async_run(), "measure load")
     await callers.async_start(settings.caller_address)
     await readiness.async_start(settings.admin_address)
     await metrics.async_start(settings.platform.metrics_address)
@@ -100,29 +101,6 @@
         await asyncio.sleep(0.05)
 
 
-async def _async_watch_delay(app: Application, handler: CallHandler) -> None:
-    """Let the limit of requests follow the delay of the event loop."""
-    telemetry = app.get(TELEMETRY)
-    is_limited = False
-    while True:
-        due_at = app.now() + const.DELAY_SAMPLE_SECONDS
-        await asyncio.sleep(const.DELAY_SAMPLE_SECONDS)
-        delay_seconds = max(0.0, app.now() - due_at)
-        limit = handler.entry_limit
-        limit.note_delay(delay_seconds)
-        telemetry.gauge("event_loop_delay_seconds", delay_seconds)
-        telemetry.gauge("requests_under_way", limit.active)
-        if is_limited == (limit.active >= limit.limit):
-            continue
-        is_limited = not is_limited
-        _LOGGER.info(
-            "requests limited" if is_limited else "requests not limited",
-            limit=limit.limit,
-            under_way=limit.active,
-            loop_delay_ms=round(delay_seconds * 1000),
-        )
-
-
 async def _async_drop_stale(handler: CallHandler) -> None:
     while True:
         await asyncio.sleep(const.IDLE_CHECK_SECONDS)
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -79,6 +79,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
+        self._server.accepted_connections += 1
         self._arm_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -299,6 +300,7 @@
         handler: Answers each request.
         limits: Limits on connections; may be replaced at any time.
         connections: Open connections.
+        accepted_connections: Connections accepted since the start.
         is_closing_connections: Whether answers end their connections.
 
     Args:
@@ -311,6 +313,7 @@
         self.now = now
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
+        self.accepted_connections = 0
         self.is_closing_connections = False
         self._server: asyncio.Server | None = None
 
--- /dev/null
+++ b/tests/router/deployed/test_load_monitor.py
@@ -0,0 +1,33 @@
+"""Log lines about the load of a router."""
+
+import asyncio
+
+import pytest
+import structlog
+from tests.router.deployed.conftest import Deployment, until
+
+from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.http1.client import async_connect
+
+
+async def test_line_tells_connections_descriptors_and_delay(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(const, "LOAD_LINE_SECONDS", 0.2)
+    caller = await served.add_router()
+    # The line about the connections opened below follows one without any.
+    await asyncio.sleep(0.3)
+    with structlog.testing.capture_logs() as lines:
+        connections = [await async_connect(caller.address) for _ in range(5)]
+        await until(lambda: any(line.get("accepted") == 5 for line in lines))
+    (line,) = [line for line in lines if line.get("accepted") == 5]
+    assert line["event"] == "router load"
+    assert line["connections"] == 5
+    assert line["under_way"] == 0
+    # Each connection has one descriptor at both of its ends here.
+    assert line["descriptors"] > 10
+    assert line["largest_loop_delay_ms"] >= 0
+    assert line["processor_ms"] >= 0
+    assert line["interval_ms"] >= 200
+    for connection in connections:
+        connection.abort()
