Accept all waiting connections in one turn of the event loop

Cause: uvloop's server (libuv 1.52.1) accepts one connection in each turn of the event loop. A loop that forwards 240 requests a second makes some 100 turns, so 43 to 117 connections a second were accepted where callers opened 550; the others waited in the full queue of the listener until they gave up. The overload stayed outside the process, so the entry limit never saw it.

The tests failed before with 18 of 200 connections answered after 20 turns, on the server of the users' platform and on the project's own.

Ruled out: descriptors (1,983 at most, the limit is 4,100) for this fault.

Own listener: it also reports a failure to accept and goes on after it, where uvloop is silent. The own interface (uvicorn) had the same cause and uses it too.

--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -9,6 +9,7 @@
 import structlog
 
 from lacewingspar_router.http1.exchange import ConnectionLimits, ServerExchange
+from lacewingspar_router.http1.listener import Listener, bind_address
 from lacewingspar_router.http1.messages import (
     HttpRequest,
     encode_head,
@@ -79,7 +80,6 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
-        self._server.accepted_connections += 1
         self._arm_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -300,7 +300,6 @@
         handler: Answers each request.
         limits: Limits on connections; may be replaced at any time.
         connections: Open connections.
-        accepted_connections: Connections accepted since the start.
         is_closing_connections: Whether answers end their connections.
 
     Args:
@@ -313,29 +312,31 @@
         self.now = now
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
-        self.accepted_connections = 0
         self.is_closing_connections = False
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
     async def async_start(self, address: str) -> None:
         """Listen on `host:port`.
 
         Raises:
-            OSError: The address is in use or not available.
+            ComponentSetupError: The address is invalid or in use.
         """
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.get_running_loop().create_server(
+        self._listener = Listener(
+            bind_address(address),
             lambda: CallerConnection(self),
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
+            LISTEN_BACKLOG,
         )
 
     @property
     def port(self) -> int:
         """Return the port that the server listens on."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        assert self._listener is not None
+        return self._listener.port
+
+    @property
+    def accepted_connections(self) -> int:
+        """Return the number of connections accepted since the start."""
+        return 0 if self._listener is None else self._listener.accepted
 
     @property
     def busy_connections(self) -> int:
@@ -344,8 +345,8 @@
 
     def stop_listening(self) -> None:
         """Accept no more connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     def close_idle(self) -> None:
         """Close the connections without a request under way."""
--- a/packages/router/src/lacewingspar_router/http_server.py
+++ b/packages/router/src/lacewingspar_router/http_server.py
@@ -7,7 +7,7 @@
 
 import uvicorn
 
-from lacewingspar_router.errors import ComponentSetupError
+from lacewingspar_router.http1.listener import Listener, bind_address
 
 # Longer than the idle time of common load balancers, so that the balancer
 # closes an idle connection first and no request meets a closing connection.
@@ -24,41 +24,39 @@
 logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
 
 
-def bind_address(address: str) -> socket.socket:
-    """Return a socket bound to `host:port`.
+class _Server(uvicorn.Server):
+    """A server whose listener is the router's own.
 
-    Raises:
-        ComponentSetupError: The address is invalid or in use.
+    Attributes:
+        listener: The listener, once the server has started.
     """
-    host, _, port = address.rpartition(":")
-    try:
-        family, kind, protocol, _, name = socket.getaddrinfo(
-            host, int(port), type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
-        )[0]
-        bound = socket.socket(family, kind, protocol)
-    except (OSError, OverflowError) as error:
-        raise ComponentSetupError(f"cannot use {address}: {error}") from error
-    try:
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind(name)
-    except (OSError, OverflowError) as error:
-        bound.close()
-        raise ComponentSetupError(f"cannot bind {address}: {error}") from error
-    bound.setblocking(False)
-    return bound
-
-
-class _Server(uvicorn.Server):
-    """A server that tells when it listens."""
 
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
+        self.listener: Listener | None = None
         self.is_listening = asyncio.Event()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
+        assert sockets is not None
+        self.listener = Listener(sockets[0], self._connection, LISTEN_BACKLOG)
+        self.servers = []
+        self.started = True
         self.is_listening.set()
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        assert self.listener is not None
+        self.listener.close()
+        await super().shutdown(sockets)
+
+    def _connection(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
 
 class HttpServer:
     """An ASGI application served on one address.
@@ -109,8 +107,8 @@
             self._socket.close()
             return
         if not abort:
-            for listener in self._server.servers:
-                listener.close()
+            if self._server.listener is not None:
+                self._server.listener.close()
             await asyncio.sleep(LINGER_SECONDS)
         self._server.force_exit = abort
         self._server.should_exit = True
--- /dev/null
+++ b/tests/router/test_listener.py
@@ -0,0 +1,128 @@
+"""Acceptance of connections under load, on the event loop of the daemon."""
+
+import asyncio
+import errno
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+import structlog
+import uvloop
+
+from lacewingspar_router.http1.exchange import ServerExchange
+from lacewingspar_router.http1.listener import Listener
+from lacewingspar_router.http1.server import Http1Server
+from lacewingspar_router.http_server import HttpServer
+
+# More than a burst of callers that come back brings in one turn.
+CONNECTIONS = 200
+# Turns of the event loop; one for each connection would be 200.
+TURNS = 20
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n"
+
+
+async def answer_exchange(exchange: ServerExchange) -> None:
+    exchange.answer(204, [], b"")
+
+
+async def answer_scope(_scope: Any, _receive: Any, send: Any) -> None:
+    start = {"type": "http.response.start", "status": 204, "headers": []}
+    await send(start)
+    await send({"type": "http.response.body"})
+
+
+@asynccontextmanager
+async def platform_server() -> AsyncIterator[int]:
+    """Run the server of the users' platform."""
+    server = Http1Server(answer_exchange, asyncio.get_running_loop().time)
+    await server.async_start("127.0.0.1:0")
+    yield server.port
+    server.close()
+
+
+@asynccontextmanager
+async def own_server() -> AsyncIterator[int]:
+    """Run the server of the project's own interface."""
+    server = HttpServer(answer_scope, "127.0.0.1:0")
+    await server.async_start()
+    yield server.port
+    await server.async_stop(abort=True)
+
+
+def connect(port: int) -> socket.socket:
+    """Open a connection without waiting for the server to accept it."""
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.sendall(REQUEST)
+    connection.setblocking(False)
+    return connection
+
+
+def is_answered(connection: socket.socket) -> bool:
+    try:
+        return connection.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return False
+
+
+@pytest.mark.parametrize("run_server", [platform_server, own_server])
+def test_busy_event_loop_accepts_all_waiting_connections(
+    run_server: Any,
+) -> None:
+    """Guards against one accepted connection in each turn of the loop."""
+
+    async def run() -> int:
+        async with run_server() as port:
+            connections = [connect(port) for _ in range(CONNECTIONS)]
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+            answered = sum(is_answered(item) for item in connections)
+            for connection in connections:
+                connection.close()
+        return answered
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(run()) == CONNECTIONS
+
+
+class ExhaustedSocket(socket.socket):
+    """Listening socket that has no descriptor for its first connections."""
+
+    failures = 3
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().accept()
+
+
+async def test_listener_accepts_again_after_descriptors_ran_out() -> None:
+    """Guards against a listener that ends with the first failure."""
+    bound = ExhaustedSocket()
+    bound.setblocking(False)
+    bound.bind(("127.0.0.1", 0))
+    opened = asyncio.Event()
+    with structlog.testing.capture_logs() as lines:
+        listener = Listener(bound, lambda: Opened(opened), 16)
+        connection = connect(listener.port)
+        await asyncio.wait_for(opened.wait(), 2.0)
+    assert [line["event"] for line in lines] == [
+        "connections cannot be accepted"
+    ]
+    assert listener.accepted == 1
+    listener.close()
+    connection.close()
+
+
+class Opened(asyncio.Protocol):
+    """Tells that the connection was accepted."""
+
+    def __init__(self, opened: asyncio.Event) -> None:
+        self._opened = opened
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._opened.set()
+        transport.close()
