Leave room in the log for the lines about the router itself

Lines with a request id now leave 100 lines of the burst to the others. The test of the writer failed before (it had no such rule).

--- a/packages/router/src/lacewingspar_router/components/telemetry/line_writer.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/line_writer.py
@@ -10,6 +10,9 @@
 # second on a VM; an outage may make each of them fail several times.
 LINES_PER_SECOND = 400.0
 BURST_LINES = 1000.0
+# Lines of the burst that lines about single requests leave to those about the
+# router itself, which are few and explain all requests of their time.
+RESERVED_LINES = 100.0
 # Rest of a line that the pipe did not take at once.
 LARGEST_REST_BYTES = 64 * 1024
 
@@ -42,11 +45,15 @@
         self._rest = b""
         self.dropped = 0
 
-    @property
-    def takes_lines(self) -> bool:
-        """Return whether the rate leaves room for a line now."""
+    def takes_lines(self, *, is_about_request: bool) -> bool:
+        """Return whether the rate leaves room for a line now.
+
+        Args:
+            is_about_request: Whether the line is about a single request.
+        """
         self._refill()
-        return self._tokens >= 1
+        reserve = RESERVED_LINES if is_about_request else 0.0
+        return self._tokens >= 1 + reserve
 
     def write(self, text: str) -> None:
         """Write a line, with or without its end, or drop it."""
--- a/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
+++ b/packages/router/src/lacewingspar_router/components/telemetry/log_lines.py
@@ -43,7 +43,9 @@
         _logger: object, _method: str, event: structlog.typing.EventDict
     ) -> structlog.typing.EventDict:
         # A line that will be dropped is not rendered.
-        if stream is not None and not stream.takes_lines:
+        if stream is not None and not stream.takes_lines(
+            is_about_request="request_id" in event
+        ):
             stream.dropped += 1
             raise structlog.DropEvent
         return event
--- a/tests/router/test_line_writer.py
+++ b/tests/router/test_line_writer.py
@@ -9,6 +9,7 @@
 from lacewingspar_router.components.telemetry.line_writer import (
     BURST_LINES,
     LINES_PER_SECOND,
+    RESERVED_LINES,
     LineWriter,
 )
 
@@ -71,15 +72,19 @@
     assert {line for line in lines if line[:1] == b"x"} == {LINE.encode()}
 
 
+@pytest.mark.parametrize(
+    ("is_about_request", "lines"),
+    [(True, BURST_LINES - RESERVED_LINES), (False, BURST_LINES)],
+)
 def test_writer_tells_when_the_rate_leaves_no_room(
-    pipe: tuple[int, int],
+    pipe: tuple[int, int], is_about_request: bool, lines: float
 ) -> None:
-    """Guards against lines that are rendered only to be dropped."""
+    """Guards against lines about requests that displace all others."""
     now = 0.0
     writer = LineWriter(pipe[1], "r1", lambda: now)
-    for _ in range(int(BURST_LINES)):
-        assert writer.takes_lines
+    for _ in range(int(lines)):
+        assert writer.takes_lines(is_about_request=is_about_request)
         writer.write("x")
-    assert not writer.takes_lines
+    assert not writer.takes_lines(is_about_request=is_about_request)
     now += 2 / LINES_PER_SECOND
-    assert writer.takes_lines
+    assert writer.takes_lines(is_about_request=is_about_request)
