Close idle connections of callers before the descriptors run out

Cause: callers keep the connection of each refused or answered request and open others, and the router closed them only after the idle time of the configuration. The number of connections had no bound.

Now connections of callers take at most half of the descriptors that the settings name; beyond that the ones that have been idle longest are closed, 64 at a time.

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -26,6 +26,9 @@
     routing = app.get(ROUTING)
     handler = CallHandler(app)
     callers = Http1Server(handler.async_handle, app.now)
+    callers.most_connections = round(
+        const.CALLER_DESCRIPTOR_FRACTION * settings.platform.descriptor_limit
+    )
     page = ReadinessPage(app)
     readiness = Http1Server(page.async_handle, app.now)
     metrics = Http1Server(page.async_handle, app.now)
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -22,6 +22,9 @@
 NOT_READY_RETRY_SECONDS = 0.5
 # Interval at which the delay of the event loop is measured.
 DELAY_SAMPLE_SECONDS = 0.1
+# Part of the descriptors that connections of callers may take before idle ones
+# are closed; upstreams, other routers and files share the rest.
+CALLER_DESCRIPTOR_FRACTION = 0.5
 # Interval of the log lines about the load of the router.
 LOAD_LINE_SECONDS = 1.0
 # Callers of a router that is overloaded come back after one to two times this
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -1,6 +1,7 @@
 """Connections of callers."""
 
 import asyncio
+import heapq
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -28,6 +29,12 @@
 # so that the caller reads the answer before it sees the reset.
 LINGER_SECONDS = 0.5
 
+# Connections before a limit is set.
+NO_CONNECTION_LIMIT = 1_000_000
+# Idle connections that are closed at once, since the search for those that
+# have been idle longest reads all of them.
+CLOSED_AT_ONCE = 64
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -72,6 +79,11 @@
         """Return whether no request is being read or answered."""
         return self._task is None and not self._is_reading
 
+    @property
+    def active_at(self) -> float:
+        """Return when the last request began or ended, on the loop's clock."""
+        return self._since
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -79,7 +91,7 @@
         # The transports of uvloop do not inherit from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._server.connections.add(self)
+        self._server.add(self)
         self._arm_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -301,6 +313,7 @@
         limits: Limits on connections; may be replaced at any time.
         connections: Open connections.
         is_closing_connections: Whether answers end their connections.
+        most_connections: Open connections beyond which idle ones are closed.
 
     Args:
         handler: Answers each request.
@@ -313,6 +326,7 @@
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
         self.is_closing_connections = False
+        self.most_connections = NO_CONNECTION_LIMIT
         self._listener: Listener | None = None
 
     async def async_start(self, address: str) -> None:
@@ -343,6 +357,29 @@
         """Return the number of connections with a request under way."""
         return sum(not item.is_idle for item in self.connections)
 
+    def add(self, connection: CallerConnection) -> None:
+        """Take over a new connection, in place of idle ones if need be."""
+        self.connections.add(connection)
+        if len(self.connections) > self.most_connections:
+            self._close_longest_idle()
+
+    def _close_longest_idle(self) -> None:
+        idle = [item for item in self.connections if item.is_idle]
+        longest_idle = heapq.nsmallest(
+            CLOSED_AT_ONCE, idle, key=lambda item: item.active_at
+        )
+        for connection in longest_idle:
+            # The transport tells only in a later turn that it is closed.
+            self.connections.discard(connection)
+            connection.close()
+        _LOGGER.info(
+            "idle connections closed for new ones",
+            closed=len(longest_idle),
+            idle=len(idle),
+            connections=len(self.connections),
+            most_connections=self.most_connections,
+        )
+
     def stop_listening(self) -> None:
         """Accept no more connections."""
         if self._listener is not None:
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -49,6 +49,7 @@
         retry_ratio: Second sends allowed for each request, over the fleet.
         retry_window_seconds: Window over which second sends are counted.
         retry_allowance: Second sends allowed in each window beside the ratio.
+        descriptor_limit: Descriptors that the router may open.
         processor_share: Part of a processor that the router may use.
         processor_speed: Speed of that processor, in those of a common one.
     """
@@ -59,6 +60,7 @@
     retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
     retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
     retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
+    descriptor_limit: Annotated[int, Field(ge=256, le=10_000_000)] = 1024
     processor_share: Annotated[float, Field(gt=0, le=1024)] = 1.0
     processor_speed: Annotated[float, Field(gt=0, le=1024)] = 1.0
 
--- /dev/null
+++ b/tests/router/test_http1_server.py
@@ -0,0 +1,87 @@
+"""Connections of callers at the server."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from lacewingspar_router.http1 import server as http1_server
+from lacewingspar_router.http1.client import ClientConnection, async_connect
+from lacewingspar_router.http1.exchange import ServerExchange
+from lacewingspar_router.http1.server import Http1Server
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n"
+
+
+class HeldAnswers:
+    """Handler that answers when it is told to."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+
+    async def async_handle(self, exchange: ServerExchange) -> None:
+        await self.may_answer.wait()
+        exchange.answer(204, [], b"")
+
+
+async def is_open(connection: ClientConnection) -> bool:
+    """Return whether the server still answers on a connection."""
+    try:
+        connection.send(REQUEST)
+        async with asyncio.timeout(1.0):
+            await connection.next_event()
+    except Exception:
+        return False
+    return True
+
+
+async def test_kept_connections_leave_descriptors_for_new_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against idle connections that use up the descriptors."""
+    monkeypatch.setattr(http1_server, "CLOSED_AT_ONCE", 1)
+    handler = HeldAnswers()
+    loop = asyncio.get_running_loop()
+    server = Http1Server(handler.async_handle, loop.time)
+    server.most_connections = 2
+    await server.async_start("127.0.0.1:0")
+    address = f"127.0.0.1:{server.port}"
+    try:
+        busy = await async_connect(address)
+        busy.send(REQUEST)
+        idle = await async_connect(address)
+        await asyncio.sleep(0.05)
+        late = await async_connect(address)
+        await asyncio.sleep(0.05)
+        assert len(server.connections) == 2
+        handler.may_answer.set()
+        assert not await is_open(idle)
+        assert await is_open(late)
+        assert await busy.next_event()
+    finally:
+        server.close()
+
+
+async def test_burst_of_connections_closes_idle_ones_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a search for idle connections at each new one."""
+    monkeypatch.setattr(http1_server, "CLOSED_AT_ONCE", 8)
+    loop = asyncio.get_running_loop()
+    server = Http1Server(HeldAnswers().async_handle, loop.time)
+    server.most_connections = 16
+    await server.async_start("127.0.0.1:0")
+    address = f"127.0.0.1:{server.port}"
+    with structlog.testing.capture_logs() as lines:
+        opened = await asyncio.gather(
+            *(async_connect(address) for _ in range(40))
+        )
+        await asyncio.sleep(0.1)
+    try:
+        assert 8 < len(server.connections) <= 16
+        # 24 connections more than the limit, eight at a time.
+        assert len(lines) == 3
+    finally:
+        for connection in opened:
+            connection.abort()
+        server.close()
