Keep only connections waiting that callers have not given up

Cause: the accepted connections of each second are multiples of the batch (1,152 and 896 are 18 and 14 times 64), so the queue of 1,024 was never empty, and each connection waited a second in it. Callers give up after that second, and the router then read and forwarded requests that nobody waited for.

The queue now holds 128 connections, and 32 are accepted in a turn.

--- a/packages/router/src/lacewingspar_router/http1/listener.py
+++ b/packages/router/src/lacewingspar_router/http1/listener.py
@@ -13,7 +13,7 @@
 
 # Connections accepted in one turn of the event loop. Accepting one takes some
 # 0.1 ms, so that the requests under way wait for a few milliseconds.
-ACCEPT_BATCH = 64
+ACCEPT_BATCH = 32
 # Pause after the system has refused to accept for want of descriptors or
 # memory; connections that end in the meantime free some.
 EXHAUSTED_PAUSE_SECONDS = 0.05
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -20,7 +20,10 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-LISTEN_BACKLOG = 1024
+# Connections that may wait to be accepted. A busy router accepts some 500 a
+# second, and callers give a connection up after a second; those that would wait
+# longer are better off with another router.
+LISTEN_BACKLOG = 128
 # Requests that a caller may send before it has read an answer.
 PIPELINED_REQUESTS = 8
 # Answers that a slow caller has not read; the sender waits beyond it.
