Start the limit of an entry VM from its processor, and act on 50 ms of delay

Cause: the limit had no value before the first late sample, and grew by a tenth in each sample also when it was not used, to a million. A loop that was up to 100 ms late counted as in time, although a request waits for several of its turns and the shortest aims are 125 ms.

The limit starts from the processor of the VM, grows only while at least half of it is used, and a delay of 50 ms counts as late. The new test fails on the old code (1,000 requests let in after a quiet minute). The table of the limit of a very late loop is stated in multiples of the delay that counts; the limits it expects are unchanged.

Tried and given up: no further decrease until the requests under way have fallen to the limit.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -75,7 +75,7 @@
         self._guard = CrashGuard(app)
         self._records = CallRecords(app)
         self.accepts_requests = True
-        self.entry_limit = EntryLimit()
+        self.entry_limit = EntryLimit(settings.capacity)
 
     async def async_handle(self, exchange: ServerExchange) -> None:
         """Answer one request."""
--- a/tests/core/test_entry_limit.py
+++ b/tests/core/test_entry_limit.py
@@ -16,7 +16,8 @@
 
 
 def loaded(**active_by_workspace: int) -> EntryLimit:
-    limit = EntryLimit()
+    """Return the limit of a fast processor with requests under way."""
+    limit = EntryLimit(processors=10.0)
     for workspace, active in active_by_workspace.items():
         for _ in range(active):
             assert limit.begin(workspace)
@@ -99,19 +100,35 @@
 
 
 @pytest.mark.parametrize(
-    ("delay_seconds", "expected"),
-    [(0.2, 800), (0.4, 1000), (0.5, 400), (1.0, 200), (4.0, 100)],
+    ("times_the_limit", "expected"),
+    [(2.0, 800), (4.0, 1000), (5.0, 400), (10.0, 200), (40.0, 100)],
 )
 def test_loop_that_is_seconds_late_is_relieved_at_once(
-    delay_seconds: float, expected: int
+    times_the_limit: float, expected: int
 ) -> None:
     """Guards against a router that accepts no connection for seconds.
 
     Load: 1000 requests are under way, and one round of the loop takes as long
     as they need.
     """
+    delay_seconds = times_the_limit * DELAY_LIMIT_SECONDS
     limit = loaded(a=1000)
-    if delay_seconds < 0.4:
+    if times_the_limit < 4.0:
         limit.note_delay(delay_seconds)
     limit.note_delay(delay_seconds)
     assert min(limit.limit, limit.active) == expected
+
+
+def test_burst_after_a_quiet_time_meets_a_limit() -> None:
+    """Guards against a limit that grows without end while it is not used.
+
+    Load: after a quiet minute 1000 requests arrive between two samples.
+    """
+    limit = EntryLimit(processors=0.5)
+    first = limit.limit
+    for _ in range(600):
+        assert limit.begin("a")
+        limit.note_delay(0.0)
+        limit.end("a")
+    let_in = sum(limit.begin("a") for _ in range(1000))
+    assert let_in == first
