Wait for each event of a stream with a plain timer

`asyncio.timeout` entered a context, scheduled and cancelled a task timeout for each event of each stream that may be resumed. A timer on the future that the reader waits for does the same with one call. 4,528 timeouts of 600 requests took 0.087 s of 1.9 s in a profile of the request path.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -181,8 +181,7 @@
                 limit = (
                     self._silent_limit() if is_first else self._pause_limit()
                 )
-                async with asyncio.timeout(limit):
-                    event = await connection.next_event()
+                event = await connection.next_event(limit)
             if isinstance(event, ResponseHead):
                 raise InvalidAnswerError("an answer follows before the end")
             if isinstance(event, ResponseEnd):
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -147,12 +147,16 @@
         self._is_busy = True
         self._transport.write(data)
 
-    async def next_event(self) -> _Event:
+    async def next_event(self, limit_seconds: float | None = None) -> _Event:
         """Return the next part of an answer.
 
+        Args:
+            limit_seconds: Longest time to wait for it, or None for no limit.
+
         Raises:
             ConnectionBrokenError: The connection ended.
             InvalidAnswerError: The bytes are no HTTP answer.
+            TimeoutError: It has not come in time.
         """
         while True:
             event = self.ready_event()
@@ -160,8 +164,24 @@
                 return event
             if self._error is not None:
                 raise self._error
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
+            await self._async_wait(limit_seconds)
+
+    async def _async_wait(self, limit_seconds: float | None) -> None:
+        """Wait until something has arrived.
+
+        A timer of its own costs a fraction of `asyncio.timeout`, which counts
+        with one for each event of each stream.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = self._waiter = loop.create_future()
+        if limit_seconds is None:
+            await waiter
+            return
+        timer = loop.call_later(limit_seconds, _expire, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
 
     def ready_event(self) -> _Event | None:
         """Return the next part of an answer if it has arrived.
@@ -243,6 +263,11 @@
             self._waiter.set_result(None)
 
 
+def _expire(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_exception(TimeoutError())
+
+
 class ConnectionPool:
     """Connections to one address.
 
--- a/tests/router/deployed/test_http1_client.py
+++ b/tests/router/deployed/test_http1_client.py
@@ -2,6 +2,8 @@
 
 from unittest import mock
 
+import pytest
+
 from lacewingspar_router.http1.client import ClientConnection
 from lacewingspar_router.http1.messages import ResponseEnd, ResponseHead
 
@@ -23,3 +25,17 @@
     assert connection.ready_event() == b"four"
     assert isinstance(connection.ready_event(), ResponseEnd)
     assert connection.ready_event() is None
+
+
+async def test_wait_for_a_part_ends_at_its_limit() -> None:
+    """Guards against an upstream that falls silent within its answer."""
+    connection = ClientConnection()
+    connection.connection_made(mock.Mock())
+    connection.send(b"request")
+    with pytest.raises(TimeoutError):
+        await connection.next_event(0.01)
+    connection.data_received(HEAD + b"3\r\none\r\n")
+    assert isinstance(await connection.next_event(0.01), ResponseHead)
+    assert await connection.next_event(0.01) == b"one"
+    with pytest.raises(TimeoutError):
+        await connection.next_event(0.01)
