--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -16,10 +16,10 @@
 )
 from lacewingspar_router.http1.client import (
     ClientConnection,
-    ConnectionPool,
     async_read_body,
     async_read_head,
 )
+from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -41,7 +41,7 @@
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
-from lacewingspar_router.http1.client import ConnectionPool
+from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import HttpRequest, Response
 from lacewingspar_router.http_headers import RawHeaders
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -268,54 +268,6 @@
         waiter.set_exception(TimeoutError())
 
 
-class ConnectionPool:
-    """Connections to one address.
-
-    Args:
-        address: `host:port`.
-    """
-
-    def __init__(self, address: str) -> None:
-        self.address = address
-        self._idle: list[ClientConnection] = []
-
-    async def async_take(
-        self, idle_seconds: float | None = None
-    ) -> ClientConnection:
-        """Return an idle connection or a new one.
-
-        Args:
-            idle_seconds: Longest idle time of a connection that is reused,
-                or None for what the peer allows.
-
-        Raises:
-            ConnectionFailedError: No connection could be opened.
-        """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_fresh(idle_seconds):
-                return connection
-            connection.abort()
-        return await async_connect(self.address)
-
-    def give_back(self, connection: ClientConnection) -> None:
-        """Keep a connection whose exchange is over, if it can be reused."""
-        if connection.finish():
-            self._idle.append(connection)
-
-    def drop_stale(self) -> None:
-        """Close the idle connections that cannot be reused."""
-        stale = [item for item in self._idle if not item.is_fresh(None)]
-        for connection in stale:
-            self._idle.remove(connection)
-            connection.abort()
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._idle.pop().abort()
-
-
 async def async_connect(address: str) -> ClientConnection:
     """Open a connection.
 
--- a/packages/router/src/lacewingspar_router/platform/store.py
+++ b/packages/router/src/lacewingspar_router/platform/store.py
@@ -17,7 +17,8 @@
     TopicListing,
     TopicRecords,
 )
-from lacewingspar_router.http1.client import ConnectionPool, async_exchange
+from lacewingspar_router.http1.client import async_exchange
+from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
