Ask the limit of an entry VM whether it is full in one place

The comparison stood in the limit, the handler and the load monitor. The closure around the drain of the forwarding component was a plain call.

--- a/packages/core/src/lacewingspar_core/entry_limit.py
+++ b/packages/core/src/lacewingspar_core/entry_limit.py
@@ -79,9 +79,14 @@
         present = min(self.limit, self.active)
         self.limit = max(LEAST_LIMIT, int(factor * present))
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether as many requests are under way as may be."""
+        return self.active >= self.limit
+
     def has_room(self, workspace: str) -> bool:
         """Return whether a request of a workspace may be worked on."""
-        if self.active < self.limit:
+        if not self.is_full:
             return True
         own = self._active_by_workspace.get(workspace, 0)
         workspaces = len(self._active_by_workspace) + (own == 0)
--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -46,9 +46,6 @@
             limits.idle_timeout_seconds,
         )
 
-    async def async_drain() -> None:
-        await _async_drain(app, callers, handler)
-
     async def async_unload() -> None:
         for server in servers:
             server.close()
@@ -60,7 +57,7 @@
         return count
 
     routing.add_listener(apply_limits)
-    app.on_drain("forwarding", async_drain)
+    app.on_drain("forwarding", lambda: _async_drain(app, callers, handler))
     app.on_unload("forwarding", async_unload)
     app.on_cut(async_cut)
     app.create_task(_async_drop_stale(handler), "drop stale connections")
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -85,7 +85,7 @@
         """
         limit = self.entry_limit
         configuration = self._routing.configuration
-        if limit.active < limit.limit or configuration is None:
+        if not limit.is_full or configuration is None:
             return None
         identity = self._wire.read_identity(request)
         workspace = configuration.workspace_by_key.get(identity.key)
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -54,7 +54,7 @@
         limit.note_delay(seconds)
         self._telemetry.gauge("event_loop_delay_seconds", seconds)
         self._telemetry.gauge("requests_under_way", limit.active)
-        if self._is_limited == (limit.active >= limit.limit):
+        if self._is_limited == limit.is_full:
             return
         self._is_limited = not self._is_limited
         _LOGGER.info(
