Name workspaces in the lines about the load of routers and pools

The log could not tell where the requests of a large workspace end: at its entry VM, at the pools, or at engines. Refusals did not name the workspace, admissions not the tokens, and most refusals of a busy VM are not in the log, since its lines are bounded.

'router load' now has the requests offered and refused by workspace, a new line 'pool load' the cost granted and the requests declined by workspace, each with the three largest. 'request refused' names the workspace and 'request admitted' the tokens. One more line a second for each owned pool. Tests of the lines are included; no decision changes.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -31,6 +31,7 @@
 from lacewingspar_core.upstream_load import (
     ActiveRun,
 )
+from lacewingspar_core.workspace_tally import WorkspaceTally
 
 # A generated token takes the engines as long as two that are read (unit of
 # the operators' estimate of the engines' rate).
@@ -85,11 +86,17 @@
 
     Events and the time go in, decisions come out.
 
+    Attributes:
+        granted: Cost granted since the last report, in tokens that are read.
+        declined: Requests declined since the last report.
+
     Args:
         pool: Name of the pool, which seeds the choice of homes.
     """
 
     def __init__(self, pool: str) -> None:
+        self.granted = WorkspaceTally()
+        self.declined = WorkspaceTally()
         self._placement = Placement(pool)
         self._queue = FairQueue()
         self._upstream_by_run: dict[AdmissionKey, str] = {}
@@ -302,10 +309,9 @@
         cost = member.load.read_cost(admission)
         self._granted.append((now, cost))
         self._forget_old_grants(now)
-        self._queue.charge(
-            admission.workspace,
-            cost + OUTPUT_TOKEN_COST * admission.output_tokens,
-        )
+        charged = cost + OUTPUT_TOKEN_COST * admission.output_tokens
+        self._queue.charge(admission.workspace, charged)
+        self.granted.add(admission.workspace, round(charged))
         fetch_from = self._placement.fetch_source(admission, member)
         upstream_id = member.entry.upstream_id
         member.load.begin(admission, now)
@@ -412,6 +418,7 @@
     def _declined(
         self, admission: Admission, due_at: float, reason: str, now: float
     ) -> Declined:
+        self.declined.add(admission.workspace)
         self._declined_requests.note(
             admission.workspace, admission.identity, admission.aim_at, now
         )
--- a/packages/router/src/lacewingspar_router/components/admission/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/admission/__init__.py
@@ -26,3 +26,4 @@
     while True:
         await asyncio.sleep(const.REPORT_INTERVAL_SECONDS)
         admission.report_runs()
+        admission.report_pools()
--- a/packages/router/src/lacewingspar_router/components/admission/holder.py
+++ b/packages/router/src/lacewingspar_router/components/admission/holder.py
@@ -196,6 +196,10 @@
         """Let the owned pools decline what can no longer be in time."""
         self._own_pools.tick()
 
+    def report_pools(self) -> None:
+        """Write a line about each owned pool."""
+        self._own_pools.report()
+
     async def _async_decision(self, asked: _Asked) -> AdmissionDecision | None:
         """Return the final decision, or None if the owner is silent."""
         number = asked.admission.key.number
@@ -283,6 +287,8 @@
             upstream=granted.upstream_id,
             fetch_from=granted.fetch_from,
             owner=asked.owner,
+            prompt_tokens=asked.admission.prompt_tokens,
+            output_tokens=demand.output_tokens,
             waited_ms=milliseconds(self._app.now() - demand.arrived_at),
             directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -97,6 +97,27 @@
             self._telemetry.gauge("pool_waiting", admission.waiting, **labels)
             self._telemetry.gauge("pool_running", admission.running, **labels)
 
+    def report(self) -> None:
+        """Write a line about each pool that has decided since the last one."""
+        for pool, admission in self._admission_by_pool.items():
+            granted, declined = (
+                admission.granted.total,
+                admission.declined.total,
+            )
+            if not granted and not declined:
+                continue
+            _LOGGER.info(
+                "pool load",
+                service=pool.service,
+                shard=pool.shard,
+                waiting=admission.waiting,
+                running=admission.running,
+                granted_cost=granted,
+                granted_cost_by_workspace=admission.granted.take_largest(),
+                declined=declined,
+                declined_by_workspace=admission.declined.take_largest(),
+            )
+
     def _admission(self, pool: Pool) -> PoolAdmission:
         admission = self._admission_by_pool.get(pool)
         if admission is None:
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -28,6 +28,7 @@
     Relay,
 )
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
+from lacewingspar_router.components.forwarding.load_monitor import EntryTallies
 from lacewingspar_router.components.forwarding.models import (
     WIRE_FORMAT,
     Call,
@@ -76,6 +77,7 @@
         self._records = CallRecords(app)
         self.accepts_requests = True
         self.entry_limit = EntryLimit(settings.capacity)
+        self.tallies = EntryTallies()
 
     def screen(self, request: HttpRequest) -> Response | None:
         """Return the refusal of a request that this router cannot forward.
@@ -91,22 +93,25 @@
         workspace = configuration.workspace_by_key.get(identity.key)
         if workspace is None or limit.has_room(workspace):
             return None
-        error = self._overloaded()
-        self._records.note_refusal(error, identity.request_id, None)
+        self.tallies.offered.add(workspace)
+        error = self._overloaded(workspace)
+        self._records.note_refusal(error, identity.request_id, workspace, None)
         return self._wire.refusal(error, identity.request_id)
 
     async def async_handle(self, exchange: ServerExchange) -> None:
         """Answer one request."""
         request = exchange.request
-        request_id = ""
+        request_id = workspace = ""
         try:
             fields = self._wire.read_fields(request)
             request_id = fields.request_id
             call = self._accept(request, fields)
-            if not self.entry_limit.begin(call.workspace):
-                raise self._overloaded()
+            workspace = call.workspace
+            self.tallies.offered.add(workspace)
+            if not self.entry_limit.begin(workspace):
+                raise self._overloaded(workspace)
         except RequestRefusedError as error:
-            self._refuse(exchange, error, request_id, None)
+            self._refuse(exchange, error, request_id, workspace, None)
             return
         try:
             await self._async_serve(exchange, call)
@@ -127,7 +132,9 @@
             outcome = await self._async_run(progress)
         except RequestRefusedError as error:
             outcome = error.code
-            self._refuse(exchange, error, fields.request_id, progress)
+            self._refuse(
+                exchange, error, fields.request_id, call.workspace, progress
+            )
         finally:
             self._records.note_end(progress, outcome)
 
@@ -148,8 +155,9 @@
         for pool in self._pool_by_address.values():
             pool.close()
 
-    def _overloaded(self) -> RequestRefusedError:
+    def _overloaded(self, workspace: str) -> RequestRefusedError:
         self._telemetry.count("entry_refusals_total")
+        self.tallies.refused.add(workspace)
         spread = self._app.random.uniform(1.0, 2.0)
         return refusals.router_overloaded(
             const.OVERLOADED_RETRY_SECONDS * spread
@@ -349,10 +357,11 @@
         exchange: ServerExchange,
         error: RequestRefusedError,
         request_id: str,
+        workspace: str,
         progress: CallProgress | None,
     ) -> None:
         """Send the final answer to a request that was not served."""
-        self._records.note_refusal(error, request_id, progress)
+        self._records.note_refusal(error, request_id, workspace, progress)
         if not exchange.is_started:
             response = self._wire.refusal(error, request_id)
             exchange.answer(response.status, response.headers, response.body)
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -7,6 +7,7 @@
 import structlog
 
 from lacewingspar_core.entry_limit import EntryLimit
+from lacewingspar_core.workspace_tally import WorkspaceTally
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.telemetry.models import TELEMETRY
@@ -15,6 +16,19 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
+class EntryTallies:
+    """Requests of callers since the last line about the load.
+
+    Attributes:
+        offered: Requests that arrived.
+        refused: Requests that were refused since this router has no room.
+    """
+
+    def __init__(self) -> None:
+        self.offered = WorkspaceTally()
+        self.refused = WorkspaceTally()
+
+
 class LoadMonitor:
     """Writes one line a second about the load of this router.
 
@@ -24,11 +38,17 @@
         app: The application.
         callers: Server that accepts the connections of callers.
         limit: Limit of the requests under way.
+        tallies: Requests that were offered and refused here.
     """
 
     def __init__(
-        self, app: Application, callers: Http1Server, limit: EntryLimit
+        self,
+        app: Application,
+        callers: Http1Server,
+        limit: EntryLimit,
+        tallies: EntryTallies,
     ) -> None:
+        self._tallies = tallies
         self._now = app.now
         self._telemetry = app.get(TELEMETRY)
         self._callers = callers
@@ -84,6 +104,10 @@
                 (processor_seconds - self._reported_processor_seconds) * 1000
             ),
             interval_ms=round((now - self._reported_at) * 1000),
+            offered=self._tallies.offered.total,
+            offered_by_workspace=self._tallies.offered.take_largest(),
+            refused=self._tallies.refused.total,
+            refused_by_workspace=self._tallies.refused.take_largest(),
         )
         self._reported_at = now
         self._reported_accepted = accepted
--- a/packages/router/src/lacewingspar_router/components/forwarding/records.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/records.py
@@ -51,6 +51,7 @@
         self,
         error: RequestRefusedError,
         request_id: str,
+        workspace: str,
         progress: CallProgress | None,
     ) -> None:
         """Record a request that this router answers itself.
@@ -58,12 +59,14 @@
         Args:
             error: Why it was not served.
             request_id: Its identity, or "" if it could not be read.
+            workspace: Workspace of the caller, or "" if it is not known.
             progress: What has happened to it, or None if it was not accepted.
         """
         configuration = self._routing.configuration
         _LOGGER.info(
             "request refused",
             request_id=request_id,
+            workspace=workspace,
             status=error.status,
             code=error.code,
             run=error.run,
--- a/tests/router/deployed/test_load_monitor.py
+++ b/tests/router/deployed/test_load_monitor.py
@@ -1,6 +1,8 @@
 """Log lines about the load of a router."""
 
 import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 import pytest
 import structlog
@@ -31,3 +33,34 @@
     assert line["interval_ms"] >= 200
     for connection in connections:
         connection.abort()
+
+
+async def test_lines_name_the_workspaces_that_are_refused_and_granted(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(const, "LOAD_LINE_SECONDS", 0.2)
+    caller = await served.add_router()
+    with structlog.testing.capture_logs() as lines:
+        answer = await caller.call(
+            "/stream/x", x_token_counts="100,20", x_length_hint="20"
+        )
+        assert answer.status == 200
+        await until(lambda: _has(lines, "router load", offered=1))
+        await until(lambda: _has(lines, "pool load", granted_cost=140))
+    (load,) = [line for line in lines if line.get("offered") == 1]
+    assert load["offered_by_workspace"] == {"alpha": 1}
+    assert load["refused"] == 0
+    (pool,) = [line for line in lines if line["event"] == "pool load"]
+    assert pool["granted_cost_by_workspace"] == {"alpha": 140}
+    (admitted,) = [
+        line for line in lines if line["event"] == "request admitted"
+    ]
+    assert admitted["prompt_tokens"] == 100
+    assert admitted["output_tokens"] == 20
+
+
+def _has(lines: Sequence[Mapping[str, Any]], event: str, **fields: int) -> bool:
+    return any(
+        line["event"] == event and fields.items() <= line.items()
+        for line in lines
+    )
