Give up an answer of an upstream that never ends

An upstream in trouble may send bytes without end, in a head or a body, until the router closes.

The class of fault: what a peer sends was bounded only where a body was read. The same cause stood in nine places of an answer: header lines, one header line, the extension of a chunk, trailer lines, one trailer line, informational answers, answers to other requests, and events that were passed on before (an event without end was bounded already). The client now rejects 64 KiB of framing without progress, closes at once what it rejects, and pauses reading also for many small parts; an attempt skips four answers to other requests; a stream with 1 MiB without a new event has failed. The own interface uses httpx, whose parser bounds heads, and passes bodies on as they come.

Ruled out: the limit of time alone, since the memory is full long before.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -7,7 +7,8 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18})(?=[\r\n])")
-# An event larger than this is no event; it bounds what is held back.
+# An event larger than this is no event; it bounds what is held back. A stream
+# with so many bytes of events that were passed on before does not go on.
 LARGEST_EVENT_BYTES = 1024 * 1024
 
 
@@ -26,12 +27,13 @@
 
     last_id: int | None = None
     _held: bytearray = field(default_factory=bytearray)
+    _idle_bytes: int = 0
 
     def push(self, data: bytes) -> bytes:
         """Add a part of the stream and return the events to pass on.
 
         Raises:
-            EventSizeError: An event does not end within the size limit.
+            EventSizeError: No new event ends within the size limit.
         """
         self._held += data
         ready = bytearray()
@@ -42,8 +44,9 @@
             if self._is_next(event):
                 ready += event
         del self._held[:start]
-        if len(self._held) > LARGEST_EVENT_BYTES:
-            raise EventSizeError("event exceeds the size limit")
+        self._idle_bytes = 0 if ready else self._idle_bytes + len(data)
+        if max(len(self._held), self._idle_bytes) > LARGEST_EVENT_BYTES:
+            raise EventSizeError("no new event within the size limit")
         return bytes(ready)
 
     @property
@@ -54,6 +57,7 @@
     def drop_partial_event(self) -> None:
         """Forget a part of an event before the stream goes on elsewhere."""
         self._held.clear()
+        self._idle_bytes = 0
 
     def _is_next(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -162,12 +162,13 @@
 
         Answers to earlier requests, which came late, are skipped.
         """
-        while True:
+        for _ in range(const.MOST_STRAY_ANSWERS + 1):
             head = await async_read_head(connection)
             facts = self._wire.read_answer(self._call, self._upstream, head)
             if facts.is_own:
                 return head, facts
             await async_read_body(connection, head, const.LARGEST_ANSWER_BYTES)
+        raise InvalidAnswerError("answers to other requests only")
 
     async def _async_stream(
         self, connection: ClientConnection, head: ResponseHead
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -3,6 +3,9 @@
 # Largest answer that is read whole before it is passed on; larger ones would
 # fill the memory of a small VM.
 LARGEST_ANSWER_BYTES = 8 * 1024 * 1024
+# Answers to earlier requests, which come late, that are skipped before the one
+# to the present request; a connection has one request at a time.
+MOST_STRAY_ANSWERS = 4
 # Connections that carry requests which must not run twice are reused only
 # after a short idle time, so that the peer is not about to close them.
 SINGLE_RUN_IDLE_SECONDS = 1.0
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -33,6 +33,12 @@
 UNACKNOWLEDGED_LIMIT_MS = 2500
 # Received data that waits to be read; reading pauses beyond it.
 READ_BUFFER_BYTES = 256 * 1024
+# Received heads, ends and parts of bodies that wait to be read.
+READ_BUFFER_PARTS = 1024
+# Bytes without a part of a body or the end of an answer: a head, informational
+# answers, the framing of chunks, or trailers. Common servers send heads of at
+# most 8 to 16 KB.
+LARGEST_HEAD_BYTES = 64 * 1024
 # Idle time of a connection after which it is not used again, where the peer
 # announces none. Common servers close idle connections after 5 s or later.
 DEFAULT_IDLE_SECONDS = 4.0
@@ -54,6 +60,8 @@
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
+        self._framing_bytes = 0
+        self._has_progressed = False
         self._is_paused = False
         self._is_busy = False
         self._is_closing = False
@@ -77,12 +85,16 @@
             # Nothing was asked, so these bytes belong to no request.
             self.abort()
             return
+        if self._error is not None:
+            return
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail(InvalidAnswerError("upstream switched protocols"))
+            self._reject("upstream switched protocols")
         except httptools.HttpParserError as error:
-            self._fail(InvalidAnswerError(f"not an HTTP answer: {error}"))
+            self._reject(f"not an HTTP answer: {error}")
+        self._limit_framing(len(data))
 
     def eof_received(self) -> None:
         """End an answer without a length, or break the exchange."""
@@ -118,16 +130,14 @@
             and b"transfer-encoding" not in names
             and status not in _STATUSES_WITHOUT_BODY
         )
+        self._has_progressed = True
         self._push(ResponseHead(status, self._headers))
 
     def on_body(self, body: bytes) -> None:
         """Hand over a part of the body."""
-        self._push(body)
+        self._has_progressed = True
         self._buffered_bytes += len(body)
-        if self._buffered_bytes > READ_BUFFER_BYTES and not self._is_paused:
-            assert self._transport is not None
-            self._transport.pause_reading()
-            self._is_paused = True
+        self._push(body)
 
     def on_message_complete(self) -> None:
         """Hand over the end of the answer."""
@@ -137,6 +147,7 @@
             self._is_closing = True
         self._idle_limit = _idle_limit(self._headers)
         self._is_unframed = False
+        self._has_progressed = True
         self._push(ResponseEnd())
 
     # Exchange
@@ -200,10 +211,10 @@
                     events.popleft()
                 event = b"".join(parts)
             self._buffered_bytes -= len(event)
-            if self._is_paused and self._buffered_bytes == 0:
-                assert self._transport is not None
-                self._transport.resume_reading()
-                self._is_paused = False
+        if self._is_paused and not events:
+            assert self._transport is not None
+            self._transport.resume_reading()
+            self._is_paused = False
         return event
 
     def finish(self) -> bool:
@@ -251,8 +262,29 @@
 
     def _push(self, event: _Event) -> None:
         self._events.append(event)
+        is_full = (
+            self._buffered_bytes > READ_BUFFER_BYTES
+            or len(self._events) > READ_BUFFER_PARTS
+        )
+        if is_full and not self._is_paused and self._transport is not None:
+            self._transport.pause_reading()
+            self._is_paused = True
         self._wake()
 
+    def _limit_framing(self, received_bytes: int) -> None:
+        """Reject a head, or what frames a body, that does not end."""
+        if self._has_progressed:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received_bytes
+        if self._framing_bytes > LARGEST_HEAD_BYTES:
+            self._reject(f"no end of a head in {self._framing_bytes} bytes")
+
+    def _reject(self, reason: str) -> None:
+        """Break the exchange, and take no more bytes of the peer."""
+        self._fail(InvalidAnswerError(reason))
+        self.abort()
+
     def _fail(self, error: Exception) -> None:
         if self._error is None:
             self._error = error
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -11,6 +11,45 @@
 from lacewingspar_standins.faults import Faults
 
 SEAL = "seal"
+_CHUNKED_HEAD = (
+    f"X-Server-Seal: {SEAL}\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+).encode()
+# What stands before an endless part, after the status and the request's id, and
+# what is repeated until the router closes the connection.
+ENDLESS_PARTS: dict[str, tuple[bytes, bytes]] = {
+    "header lines": (b"", b"X-Filler: " + b"x" * 1000 + b"\r\n"),
+    "header line": (b"X-Filler: ", b"x" * 1000),
+    "chunk extension": (_CHUNKED_HEAD + b"1;", b"x" * 1000),
+    "trailer lines": (
+        _CHUNKED_HEAD + b"0\r\n",
+        b"X-Filler: " + b"x" * 1000 + b"\r\n",
+    ),
+    "trailer line": (_CHUNKED_HEAD + b"0\r\nX-Filler: ", b"x" * 1000),
+    "informational answers": (
+        b"\r\n",
+        b"HTTP/1.1 103 Early Hints\r\nX-Filler: " + b"x" * 1000 + b"\r\n\r\n",
+    ),
+    "answers to other requests": (
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+        b"Content-Length: 0\r\n\r\n" * 10,
+    ),
+    "event": (_CHUNKED_HEAD, b"3e8\r\n" + b"x" * 1000 + b"\r\n"),
+    "repeated events": (
+        _CHUNKED_HEAD + b"f\r\nid: 9\ndata: x\n\n\r\n",
+        b"f\r\nid: 9\ndata: x\n\n\r\n" * 50,
+    ),
+}
+# Informational answers and answers to other requests come before the own one.
+_STATUS_BEFORE_ENDLESS = {
+    "informational answers": "103 Early Hints",
+}
+# Bytes of an endless part that wait to be sent.
+LARGEST_UNSENT_BYTES = 256 * 1024
+# An endless part ends after so many bytes, so that a router that reads all of
+# it fails the test and not the machine.
+ENDLESS_BYTES = 48 * 1024 * 1024
 # Linger is on, for no time.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -33,6 +72,8 @@
         reset_unframed: Reset such an answer in the middle.
         encoding: Content encoding that is announced.
         no_seal: Leave out the proof that the answer is the upstream's own.
+        endless: Part of the answer that never ends, a key of
+            `ENDLESS_PARTS`.
         crash_marker: A request whose body contains this text ends the
             upstream, and resets all its connections.
     """
@@ -50,6 +91,7 @@
     reset_unframed: bool = False
     encoding: str = ""
     no_seal: bool = False
+    endless: str = ""
     crash_marker: str = ""
 
 
@@ -80,6 +122,7 @@
         received: Requests that arrived.
         runs: Number of runs by request id.
         running: Requests that run now.
+        endless_bytes: Bytes written of endless parts of answers.
         cancelled: Runs whose connection was closed before their end.
 
     Args:
@@ -101,6 +144,7 @@
         self.cancelled = 0
         self.connections = 0
         self.crashes = 0
+        self.endless_bytes = 0
         self.open_connections: set[_Connection] = set()
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -176,6 +220,9 @@
 
     async def _async_answer(self, request: Received) -> None:
         faults = self._upstream.faults
+        if faults.endless:
+            await self._async_endless(request)
+            return
         if faults.refuse:
             self._reply(request, 503, b"full", ["X-Not-Executed: 1"])
             return
@@ -202,6 +249,25 @@
         finally:
             self._upstream.running -= 1
 
+    async def _async_endless(self, request: Received) -> None:
+        kind = self._upstream.faults.endless
+        before, repeated = ENDLESS_PARTS[kind]
+        request_id = request.value_by_header["x-attempt-id"]
+        if kind == "answers to other requests":
+            request_id = "other"
+        status = _STATUS_BEFORE_ENDLESS.get(kind, "200 OK")
+        head = f"HTTP/1.1 {status}\r\nX-Attempt-Id: {request_id}\r\n"
+        self._transport.write(head.encode() + before)
+        while (
+            not self._transport.is_closing()
+            and self._upstream.endless_bytes < ENDLESS_BYTES
+        ):
+            if self._transport.get_write_buffer_size() < LARGEST_UNSENT_BYTES:
+                self._transport.write(repeated * 50)
+                self._upstream.endless_bytes += 50 * len(repeated)
+            await asyncio.sleep(0)
+        self._transport.abort()
+
     def _plain(self, request: Received) -> None:
         faults = self._upstream.faults
         if faults.stray_id:
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -46,3 +46,12 @@
     """Guards against an upstream that fills the memory."""
     with pytest.raises(EventSizeError):
         EventSequence().push(b"x" * (LARGEST_EVENT_BYTES + 1))
+
+
+def test_repeated_events_without_end_are_no_stream() -> None:
+    sequence = EventSequence(last_id=9)
+    part = event(9) * 1000
+    for _ in range(LARGEST_EVENT_BYTES // len(part)):
+        sequence.push(part)
+    with pytest.raises(EventSizeError):
+        sequence.push(part)
--- /dev/null
+++ b/tests/router/deployed/test_endless_answers.py
@@ -0,0 +1,38 @@
+"""Answers of upstreams that never end."""
+
+import asyncio
+
+import pytest
+from tests.router.deployed.conftest import Deployment
+
+from lacewingspar_standins.deployed.upstream import ENDLESS_PARTS
+
+# Part of an endless answer that may be taken: what the router reads before it
+# gives up, and what the buffers of the system hold on the way.
+LARGEST_TAKEN_BYTES = 16 * 1024 * 1024
+
+
+@pytest.mark.parametrize("path", ["/stream-once/x", "/write/x"])
+@pytest.mark.parametrize("part", sorted(ENDLESS_PARTS))
+async def test_endless_answer_is_given_up_early(
+    served: Deployment, part: str, path: str
+) -> None:
+    upstreams = served.upstream_by_id.values()
+    for upstream in upstreams:
+        upstream.faults.endless = part
+    caller = await served.add_router()
+    async with asyncio.timeout(10):
+        answer = await caller.call(path, budget_ms=8000)
+    assert answer.status in (200, 502)
+    assert not answer.is_complete or answer.status == 502
+    taken = sum(upstream.endless_bytes for upstream in upstreams)
+    assert 0 < taken < LARGEST_TAKEN_BYTES
+
+
+async def test_endless_answer_leaves_time_for_another_upstream(
+    served: Deployment,
+) -> None:
+    served.upstream_by_id["p1"].faults.endless = "header lines"
+    caller = await served.add_router()
+    answers = [await caller.call("/read/x", "GET") for _ in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
