Reproduce a workspace that gets what one entry VM can forward

A model of the entry VMs of a data centre in simulated time: one workspace comes to one VM, another to two, three or four VMs, and both ask for more than the pool serves. The test is an expected failure (strict) until the fix.

--- /dev/null
+++ b/tests/core/test_entry_share.py
@@ -0,0 +1,25 @@
+"""What a workspace gets whose callers come to one entry VM."""
+
+import pytest
+from tests.core.entry_model import DataCentre, Workspace
+
+# Rule of the users: in six seconds, half of what the workspace asked or of what
+# the best served one got.
+WINDOW_SECONDS = 6
+LEAST_SHARE = 0.5
+START_SECONDS = 4
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 1")
+@pytest.mark.parametrize("spread", [2, 3, 4])
+def test_callers_at_one_vm_get_as_much_as_callers_at_several(
+    spread: int,
+) -> None:
+    """Guards against a share that is set by the processor of one VM."""
+    one = Workspace("one", 550, ("caller",))
+    hashes = tuple(f"several-{number}" for number in range(spread))
+    several = Workspace("several", 550, hashes)
+    centre = DataCentre(15, [one, several])
+    centre.run(26)
+    share = centre.least_share("one", WINDOW_SECONDS, START_SECONDS)
+    assert share >= LEAST_SHARE
