Pass events of a stream on in the callback that receives them

Each event woke a coroutine ten calls deep, with a future and a timer of its own.

The client now hands the parts of a body to a sink in its callback; the coroutine is woken at the end, on an error, or when the caller does not keep up, and one timer for a whole wait finds pauses. An event that grows over many parts is searched for its end from the last part on and not from its beginning, which took seconds for an event of 1 MiB in parts of 1,000 bytes.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -6,6 +6,7 @@
 from lacewingspar_core.errors import CoreError
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LONGEST_END_BYTES = 4
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18})(?=[\r\n])")
 # An event larger than this is no event; it bounds what is held back. A stream
 # with so many bytes of events that were passed on before does not go on.
@@ -35,10 +36,12 @@
         Raises:
             EventSizeError: No new event ends within the size limit.
         """
+        # The end of an event may have begun in an earlier part.
+        searched_from = max(0, len(self._held) - _LONGEST_END_BYTES + 1)
         self._held += data
         ready = bytearray()
         start = 0
-        for end in _EVENT_END.finditer(self._held):
+        for end in _EVENT_END.finditer(self._held, searched_from):
             event = bytes(self._held[start : end.end()])
             start = end.end()
             if self._is_next(event):
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -26,11 +26,7 @@
     InvalidAnswerError,
 )
 from lacewingspar_router.http1.exchange import ServerExchange
-from lacewingspar_router.http1.messages import (
-    Response,
-    ResponseEnd,
-    ResponseHead,
-)
+from lacewingspar_router.http1.messages import Response, ResponseHead
 
 _FIRST_FAILURE_STATUS = 500
 # These promise that a request has not run. Without the upstream's word for it
@@ -175,31 +171,36 @@
     ) -> AttemptEnd:
         """Pass events on as they arrive."""
         relay = self._relay
-        is_first = True
-        while True:
-            event = connection.ready_event()
-            if event is None:
-                limit = (
-                    self._silent_limit() if is_first else self._pause_limit()
-                )
-                event = await connection.next_event(limit)
-            if isinstance(event, ResponseHead):
-                raise InvalidAnswerError("an answer follows before the end")
-            if isinstance(event, ResponseEnd):
-                break
-            if is_first:
-                is_first = False
-                self._on_first_part()
-            ready = relay.events.push(event)
-            if ready:
-                self._start(head)
-                await relay.exchange.async_write(ready)
+        sink = _EventSink(self, head)
+        await connection.async_pass_body(
+            sink, self._silent_limit(), self._pause_limit()
+        )
         if relay.events.has_partial_event:
             return AttemptEnd(AttemptResult.BROKEN, "the last event is cut")
         self._start(head)
         relay.exchange.finish()
         return AttemptEnd(AttemptResult.ANSWERED)
 
+    def pass_part(self, head: ResponseHead, part: bytes) -> bool:
+        """Pass the events on that a part of a stream completes.
+
+        Returns:
+            Whether the caller keeps up.
+        """
+        ready = self._relay.events.push(part)
+        if not ready:
+            return True
+        self._start(head)
+        return self._relay.exchange.write(ready)
+
+    def note_first_part(self) -> None:
+        """Tell that the first part of the answer has come."""
+        self._on_first_part()
+
+    async def async_drain(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._relay.exchange.async_drain()
+
     def _start(self, head: ResponseHead) -> None:
         """Send the head of the answer, that of the first upstream."""
         relay = self._relay
@@ -257,6 +258,26 @@
         )
 
 
+class _EventSink:
+    """Takes the body of a stream."""
+
+    def __init__(self, attempt: Attempt, head: ResponseHead) -> None:
+        self._attempt = attempt
+        self._head = head
+        self._is_first = True
+
+    def take(self, part: bytes) -> bool:
+        """Take a part; return whether more may come at once."""
+        if self._is_first:
+            self._is_first = False
+            self._attempt.note_first_part()
+        return self._attempt.pass_part(self._head, part)
+
+    async def async_drain(self) -> None:
+        """Wait until more may come."""
+        await self._attempt.async_drain()
+
+
 _BROKEN_RESULTS = frozenset(
     {AttemptResult.BROKEN, AttemptResult.INVALID, AttemptResult.SILENT}
 )
--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -199,6 +199,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def can_write(self) -> bool:
+        """Return whether the caller has read enough."""
+        return self._can_write.is_set()
+
     async def async_drain(self) -> None:
         """Wait until the caller has read enough."""
         await self._can_write.wait()
--- a/packages/router/src/lacewingspar_router/http1/client.py
+++ b/packages/router/src/lacewingspar_router/http1/client.py
@@ -4,10 +4,11 @@
 import socket
 import time
 from collections import deque
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
+from lacewingspar_core.event_stream import EventSizeError
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
@@ -48,9 +49,21 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _INFORMATIONAL_BELOW = 200
 
+_NEVER = float("inf")
+
 _Event = ResponseHead | bytes | ResponseEnd
 
 
+class BodySink(Protocol):
+    """Takes a body as it arrives."""
+
+    def take(self, part: bytes) -> bool:
+        """Take a part; return whether more may come at once."""
+
+    async def async_drain(self) -> None:
+        """Wait until more may come."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection that carries one request after the other."""
 
@@ -62,6 +75,9 @@
         self._buffered_bytes = 0
         self._framing_bytes = 0
         self._has_progressed = False
+        self._sink: BodySink | None = None
+        self._pause_limit = _NEVER
+        self._part_due_at = _NEVER
         self._is_paused = False
         self._is_busy = False
         self._is_closing = False
@@ -136,8 +152,20 @@
     def on_body(self, body: bytes) -> None:
         """Hand over a part of the body."""
         self._has_progressed = True
-        self._buffered_bytes += len(body)
-        self._push(body)
+        if self._sink is None:
+            self._buffered_bytes += len(body)
+            self._push(body)
+            return
+        if self._pause_limit < _NEVER:
+            self._part_due_at = time.monotonic() + self._pause_limit
+        try:
+            takes_more = self._sink.take(body)
+        except EventSizeError as error:
+            self._fail(error)
+            return
+        if not takes_more:
+            self._pause_reading()
+            self._wake()
 
     def on_message_complete(self) -> None:
         """Hand over the end of the answer."""
@@ -177,6 +205,75 @@
                 raise self._error
             await self._async_wait(limit_seconds)
 
+    async def async_pass_body(
+        self,
+        sink: BodySink,
+        first_limit_seconds: float | None,
+        pause_limit_seconds: float | None,
+    ) -> None:
+        """Hand the body of an answer to a sink until its end.
+
+        Parts go to the sink in the callback that receives them, without a turn
+        of this coroutine.
+
+        Args:
+            sink: Takes the parts.
+            first_limit_seconds: Longest time to the first part, or None.
+            pause_limit_seconds: Longest time between two parts, or None.
+
+        Raises:
+            ConnectionBrokenError: The connection ended.
+            EventSizeError: Raised by the sink.
+            InvalidAnswerError: The bytes are no HTTP answer, or another answer
+                follows before the end.
+            TimeoutError: A part has not come in time.
+        """
+        self._pause_limit = _or_never(pause_limit_seconds)
+        self._part_due_at = time.monotonic() + _or_never(first_limit_seconds)
+        while True:
+            event = self.ready_event()
+            if isinstance(event, ResponseEnd):
+                return
+            if isinstance(event, ResponseHead):
+                raise InvalidAnswerError("an answer follows before the end")
+            if event is not None:
+                self._part_due_at = time.monotonic() + self._pause_limit
+                if not sink.take(event):
+                    await sink.async_drain()
+                continue
+            if self._error is not None:
+                raise self._error
+            self._sink = sink
+            try:
+                await self._async_wait_for_end()
+            finally:
+                self._sink = None
+            if self._is_paused:
+                await sink.async_drain()
+                self._resume_reading()
+
+    async def _async_wait_for_end(self) -> None:
+        """Wait until the sink cannot take what has arrived."""
+        loop = asyncio.get_running_loop()
+        waiter = self._waiter = loop.create_future()
+        timer: asyncio.TimerHandle | None = None
+
+        def check() -> None:
+            nonlocal timer
+            left = self._part_due_at - time.monotonic()
+            if left <= 0:
+                _expire(waiter)
+            else:
+                timer = loop.call_later(left, check)
+
+        if self._part_due_at < _NEVER:
+            check()
+        try:
+            await waiter
+        finally:
+            if timer is not None:
+                timer.cancel()
+
     async def _async_wait(self, limit_seconds: float | None) -> None:
         """Wait until something has arrived.
 
@@ -211,10 +308,8 @@
                     events.popleft()
                 event = b"".join(parts)
             self._buffered_bytes -= len(event)
-        if self._is_paused and not events:
-            assert self._transport is not None
-            self._transport.resume_reading()
-            self._is_paused = False
+        if not events:
+            self._resume_reading()
         return event
 
     def finish(self) -> bool:
@@ -266,10 +361,19 @@
             self._buffered_bytes > READ_BUFFER_BYTES
             or len(self._events) > READ_BUFFER_PARTS
         )
-        if is_full and not self._is_paused and self._transport is not None:
+        if is_full:
+            self._pause_reading()
+        self._wake()
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
             self._transport.pause_reading()
             self._is_paused = True
-        self._wake()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._transport.resume_reading()
+            self._is_paused = False
 
     def _limit_framing(self, received_bytes: int) -> None:
         """Reject a head, or what frames a body, that does not end."""
@@ -295,6 +399,10 @@
             self._waiter.set_result(None)
 
 
+def _or_never(seconds: float | None) -> float:
+    return _NEVER if seconds is None else seconds
+
+
 def _expire(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_exception(TimeoutError())
--- a/packages/router/src/lacewingspar_router/http1/exchange.py
+++ b/packages/router/src/lacewingspar_router/http1/exchange.py
@@ -35,6 +35,10 @@
     def must_close(self) -> bool:
         """Return whether the connection ends with the present answer."""
 
+    @property
+    def can_write(self) -> bool:
+        """Return whether the caller has read enough."""
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
 
@@ -66,11 +70,15 @@
         self._is_chunked = length is None
         self._connection.write(self._head(status, headers, length))
 
-    async def async_write(self, data: bytes) -> None:
-        """Send a part of the body, at the pace of the caller."""
+    def write(self, data: bytes) -> bool:
+        """Send a part of the body; return whether more may follow at once."""
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._connection.write(data)
+        return self._connection.can_write
+
+    async def async_drain(self) -> None:
+        """Wait until the caller has read enough."""
         await self._connection.async_drain()
 
     def finish(self) -> None:
