Refuse requests before their callers give up waiting for a first part

Callers of a stream give up after the longest of 2 s, four times its aim and eight times its longest pause, 3.2 s there; the pool let a request that had come back wait for half of its deadline, 6 s.

A route now has the patience of its callers, decoded with the route. A pool declines a request whose expected wait and first part do not fit into it, and looks again while the request waits.

Evidence: tests/core/test_pool_admission.py, test_nobody_waits_until_the_caller_gives_up[True] failed before (still waiting at 3.2 s).

--- a/packages/core/src/lacewingspar_core/admission_events.py
+++ b/packages/core/src/lacewingspar_core/admission_events.py
@@ -1,5 +1,6 @@
 """What a request needs of an upstream, and the answers to it."""
 
+import math
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -38,6 +39,8 @@
         identity: Hash that is the same when the caller sends the request
             again, or 0 if there is none.
         excluded: Upstreams that must not be used.
+        patience_seconds: Time from the arrival after which the caller gives up
+            if the first part is not there.
         prompt_tokens: Length of the whole prompt in tokens.
     """
 
@@ -53,8 +56,14 @@
     deadline_at: float
     identity: int = 0
     excluded: frozenset[str] = frozenset()
+    patience_seconds: float = math.inf
     prompt_tokens: int = field(init=False, default=0)
 
+    @property
+    def given_up_at(self) -> float:
+        """Return when the caller gives up without a first part."""
+        return min(self.deadline_at, self.arrived_at + self.patience_seconds)
+
     def __post_init__(self) -> None:
         # Needed for each upstream at each decision, so it is kept.
         shared = sum(part.tokens for part in self.shared_parts)
--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -27,6 +27,7 @@
         identity: Hash that is the same when the caller sends the request
             again, or 0.
         excluded: Upstreams that must not be used.
+        give_up_ms: Time left until the caller gives up without a first part.
     """
 
     service: str
@@ -42,6 +43,7 @@
     deadline_ms: int
     identity: int
     excluded: tuple[str, ...]
+    give_up_ms: int
 
 
 class AdmissionGranted(PeerMessage, frozen=True, tag="adm+"):
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -50,6 +50,9 @@
 # A prompt is due later than its aim by this many times its reading time, so
 # that long ones are refused no sooner than short ones.
 LONG_PROMPT_FACTOR = 1.5
+# A waiting request whose caller waits for longer than this beyond its expected
+# wait is not checked for the time to its first part, which is mostly shorter.
+FIRST_PART_CHECK_SECONDS = 1.0
 # Shortest time in which an upstream can still do something useful.
 LEAST_RUN_SECONDS = 0.1
 # Part of its expected run time that a request must have left. The length of an
@@ -380,6 +383,7 @@
             member.load.first_part_seconds(admission) for member in members
         )
         left = due_at - now - first_part
+        patience = admission.given_up_at - now - first_part
         aim = max(0.0, admission.aim_at - admission.arrived_at)
         allowed = max(left, LATE_WAIT_FRACTION * aim)
         if admission.aim_at < now:
@@ -387,7 +391,8 @@
             time_left = admission.deadline_at - now
             allowed = max(allowed, RETURNED_WAIT_FRACTION * time_left)
         wait = self._expected_wait(admission, due_at, now)
-        return REASON_OVERLOADED if WAIT_MARGIN * wait > allowed else None
+        is_too_long = WAIT_MARGIN * wait > min(allowed, patience)
+        return REASON_OVERLOADED if is_too_long else None
 
     def _can_end_in_time(
         self, admission: Admission, members: list[PoolMember], now: float
@@ -409,10 +414,17 @@
         if admission.aim_at < admission.arrived_at:
             left = admission.deadline_at - admission.arrived_at
             limit = SHED_FACTOR * RETURNED_WAIT_FRACTION * left
-        expected = now - admission.arrived_at
         due_at = self._queue.due_at(admission.key)
-        expected += self._expected_wait(admission, due_at, now)
-        return REASON_OVERLOADED if expected > limit else None
+        wait = self._expected_wait(admission, due_at, now)
+        if now + wait - admission.arrived_at > limit:
+            return REASON_OVERLOADED
+        left = admission.given_up_at - now - wait
+        if left > FIRST_PART_CHECK_SECONDS:
+            return None
+        first_part = min(
+            member.load.first_part_seconds(admission) for member in members
+        )
+        return REASON_OVERLOADED if first_part > left else None
 
     def _declined(
         self, admission: Admission, due_at: float, reason: str, now: float
--- a/packages/core/src/lacewingspar_core/routing.py
+++ b/packages/core/src/lacewingspar_core/routing.py
@@ -1,5 +1,6 @@
 """Routes, services and workspaces in force, and the choice of a route."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -47,6 +48,9 @@
         is_resumable: Whether another upstream may go on with a stream.
         pause_aim_seconds: Longest pause between two events of a stream that
             is still in time.
+        patience_seconds: Time from arrival after which callers give up a
+            request whose answer has not begun; infinite where they wait for the
+            whole of it.
     """
 
     name: str
@@ -61,6 +65,7 @@
     is_public: bool
     is_resumable: bool
     pause_aim_seconds: float
+    patience_seconds: float = math.inf
 
     @property
     def may_run_again(self) -> bool:
--- a/packages/router/src/lacewingspar_router/components/admission/holder.py
+++ b/packages/router/src/lacewingspar_router/components/admission/holder.py
@@ -336,6 +336,7 @@
             deadline_at=demand.deadline_at,
             identity=demand.identity,
             excluded=excluded,
+            patience_seconds=demand.patience_seconds,
         )
 
     def _reported(self, number: int, run: _Run) -> ReportedRun:
--- a/packages/router/src/lacewingspar_router/components/admission/messages.py
+++ b/packages/router/src/lacewingspar_router/components/admission/messages.py
@@ -45,6 +45,7 @@
         deadline_ms=milliseconds(admission.deadline_at - now),
         identity=admission.identity,
         excluded=tuple(admission.excluded),
+        give_up_ms=milliseconds(admission.given_up_at - now),
     )
 
 
@@ -72,6 +73,7 @@
         deadline_at=now + request.deadline_ms / 1000,
         identity=request.identity,
         excluded=frozenset(request.excluded),
+        patience_seconds=(request.waited_ms + request.give_up_ms) / 1000,
     )
 
 
--- a/packages/router/src/lacewingspar_router/components/admission/models.py
+++ b/packages/router/src/lacewingspar_router/components/admission/models.py
@@ -23,6 +23,8 @@
         arrived_at: Arrival in seconds of the application's clock.
         aim_at: Time by which the first part of the answer should be there.
         deadline_at: Time by which the whole answer must be there.
+        patience_seconds: Time from the arrival after which the caller gives up
+            if the first part is not there.
         identity: Hash that is the same when the caller sends the request
             again.
     """
@@ -37,6 +39,7 @@
     arrived_at: float
     aim_at: float
     deadline_at: float
+    patience_seconds: float
     identity: int
 
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -411,6 +411,7 @@
             arrived_at=call.arrived_at,
             aim_at=call.arrived_at + call.route.aim_seconds,
             deadline_at=call.deadline_at,
+            patience_seconds=call.route.patience_seconds,
             identity=call.identity,
         )
 
--- a/packages/router/src/lacewingspar_router/platform/manifest.py
+++ b/packages/router/src/lacewingspar_router/platform/manifest.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration."""
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -21,6 +22,12 @@
 _DEFAULT_TIMEOUT_MS = 60_000.0
 _DEFAULT_AIM_MS = 1000.0
 _DEFAULT_LIMITS = CallerLimits()
+# Callers give a stream up, also before its first event, after the longest of
+# these: a time, so many times the aim, and so many times the longest pause in
+# time. Source: the platform's page on requests.
+_LEAST_PATIENCE_SECONDS = 2.0
+_PATIENCE_PER_AIM = 4.0
+_PATIENCE_PER_PAUSE = 8.0
 
 
 class _Kind(StrEnum):
@@ -132,11 +139,12 @@
     targets = tuple(
         RouteTarget(split.service, split.weight) for split in item.traffic_split
     )
+    kind = _KIND_BY_WORD[item.kind]
     return Route(
         name=item.name,
         host=item.host.lower(),
         path_prefix=item.path_prefix,
-        kind=_KIND_BY_WORD[item.kind],
+        kind=kind,
         targets=targets or (RouteTarget(item.service, 1.0),),
         timeout_seconds=item.timeout_ms / 1000,
         aim_seconds=item.target_latency_ms / 1000,
@@ -145,6 +153,17 @@
         is_public=item.public,
         is_resumable=item.resumable,
         pause_aim_seconds=item.gap_aim_ms / 1000,
+        patience_seconds=(
+            _stream_patience(item) if kind is RouteKind.STREAM else math.inf
+        ),
+    )
+
+
+def _stream_patience(item: _Route) -> float:
+    return max(
+        _LEAST_PATIENCE_SECONDS,
+        _PATIENCE_PER_AIM * item.target_latency_ms / 1000,
+        _PATIENCE_PER_PAUSE * item.gap_aim_ms / 1000,
     )
 
 
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -293,3 +293,34 @@
     # The engines can read 77% of it.
     assert in_aim >= 0.55 * asked
     assert in_aim + late >= 0.68 * asked
+
+
+@pytest.mark.parametrize("is_returned", [False, True])
+def test_nobody_waits_until_the_caller_gives_up(*, is_returned: bool) -> None:
+    """Guards against requests that are held for nothing, then refused.
+
+    Load: an engine is full for longer than the callers of two requests wait
+    for the first part, which is less than their whole deadline.
+    """
+    pool = make_pool("a")
+    number = 0
+    while pool.ask(admission(number, 0.0, tokens=LARGE), 0.0)[0].__class__ is (
+        Granted
+    ):
+        number += 1
+    late = admission(
+        1000,
+        0.0,
+        aim_at=-1.0 if is_returned else 0.8,
+        deadline_at=12.0,
+        patience_seconds=3.2,
+    )
+    decisions = pool.ask(late, 0.0)
+    now = 0.0
+    while not any(
+        isinstance(item, Declined) and item.key == late.key
+        for item in decisions
+    ):
+        now += 0.1
+        decisions = pool.tick(now)
+        assert now < late.patience_seconds
