--- a/packages/core/src/lacewingspar_core/hand_over.py
+++ b/packages/core/src/lacewingspar_core/hand_over.py
@@ -6,6 +6,7 @@
 its answer on takes a fraction of what it takes to forward the request.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -112,9 +113,14 @@
 
 
 class NeighbourLoads:
-    """Requests under way at each neighbour, and neighbours that have failed."""
+    """Requests under way at each neighbour, and neighbours that have failed.
 
-    def __init__(self) -> None:
+    Args:
+        most: Requests at all neighbours beyond which none is handed over.
+    """
+
+    def __init__(self, most: float = math.inf) -> None:
+        self._most = most
         self._under_way_by_id: Counter[str] = Counter()
         self._skipped_until_by_id: dict[str, float] = {}
 
@@ -122,6 +128,8 @@
         self, neighbours: Iterable[Neighbour], now: float
     ) -> Neighbour | None:
         """Return the neighbour with the fewest requests, or None."""
+        if self.under_way >= self._most:
+            return None
         return min(
             (
                 item
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -55,7 +55,11 @@
         self._wire = app.get(WIRE_FORMAT)
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
-        self._loads = NeighbourLoads()
+        assert app.settings.platform is not None
+        self._loads = NeighbourLoads(
+            const.HAND_OVER_DESCRIPTOR_FRACTION
+            * app.settings.platform.descriptor_limit
+        )
         self._pool_by_address: dict[str, ConnectionPool] = {}
         self._neighbours: list[Neighbour] | None = None
         self._peers.add_listener(self._forget_neighbours)
@@ -144,7 +148,9 @@
         """
         pool = self._pool_by_address.get(neighbour.address)
         if pool is None:
-            pool = ConnectionPool(neighbour.address)
+            pool = ConnectionPool(
+                neighbour.address, const.HAND_OVER_IDLE_CONNECTIONS
+            )
             self._pool_by_address[neighbour.address] = pool
         try:
             connection = await pool.async_take(const.SINGLE_RUN_IDLE_SECONDS)
--- a/packages/router/src/lacewingspar_router/http1/connection_pool.py
+++ b/packages/router/src/lacewingspar_router/http1/connection_pool.py
@@ -8,10 +8,12 @@
 
     Args:
         address: `host:port`.
+        most_idle: Idle connections beyond which none is kept, or None.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, most_idle: int | None = None) -> None:
         self.address = address
+        self._most_idle = most_idle
         self._idle: list[ClientConnection] = []
 
     async def async_take(
@@ -35,8 +37,12 @@
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is over, if it can be reused."""
-        if connection.finish():
-            self._idle.append(connection)
+        if not connection.finish():
+            return
+        if self._most_idle is not None and len(self._idle) >= self._most_idle:
+            connection.abort()
+            return
+        self._idle.append(connection)
 
     @property
     def is_empty(self) -> bool:
--- a/tests/core/test_hand_over.py
+++ b/tests/core/test_hand_over.py
@@ -109,3 +109,14 @@
     loads.skip("a", 10.0)
     assert loads.choose(neighbours, 10.0 + SKIP_SECONDS / 2) is None
     assert loads.choose(neighbours, 10.0 + SKIP_SECONDS) == neighbours[0]
+
+
+def test_requests_at_neighbours_are_bounded() -> None:
+    """Guards against a router that runs out of descriptors."""
+    loads = NeighbourLoads(most=2)
+    neighbours = [Neighbour("a", ""), Neighbour("b", "")]
+    loads.begin("a")
+    loads.begin("b")
+    assert loads.choose(neighbours, 0.0) is None
+    loads.end("b")
+    assert loads.choose(neighbours, 0.0) == neighbours[1]
