Keep what stays until the end out of the garbage collector's way

A full collection looks at every object: some 50,000 of modules and components, 28 ms on an idle machine, and those of 2,000 connections on top, on half a core.

After the start all objects go to the permanent generation, and a collection of the youngest one comes after 10,000 allocations in place of 700.

--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import importlib
 import signal
 from pathlib import Path
@@ -49,6 +50,11 @@
 # Time before the platform kills the process at which it ends by itself.
 STOP_MARGIN_SECONDS = 0.6
 
+# Objects allocated between two collections of the youngest generation, and
+# collections of one generation between two of the next one. By default the
+# first is 700, which a busy router allocates in a few milliseconds.
+GC_THRESHOLDS = (10_000, 10, 10)
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -137,12 +143,24 @@
     if not is_started:
         await application.async_stop()
         return EXIT_OK
+    _exclude_from_collections()
     await shutdown.graceful.wait()
     is_drained = await _async_drain(application, shutdown)
     await application.async_stop()
     return EXIT_OK if is_drained else EXIT_FAILED
 
 
+def _exclude_from_collections() -> None:
+    """Let the garbage collector pass over what stays until the end.
+
+    A full collection looks at every object while the event loop stands still.
+    Modules and components are some 50,000 of them.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def _reload(path: Path, running: Settings) -> None:
     """Read the settings again and apply those that can change."""
     try:
