Count the times of a stream that goes on from its break

A resumable stream whose engine crashed midway asked its pool with the times of its first attempt.

Its caller waits for the next event, so arrival and aim now count from the break.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,6 +1,7 @@
 """Path of a caller's request from its head to its final answer."""
 
 import asyncio
+from dataclasses import replace
 
 import structlog
 
@@ -297,6 +298,8 @@
                 return "answered"
             if self._may_try_again(progress, end):
                 progress.relay.events.drop_partial_event()
+                if progress.relay.exchange.is_started:
+                    demand = self._continued(demand, call)
                 continue
             if progress.relay.exchange.is_started:
                 return "broken_off"
@@ -415,6 +418,17 @@
             identity=call.identity,
         )
 
+    def _continued(self, demand: Demand, call: Call) -> Demand:
+        """Return what a stream needs that goes on at another upstream.
+
+        Its caller waits for the next event from now on. With the times of the
+        first one it would be late for the pool, and refused first.
+        """
+        now = self._app.now()
+        return replace(
+            demand, arrived_at=now, aim_at=now + call.route.aim_seconds
+        )
+
     def _pass_on(self, exchange: ServerExchange, response: Response) -> None:
         headers: RawHeaders = self._wire.answer_headers(response.headers)
         exchange.answer(response.status, headers, response.body)
--- a/tests/router/deployed/test_forwarding.py
+++ b/tests/router/deployed/test_forwarding.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+import structlog
 from tests.router.deployed.conftest import (
     KEY,
     Caller,
@@ -189,6 +190,22 @@
     assert first.runs
 
 
+async def test_stream_that_goes_on_is_not_late_for_its_pool(
+    served: Deployment,
+) -> None:
+    """Guards against streams that end midway since their aim has passed."""
+    caller = await served.add_router()
+    first, second = upstreams(served, "e")
+    first.pause_seconds = second.pause_seconds = 0.2
+    first.faults.break_after_events = second.faults.break_after_events = 2
+    with structlog.testing.capture_logs() as lines:
+        await caller.call("/stream/1")
+    admitted = [line for line in lines if line["event"] == "request admitted"]
+    assert len(admitted) == 2
+    # The stream has lasted for three pauses when it goes on.
+    assert admitted[1]["waited_ms"] < 400
+
+
 @pytest.mark.parametrize(("after", "status"), [(0, 502), (2, 200)])
 async def test_broken_stream_never_looks_complete(
     served: Deployment, after: int, status: int
