--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -25,7 +25,7 @@
     assert settings.platform is not None
     routing = app.get(ROUTING)
     handler = CallHandler(app)
-    callers = Http1Server(handler.async_handle, app.now, handler.screen)
+    callers = Http1Server(handler.async_handle, app.now, handler.entry.screen)
     callers.most_connections = round(
         const.CALLER_DESCRIPTOR_FRACTION * settings.platform.descriptor_limit
     )
@@ -61,9 +61,7 @@
     app.on_unload("forwarding", async_unload)
     app.on_cut(async_cut)
     app.create_task(_async_drop_stale(handler), "drop stale connections")
-    monitor = LoadMonitor(
-        app, callers, handler.entry_limit, handler.hand_over, handler.tallies
-    )
+    monitor = LoadMonitor(app, callers, handler.entry, handler.hand_over)
     app.create_task(monitor.async_run(), "measure load")
     await callers.async_start(settings.caller_address)
     await readiness.async_start(settings.admin_address)
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -14,11 +14,8 @@
     Call,
     WireFormat,
 )
-from lacewingspar_router.http1.client import (
-    ClientConnection,
-    async_read_body,
-    async_read_head,
-)
+from lacewingspar_router.http1.client import async_read_body, async_read_head
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -1,6 +1,7 @@
 """Hands requests over to other routers of the data centre."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -10,17 +11,13 @@
     NeighbourLoads,
     helpful_neighbours,
 )
-from lacewingspar_core.recent_declines import RecentDeclines
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.models import WIRE_FORMAT, Call
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.http1.client import (
-    ClientConnection,
-    async_read_body,
-    async_read_head,
-)
+from lacewingspar_router.http1.client import async_read_body, async_read_head
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
@@ -45,12 +42,15 @@
 
     Args:
         app: The application.
-        declines: Learns what the pools have declined at other routers.
+        note_refusal: Called with a request, the code of its refusal at another
+            router, and when its caller may come back, in seconds.
     """
 
-    def __init__(self, app: Application, declines: RecentDeclines) -> None:
+    def __init__(
+        self, app: Application, note_refusal: Callable[[Call, str, float], None]
+    ) -> None:
         self.share = HandOverShare()
-        self._declines = declines
+        self._note_refusal = note_refusal
         self._app = app
         self._wire = app.get(WIRE_FORMAT)
         self._peers = app.get(PEERS)
@@ -199,7 +199,7 @@
             )
             if refusals.is_of_router(response.status, response.body):
                 return response
-            self._note_decline(call, response)
+            self._learn_from(call, response)
             exchange.answer(response.status, headers, response.body)
             return None
         exchange.start(head.status, headers, length=None)
@@ -207,14 +207,12 @@
         exchange.finish()
         return None
 
-    def _note_decline(self, call: Call, response: Response) -> None:
-        if response.status != _STATUS_REFUSED:
-            return
+    def _learn_from(self, call: Call, response: Response) -> None:
+        """Note the refusal of a request that another router has taken over."""
         seconds = header_value(response.headers, b"retry-after")
-        if seconds and refusals.code_of(response.body) == refusals.OVERLOADED:
-            self._declines.note(
-                call.workspace, call.route.name, float(seconds), self._app.now()
-            )
+        if response.status == _STATUS_REFUSED and seconds is not None:
+            code = refusals.code_of(response.body)
+            self._note_refusal(call, code, float(seconds))
 
     def _note_end(self, call: Call, neighbour: Neighbour, outcome: str) -> None:
         self._telemetry.count("hand_overs_total", outcome=outcome)
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -12,9 +12,7 @@
     AttemptResult,
 )
 from lacewingspar_core.directory import UpstreamEntry
-from lacewingspar_core.entry_limit import EntryLimit
 from lacewingspar_core.event_stream import EventSequence
-from lacewingspar_core.recent_declines import RecentDeclines
 from lacewingspar_core.retry_allowance import RetryAllowance, RetryBound
 from lacewingspar_core.routing import choose_target
 from lacewingspar_router.application import Application
@@ -30,13 +28,12 @@
     Relay,
 )
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
+from lacewingspar_router.components.forwarding.entry import Entry
 from lacewingspar_router.components.forwarding.hand_over import HandOver
-from lacewingspar_router.components.forwarding.load_monitor import EntryTallies
 from lacewingspar_router.components.forwarding.models import (
     WIRE_FORMAT,
     Call,
     CallerFields,
-    CallerIdentity,
 )
 from lacewingspar_router.components.forwarding.records import (
     CallProgress,
@@ -80,60 +77,8 @@
         self._guard = CrashGuard(app)
         self._records = CallRecords(app)
         self.accepts_requests = True
-        self.entry_limit = EntryLimit(settings.capacity)
-        self._declines = RecentDeclines(app.random.uniform)
-        self.hand_over = HandOver(app, self._declines)
-        self.tallies = EntryTallies()
-
-    def screen(self, request: HttpRequest) -> Response | None:
-        """Return the refusal of a request that this router cannot forward.
-
-        A router without room gets many such requests, so they are refused
-        before their fields and their route are looked up.
-        """
-        limit = self.entry_limit
-        configuration = self._routing.configuration
-        may_refuse = limit.is_full or not self._declines.is_empty(
-            self._app.now()
-        )
-        if not may_refuse or configuration is None:
-            return None
-        identity = self._wire.read_identity(request)
-        workspace = configuration.workspace_by_key.get(identity.key)
-        if workspace is None:
-            return None
-        error = self._known_refusal(request, identity, workspace)
-        if error is None:
-            return None
-        self.tallies.offered.add(workspace)
-        self._records.note_refusal(error, identity.request_id, workspace, None)
-        return self._wire.refusal(error, identity.request_id)
-
-    def _known_refusal(
-        self, request: HttpRequest, identity: CallerIdentity, workspace: str
-    ) -> RequestRefusedError | None:
-        """Return why a request would be refused, without asking its pool."""
-        if not self.entry_limit.has_room(workspace):
-            return self._overloaded(workspace)
-        seconds = self._retry_after(request, identity, workspace)
-        if seconds is None:
-            return None
-        self._telemetry.count("recently_declined_total")
-        return refusals.recently_declined(seconds)
-
-    def _retry_after(
-        self, request: HttpRequest, identity: CallerIdentity, workspace: str
-    ) -> float | None:
-        """Return when to come back if the pool has just declined the like."""
-        route = self._routing.table.match(identity.host, request.path)
-        if route is None:
-            return None
-        left = route.timeout_seconds
-        if identity.time_left_seconds is not None:
-            left = min(left, identity.time_left_seconds)
-        return self._declines.retry_after(
-            workspace, route.name, left, self._app.now()
-        )
+        self.entry = Entry(app, self._records)
+        self.hand_over = HandOver(app, self.entry.note_decline)
 
     async def async_handle(self, exchange: ServerExchange) -> None:
         """Answer one request."""
@@ -144,9 +89,7 @@
             request_id = fields.request_id
             call = self._accept(request, fields)
             workspace = call.workspace
-            self.tallies.offered.add(workspace)
-            if not self.entry_limit.begin(workspace):
-                raise self._overloaded(workspace)
+            self.entry.begin(workspace)
         except RequestRefusedError as error:
             self._refuse(exchange, error, request_id, workspace, None)
             return
@@ -154,7 +97,7 @@
             if not await self._async_hand_over(exchange, call):
                 await self._async_serve(exchange, call)
         finally:
-            self.entry_limit.end(call.workspace)
+            self.entry.limit.end(call.workspace)
 
     async def _async_hand_over(
         self, exchange: ServerExchange, call: Call
@@ -185,20 +128,16 @@
             outcome = await self._async_run(progress)
         except RequestRefusedError as error:
             outcome = error.code
-            self._note_decline(call, error)
+            if error.retry_after_seconds is not None:
+                self.entry.note_decline(
+                    call, error.code, error.retry_after_seconds
+                )
             self._refuse(
                 exchange, error, fields.request_id, call.workspace, progress
             )
         finally:
             self._records.note_end(progress, outcome)
 
-    def _note_decline(self, call: Call, error: RequestRefusedError) -> None:
-        seconds = error.retry_after_seconds
-        if error.code == refusals.OVERLOADED and seconds is not None:
-            self._declines.note(
-                call.workspace, call.route.name, seconds, self._app.now()
-            )
-
     def drop_stale_connections(self) -> None:
         """Close connections that are not used any more."""
         self.hand_over.drop_stale_connections()
@@ -218,14 +157,6 @@
         for pool in self._pool_by_address.values():
             pool.close()
 
-    def _overloaded(self, workspace: str) -> RequestRefusedError:
-        self._telemetry.count("entry_refusals_total")
-        self.tallies.refused.add(workspace)
-        spread = self._app.random.uniform(1.0, 2.0)
-        return refusals.router_overloaded(
-            const.OVERLOADED_RETRY_SECONDS * spread
-        )
-
     def _accept(self, request: HttpRequest, fields: CallerFields) -> Call:
         """Check a request against the configuration in force.
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -6,10 +6,9 @@
 
 import structlog
 
-from lacewingspar_core.entry_limit import EntryLimit
-from lacewingspar_core.workspace_tally import WorkspaceTally
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding.entry import Entry
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.server import Http1Server
@@ -17,19 +16,6 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
-class EntryTallies:
-    """Requests of callers since the last line about the load.
-
-    Attributes:
-        offered: Requests that arrived.
-        refused: Requests that were refused since this router has no room.
-    """
-
-    def __init__(self) -> None:
-        self.offered = WorkspaceTally()
-        self.refused = WorkspaceTally()
-
-
 class LoadMonitor:
     """Writes one line a second about the load of this router.
 
@@ -38,25 +24,23 @@
     Args:
         app: The application.
         callers: Server that accepts the connections of callers.
-        limit: Limit of the requests under way.
+        entry: Takes and refuses requests.
         hand_over: Hands requests over to other routers.
-        tallies: Requests that were offered and refused here.
     """
 
     def __init__(
         self,
         app: Application,
         callers: Http1Server,
-        limit: EntryLimit,
+        entry: Entry,
         hand_over: HandOver,
-        tallies: EntryTallies,
     ) -> None:
         self._hand_over = hand_over
-        self._tallies = tallies
         self._now = app.now
         self._telemetry = app.get(TELEMETRY)
         self._callers = callers
-        self._limit = limit
+        self._entry = entry
+        self._limit = entry.limit
         self._is_limited = False
         self._largest_delay_seconds = 0.0
         self._reported_at = app.now()
@@ -111,10 +95,10 @@
                 (processor_seconds - self._reported_processor_seconds) * 1000
             ),
             interval_ms=round((now - self._reported_at) * 1000),
-            offered=self._tallies.offered.total,
-            offered_by_workspace=self._tallies.offered.take_largest(),
-            refused=self._tallies.refused.total,
-            refused_by_workspace=self._tallies.refused.take_largest(),
+            offered=self._entry.offered.total,
+            offered_by_workspace=self._entry.offered.take_largest(),
+            refused=self._entry.refused.total,
+            refused_by_workspace=self._entry.refused.take_largest(),
         )
         self._reported_at = now
         self._reported_accepted = accepted
--- a/packages/router/src/lacewingspar_router/http1/connection_pool.py
+++ b/packages/router/src/lacewingspar_router/http1/connection_pool.py
@@ -1,6 +1,7 @@
 """Idle connections to one address."""
 
-from lacewingspar_router.http1.client import ClientConnection, async_connect
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.client_connection import ClientConnection
 
 
 class ConnectionPool:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -5,7 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
-from lacewingspar_router.http1.client import ClientConnection, async_connect
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
--- a/tests/router/test_connection_pool.py
+++ b/tests/router/test_connection_pool.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from lacewingspar_router.http1.client import ClientConnection
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 
 
--- a/tests/router/test_http1_server.py
+++ b/tests/router/test_http1_server.py
@@ -6,11 +6,8 @@
 import structlog
 
 from lacewingspar_router.http1 import server as http1_server
-from lacewingspar_router.http1.client import (
-    ClientConnection,
-    async_connect,
-    async_exchange,
-)
+from lacewingspar_router.http1.client import async_connect, async_exchange
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import HttpRequest, Response
 from lacewingspar_router.http1.server import Http1Server
