Free what connections hold at the end of a request and of the connection

Cause: a caller's connection kept the body and the headers of its last request until the next one, 12 KB for each of 2,000 idle connections; and a connection and its parser refer to each other, so that each closed connection waited for the garbage collector with all that it held.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -120,6 +120,9 @@
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
+        # The parser refers to this connection; without it both are freed now,
+        # and not at a later collection.
+        del self._parser
 
     def pause_writing(self) -> None:
         """Hold answers back until the caller has read."""
@@ -180,6 +183,9 @@
             body=b"".join(self._body),
             received_at=self._received_at,
         )
+        # An idle connection keeps nothing of its last request.
+        self._headers = []
+        self._body = []
         self._received_at = self._server.now()
         if self._task is None:
             refusal = self._server.screen(request)
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -116,6 +116,9 @@
         self._is_closing = True
         reason = "connection closed" if exc is None else f"connection: {exc}"
         self._fail(ConnectionBrokenError(reason))
+        # The parser refers to this connection; without it both are freed now,
+        # and not at a later collection.
+        del self._parser
 
     # httptools callbacks
 
--- /dev/null
+++ b/tests/router/test_connection_memory.py
@@ -0,0 +1,86 @@
+"""Memory of connections between requests and after their end."""
+
+import asyncio
+import gc
+import tracemalloc
+import weakref
+from collections.abc import AsyncIterator, Iterator
+
+import pytest
+
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.exchange import ServerExchange
+from lacewingspar_router.http1.messages import ResponseEnd
+from lacewingspar_router.http1.server import Http1Server
+
+CONNECTIONS = 20
+BODY = bytes(100_000)
+REQUEST = (
+    b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(BODY)
+) + BODY
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[Http1Server]:
+    async def answer(exchange: ServerExchange) -> None:
+        exchange.answer(204, [], b"")
+
+    loop = asyncio.get_running_loop()
+    made = Http1Server(answer, loop.time)
+    await made.async_start("127.0.0.1:0")
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def without_collections() -> Iterator[None]:
+    """Let only reference counts free memory."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+async def ask(address: str) -> object:
+    """Send one request and return its connection, which stays open."""
+    connection = await async_connect(address)
+    connection.send(REQUEST)
+    while not isinstance(await connection.next_event(), ResponseEnd):
+        pass
+    return connection
+
+
+async def test_idle_connection_keeps_nothing_of_its_last_request(
+    server: Http1Server,
+) -> None:
+    """Guards against the bodies of requests that fill a small VM."""
+    address = f"127.0.0.1:{server.port}"
+    tracemalloc.start()
+    try:
+        kept = [await ask(address) for _ in range(CONNECTIONS)]
+        gc.collect()
+        used_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(kept) == CONNECTIONS
+    assert used_bytes < CONNECTIONS * len(BODY) / 4
+
+
+@pytest.mark.usefixtures("without_collections")
+async def test_closed_connections_are_freed_at_once(
+    server: Http1Server,
+) -> None:
+    """Guards against memory that grows until the next full collection."""
+    client = await async_connect(f"127.0.0.1:{server.port}")
+    client.send(REQUEST)
+    while not isinstance(await client.next_event(), ResponseEnd):
+        pass
+    (connection,) = server.connections
+    ends = [weakref.ref(connection), weakref.ref(client)]
+    client.abort()
+    del connection, client
+    for _ in range(100):
+        if all(end() is None for end in ends):
+            return
+        await asyncio.sleep(0.01)
+    pytest.fail("a closed connection is still referred to")
