--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 
 import structlog
 
@@ -34,6 +35,24 @@
 _REPLACED_HEADERS = frozenset({b"content-length"})
 
 
+class HandOverOutcome(StrEnum):
+    """How a request that was handed over ended.
+
+    Attributes:
+        ANSWERED: The answer was passed on.
+        NOT_TAKEN: The other router accepts no connection, or has no room.
+        BROKEN: The connection to it broke.
+        DEADLINE_PASSED: No answer came in time.
+        CANCELLED: The caller has left.
+    """
+
+    ANSWERED = "answered"
+    NOT_TAKEN = "not_taken"
+    BROKEN = "broken"
+    DEADLINE_PASSED = "deadline_passed"
+    CANCELLED = "cancelled"
+
+
 class HandOver:
     """Lets other routers forward what this one has no processor time for.
 
@@ -79,13 +98,7 @@
             return None
         if not self.share.share or not self.share.take_next():
             return None
-        if self._neighbours is None:
-            self._neighbours = helpful_neighbours(
-                self._app.life.router_id,
-                self._app.settings.data_centre,
-                self._peers.alive_by_router_id,
-            )
-        return self._loads.choose(self._neighbours, self._app.now())
+        return self._loads.choose(self._known_neighbours(), self._app.now())
 
     async def async_run(
         self, exchange: ServerExchange, call: Call, neighbour: Neighbour
@@ -100,14 +113,14 @@
             RequestRefusedError: Its answer did not come, and the request may
                 have run.
         """
-        outcome = "cancelled"
+        outcome = HandOverOutcome.CANCELLED
         self._loads.begin(neighbour.router_id)
         left = call.deadline_at - self._app.now()
         try:
             async with asyncio.timeout(left + const.HAND_OVER_GRACE_SECONDS):
                 outcome = await self._async_exchange(exchange, call, neighbour)
         except TimeoutError as error:
-            outcome = "deadline_passed"
+            outcome = HandOverOutcome.DEADLINE_PASSED
             self._loads.skip(neighbour.router_id, self._app.now())
             if not exchange.is_started:
                 raise refusals.deadline_passed(may_have_run=True) from error
@@ -115,9 +128,9 @@
             self._loads.end(neighbour.router_id)
             self._note_end(call, neighbour, outcome)
         match outcome:
-            case "not_taken":
+            case HandOverOutcome.NOT_TAKEN:
                 return False
-            case "broken" if not exchange.is_started:
+            case HandOverOutcome.BROKEN if not exchange.is_started:
                 if call.route.may_run_again:
                     return False
                 raise refusals.attempts_failed(
@@ -128,9 +141,10 @@
 
     def drop_stale_connections(self) -> None:
         """Close connections to routers that are not used any more."""
+        addresses = {item.address for item in self._known_neighbours()}
         for address, pool in list(self._pool_by_address.items()):
             pool.drop_stale()
-            if pool.is_empty:
+            if pool.is_empty and address not in addresses:
                 del self._pool_by_address[address]
 
     def close(self) -> None:
@@ -140,12 +154,8 @@
 
     async def _async_exchange(
         self, exchange: ServerExchange, call: Call, neighbour: Neighbour
-    ) -> str:
-        """Send a request and pass its answer on.
-
-        Returns:
-            How the attempt ended.
-        """
+    ) -> HandOverOutcome:
+        """Send a request and pass its answer on."""
         pool = self._pool_by_address.get(neighbour.address)
         if pool is None:
             pool = ConnectionPool(
@@ -156,7 +166,7 @@
             connection = await pool.async_take(const.SINGLE_RUN_IDLE_SECONDS)
         except ConnectionFailedError:
             self._loads.skip(neighbour.router_id, self._app.now())
-            return "not_taken"
+            return HandOverOutcome.NOT_TAKEN
         is_complete = False
         try:
             waited = self._app.now() - call.arrived_at
@@ -173,7 +183,7 @@
                 is_started=exchange.is_started,
                 reason=str(error),
             )
-            return "broken"
+            return HandOverOutcome.BROKEN
         finally:
             if is_complete:
                 pool.give_back(connection)
@@ -181,8 +191,8 @@
                 connection.abort()
         if refused is not None:
             self._loads.skip(neighbour.router_id, self._app.now())
-            return "not_taken"
-        return "answered"
+            return HandOverOutcome.NOT_TAKEN
+        return HandOverOutcome.ANSWERED
 
     async def _async_relay(
         self,
@@ -214,7 +224,9 @@
             code = refusals.code_of(response.body)
             self._note_refusal(call, code, float(seconds))
 
-    def _note_end(self, call: Call, neighbour: Neighbour, outcome: str) -> None:
+    def _note_end(
+        self, call: Call, neighbour: Neighbour, outcome: HandOverOutcome
+    ) -> None:
         self._telemetry.count("hand_overs_total", outcome=outcome)
         _LOGGER.info(
             "request handed over",
@@ -226,6 +238,15 @@
             duration_ms=round((self._app.now() - call.arrived_at) * 1000),
         )
 
+    def _known_neighbours(self) -> list[Neighbour]:
+        if self._neighbours is None:
+            self._neighbours = helpful_neighbours(
+                self._app.life.router_id,
+                self._app.settings.data_centre,
+                self._peers.alive_by_router_id,
+            )
+        return self._neighbours
+
     def _forget_neighbours(self) -> None:
         self._neighbours = None
 
