Let the exchange with a caller take a relayed body itself

The relay of handed-over answers wrapped an exchange only to rename its method; the sink of a body now has the exchange's name for it. A share that is rounded where it changes is not rounded again, and no share takes no request without a check of its own. No behaviour changes and no assertion does; lint, types and the tests of hand-over, client, forwarding, endless answers, load lines and memory pass.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -263,12 +263,12 @@
         self._head = head
         self._is_first = True
 
-    def take(self, part: bytes) -> bool:
+    def write(self, data: bytes) -> bool:
         """Take a part; return whether more may come at once."""
         if self._is_first:
             self._is_first = False
             self._attempt.note_first_part()
-        return self._attempt.pass_part(self._head, part)
+        return self._attempt.pass_part(self._head, data)
 
     async def async_drain(self) -> None:
         """Wait until more may come."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -96,7 +96,7 @@
         """
         if call.fields.handed_over_after_seconds is not None:
             return None
-        if not self.share.share or not self.share.take_next():
+        if not self.share.take_next():
             return None
         return self._loads.choose(self._known_neighbours(), self._app.now())
 
@@ -213,7 +213,7 @@
             exchange.answer(response.status, headers, response.body)
             return None
         exchange.start(head.status, headers, length=None)
-        await connection.async_pass_body(_Relay(exchange), None, None)
+        await connection.async_pass_body(exchange, None, None)
         exchange.finish()
         return None
 
@@ -233,7 +233,7 @@
             request_id=call.fields.request_id,
             workspace=call.workspace,
             neighbour=neighbour.router_id,
-            share=round(self.share.share, 2),
+            share=self.share.share,
             outcome=outcome,
             duration_ms=round((self._app.now() - call.arrived_at) * 1000),
         )
@@ -249,11 +249,3 @@
 
     def _forget_neighbours(self) -> None:
         self._neighbours = None
-
-
-class _Relay:
-    """Takes the body of an answer for the caller."""
-
-    def __init__(self, exchange: ServerExchange) -> None:
-        self.take = exchange.write
-        self.async_drain = exchange.async_drain
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -88,7 +88,7 @@
             connections=connections,
             under_way=self._limit.active,
             handed_over=self._hand_over.under_way,
-            hand_over_share=round(self._hand_over.share.share, 2),
+            hand_over_share=self._hand_over.share.share,
             descriptors=descriptors,
             largest_loop_delay_ms=round(self._largest_delay_seconds * 1000),
             processor_ms=round(
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -49,7 +49,7 @@
 class BodySink(Protocol):
     """Takes a body as it arrives."""
 
-    def take(self, part: bytes) -> bool:
+    def write(self, data: bytes) -> bool:
         """Take a part; return whether more may come at once."""
 
     async def async_drain(self) -> None:
@@ -154,7 +154,7 @@
         if self._pause_limit < _NEVER:
             self._part_due_at = time.monotonic() + self._pause_limit
         try:
-            takes_more = self._sink.take(body)
+            takes_more = self._sink.write(body)
         except EventSizeError as error:
             self._fail(error)
             return
@@ -233,7 +233,7 @@
                 raise InvalidAnswerError("an answer follows before the end")
             if event is not None:
                 self._part_due_at = time.monotonic() + self._pause_limit
-                if not sink.take(event):
+                if not sink.write(event):
                     await sink.async_drain()
                 continue
             if self._error is not None:
--- a/tests/router/deployed/test_http1_client.py
+++ b/tests/router/deployed/test_http1_client.py
@@ -54,8 +54,8 @@
         self.drains = 0
         self.takes_more = True
 
-    def take(self, part: bytes) -> bool:
-        self.parts.append(part)
+    def write(self, data: bytes) -> bool:
+        self.parts.append(data)
         return self.takes_more
 
     async def async_drain(self) -> None:
