Measure the grace period of missing upstreams from the log's return

The upstream, whose leaving was acknowledged at 9.217 s, was used until 12.402 s (3 s are allowed).

The router that reads the log now says how long missing upstreams may still return, counted from its own first read after the outage; its followers use that instead of their own outage and instead of the arrival of the message.

Ruled out: the interval of the expiry check (0.25 s) accounts for 0.1 s of the excess only. Two tests fail with the former rule and pass now.

--- a/packages/core/src/lacewingspar_core/directory.py
+++ b/packages/core/src/lacewingspar_core/directory.py
@@ -134,23 +134,23 @@
         return None
 
     def remove(
-        self, upstream_id: str, now: float, *, may_have_expired: bool
+        self, upstream_id: str, now: float, *, grace_seconds: float
     ) -> DirectoryChange | None:
         """Remove an upstream that is no longer listed, or let it expire later.
 
         Args:
             upstream_id: Id of the upstream.
             now: Time in seconds.
-            may_have_expired: Whether the registry was disrupted, so that a live
-                upstream may be listed again soon.
+            grace_seconds: Time for which the upstream is kept because it may be
+                listed again after a disruption of the registry, or 0.
         """
         entry = self._entry_by_id.get(upstream_id)
         if entry is None:
             return None
-        if may_have_expired and entry.state is UpstreamState.READY:
+        if grace_seconds > 0 and entry.state is UpstreamState.READY:
             if upstream_id in self._expires_at_by_id:
                 return None
-            self._expires_at_by_id[upstream_id] = now + EXPIRY_GRACE_SECONDS
+            self._expires_at_by_id[upstream_id] = now + grace_seconds
             return DirectoryChange(ChangeKind.EXPIRED, entry)
         return self._drop(entry, now)
 
@@ -159,13 +159,13 @@
         entries: Mapping[str, UpstreamEntry],
         now: float,
         *,
-        may_have_expired: bool,
+        grace_seconds: float,
     ) -> list[DirectoryChange]:
         """Apply a complete listing and return the changes."""
         missing = self._entry_by_id.keys() - entries.keys()
         changes = [self.apply(entry) for entry in entries.values()]
         changes += [
-            self.remove(upstream_id, now, may_have_expired=may_have_expired)
+            self.remove(upstream_id, now, grace_seconds=grace_seconds)
             for upstream_id in sorted(missing)
         ]
         return [change for change in changes if change is not None]
--- a/packages/core/src/lacewingspar_core/state_messages.py
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -55,8 +55,9 @@
             receiver's offset.
         is_listing: Whether the records are the complete list, so that all other
             upstreams were removed.
-        may_have_expired: Whether upstreams may be missing because the log was
-            disrupted.
+        expiry_grace_ms: Time for which missing upstreams may still be listed
+            again after a disruption of the log, as seen by the sender; 0 if
+            they have left.
     """
 
     configuration_version: int
@@ -64,4 +65,4 @@
     directory_offset: int
     records: tuple[DirectoryRecord, ...]
     is_listing: bool
-    may_have_expired: bool
+    expiry_grace_ms: int
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from lacewingspar_core.directory import (
+    EXPIRY_GRACE_SECONDS,
     ChangeKind,
     DirectoryChange,
     UpstreamDirectory,
@@ -99,15 +100,21 @@
         return self._changed_offset
 
     @property
-    def may_have_expired(self) -> bool:
-        """Return whether upstream entries may have expired in an outage.
+    def expiry_grace_seconds(self) -> float:
+        """Return how long missing upstreams may still register again.
 
         While the log service is unavailable, upstreams cannot renew their
         entries. An upstream whose entry is removed during an outage, or within
-        `EXPIRY_READ_SECONDS` after it, may register again soon.
+        `EXPIRY_READ_SECONDS` after it, may register again until
+        `EXPIRY_GRACE_SECONDS` after the outage. Returns 0 for removals that are
+        final.
         """
+        if self._is_unavailable:
+            return EXPIRY_GRACE_SECONDS
         since = self._app.now() - self._recovered_at
-        return self._is_unavailable or since <= const.EXPIRY_READ_SECONDS
+        if since > const.EXPIRY_READ_SECONDS:
+            return 0.0
+        return EXPIRY_GRACE_SECONDS - since
 
     @property
     def directory_age_seconds(self) -> float:
@@ -151,16 +158,15 @@
         self,
         listing: TopicListing,
         origin: str = ORIGIN_LOG,
-        *,
-        may_have_expired: bool = False,
+        expiry_grace_seconds: float | None = None,
     ) -> None:
         """Replace the directory by a full listing of the upstreams.
 
         Args:
             listing: Newest record of each upstream.
             origin: Source of the listing: `log`, or a router.
-            may_have_expired: Whether that router reports that entries may have
-                expired in an outage.
+            expiry_grace_seconds: The same property of the router that has read
+                the records, or None if this router has read them.
         """
         entries = self._decode(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
@@ -176,7 +182,7 @@
             self._directory.apply_listing(
                 entries,
                 self._app.now(),
-                may_have_expired=may_have_expired or self.may_have_expired,
+                grace_seconds=self._grace_seconds(expiry_grace_seconds),
             ),
             f"listing of {origin}",
         )
@@ -186,8 +192,7 @@
         records: Iterable[KeyedRecord],
         next_offset: int,
         origin: str,
-        *,
-        may_have_expired: bool = False,
+        expiry_grace_seconds: float | None = None,
     ) -> None:
         """Apply upstream records to the directory.
 
@@ -195,19 +200,19 @@
             records: Records in order of their offsets.
             next_offset: Offset up to which the records are complete.
             origin: Source of the records: `log`, or a router.
-            may_have_expired: Whether that router reports that entries may have
-                expired in an outage.
+            expiry_grace_seconds: The same property of the router that has read
+                the records, or None if this router has read them.
         """
         if origin == ORIGIN_LOG:
             self._mark_available()
-        may_have_expired = may_have_expired or self.may_have_expired
+        grace_seconds = self._grace_seconds(expiry_grace_seconds)
         changes: list[DirectoryChange] = []
         for record in records:
             known = self._record_by_upstream.get(record.key)
             if known is not None and known.offset >= record.offset:
                 continue
             self._record_by_upstream[record.key] = record
-            change = self._apply_record(record, may_have_expired)
+            change = self._apply_record(record, grace_seconds)
             if change is not None:
                 changes.append(change)
                 self._change_offset_by_upstream[record.key] = record.offset
@@ -271,12 +276,20 @@
         self._notify_listeners()
         return True
 
+    def _grace_seconds(self, reported: float | None) -> float:
+        """Return the grace period of the router that read the log.
+
+        A router that cannot read the log relies on the one that can: its own
+        outage says nothing about the entries that the other one has read.
+        """
+        return self.expiry_grace_seconds if reported is None else reported
+
     def _apply_record(
-        self, record: KeyedRecord, may_have_expired: bool
+        self, record: KeyedRecord, grace_seconds: float
     ) -> DirectoryChange | None:
         if not record.value:
             return self._directory.remove(
-                record.key, self._app.now(), may_have_expired=may_have_expired
+                record.key, self._app.now(), grace_seconds=grace_seconds
             )
         entry = self._decode([record]).get(record.key)
         return None if entry is None else self._directory.apply(entry)
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -190,7 +190,7 @@
                     for item in records
                 ),
                 is_listing=is_listing,
-                may_have_expired=self._state.may_have_expired,
+                expiry_grace_ms=round(self._state.expiry_grace_seconds * 1000),
             ),
         )
 
@@ -202,6 +202,7 @@
             self._state.apply_configuration(reply.configuration, origin)
         if reply.directory_offset <= self._state.directory_offset:
             return
+        grace_seconds = reply.expiry_grace_ms / 1000
         records = [
             KeyedRecord(item.key, item.value, item.offset)
             for item in reply.records
@@ -212,12 +213,12 @@
                     {item.key: item for item in records}, reply.directory_offset
                 ),
                 origin,
-                may_have_expired=reply.may_have_expired,
+                expiry_grace_seconds=grace_seconds,
             )
             return
         self._state.apply_upstream_records(
             records,
             reply.directory_offset,
             origin,
-            may_have_expired=reply.may_have_expired,
+            expiry_grace_seconds=grace_seconds,
         )
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -57,7 +57,7 @@
     directory.apply(DRAINING)
     assert directory.ready_upstreams("s") == {}
     assert directory.entry_by_id == {"u1": DRAINING}
-    directory.remove("u1", 10.0, may_have_expired=False)
+    directory.remove("u1", 10.0, grace_seconds=0.0)
     assert directory.apply(replace(ENTRY, sequence=5)) is None
     assert directory.entry_by_id == {}
 
@@ -66,7 +66,7 @@
     """Guards against an empty pool after an outage of the registry."""
     directory = UpstreamDirectory()
     directory.apply(ENTRY)
-    change = directory.remove("u1", 10.0, may_have_expired=True)
+    change = directory.remove("u1", 10.0, grace_seconds=EXPIRY_GRACE_SECONDS)
     assert kind_of(change) is ChangeKind.EXPIRED
     assert set(directory.ready_upstreams("s")) == {"u1"}
     assert directory.expire(10.0 + EXPIRY_GRACE_SECONDS / 2) == []
@@ -78,7 +78,7 @@
 def test_expired_upstream_that_reports_again_is_kept() -> None:
     directory = UpstreamDirectory()
     directory.apply(ENTRY)
-    directory.remove("u1", 10.0, may_have_expired=True)
+    directory.remove("u1", 10.0, grace_seconds=EXPIRY_GRACE_SECONDS)
     directory.apply(replace(ENTRY, sequence=7))
     assert directory.expire(20.0) == []
     assert set(directory.ready_upstreams("s")) == {"u1"}
@@ -88,7 +88,7 @@
     """Guards against new work for an upstream that has shut down."""
     directory = UpstreamDirectory()
     directory.apply(DRAINING)
-    change = directory.remove("u1", 10.0, may_have_expired=True)
+    change = directory.remove("u1", 10.0, grace_seconds=EXPIRY_GRACE_SECONDS)
     assert kind_of(change) is ChangeKind.REMOVED
 
 
@@ -96,9 +96,7 @@
     directory = UpstreamDirectory()
     directory.apply(ENTRY)
     other = replace(ENTRY, upstream_id="u2")
-    changes = directory.apply_listing(
-        {"u2": other}, 1.0, may_have_expired=False
-    )
+    changes = directory.apply_listing({"u2": other}, 1.0, grace_seconds=0.0)
     assert [(item.kind, item.entry.upstream_id) for item in changes] == [
         (ChangeKind.ADDED, "u2"),
         (ChangeKind.REMOVED, "u1"),
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -8,6 +8,7 @@
 from tests.router.deployed.conftest import Deployment, manifest, until
 from tests.router.deployed.test_routing_state import entry
 
+from lacewingspar_core.directory import EXPIRY_GRACE_SECONDS
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.ownership import rendezvous_rank
 from lacewingspar_router.application import Application
@@ -159,7 +160,7 @@
             records,
             self.reader.directory_offset,
             "router r1",
-            may_have_expired=self.reader.may_have_expired,
+            expiry_grace_seconds=self.reader.expiry_grace_seconds,
         )
         return len(records)
 
@@ -191,6 +192,31 @@
     assert "u1" not in pair.follower.directory.ready_upstreams("plain")
 
 
+def test_removal_read_by_the_reader_is_final_at_a_router_without_log() -> None:
+    """Guards against requests to an upstream that has left.
+
+    The follower cannot read the log, but the reader's reads are complete.
+    """
+    pair = _ReaderAndFollower()
+    pair.follower.mark_unavailable()
+    pair.reader.apply_upstream_records([KeyedRecord("u1", b"", 2)], 3, "log")
+    pair.copy_changes()
+    assert "u1" not in pair.follower.directory.ready_upstreams("plain")
+
+
+def test_grace_period_does_not_start_again_at_followers() -> None:
+    """Guards against grace periods that start when a message arrives."""
+    pair = _ReaderAndFollower()
+    pair.reader.mark_unavailable()
+    pair.reader.apply_upstream_records([KeyedRecord("u1", b"", 2)], 3, "log")
+    pair.now += 0.9
+    pair.copy_changes()
+    pair.now += EXPIRY_GRACE_SECONDS - 0.9
+    for state in (pair.reader, pair.follower):
+        state.expire()
+        assert "u1" not in state.directory.ready_upstreams("plain")
+
+
 async def test_followers_remove_upstreams_missing_from_a_listing(
     fleet: Deployment,
 ) -> None:
