Let one router read the log for the fleet, with relays in each data centre

One router reads. It confirms to its data centre and to two relays of each other one, which pass the confirmation on. Without confirmations the first relay reads after 1.0 s, the second after 1.15 s and all others after 1.3 s, so a data centre that is cut off still reads by itself. Registered routers count as alive for the first 5 s, and a router that starts announces itself to the reader and its relays, so no router waits for gossip to learn who reads.

Ruled out: a single reader in each data centre; it would still make calls in proportion to the data centres.

--- a/packages/router/src/lacewingspar_router/components/peers/models.py
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -42,6 +42,11 @@
     def add_seeds(self, seeds: Iterable[Seed]) -> None:
         """Add routers to contact and send heartbeats at once."""
 
+    def announce_to(
+        self, router_ids: Iterable[str], registered_count: int
+    ) -> None:
+        """Send this router's own record to some routers at once."""
+
     def set_applied_offset_source(self, read: Callable[[], int]) -> None:
         """Set the function that returns the applied offset for heartbeats."""
 
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -100,6 +100,22 @@
         self._membership.add_seeds(seeds)
         self.send_heartbeat()
 
+    def announce_to(
+        self, router_ids: Iterable[str], registered_count: int
+    ) -> None:
+        """Send this router's own record to some routers at once.
+
+        Args:
+            router_ids: Routers that have to know this one early.
+            registered_count: Number of routers that this one has found. It
+                keeps the receivers from answering with their full tables.
+        """
+        heartbeat = Heartbeat(
+            (self._membership.own_record,), alive_count=registered_count
+        )
+        for router_id in router_ids:
+            self.send(router_id, heartbeat)
+
     def set_busy_source(self, read: Callable[[], bool]) -> None:
         """Set the function that returns whether this router is busy."""
         self._read_is_busy = read
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -5,8 +5,8 @@
 CONFIGURATION_LONG_POLL_SECONDS = 2.0
 # Long-poll duration of upstream reads. Together with
 # `UPSTREAM_READ_PAUSE_SECONDS` it must stay below
-# `READER_CONFIRMATION_TIMEOUT_SECONDS`.
-UPSTREAM_LONG_POLL_SECONDS = 0.5
+# `FIRST_RELAY_TIMEOUT_SECONDS`.
+UPSTREAM_LONG_POLL_SECONDS = 0.3
 # Delay between configuration reads. Limits the call rate while versions change
 # quickly.
 CONFIGURATION_READ_PAUSE_SECONDS = 0.2
@@ -17,16 +17,17 @@
 # Longest delay before a failed read is retried; jitter shortens it by up to
 # half.
 READ_RETRY_DELAY_SECONDS = 0.3
-# The same for routers that are not readers. It is longer because readers are
-# expected to make the first calls after an outage.
+# The same for routers that read only when others fail.
 FOLLOWER_READ_RETRY_DELAY_SECONDS = 1.5
-# Routers per data centre that read the topics. The second one covers the loss
-# of the first.
-READERS_PER_DATA_CENTRE = 2
-# A router that has received no confirmation for this long reads the log itself.
-# Readers confirm after each upstream read, about twice a second. Configuration
-# changes must be active within 2 s.
-READER_CONFIRMATION_TIMEOUT_SECONDS = 1.2
+# Time without a confirmation after which a router reads the log itself, by its
+# rank. The reader confirms after each upstream read, about twice a second.
+# Configuration changes must be active within 2 s.
+FIRST_RELAY_TIMEOUT_SECONDS = 1.0
+SECOND_RELAY_TIMEOUT_SECONDS = 1.15
+FOLLOWER_TIMEOUT_SECONDS = 1.3
+# For this long after its start a router takes registered routers for alive.
+# Heartbeats of all routers have arrived by then.
+REGISTERED_READERS_SECONDS = 5.0
 # The first records read after an outage of the log include entries that expired
 # during it. Upstreams removed later than this have really left.
 EXPIRY_READ_SECONDS = 1.0
--- a/packages/router/src/lacewingspar_router/components/routing/follower.py
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -84,9 +84,7 @@
                 self._set_available(is_available=False, reason=str(error))
                 self._on_failure()
                 await self._async_sleep_with_jitter(
-                    const.READ_RETRY_DELAY_SECONDS
-                    if self._role.is_reader
-                    else const.FOLLOWER_READ_RETRY_DELAY_SECONDS
+                    self._role.retry_delay_seconds
                 )
             else:
                 self._set_available(is_available=True, reason="")
@@ -96,6 +94,7 @@
         if self._offset is None:
             listing = await self._topic.async_read_newest()
             self._offset = listing.end_offset
+            self._role.record_listing()
             self._on_listing(listing)
             return
         await self._role.async_wait_until_read_due()
--- a/packages/router/src/lacewingspar_router/components/routing/reader_role.py
+++ b/packages/router/src/lacewingspar_router/components/routing/reader_role.py
@@ -1,27 +1,44 @@
-"""Selects the routers of a data centre that read the shared topics."""
+"""The part of this router in reading the shared topics for the fleet."""
 
 import asyncio
+from collections.abc import Mapping
 
 import structlog
 
-from lacewingspar_core.ownership import rendezvous_rank
+from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing import const
 
 _LOGGER = structlog.get_logger(__name__)
 
+_CONFIRMATION_TIMEOUT_SECONDS_BY_RANK = {
+    ReaderRank.READER: 0.0,
+    ReaderRank.FIRST_RELAY: const.FIRST_RELAY_TIMEOUT_SECONDS,
+    ReaderRank.SECOND_RELAY: const.SECOND_RELAY_TIMEOUT_SECONDS,
+    ReaderRank.FOLLOWER: const.FOLLOWER_TIMEOUT_SECONDS,
+}
+# The reader and the first relays are expected to make the first calls after an
+# outage.
+_RETRY_DELAY_SECONDS_BY_RANK = {
+    ReaderRank.READER: const.READ_RETRY_DELAY_SECONDS,
+    ReaderRank.FIRST_RELAY: const.READ_RETRY_DELAY_SECONDS,
+    ReaderRank.SECOND_RELAY: const.FOLLOWER_READ_RETRY_DELAY_SECONDS,
+    ReaderRank.FOLLOWER: const.FOLLOWER_READ_RETRY_DELAY_SECONDS,
+}
+
 
 class LogReaderRole:
-    """Decides whether this router reads the log or follows a reader.
+    """Decides whether this router reads the log or follows another one.
 
-    The log service cannot serve reads from every router of a fleet. A few
-    routers of each data centre read, and after each read confirm to the others
-    which offset they have reached. A router that receives no confirmation for
-    `READER_CONFIRMATION_TIMEOUT_SECONDS` reads the log itself.
+    The log service cannot serve reads from every router of a fleet. One router
+    reads, and after each read confirms to its data centre and to the relays of
+    the others which offset it has reached; the relays pass that on. A router
+    that receives no confirmation for the timeout of its rank reads the log
+    itself, the first relay of a data centre first.
 
     Attributes:
-        is_reader: Whether this router is a reader of its data centre.
+        rank: Rank of this router.
 
     Args:
         app: The application.
@@ -30,23 +47,94 @@
     def __init__(self, app: Application) -> None:
         self._app = app
         self._peers = app.get(PEERS)
+        self._started_at = app.now()
         self._confirmed_at = float("-inf")
         self._is_following = False
-        self.is_reader = True
-        self._peers.add_listener(self._update_role)
-        self._update_role()
+        self._registered_by_router_id: Mapping[str, str] = {}
+        self._assignment = ReaderAssignment.of({})
+        self.rank = ReaderRank.FOLLOWER
+        self._peers.add_listener(self._update_rank)
+        self._update_rank()
 
     @property
     def is_following(self) -> bool:
-        """Return whether a reader has sent a confirmation recently."""
-        return self._seconds_until_read_due() > 0
+        """Return whether another router has sent a confirmation recently."""
+        return (
+            self.rank is not ReaderRank.READER
+            and self._is_following
+            and self._seconds_until_read_due() > 0
+        )
+
+    @property
+    def confirms_reads(self) -> bool:
+        """Return whether other routers follow this one."""
+        return self.rank is not ReaderRank.FOLLOWER
+
+    @property
+    def is_relay(self) -> bool:
+        """Return whether this router passes on the reads of the reader."""
+        return self.rank in (ReaderRank.FIRST_RELAY, ReaderRank.SECOND_RELAY)
+
+    @property
+    def retry_delay_seconds(self) -> float:
+        """Return the longest delay before a failed read is retried."""
+        return _RETRY_DELAY_SECONDS_BY_RANK[self.rank]
+
+    def confirmation_receivers(self) -> list[str]:
+        """Return the routers to which this one confirms its own reads.
+
+        The reader includes the relays of other data centres. A relay that
+        reads in its place serves its own data centre only.
+        """
+        own_id = self._app.instance.router_id
+        data_centre = self._app.settings.data_centre
+        known = self._young_registrations() | {
+            router_id: record.data_centre
+            for router_id, record in self._peers.alive_by_router_id.items()
+        }
+        receivers = [
+            router_id
+            for router_id, other in known.items()
+            if other == data_centre and router_id != own_id
+        ]
+        if self.rank is ReaderRank.READER:
+            receivers += self._assignment.relays_elsewhere(data_centre)
+        return receivers
+
+    def set_registered_routers(
+        self, data_centre_by_router_id: Mapping[str, str]
+    ) -> None:
+        """Set the routers that are known before they send heartbeats.
+
+        Without them all routers of a fleet that starts at once would read the
+        log until their heartbeats have spread.
+        """
+        self._registered_by_router_id = dict(data_centre_by_router_id)
+        self._update_rank()
+
+    def readers_to_contact(self) -> list[str]:
+        """Return the routers that have to know this one to confirm reads."""
+        relays = self._assignment.relays_by_data_centre
+        own_id = self._app.instance.router_id
+        local = relays.get(self._app.settings.data_centre, ())
+        return [
+            router_id
+            for router_id in (self._assignment.reader, *local)
+            if router_id and router_id != own_id
+        ]
+
+    def record_listing(self) -> None:
+        """Record that this router has listed a topic when it started."""
+        self._confirmed_at = self._app.now()
 
     def record_confirmation(self, router_id: str) -> None:
-        """Record that a reader has confirmed its state."""
+        """Record that another router has confirmed its state."""
         self._confirmed_at = self._app.now()
-        if not self.is_reader and not self._is_following:
+        if self.rank is not ReaderRank.READER and not self._is_following:
             self._is_following = True
-            _LOGGER.info("following a log reader", reader=router_id)
+            _LOGGER.info(
+                "following a log reader", reader=router_id, rank=self.rank.value
+            )
 
     async def async_wait_until_read_due(self) -> None:
         """Wait until this router has to read the log itself."""
@@ -59,7 +147,7 @@
             self._is_following = False
             _LOGGER.warning(
                 "no confirmation from a log reader; reading the log",
-                is_reader=self.is_reader,
+                rank=self.rank.value,
                 confirmation_age_ms=round(
                     (self._app.now() - self._confirmed_at) * 1000
                 ),
@@ -67,19 +155,34 @@
 
     def _seconds_until_read_due(self) -> float:
         """Return the time until the last confirmation times out."""
-        if self.is_reader:
-            return 0.0
-        age = self._app.now() - self._confirmed_at
-        return max(0.0, const.READER_CONFIRMATION_TIMEOUT_SECONDS - age)
+        timeout = _CONFIRMATION_TIMEOUT_SECONDS_BY_RANK[self.rank]
+        return max(0.0, timeout - (self._app.now() - self._confirmed_at))
 
-    def _update_role(self) -> None:
-        own_id = self._app.instance.router_id
-        data_centre = self._app.settings.data_centre
-        serving = [
-            router_id
+    def _candidates(self) -> dict[str, str]:
+        """Return the data centres of the routers that may read, by id."""
+        return self._young_registrations() | {
+            router_id: record.data_centre
             for router_id, record in self._peers.alive_by_router_id.items()
-            if record.data_centre == data_centre and record.state.is_serving
-        ]
-        key = f"readers/{data_centre}"
-        rank = rendezvous_rank(own_id, key, serving)
-        self.is_reader = rank < const.READERS_PER_DATA_CENTRE
+            if record.state.is_serving
+        }
+
+    def _young_registrations(self) -> dict[str, str]:
+        """Return the registered routers, until heartbeats have spread."""
+        age = self._app.now() - self._started_at
+        if age >= const.REGISTERED_READERS_SECONDS:
+            return {}
+        return dict(self._registered_by_router_id)
+
+    def _update_rank(self) -> None:
+        self._assignment = ReaderAssignment.of(self._candidates())
+        rank = self._assignment.rank_of(
+            self._app.instance.router_id, self._app.settings.data_centre
+        )
+        if rank is not self.rank:
+            _LOGGER.info(
+                "rank in reading the log changed",
+                rank=rank.value,
+                previous_rank=self.rank.value,
+                reader=self._assignment.reader,
+            )
+            self.rank = rank
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -13,6 +13,7 @@
 from lacewingspar_router.components.routing import const
 from lacewingspar_router.components.routing.errors import TopicUnavailableError
 from lacewingspar_router.components.routing.models import KeyedTopic
+from lacewingspar_router.components.routing.reader_role import LogReaderRole
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -38,10 +39,14 @@
     Args:
         app: The application.
         topic: Topic in which routers register.
+        role: Told which routers are registered.
     """
 
-    def __init__(self, app: Application, topic: KeyedTopic) -> None:
+    def __init__(
+        self, app: Application, topic: KeyedTopic, role: LogReaderRole
+    ) -> None:
         self._app = app
+        self._role = role
         self._topic = topic
         self._peers = app.get(PEERS)
 
@@ -98,6 +103,10 @@
             if not self._is_stale(record.instance):
                 seeds.append(Seed(key, record.data_centre, record.address))
         self._peers.add_seeds(seeds)
+        self._role.set_registered_routers(
+            {seed.router_id: seed.data_centre for seed in seeds}
+        )
+        self._peers.announce_to(self._role.readers_to_contact(), len(seeds))
         _LOGGER.info("registered routers listed", count=len(seeds))
 
     def _is_stale(self, instance: RouterInstance) -> bool:
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lacewingspar_core.log_readers import ReaderRank
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.state_messages import (
     DirectoryRecord,
@@ -43,6 +44,8 @@
         self._role = role
         self._is_log_unreachable = is_log_unreachable
         self._requested_at = float("-inf")
+        # Whether a confirmation from another data centre was not yet passed on.
+        self._must_relay = False
         self._peers = app.get(PEERS)
         self._peers.subscribe(StateNotice, self._on_notice)
         self._peers.subscribe(StateRequest, self._on_request)
@@ -57,34 +60,30 @@
             await asyncio.sleep(const.OUTAGE_REQUEST_INTERVAL_SECONDS)
 
     def send_confirmation(self) -> None:
-        """Confirm to the local data centre that this router read the log."""
-        if not self._role.is_reader:
+        """Confirm to the followers of this router that the log was read."""
+        if not self._role.confirms_reads:
             return
         notice = self._make_notice()
-        for router_id, record in self._peers.alive_by_router_id.items():
-            if (
-                record.data_centre == self._app.settings.data_centre
-                and router_id != self._app.instance.router_id
-            ):
-                self._peers.send(router_id, notice)
+        for router_id in self._role.confirmation_receivers():
+            self._peers.send(router_id, notice)
 
     def _make_notice(self) -> StateNotice:
         return StateNotice(
             self._state.configuration_version,
             self._state.directory_offset,
             self._state.changed_offset,
-            self._role.is_reader and not self._is_log_unreachable.is_set(),
+            self._role.confirms_reads and not self._is_log_unreachable.is_set(),
         )
 
     def _notify_peers(self) -> None:
         """Send some peers the version and offsets of this router's state.
 
-        A reader notifies its whole data centre, whose other routers do not read
-        the log.
+        A router with followers notifies all of them.
         """
         if self._role.is_following:
             return
         notice = self._make_notice()
+        receivers: set[str] = set()
         by_data_centre: dict[str, list[str]] = {}
         for router_id, record in self._peers.alive_by_router_id.items():
             if router_id != self._app.instance.router_id:
@@ -98,11 +97,12 @@
                 if is_local
                 else const.NOTICE_REMOTE_FANOUT
             )
-            if is_local and self._role.is_reader:
-                fanout = len(router_ids)
             count = min(fanout, len(router_ids))
-            for router_id in self._app.random.sample(router_ids, count):
-                self._peers.send(router_id, notice)
+            receivers.update(self._app.random.sample(router_ids, count))
+        if self._role.confirms_reads:
+            receivers.update(self._role.confirmation_receivers())
+        for router_id in sorted(receivers):
+            self._peers.send(router_id, notice)
 
     def _on_notice(self, received: ReceivedMessage) -> None:
         notice = received.message
@@ -111,11 +111,16 @@
         if notice.is_confirmed:
             self._role.record_confirmation(router_id)
             self._is_log_unreachable.clear()
+            self._must_relay = (
+                self._role.is_relay
+                and received.data_centre != self._app.settings.data_centre
+            )
         if not self._is_behind(notice):
             if notice.is_confirmed:
                 self._state.confirm_directory(notice.directory_offset)
+                self._relay_confirmation()
             return
-        if notice.is_confirmed and not self._role.is_reader:
+        if notice.is_confirmed and self._role.rank is not ReaderRank.READER:
             self._request_state(router_id)
         else:
             asyncio.get_running_loop().call_later(
@@ -125,6 +130,12 @@
                 notice,
             )
 
+    def _relay_confirmation(self) -> None:
+        """Pass a confirmation on to the data centre of this relay."""
+        if self._must_relay:
+            self._must_relay = False
+            self.send_confirmation()
+
     def _request_if_behind(self, router_id: str, notice: StateNotice) -> None:
         if self._is_behind(notice):
             self._request_state(router_id)
@@ -197,6 +208,12 @@
     def _on_reply(self, received: ReceivedMessage) -> None:
         reply = received.message
         assert isinstance(reply, StateReply)
+        self._apply_reply(reply, received)
+        self._relay_confirmation()
+
+    def _apply_reply(
+        self, reply: StateReply, received: ReceivedMessage
+    ) -> None:
         origin = f"router {received.sender.router_id}"
         if reply.configuration:
             self._state.apply_configuration(reply.configuration, origin)
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -157,13 +157,15 @@
             upstream_id, msgspec.json.encode(entry)
         )
 
-    async def add_router(self, name: str = "r1", **changes: Any) -> Caller:
+    async def add_router(
+        self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
+    ) -> Caller:
         """Start a router and return a caller that uses it."""
         addresses = [self._ports.reserve() for _ in range(4)]
         platform: dict[str, Any] = {"stop_grace_seconds": 2.0}
         settings = Settings(
             router_id=name,
-            data_centre="dc-a",
+            data_centre=data_centre,
             caller_address=addresses[0],
             admin_address=addresses[1],
             peer_address=addresses[2],
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -9,8 +9,8 @@
 from tests.router.deployed.test_routing_state import entry
 
 from lacewingspar_core.directory import EXPIRY_GRACE_SECONDS
+from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
 from lacewingspar_core.messages import RouterState
-from lacewingspar_core.ownership import rendezvous_rank
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing import const
@@ -38,12 +38,15 @@
 
 
 def readers(apps: list[Application]) -> list[Application]:
-    ids = [app.instance.router_id for app in apps]
+    """Return the reader and its relays."""
+    assignment = ReaderAssignment.of(
+        {app.instance.router_id: "dc-a" for app in apps}
+    )
     return [
         app
         for app in apps
-        if rendezvous_rank(app.instance.router_id, "readers/dc-a", ids)
-        < const.READERS_PER_DATA_CENTRE
+        if assignment.rank_of(app.instance.router_id, "dc-a")
+        is not ReaderRank.FOLLOWER
     ]
 
 
@@ -60,23 +63,23 @@
 
 
 async def reads_per_second(deployment: Deployment, seconds: float) -> float:
-    before = deployment.store.calls["/log-read"]
+    calls = deployment.store.calls
+    before = calls.get("/log-read", 0)
     await asyncio.sleep(seconds)
-    return (deployment.store.calls["/log-read"] - before) / seconds
+    return (calls.get("/log-read", 0) - before) / seconds
 
 
 async def test_calls_do_not_grow_with_the_routers(fleet: Deployment) -> None:
     """Guards against a fleet that overloads the log service.
 
-    Each reader makes about 2 reads a second here, one per topic.
+    The reader makes about 2 reads a second here, one per topic.
     """
-    await asyncio.sleep(2 * const.READER_CONFIRMATION_TIMEOUT_SECONDS)
-    limit = const.READERS_PER_DATA_CENTRE * 2.5
-    assert await reads_per_second(fleet, 2.0) <= limit
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
+    assert await reads_per_second(fleet, 2.0) <= 2.5
 
 
 async def test_followers_get_versions_and_upstreams(fleet: Deployment) -> None:
-    await asyncio.sleep(2 * const.READER_CONFIRMATION_TIMEOUT_SECONDS)
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     fleet.publish(manifest(7))
     await until(
         lambda: all(
@@ -97,9 +100,9 @@
 
 async def test_lost_readers_are_replaced(fleet: Deployment) -> None:
     """Guards against followers that keep waiting for stopped readers."""
-    await asyncio.sleep(2 * const.READER_CONFIRMATION_TIMEOUT_SECONDS)
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     lost = readers(fleet.apps)
-    assert len(lost) == const.READERS_PER_DATA_CENTRE
+    assert len(lost) == 3
     for app in lost:
         await app.async_abort_requests()
         await app.async_stop()
@@ -118,7 +121,7 @@
 ) -> None:
     fleet.store.faults.outage = True
     fleet.store.faults_changed()
-    await asyncio.sleep(2 * const.READER_CONFIRMATION_TIMEOUT_SECONDS)
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     before = sum(fleet.store.calls.values())
     await asyncio.sleep(2.0)
     calls = sum(fleet.store.calls.values()) - before
@@ -135,6 +138,84 @@
     )
 
 
+DATA_CENTRE_BY_ROUTER_ID = {
+    f"{data_centre}-{number}": data_centre
+    for data_centre in ("dc-a", "dc-b", "dc-c")
+    for number in range(3)
+}
+
+
+@pytest.fixture
+async def wide_fleet(served: Deployment) -> Deployment:
+    """Return a deployment of nine routers in three data centres."""
+    for router_id, data_centre in DATA_CENTRE_BY_ROUTER_ID.items():
+        seeds = [app.settings.peer_address for app in served.apps[:1]]
+        await served.add_router(router_id, data_centre, seed_hosts=seeds)
+    return served
+
+
+def rank_in_wide_fleet(app: Application) -> ReaderRank:
+    return ReaderAssignment.of(DATA_CENTRE_BY_ROUTER_ID).rank_of(
+        app.instance.router_id, app.settings.data_centre
+    )
+
+
+async def test_one_router_reads_for_all_data_centres(
+    wide_fleet: Deployment,
+) -> None:
+    """Guards against calls that grow with the data centres."""
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
+    assert await reads_per_second(wide_fleet, 2.0) <= 2.5
+    wide_fleet.publish(manifest(7))
+    await until(
+        lambda: all(
+            routing_state_of(app).configuration_version == 7
+            for app in wide_fleet.apps
+        ),
+        1.0,
+    )
+
+
+async def test_data_centres_read_for_themselves_without_the_reader(
+    wide_fleet: Deployment,
+) -> None:
+    """Guards against data centres that wait for a reader that is cut off."""
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
+    lost = [
+        app
+        for app in wide_fleet.apps
+        if rank_in_wide_fleet(app)
+        in (ReaderRank.READER, ReaderRank.FIRST_RELAY)
+    ]
+    assert len(lost) == 4
+    for app in lost:
+        await app.async_abort_requests()
+        await app.async_stop()
+    wide_fleet.publish(manifest(8))
+    left = [app for app in wide_fleet.apps if app not in lost]
+    await until(
+        lambda: all(
+            routing_state_of(app).configuration_version == 8 for app in left
+        ),
+        2.0,
+    )
+
+
+async def test_start_of_a_fleet_reads_little(served: Deployment) -> None:
+    """Guards against routers that all read until heartbeats have spread."""
+    await served.add_router("r0")
+    seeds = [served.apps[0].settings.peer_address]
+    await asyncio.gather(
+        *(
+            served.add_router(f"r{number}", seed_hosts=seeds)
+            for number in range(1, 8)
+        )
+    )
+    # Each router lists three topics once; a few may read beside the reader.
+    assert served.store.calls["/log-newest"] <= 8 * 3
+    assert await reads_per_second(served, 2.0) <= 2.5 * 2
+
+
 class _ReaderAndFollower:
     """State of a reader and of a router that follows it."""
 
@@ -224,7 +305,7 @@
 
     The record of the removal is dropped from the log before it is read.
     """
-    await asyncio.sleep(2 * const.READER_CONFIRMATION_TIMEOUT_SECONDS)
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     topic = fleet.store.topic("keyed.servers")
     topic.append("p1", b"")
     topic.compact()
