Divide large services into pools by data centre, with overflow to the others

Services of more than 16 upstreams have pools in each data centre, owned by routers there. A request stays in its data centre; a share of the prompts leaves while requests wait there longer than elsewhere (DataCentreShares), and a declined request asks one other data centre that has room. A data centre whose owner does not respond is left out for 1 s instead of trying each of its routers. Peer traffic is counted as near or far and logged every 10 s.

Registered routers that are gone lose their rank in reading the log after 5 s.

--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -13,6 +13,7 @@
 
     Attributes:
         service: Service of the pool.
+        data_centre: Data centre of the pool's upstreams, or "" for all.
         shard: Shard of the service's upstreams.
         number: Number of the request, unique for the sender's instance.
         workspace: Workspace of the caller, or "".
@@ -32,6 +33,7 @@
     """
 
     service: str
+    data_centre: str
     shard: int
     number: int
     workspace: str
@@ -101,6 +103,7 @@
     """Reports the arrival of the first chunk of a response."""
 
     service: str
+    data_centre: str
     shard: int
     number: int
 
@@ -110,6 +113,7 @@
 
     Attributes:
         service: Service of the pool.
+        data_centre: Data centre of the pool's upstreams, or "" for all.
         shard: Shard of the service's upstreams.
         number: Number of the request.
         outcome: Value of `RunOutcome`.
@@ -117,6 +121,7 @@
     """
 
     service: str
+    data_centre: str
     shard: int
     number: int
     outcome: int
@@ -147,5 +152,6 @@
     """Reports all granted requests of the sender in one pool."""
 
     service: str
+    data_centre: str
     shard: int
     runs: tuple[ReportedRun, ...]
--- /dev/null
+++ b/packages/core/src/lacewingspar_core/data_centre_shares.py
@@ -0,0 +1,181 @@
+"""Division of a router's requests among the data centres.
+
+Designed for one data centre that gets more requests than its upstreams can
+serve, for example from the callers of one large workspace, while others have
+room. Requests stay in the own data centre unless they would wait there longer
+than elsewhere, and requests with the same shared prompt parts go the same way.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from lacewingspar_core.ownership import weighted_name
+
+# Mean wait for an upstream above which requests leave the own data centre. It
+# is below the waits at which requests are declined.
+HIGH_WAIT_SECONDS = 0.03
+# Mean wait below which they return.
+LOW_WAIT_SECONDS = 0.01
+# A data centre is preferred only if it saves this much waiting, which is more
+# than a message to another data centre takes.
+WAIT_MARGIN_SECONDS = 0.02
+# Interval at which the share that leaves is adapted.
+ADAPTATION_INTERVAL_SECONDS = 0.1
+# Change of the share for each second that requests wait longer in one data
+# centre than in the others, and its maximum. Small differences cause small
+# changes, because queues follow a change of the share only after some time.
+SHARE_CHANGE_PER_SECOND = 0.1
+MAX_SHARE_CHANGE = 0.05
+# Decrease of the share while requests hardly wait in the own data centre.
+SHARE_DECREASE = 0.02
+# Weight of a new wait in the mean, and the time constant with which a mean
+# without new waits falls.
+WAIT_WEIGHT = 0.1
+WAIT_DECAY_SECONDS = 1.0
+# Another data centre gets half as many requests for each such step of its mean
+# wait, down to a minimum. Steps keep requests from moving with every wait.
+WAIT_STEP_SECONDS = 0.1
+MAX_WAIT_STEPS = 3
+# A data centre whose pool owner did not respond gets no requests for this long.
+EXCLUSION_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _MeanWait:
+    """Moving average of the waits in a data centre."""
+
+    seconds: float = 0.0
+    updated_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        age = max(0.0, now - self.updated_at)
+        return self.seconds * WAIT_DECAY_SECONDS / (WAIT_DECAY_SECONDS + age)
+
+    def add(self, seconds: float, now: float) -> None:
+        mean = self.at(now)
+        self.seconds = mean + WAIT_WEIGHT * (seconds - mean)
+        self.updated_at = now
+
+
+class DataCentreShares:
+    """Chooses the data centre for the requests of one service.
+
+    Attributes:
+        leaving_share: Share of the requests that leave the own data centre,
+            from 0 to 1.
+
+    Args:
+        own_data_centre: Data centre of this router.
+    """
+
+    def __init__(self, own_data_centre: str) -> None:
+        self._own = own_data_centre
+        self.leaving_share = 0.0
+        self._adapted_at = float("-inf")
+        self._wait_by_data_centre: dict[str, _MeanWait] = {}
+        self._excluded_until_by_data_centre: dict[str, float] = {}
+
+    def record_wait(self, data_centre: str, seconds: float, now: float) -> None:
+        """Record how long a request has waited, or would have to wait.
+
+        Args:
+            data_centre: Data centre of the pool.
+            seconds: Wait until the grant, or the expected wait of a request
+                that was declined.
+            now: Time in seconds.
+        """
+        wait = self._wait_by_data_centre.setdefault(data_centre, _MeanWait())
+        wait.add(seconds, now)
+
+    def mean_wait(self, data_centre: str, now: float) -> float:
+        """Return the mean of the recent waits in seconds, 0 if unknown."""
+        wait = self._wait_by_data_centre.get(data_centre)
+        return 0.0 if wait is None else wait.at(now)
+
+    def exclude(self, data_centre: str, now: float) -> None:
+        """Leave out another data centre whose pool owner did not respond."""
+        if data_centre != self._own:
+            until = now + EXCLUSION_SECONDS
+            self._excluded_until_by_data_centre[data_centre] = until
+
+    def choose(
+        self,
+        key: str,
+        upstream_count_by_data_centre: Mapping[str, int],
+        now: float,
+        rejected: Collection[str] = (),
+    ) -> str | None:
+        """Return the data centre for a request.
+
+        Args:
+            key: Requests with the same key go the same way.
+            upstream_count_by_data_centre: Upstreams of the service.
+            now: Time in seconds.
+            rejected: Data centres that have declined the request.
+
+        Returns:
+            The data centre, or None if all have been rejected.
+        """
+        candidates = {
+            data_centre: count
+            for data_centre, count in upstream_count_by_data_centre.items()
+            if data_centre not in rejected
+        }
+        if not candidates:
+            return None
+        reachable = {
+            data_centre: count
+            for data_centre, count in candidates.items()
+            if now >= self._excluded_until_by_data_centre.get(data_centre, 0.0)
+        }
+        candidates = reachable or candidates
+        self._adapt(candidates, now)
+        return weighted_name(key, self._weights(candidates, now))
+
+    def _weights(
+        self, count_by_data_centre: Mapping[str, int], now: float
+    ) -> dict[str, float]:
+        """Return the share of the requests of each data centre."""
+        weight_by_data_centre = {
+            data_centre: count / 2 ** self._wait_steps(data_centre, now)
+            for data_centre, count in count_by_data_centre.items()
+            if data_centre != self._own
+        }
+        if self._own not in count_by_data_centre:
+            return weight_by_data_centre
+        total = sum(weight_by_data_centre.values())
+        if not total:
+            return {self._own: 1.0}
+        shares = {
+            data_centre: self.leaving_share * weight / total
+            for data_centre, weight in weight_by_data_centre.items()
+        }
+        return {self._own: 1.0 - self.leaving_share} | shares
+
+    def _wait_steps(self, data_centre: str, now: float) -> int:
+        steps = int(self.mean_wait(data_centre, now) / WAIT_STEP_SECONDS)
+        return min(MAX_WAIT_STEPS, steps)
+
+    def _adapt(
+        self, count_by_data_centre: Mapping[str, int], now: float
+    ) -> None:
+        """Move requests to where they wait less, or back."""
+        if now < self._adapted_at + ADAPTATION_INTERVAL_SECONDS:
+            return
+        self._adapted_at = now
+        others = [item for item in count_by_data_centre if item != self._own]
+        if self._own not in count_by_data_centre or not others:
+            return
+        own = self.mean_wait(self._own, now)
+        other = sum(self.mean_wait(item, now) for item in others) / len(others)
+        difference = own - other
+        change = min(
+            MAX_SHARE_CHANGE, SHARE_CHANGE_PER_SECOND * abs(difference)
+        )
+        if own > HIGH_WAIT_SECONDS and difference > WAIT_MARGIN_SECONDS:
+            self.leaving_share += change
+        elif difference < -WAIT_MARGIN_SECONDS:
+            self.leaving_share -= change
+        elif own < LOW_WAIT_SECONDS:
+            self.leaving_share -= SHARE_DECREASE
+        self.leaving_share = min(1.0, max(0.0, self.leaving_share))
--- a/packages/core/src/lacewingspar_core/ownership.py
+++ b/packages/core/src/lacewingspar_core/ownership.py
@@ -83,6 +83,22 @@
     )
 
 
+def weighted_name(key: str, weight_by_name: Mapping[str, float]) -> str:
+    """Return the name for a key by weighted rendezvous hashing.
+
+    Unlike with `weighted_shard`, adding or removing a name moves only the keys
+    of that name.
+
+    Args:
+        key: Key to assign.
+        weight_by_name: Weight of each name; not empty.
+    """
+    return max(
+        weight_by_name,
+        key=lambda name: _weighted_rank(f"{name}/{key}", weight_by_name[name]),
+    )
+
+
 def eligible_owners(capacity_by_router_id: Mapping[str, float]) -> list[str]:
     """Return the ids of the routers that are large enough to own shards.
 
--- a/packages/router/src/lacewingspar_router/components/admission/const.py
+++ b/packages/router/src/lacewingspar_router/components/admission/const.py
@@ -5,6 +5,9 @@
 OWNER_RESPONSE_TIMEOUT_SECONDS = 0.12
 # Time after which a single request tries an unresponsive owner again.
 UNRESPONSIVE_OWNER_RETRY_SECONDS = 1.0
+# A declined request asks another data centre if the mean wait there is below
+# this fraction of the wait for which it was declined.
+OTHER_POOL_WAIT_FRACTION = 0.5
 # Interval at which the ingress router asks the owner again about a queued
 # request, to detect the loss of the owner.
 QUEUED_RECHECK_INTERVAL_SECONDS = 0.4
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 import structlog
@@ -21,6 +22,8 @@
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.pool_admission import REASON_OVERLOADED
+from lacewingspar_core.pools import Pool
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
 from lacewingspar_router.components.admission.messages import (
@@ -37,7 +40,6 @@
 from lacewingspar_router.components.admission.owner import OwnedPools
 from lacewingspar_router.components.admission.pools import (
     OwnerSelector,
-    Pool,
     PoolSelector,
 )
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
@@ -98,7 +100,9 @@
         self._routing = app.get(ROUTING)
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
-        self._pool_selector = PoolSelector(self._routing)
+        self._pool_selector = PoolSelector(
+            self._routing, app.settings.data_centre
+        )
         self._owner_selector = OwnerSelector(app, self._pool_selector)
         self._owned_pools = OwnedPools(app, self._deliver_decision)
         self._request_numbers = itertools.count(1)
@@ -117,31 +121,95 @@
                 sent to an upstream.
         """
         number = next(self._request_numbers)
-        pool = self._pool_selector.pool_for(
-            requirements.service, requirements.shared_parts, number
-        )
         admission = self._build_admission(requirements, excluded, number)
+        pool = self._select_pool(requirements, number)
+        assert pool is not None
+        declined_in: list[str] = []
         while True:
             pending = _PendingRequest(
                 pool, admission, self._owner_selector.owner_to_ask(pool)
             )
+            asked_at = self._app.now()
             decision = await self._async_request_decision(pending)
             match decision:
                 case Granted():
+                    waited = self._app.now() - asked_at
+                    self._record_wait(pool, waited)
                     return self._record_grant(pending, decision, requirements)
                 case Declined():
-                    raise self._refusal(pending, decision, requirements)
+                    self._record_wait(pool, decision.wait_seconds)
+                    declined_in.append(pool.data_centre)
+                    other = self._other_pool(
+                        requirements, number, decision, declined_in
+                    )
+                    if other is None:
+                        raise self._refusal(pending, decision, requirements)
+                    pool = other
                 case None:
                     self._withdraw(pending)
-                    self._owner_selector.mark_unresponsive(pending.owner)
-                    self._telemetry.count("silent_owners_total")
-                    _LOGGER.warning(
-                        "pool owner did not respond; asking the next one",
-                        request_id=requirements.request_id,
-                        owner=pending.owner,
-                        service=pool.service,
-                        shard=pool.shard,
-                    )
+                    self._record_silent_owner(pending, requirements)
+                    pool = self._select_pool(requirements, number) or pool
+
+    def _select_pool(
+        self,
+        requirements: RequestRequirements,
+        number: int,
+        declined_in: Collection[str] = (),
+    ) -> Pool | None:
+        return self._pool_selector.pool_for(
+            requirements.service,
+            requirements.shared_parts,
+            number,
+            self._app.now(),
+            declined_in,
+        )
+
+    def _record_wait(self, pool: Pool, seconds: float) -> None:
+        self._pool_selector.shares(pool.service).record_wait(
+            pool.data_centre, seconds, self._app.now()
+        )
+
+    def _other_pool(
+        self,
+        requirements: RequestRequirements,
+        number: int,
+        declined: Declined,
+        declined_in: list[str],
+    ) -> Pool | None:
+        """Return the pool that may still admit a declined request.
+
+        A request is declined once more at most, so that an overloaded fleet
+        spends little on requests that it cannot serve.
+        """
+        if declined.reason != REASON_OVERLOADED or len(declined_in) > 1:
+            return None
+        pool = self._select_pool(requirements, number, declined_in)
+        if pool is None:
+            return None
+        wait = self._pool_selector.shares(pool.service).mean_wait(
+            pool.data_centre, self._app.now()
+        )
+        limit = const.OTHER_POOL_WAIT_FRACTION * declined.wait_seconds
+        return pool if wait < limit else None
+
+    def _record_silent_owner(
+        self, pending: _PendingRequest, requirements: RequestRequirements
+    ) -> None:
+        """Leave out an owner, and its data centre if it is another one."""
+        pool = pending.pool
+        self._owner_selector.mark_unresponsive(pending.owner)
+        self._pool_selector.shares(pool.service).exclude(
+            pool.data_centre, self._app.now()
+        )
+        self._telemetry.count("silent_owners_total")
+        _LOGGER.warning(
+            "pool owner did not respond; asking the next one",
+            request_id=requirements.request_id,
+            owner=pending.owner,
+            service=pool.service,
+            pool_data_centre=pool.data_centre,
+            shard=pool.shard,
+        )
 
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
@@ -154,7 +222,12 @@
             return
         self._peers.send(
             run.owner,
-            RunStarted(run.pool.service, run.pool.shard, grant.number),
+            RunStarted(
+                run.pool.service,
+                run.pool.data_centre,
+                run.pool.shard,
+                grant.number,
+            ),
         )
 
     def end(
@@ -185,7 +258,9 @@
                 self._reported_run(number, run)
             )
         for (pool, owner), runs in reported.items():
-            report = RunReport(pool.service, pool.shard, tuple(runs))
+            report = RunReport(
+                pool.service, pool.data_centre, pool.shard, tuple(runs)
+            )
             if owner == self._app.instance.router_id:
                 self._owned_pools.reconcile(self._app.instance, report)
             else:
@@ -280,7 +355,12 @@
             self._owned_pools.end(pool, key, outcome, unreachable)
             return
         message = RunEnded(
-            pool.service, pool.shard, key.number, outcome, unreachable
+            pool.service,
+            pool.data_centre,
+            pool.shard,
+            key.number,
+            outcome,
+            unreachable,
         )
         self._peers.send(owner, message)
 
@@ -302,6 +382,7 @@
             upstream=granted.upstream_id,
             fetch_from=granted.fetch_from,
             owner=pending.owner,
+            pool_data_centre=pending.pool.data_centre,
             prompt_tokens=pending.admission.prompt_tokens,
             output_tokens=requirements.output_tokens,
             waited_ms=milliseconds(self._app.now() - requirements.arrived_at),
@@ -331,6 +412,7 @@
             expected_wait_ms=milliseconds(declined.wait_seconds),
             retry_after_ms=milliseconds(declined.retry_after_seconds),
             owner=pending.owner,
+            pool_data_centre=pending.pool.data_centre,
             directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
         return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/components/admission/messages.py
+++ b/packages/router/src/lacewingspar_router/components/admission/messages.py
@@ -16,8 +16,8 @@
 )
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import AnyPeerMessage
+from lacewingspar_core.pools import Pool
 from lacewingspar_core.prefix_cache import PromptPart
-from lacewingspar_router.components.admission.pools import Pool
 
 DECISION_MESSAGES = (AdmissionGranted, AdmissionQueued, AdmissionDeclined)
 
@@ -33,6 +33,7 @@
     """Return the message that requests admission to a pool."""
     return AdmissionRequest(
         service=pool.service,
+        data_centre=pool.data_centre,
         shard=pool.shard,
         number=admission.key.number,
         workspace=admission.workspace,
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -16,12 +16,13 @@
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.pools import Pool, pool_members
 from lacewingspar_core.upstream_load import ActiveRun
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.messages import decode_request
-from lacewingspar_router.components.admission.pools import Pool, pool_members
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
@@ -97,7 +98,11 @@
         now = self._app.now()
         for pool, admission in self._admission_by_pool.items():
             self._deliver_all(pool, admission.tick(now))
-            labels = {"service": pool.service, "shard": str(pool.shard)}
+            labels = {
+                "service": pool.service,
+                "data_centre": pool.data_centre,
+                "shard": str(pool.shard),
+            }
             self._telemetry.gauge("pool_waiting", admission.waiting, **labels)
             self._telemetry.gauge("pool_running", admission.running, **labels)
 
@@ -113,6 +118,7 @@
             _LOGGER.info(
                 "pool load",
                 service=pool.service,
+                pool_data_centre=pool.data_centre,
                 shard=pool.shard,
                 waiting=admission.waiting,
                 running=admission.running,
@@ -125,18 +131,23 @@
     def _pool_admission(self, pool: Pool) -> PoolAdmission:
         admission = self._admission_by_pool.get(pool)
         if admission is None:
-            admission = PoolAdmission(f"{pool.service}/{pool.shard}")
+            admission = PoolAdmission(pool.name)
             self._admission_by_pool[pool] = admission
             _LOGGER.info(
                 "admission for pool started",
                 service=pool.service,
+                pool_data_centre=pool.data_centre,
                 shard=pool.shard,
-                upstreams=len(pool_members(self._routing, pool)),
+                upstreams=len(self._members(pool)),
                 directory_age_seconds=self._routing.directory_age_seconds,
             )
             self._set_upstreams(pool, admission)
         return admission
 
+    def _members(self, pool: Pool) -> dict[str, UpstreamEntry]:
+        usable = self._routing.directory.ready_upstreams(pool.service)
+        return pool_members(pool, usable)
+
     def _set_upstreams(self, pool: Pool, admission: PoolAdmission) -> None:
         configuration = self._routing.configuration
         if configuration is None:
@@ -151,7 +162,7 @@
         )
         rate = configuration.engine_tokens_per_second / max(1, engines)
         decisions = admission.set_upstreams(
-            pool_members(self._routing, pool), service, rate, self._app.now()
+            self._members(pool), service, rate, self._app.now()
         )
         self._deliver_all(pool, decisions)
 
@@ -191,13 +202,15 @@
         admission = decode_request(
             received.sender, received.data_centre, request, self._app.now()
         )
-        self.submit(Pool(request.service, request.shard), admission)
+        self.submit(
+            Pool(request.service, request.data_centre, request.shard), admission
+        )
 
     def _on_started(self, received: ReceivedMessage) -> None:
         started = received.message
         assert isinstance(started, RunStarted)
         self.record_first_chunk(
-            Pool(started.service, started.shard),
+            Pool(started.service, started.data_centre, started.shard),
             AdmissionKey(received.sender, started.number),
         )
 
@@ -205,7 +218,7 @@
         ended = received.message
         assert isinstance(ended, RunEnded)
         self.end(
-            Pool(ended.service, ended.shard),
+            Pool(ended.service, ended.data_centre, ended.shard),
             AdmissionKey(received.sender, ended.number),
             RunOutcome(ended.outcome),
             ended.unreachable,
@@ -232,7 +245,7 @@
             )
             for run in report.runs
         ]
-        pool = Pool(report.service, report.shard)
+        pool = Pool(report.service, report.data_centre, report.shard)
         decisions = self._pool_admission(pool).reconcile(
             ingress_router, runs, now
         )
--- a/packages/router/src/lacewingspar_router/components/admission/pools.py
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -1,15 +1,10 @@
 """Selection of the pool of a request and of the router that owns it."""
 
-from dataclasses import dataclass
-
-from lacewingspar_core.directory import UpstreamEntry
-from lacewingspar_core.ownership import (
-    assign_shard_owners,
-    eligible_owners,
-    shard_count,
-    upstream_shard,
-    weighted_shard,
-)
+from collections.abc import Collection
+
+from lacewingspar_core.data_centre_shares import DataCentreShares
+from lacewingspar_core.ownership import assign_shard_owners, eligible_owners
+from lacewingspar_core.pools import Pool, PoolLayout
 from lacewingspar_core.prefix_cache import PromptPart
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
@@ -17,72 +12,72 @@
 from lacewingspar_router.components.routing.models import ROUTING, RoutingView
 
 
-@dataclass(frozen=True, slots=True)
-class Pool:
-    """A shard of the upstreams of one service.
-
-    Attributes:
-        service: Name of the service.
-        shard: Number of the shard, from 0.
-    """
-
-    service: str
-    shard: int
-
-
-def pool_members(routing: RoutingView, pool: Pool) -> dict[str, UpstreamEntry]:
-    """Return the upstreams of a pool that accept requests, by ID."""
-    usable = routing.directory.ready_upstreams(pool.service)
-    shards = shard_count(len(usable))
-    return {
-        upstream_id: entry
-        for upstream_id, entry in usable.items()
-        if shards == 1 or upstream_shard(upstream_id, shards) == pool.shard
-    }
-
-
 class PoolSelector:
     """Selects the pool for a request.
 
     Args:
         routing: Configuration and upstreams known to this router.
+        data_centre: Data centre of this router.
     """
 
-    def __init__(self, routing: RoutingView) -> None:
+    def __init__(self, routing: RoutingView, data_centre: str) -> None:
         self._routing = routing
-        self._weights_by_service: dict[str, list[int]] = {}
-        routing.add_listener(self._weights_by_service.clear)
-
-    def shards(self, service: str) -> int:
-        """Return the number of pools of a service."""
-        return len(self._weights(service))
+        self._data_centre = data_centre
+        self._layout_by_service: dict[str, PoolLayout] = {}
+        self._shares_by_service: dict[str, DataCentreShares] = {}
+        routing.add_listener(self._layout_by_service.clear)
+
+    def shards(self, pool: Pool) -> int:
+        """Return the number of pools of a service in a pool's data centre."""
+        return self._layout(pool.service).shard_count(pool.data_centre)
+
+    def shares(self, service: str) -> DataCentreShares:
+        """Return how requests of a service are divided among data centres."""
+        shares = self._shares_by_service.get(service)
+        if shares is None:
+            shares = DataCentreShares(self._data_centre)
+            self._shares_by_service[service] = shares
+        return shares
 
     def pool_for(
-        self, service: str, shared_parts: tuple[PromptPart, ...], number: int
-    ) -> Pool:
+        self,
+        service: str,
+        shared_parts: tuple[PromptPart, ...],
+        number: int,
+        now: float,
+        rejected: Collection[str] = (),
+    ) -> Pool | None:
         """Return the pool for a request.
 
         Requests with the same shared prompt parts go to the same pool; other
-        requests are distributed by number. Each pool gets requests in
-        proportion to its number of upstreams.
+        requests are distributed by number.
+
+        Args:
+            service: Service of the request.
+            shared_parts: Parts of the prompt that other requests may share.
+            number: Number of the request.
+            now: Time in seconds.
+            rejected: Data centres whose pools have declined the request.
+
+        Returns:
+            The pool, or None if no data centre is left.
         """
-        weights = self._weights(service)
-        if len(weights) == 1:
-            return Pool(service, 0)
-        key = shared_parts[-1].key if shared_parts else number
-        return Pool(service, weighted_shard(str(key), weights))
-
-    def _weights(self, service: str) -> list[int]:
-        """Return the number of upstreams of each shard."""
-        weights = self._weights_by_service.get(service)
-        if weights is None:
+        layout = self._layout(service)
+        key = str(shared_parts[-1].key if shared_parts else number)
+        data_centre = self.shares(service).choose(
+            key, layout.upstream_count_by_data_centre, now, rejected
+        )
+        return (
+            None if data_centre is None else layout.pool_for(data_centre, key)
+        )
+
+    def _layout(self, service: str) -> PoolLayout:
+        layout = self._layout_by_service.get(service)
+        if layout is None:
             usable = self._routing.directory.ready_upstreams(service)
-            shards = shard_count(len(usable))
-            weights = [0] * shards
-            for upstream_id in usable:
-                weights[upstream_shard(upstream_id, shards)] += 1
-            self._weights_by_service[service] = weights
-        return weights
+            layout = PoolLayout(service, usable)
+            self._layout_by_service[service] = layout
+        return layout
 
 
 class OwnerSelector:
@@ -146,16 +141,28 @@
             self._clear_owners(self._app.now())
 
     def _choose_owner(self, pool: Pool, now: float) -> str:
-        capacity_by_router_id = {
-            router_id: record.capacity
+        serving = {
+            router_id: record
             for router_id, record in self._peers.alive_by_router_id.items()
             if record.state.is_serving
             and now >= self._unresponsive_until.get(router_id, 0.0)
         }
+        local = {
+            router_id: record
+            for router_id, record in serving.items()
+            if record.data_centre == pool.data_centre
+        }
+        candidates = eligible_owners(
+            {
+                router_id: record.capacity
+                for router_id, record in (local or serving).items()
+            }
+        )
         # Runs may remain in a pool whose shard no longer exists.
-        shards = max(pool.shard + 1, self._pool_selector.shards(pool.service))
-        candidates = eligible_owners(capacity_by_router_id)
-        owners = assign_shard_owners(pool.service, shards, candidates)
+        shards = max(pool.shard + 1, self._pool_selector.shards(pool))
+        owners = assign_shard_owners(
+            f"{pool.service}/{pool.data_centre}", shards, candidates
+        )
         return owners[pool.shard] if owners else self._own_id
 
     def _clear_owners(self, now: float) -> None:
--- a/packages/router/src/lacewingspar_router/components/peers/const.py
+++ b/packages/router/src/lacewingspar_router/components/peers/const.py
@@ -10,6 +10,9 @@
 SEND_QUEUE_MESSAGES = 1000
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
+# The traffic is logged once for this many heartbeats.
+HEARTBEATS_PER_TRAFFIC_LINE = 10
+
 METRIC_SENT_BYTES = "peer_sent_bytes"
 METRIC_RECEIVED_BYTES = "peer_received_bytes"
 METRIC_SOCKETS = "peer_sockets"
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -28,6 +28,7 @@
 from lacewingspar_router.components.peers import const
 from lacewingspar_router.components.peers.errors import PeerBindError
 from lacewingspar_router.components.peers.models import ReceivedMessage
+from lacewingspar_router.components.peers.traffic import PeerTraffic
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 
 _LOGGER = structlog.get_logger(__name__)
@@ -74,8 +75,9 @@
         )
         self._envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
         self._telemetry = app.get(TELEMETRY)
-        self._sent_bytes_by_type: dict[str, int] = {}
-        self._received_bytes_by_type: dict[str, int] = {}
+        self._sent_traffic = PeerTraffic()
+        self._received_traffic = PeerTraffic()
+        self._heartbeats_until_traffic_line = const.HEARTBEATS_PER_TRAFFIC_LINE
         self._read_applied_offset: Callable[[], int] = lambda: 0
         self._read_is_busy: Callable[[], bool] = lambda: False
         self._refresh_alive()
@@ -145,7 +147,7 @@
             _LOGGER.debug("peer message dropped", router_id=router_id)
             return 0
         size = len(self._envelope) + len(data)
-        _add_bytes(self._sent_bytes_by_type, message, size)
+        self._sent_traffic.add(message, size, is_near=self._is_near(router_id))
         return size
 
     def subscribe(
@@ -215,10 +217,29 @@
         self._telemetry.gauge(
             const.METRIC_SOCKETS, len(self._socket_by_address)
         )
-        for name, size in self._sent_bytes_by_type.items():
-            self._telemetry.gauge(const.METRIC_SENT_BYTES, size, type=name)
-        for name, size in self._received_bytes_by_type.items():
-            self._telemetry.gauge(const.METRIC_RECEIVED_BYTES, size, type=name)
+        self._sent_traffic.publish(self._telemetry, const.METRIC_SENT_BYTES)
+        self._received_traffic.publish(
+            self._telemetry, const.METRIC_RECEIVED_BYTES
+        )
+        self._heartbeats_until_traffic_line -= 1
+        if self._heartbeats_until_traffic_line == 0:
+            self._heartbeats_until_traffic_line = (
+                const.HEARTBEATS_PER_TRAFFIC_LINE
+            )
+            _LOGGER.info(
+                "peer traffic",
+                sockets=len(self._socket_by_address),
+                sent_near=self._sent_traffic.bytes_by_type(is_near=True),
+                sent_far=self._sent_traffic.bytes_by_type(is_near=False),
+            )
+
+    def _is_near(self, router_id: str) -> bool:
+        """Return whether a router is in the data centre of this one."""
+        record = self._alive_by_router_id.get(router_id)
+        return (
+            record is not None
+            and record.data_centre == self._app.settings.data_centre
+        )
 
     def _receive(self, frames: list[bytes]) -> None:
         try:
@@ -229,7 +250,11 @@
             _LOGGER.warning("invalid peer message", error=str(error))
             return
         size = len(envelope_data) + len(data)
-        _add_bytes(self._received_bytes_by_type, message, size)
+        self._received_traffic.add(
+            message,
+            size,
+            is_near=envelope.data_centre == self._app.settings.data_centre,
+        )
         if isinstance(message, Heartbeat):
             self._membership.merge(message, self._app.now())
             self._refresh_alive()
@@ -287,12 +312,5 @@
             socket.setsockopt(option, value)
 
 
-def _add_bytes(
-    bytes_by_type: dict[str, int], message: AnyPeerMessage, size: int
-) -> None:
-    name = type(message).__name__
-    bytes_by_type[name] = bytes_by_type.get(name, 0) + size
-
-
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/packages/router/src/lacewingspar_router/components/routing/reader_role.py
+++ b/packages/router/src/lacewingspar_router/components/routing/reader_role.py
@@ -111,6 +111,10 @@
         """
         self._registered_by_router_id = dict(data_centre_by_router_id)
         self._update_rank()
+        # Registered routers that are gone must not keep their rank.
+        asyncio.get_running_loop().call_later(
+            const.REGISTERED_READERS_SECONDS, self._update_rank
+        )
 
     def readers_to_contact(self) -> list[str]:
         """Return the routers that have to know this one to confirm reads."""
--- a/packages/standins/src/lacewingspar_standins/bench/router_figures.py
+++ b/packages/standins/src/lacewingspar_standins/bench/router_figures.py
@@ -94,12 +94,13 @@
 
 
 def metric_by_type(page: str, name: str) -> dict[str, float]:
-    """Return the values of a metric by its label `type`."""
+    """Return the sums of a metric by its label `type`."""
     values: dict[str, float] = {}
     for line in page.splitlines():
         if line.startswith(name + "{"):
             label = line.partition('type="')[2].partition('"')[0]
-            values[label] = float(line.rpartition(" ")[2])
+            value = float(line.rpartition(" ")[2])
+            values[label] = values.get(label, 0.0) + value
     return values
 
 
--- a/tests/router/components/test_peers.py
+++ b/tests/router/components/test_peers.py
@@ -66,3 +66,34 @@
         app.now.return_value = now
         network.send_heartbeat()
     assert sockets == [2, 1]
+
+
+async def test_traffic_is_counted_by_distance(
+    app: Any, membership: Membership, network: ZmqPeerNetwork
+) -> None:
+    """Guards against costs between data centres that nobody can see."""
+    remote = MemberRecord(
+        RouterInstance("far", 1),
+        "other",
+        "tcp://127.0.0.1:3",
+        RouterState.SERVING,
+        1,
+        0,
+    )
+    near = _record("near", "tcp://127.0.0.1:4")
+    membership.merge(Heartbeat((near, remote)), 0.0)
+    network.send_heartbeat()
+    message = Heartbeat((near,))
+    near_bytes = network.send("near", message)
+    far_bytes = network.send("far", message)
+    gauges: dict[tuple[str, str], float] = {}
+
+    def gauge(name: str, value: float, **labels: str) -> None:
+        if name == const.METRIC_SENT_BYTES:
+            gauges[labels["type"], labels["scope"]] = value
+
+    app.get.return_value.gauge = gauge
+    network.send_heartbeat()
+    assert near_bytes > 0
+    assert gauges["Heartbeat", "near"] >= near_bytes
+    assert gauges["Heartbeat", "far"] >= far_bytes
--- a/tests/router/deployed/test_pools.py
+++ b/tests/router/deployed/test_pools.py
@@ -4,18 +4,20 @@
 from typing import Any
 from unittest import mock
 
+from tests.core.engine_model import entry
+
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import MemberRecord, RouterState
+from lacewingspar_core.pools import Pool
 from lacewingspar_router.components.admission import const
 from lacewingspar_router.components.admission.pools import (
     OwnerSelector,
-    Pool,
     PoolSelector,
 )
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing.models import ROUTING
 
-POOLS = [Pool("models", shard) for shard in range(3)]
+POOLS = [Pool("models", "dc", shard) for shard in range(3)]
 
 
 class OwnerSelectorHarness:
@@ -44,13 +46,13 @@
         peers.add_listener = self.listeners.append
         routing = mock.Mock()
         routing.directory.ready_upstreams = lambda _: {
-            f"u{n}": None for n in range(40)
+            f"u{number}": entry(f"u{number}") for number in range(40)
         }
         parts: dict[Any, Any] = {PEERS: peers, ROUTING: routing}
         app = mock.Mock(get=parts.__getitem__)
         app.now = lambda: self.now
         app.instance.router_id = "r0"
-        self.selector = OwnerSelector(app, PoolSelector(routing))
+        self.selector = OwnerSelector(app, PoolSelector(routing, "dc"))
 
     def remove_router(self, router_id: str) -> None:
         del self.alive[router_id]
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -1,6 +1,8 @@
 """Readers of the log, and the routers that follow them."""
 
 import asyncio
+import itertools
+import time
 from unittest import mock
 
 import msgspec
@@ -9,6 +11,7 @@
 from tests.router.deployed.test_routing_state import entry
 
 from lacewingspar_core.directory import EXPIRY_GRACE_SECONDS
+from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
 from lacewingspar_core.messages import RouterState
 from lacewingspar_router.application import Application
@@ -216,6 +219,34 @@
     assert await reads_per_second(served, 2.0) <= 2.5 * 2
 
 
+async def test_registered_router_that_is_gone_does_not_stay_the_reader(
+    served: Deployment,
+) -> None:
+    """Guards against a fleet that waits for a router that has left."""
+    gone = next(
+        name
+        for name in (f"gone{number}" for number in itertools.count())
+        if ReaderAssignment.of(
+            {name: "dc-a", "r0": "dc-a", "r1": "dc-b"}
+        ).reader
+        == name
+    )
+    record = {
+        "life": RouterInstance(gone, time.time_ns() // 1_000_000 << 12),
+        "data_centre": "dc-a",
+        "address": "tcp://127.0.0.1:1",
+    }
+    served.store.topic("keyed.lacewingspar-routers").append(
+        gone, msgspec.msgpack.encode(record)
+    )
+    for name, data_centre in (("r0", "dc-a"), ("r1", "dc-b")):
+        await served.add_router(name, data_centre)
+    await asyncio.sleep(const.REGISTERED_READERS_SECONDS + 1.0)
+    # Two topics: the reader makes one call a second for each of them. Without
+    # it a router in each data centre would.
+    assert await reads_per_second(served, 4.0) <= 2.5
+
+
 class _ReaderAndFollower:
     """State of a reader and of a router that follows it."""
 
