Copy prompts that move to another data centre instead of reading them again

The ingress router remembers the last upstream of each prompt and sends it with the request for admission. If no upstream of the pool holds the parts, the owner names that one as source of a copy, when copying takes less time than reading.

--- a/packages/core/src/lacewingspar_core/admission_events.py
+++ b/packages/core/src/lacewingspar_core/admission_events.py
@@ -44,6 +44,8 @@
         excluded: Upstreams that must not be used.
         first_chunk_timeout_seconds: Time from the arrival after which the
             caller disconnects if no chunk has arrived.
+        cached_at: Upstream that the ingress router has last used for the shared
+            parts, or "".
         prompt_tokens: Length of the whole prompt in tokens.
     """
 
@@ -60,6 +62,7 @@
     identity: int = 0
     excluded: frozenset[str] = frozenset()
     first_chunk_timeout_seconds: float = math.inf
+    cached_at: str = ""
     prompt_tokens: int = field(init=False, default=0)
 
     @property
--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -30,6 +30,7 @@
         excluded: Upstreams that must not be used.
         first_chunk_deadline_ms: Time until the caller's first-chunk timeout
             ends.
+        cached_at: Upstream that the sender has last used for the parts, or "".
     """
 
     service: str
@@ -47,6 +48,7 @@
     identity: int
     excluded: tuple[str, ...]
     first_chunk_deadline_ms: int
+    cached_at: str
 
 
 class AdmissionGranted(PeerMessage, frozen=True, tag="adm+"):
--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -28,6 +28,9 @@
 BEST_UPSTREAM_WAIT_FRACTION = 0.4
 # Expected time that an upstream in another data centre must save.
 CROSS_DATA_CENTRE_PENALTY_SECONDS = 0.004
+# Duration of a copy from an engine of another pool, which is mostly in another
+# data centre, relative to one within a data centre.
+CROSS_DATA_CENTRE_COPY_FACTOR = 2.0
 # Fraction of the uncached shared tokens that count as cached at the affinity
 # upstream, which is chosen by hash. It makes a new pool owner send the same
 # prompts to the same engines as its predecessor.
@@ -285,17 +288,28 @@
             tokens = cached_prefix_tokens(other.load, parts)
             if tokens > most_cached:
                 source_id, most_cached = upstream_id, tokens
+        transfer_factor = 1.0
+        if not source_id and self._is_cached_elsewhere(admission):
+            source_id = admission.cached_at
+            most_cached = admission.prompt_tokens - admission.own_tokens
+            transfer_factor = CROSS_DATA_CENTRE_COPY_FACTOR
         if not source_id:
             return ""
         profile = load.profile
         copy_seconds = (
-            (most_cached - cached)
+            transfer_factor
+            * (most_cached - cached)
             * profile.token_bytes
             / max(1.0, profile.link_bytes_per_second)
         )
         prefill_seconds = (most_cached - cached) / load.rate
         return source_id if copy_seconds < prefill_seconds else ""
 
+    def _is_cached_elsewhere(self, admission: Admission) -> bool:
+        """Return whether an upstream of another pool may hold the prompt."""
+        source_id = admission.cached_at
+        return bool(source_id) and source_id not in self.member_by_id
+
     def min_cost(self, admission: Admission) -> float:
         """Return the lowest cost of a request over all upstreams."""
         return min(
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -24,6 +24,7 @@
 )
 from lacewingspar_core.pool_admission import REASON_OVERLOADED
 from lacewingspar_core.pools import Pool
+from lacewingspar_core.prompt_locations import PromptLocations
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
 from lacewingspar_router.components.admission.messages import (
@@ -106,6 +107,7 @@
         self._owner_selector = OwnerSelector(app, self._pool_selector)
         self._owned_pools = OwnedPools(app, self._deliver_decision)
         self._request_numbers = itertools.count(1)
+        self._prompt_locations = PromptLocations()
         self._pending_by_number: dict[int, _PendingRequest] = {}
         self._run_by_number: dict[int, _GrantedRun] = {}
         for message_type in DECISION_MESSAGES:
@@ -371,6 +373,9 @@
         requirements: RequestRequirements,
     ) -> Grant:
         number = granted.key.number
+        self._prompt_locations.record(
+            requirements.shared_parts, granted.upstream_id
+        )
         self._run_by_number[number] = _GrantedRun(
             pending.pool, pending.admission, granted.upstream_id, pending.owner
         )
@@ -442,6 +447,7 @@
             identity=requirements.identity,
             excluded=excluded,
             first_chunk_timeout_seconds=requirements.first_chunk_timeout_seconds,
+            cached_at=self._prompt_locations.find(requirements.shared_parts),
         )
 
     def _reported_run(self, number: int, run: _GrantedRun) -> ReportedRun:
--- a/packages/router/src/lacewingspar_router/components/admission/messages.py
+++ b/packages/router/src/lacewingspar_router/components/admission/messages.py
@@ -49,6 +49,7 @@
         first_chunk_deadline_ms=milliseconds(
             admission.first_chunk_deadline_at - now
         ),
+        cached_at=admission.cached_at,
     )
 
 
@@ -83,6 +84,7 @@
             request.waited_ms + request.first_chunk_deadline_ms
         )
         / 1000,
+        cached_at=request.cached_at,
     )
 
 
--- /dev/null
+++ b/tests/core/test_prompt_locations.py
@@ -0,0 +1,75 @@
+"""Copies of prompt parts from upstreams of other pools."""
+
+import pytest
+from tests.core.engine_model import (
+    PREFILL_TOKENS_PER_SECOND,
+    SERVICE,
+    admission,
+    entry,
+)
+
+from lacewingspar_core import prompt_locations
+from lacewingspar_core.admission_events import Granted
+from lacewingspar_core.pool_admission import PoolAdmission
+from lacewingspar_core.prefix_cache import PromptPart
+from lacewingspar_core.prompt_locations import PromptLocations
+
+PARTS = (PromptPart(1, 500), PromptPart(2, 5000))
+
+
+def granted(pool: PoolAdmission, number: int, cached_at: str) -> Granted:
+    request = admission(number, 0.0, shared=PARTS, cached_at=cached_at)
+    (decision,) = pool.submit(request, 0.0)
+    assert isinstance(decision, Granted)
+    return decision
+
+
+@pytest.fixture
+def pool() -> PoolAdmission:
+    pool = PoolAdmission("models/dc-b/0")
+    members = {"e1": entry("e1")}
+    pool.set_upstreams(members, SERVICE, PREFILL_TOKENS_PER_SECOND, 0.0)
+    return pool
+
+
+@pytest.mark.parametrize(
+    ("cached_at", "fetch_from"),
+    [
+        ("", ""),
+        # The owner of the pool knows better what its own upstream holds.
+        ("e1", ""),
+        ("other-pool", "other-pool"),
+    ],
+)
+def test_prompt_that_moves_to_another_pool_is_copied(
+    pool: PoolAdmission, cached_at: str, fetch_from: str
+) -> None:
+    """Guards against prompts that are prefilled again in each data centre."""
+    assert granted(pool, 1, cached_at).fetch_from == fetch_from
+
+
+def test_prompt_that_the_pool_holds_is_not_copied(pool: PoolAdmission) -> None:
+    granted(pool, 1, "other-pool")
+    assert granted(pool, 2, "other-pool").fetch_from == ""
+
+
+def test_last_upstream_is_remembered() -> None:
+    locations = PromptLocations()
+    assert locations.find(PARTS) == ""
+    locations.record(PARTS, "e1")
+    locations.record(PARTS, "e2")
+    locations.record((), "e3")
+    assert locations.find(PARTS) == "e2"
+    assert locations.find(()) == ""
+
+
+def test_number_of_prompts_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(prompt_locations, "MAX_PROMPTS", 2)
+    locations = PromptLocations()
+    prompts = [(PromptPart(key, 10),) for key in range(3)]
+    locations.record(prompts[0], "e0")
+    locations.record(prompts[1], "e1")
+    locations.record(prompts[0], "e0")
+    locations.record(prompts[2], "e2")
+    found = [locations.find(parts) for parts in prompts]
+    assert found == ["e0", "", "e2"]
