Load neither rich nor the schemas of documents on the platform's path

Cause: a router loads modules that it never uses there, which delays every start after a loss of power on half a core. structlog and typer load rich for console output; the settings loaded all schemas of service documents for the pattern of a name.

Help and errors of the command line are plain text now. Ruled out: leaving structlog.dev out, which the package always loads.

--- a/deploy/lacewingspar.py
+++ b/deploy/lacewingspar.py
@@ -5,6 +5,9 @@
 
 _PACKAGES = Path(__file__).resolve().parents[1] / "packages"
 sys.path[:0] = [str(_PACKAGES / name / "src") for name in ("core", "router")]
+# structlog and typer load rich for output to a console, which a VM has not. A
+# start takes less processor time and memory without it.
+sys.modules["rich"] = None  # type: ignore[assignment]
 
 from lacewingspar_router.main import run  # noqa: E402
 
--- a/packages/core/src/lacewingspar_core/documents.py
+++ b/packages/core/src/lacewingspar_core/documents.py
@@ -16,6 +16,7 @@
     DocumentProblem,
     problem_from_pydantic_error,
 )
+from lacewingspar_core.names import Name
 
 __all__ = [
     "DocumentProblem",
@@ -34,7 +35,6 @@
     "validate_document",
 ]
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 ModelName = Annotated[str, Field(pattern=r"^\S+$", max_length=256)]
--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -62,6 +62,9 @@
 cli = typer.Typer(
     help="Router of the lacewingspar fleet.",
     no_args_is_help=True,
+    # Plain text output; also for VMs, where rich is not loaded.
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
     add_completion=False,
 )
 
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -9,7 +9,7 @@
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass as schema_dataclass
 
-from lacewingspar_core.documents import Name
+from lacewingspar_core.names import Name
 from lacewingspar_router.errors import SettingsError
 
 _STRICT = ConfigDict(extra="forbid")
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -4,6 +4,8 @@
 import json
 import signal
 import socket
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -272,3 +274,14 @@
     assert lines[-1].get("needs_restart") is expected
     is_applied = expected is not None
     assert levels == [changes.get("log_level", "info")] * is_applied
+
+
+def test_router_on_the_platform_loads_no_schemas_of_documents() -> None:
+    """Guards against starts that load what the platform's path never uses."""
+    code = (
+        "import importlib, sys; import lacewingspar_router.main as main;"
+        "[importlib.import_module(f'lacewingspar_router.{path}')"
+        " for path in main.PLATFORM_COMPONENT_PATHS];"
+        "sys.exit('lacewingspar_core.documents' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", code]).returncode == 0
