--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -31,6 +31,9 @@
 # Duration of a copy from an engine of another pool, which is mostly in another
 # data centre, relative to one within a data centre.
 CROSS_DATA_CENTRE_COPY_FACTOR = 2.0
+# Longest duration of a copy as a multiple of the prefill that it saves. A copy
+# delays its own request only; a prefill delays all requests of the engine.
+MAX_COPY_DURATION_FACTOR = 2.0
 # Fraction of the uncached shared tokens that count as cached at the affinity
 # upstream, which is chosen by hash. It makes a new pool owner send the same
 # prompts to the same engines as its predecessor.
@@ -276,7 +279,8 @@
     def fetch_source(self, admission: Admission, member: PoolMember) -> str:
         """Return the engine to copy the KV cache of shared parts from, or "".
 
-        An engine is returned only if copying takes less time than prefilling.
+        An engine is returned only if copying takes less than
+        `MAX_COPY_DURATION_FACTOR` times as long as prefilling.
         """
         load = member.load
         if not isinstance(load, EngineLoad) or not admission.shared_parts:
@@ -303,7 +307,8 @@
             / max(1.0, profile.link_bytes_per_second)
         )
         prefill_seconds = (most_cached - cached) / load.rate
-        return source_id if copy_seconds < prefill_seconds else ""
+        longest = MAX_COPY_DURATION_FACTOR * prefill_seconds
+        return source_id if copy_seconds < longest else ""
 
     def _is_cached_elsewhere(self, admission: Admission) -> bool:
         """Return whether an upstream of another pool may hold the prompt."""
--- a/tests/core/test_prompt_locations.py
+++ b/tests/core/test_prompt_locations.py
@@ -1,8 +1,11 @@
 """Copies of prompt parts from upstreams of other pools."""
 
+from dataclasses import replace
+
 import pytest
 from tests.core.engine_model import (
     PREFILL_TOKENS_PER_SECOND,
+    PROFILE,
     SERVICE,
     admission,
     entry,
@@ -13,6 +16,7 @@
 from lacewingspar_core.pool_admission import PoolAdmission
 from lacewingspar_core.prefix_cache import PromptPart
 from lacewingspar_core.prompt_locations import PromptLocations
+from lacewingspar_core.routing import UpstreamService
 
 PARTS = (PromptPart(1, 500), PromptPart(2, 5000))
 
@@ -73,3 +77,34 @@
     locations.record(prompts[2], "e2")
     found = [locations.find(parts) for parts in prompts]
     assert found == ["e0", "", "e2"]
+
+
+# Bytes per second at which a copy within a data centre takes as long as the
+# prefill that it saves, with one byte for each token.
+BREAK_EVEN_BYTES_PER_SECOND = PREFILL_TOKENS_PER_SECOND
+
+
+@pytest.mark.parametrize(
+    ("speed", "fetch_from"),
+    [(0.9, ""), (1.1, "other-pool"), (4.0, "other-pool")],
+)
+def test_copy_that_takes_somewhat_longer_than_the_prefill_is_made(
+    speed: float, fetch_from: str
+) -> None:
+    """Guards against engines that prefill what a copy would bring.
+
+    From another data centre a copy takes twice as long.
+    """
+    profile = replace(
+        PROFILE,
+        token_bytes=1,
+        link_bytes_per_second=speed * BREAK_EVEN_BYTES_PER_SECOND,
+    )
+    pool = PoolAdmission("models/dc-b/0")
+    pool.set_upstreams(
+        {"e1": entry("e1")},
+        UpstreamService("models", profile),
+        PREFILL_TOKENS_PER_SECOND,
+        0.0,
+    )
+    assert granted(pool, 1, "other-pool").fetch_from == fetch_from
