Let routers of a data centre approach the same leaving share

Cause: each router adapts its own share, so that a router which takes requests over from a busy one sends the same prompts elsewhere, where they are read again. The pool owner averages the shares of the routers near it and returns the mean with each decision.

--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -31,6 +31,8 @@
         first_chunk_deadline_ms: Time until the caller's first-chunk timeout
             ends.
         cached_at: Upstream that the sender has last used for the parts, or "".
+        leaving_share: Share of the sender's requests that leave its data
+            centre.
     """
 
     service: str
@@ -49,6 +51,7 @@
     excluded: tuple[str, ...]
     first_chunk_deadline_ms: int
     cached_at: str
+    leaving_share: float
 
 
 class AdmissionGranted(PeerMessage, frozen=True, tag="adm+"):
@@ -60,12 +63,15 @@
         upstream_id: Upstream to use.
         fetch_from: Upstream to copy the KV cache of shared prompt parts from,
             or "".
+        leaving_share: Mean of the leaving shares of the routers in the pool's
+            data centre.
     """
 
     service: str
     number: int
     upstream_id: str
     fetch_from: str
+    leaving_share: float
 
 
 class AdmissionQueued(PeerMessage, frozen=True, tag="adm="):
@@ -75,11 +81,14 @@
         service: Service of the pool.
         number: Number of the request.
         wait_ms: Expected wait in milliseconds.
+        leaving_share: Mean of the leaving shares of the routers in the pool's
+            data centre.
     """
 
     service: str
     number: int
     wait_ms: int
+    leaving_share: float
 
 
 class AdmissionDeclined(PeerMessage, frozen=True, tag="adm-"):
@@ -92,6 +101,8 @@
         wait_ms: Expected wait in milliseconds.
         retry_after_ms: Time after which the caller should retry, in
             milliseconds.
+        leaving_share: Mean of the leaving shares of the routers in the pool's
+            data centre.
     """
 
     service: str
@@ -99,6 +110,7 @@
     reason: str
     wait_ms: int
     retry_after_ms: int
+    leaving_share: float
 
 
 class RunStarted(PeerMessage, frozen=True, tag="run+"):
--- a/packages/core/src/lacewingspar_core/data_centre_shares.py
+++ b/packages/core/src/lacewingspar_core/data_centre_shares.py
@@ -36,6 +36,10 @@
 # wait, down to a minimum. Steps keep requests from moving with every wait.
 WAIT_STEP_SECONDS = 0.1
 MAX_WAIT_STEPS = 3
+# Weight of a router's share in the mean of its data centre, for each request
+# that it sends to the pool owner, and weight of that mean for each decision.
+MEAN_WEIGHT = 0.05
+ADOPTION_WEIGHT = 0.2
 # A data centre whose pool owner did not respond gets no requests for this long.
 EXCLUSION_SECONDS = 1.0
 
@@ -57,6 +61,24 @@
         self.updated_at = now
 
 
+class MeanLeavingShare:
+    """Mean of the leaving shares of the routers of one data centre.
+
+    Routers approach the mean, so that all send the same prompts to the same
+    data centre. The pool owner computes it from the requests that it gets.
+
+    Attributes:
+        value: The mean, from 0 to 1.
+    """
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def add(self, share: float) -> None:
+        """Add the share of a router that has sent a request."""
+        self.value += MEAN_WEIGHT * (share - self.value)
+
+
 class DataCentreShares:
     """Chooses the data centre for the requests of one service.
 
@@ -87,6 +109,11 @@
         wait = self._wait_by_data_centre.setdefault(data_centre, _MeanWait())
         wait.add(seconds, now)
 
+    def adopt(self, mean_leaving_share: float) -> None:
+        """Approach the mean share of the routers of this data centre."""
+        difference = mean_leaving_share - self.leaving_share
+        self.leaving_share += ADOPTION_WEIGHT * difference
+
     def mean_wait(self, data_centre: str, now: float) -> float:
         """Return the mean of the recent waits in seconds, 0 if unknown."""
         wait = self._wait_by_data_centre.get(data_centre)
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -329,10 +329,15 @@
 
     def _send_request(self, pending: _PendingRequest) -> None:
         admission = pending.admission
+        shares = self._pool_selector.shares(pending.pool.service)
         if pending.owner == self._app.instance.router_id:
-            self._owned_pools.submit(pending.pool, admission)
+            self._owned_pools.submit(
+                pending.pool, admission, shares.leaving_share
+            )
             return
-        request = encode_request(pending.pool, admission, self._app.now())
+        request = encode_request(
+            pending.pool, admission, shares.leaving_share, self._app.now()
+        )
         self._peers.send(pending.owner, request)
 
     def _withdraw(self, pending: _PendingRequest) -> None:
@@ -464,15 +469,19 @@
         )
 
     def _deliver_decision(
-        self, service: str, decision: AdmissionDecision
+        self, pool: Pool, decision: AdmissionDecision
     ) -> None:
         """Deliver the decision of an owned pool to the ingress router."""
         key = decision.key
+        leaving_share = self._owned_pools.mean_leaving_share(pool)
         if key.ingress_router == self._app.instance:
+            if pool.data_centre == self._app.settings.data_centre:
+                self._pool_selector.shares(pool.service).adopt(leaving_share)
             self._enqueue_decision(self._app.instance.router_id, decision)
             return
         self._peers.send(
-            key.ingress_router.router_id, encode_decision(service, decision)
+            key.ingress_router.router_id,
+            encode_decision(pool.service, decision, leaving_share),
         )
 
     def _enqueue_decision(
@@ -484,6 +493,12 @@
             pending.decisions.put_nowait(decision)
 
     def _on_decision(self, received: ReceivedMessage) -> None:
-        decision = decode_decision(self._app.instance, received.message)
+        message = received.message
+        assert isinstance(message, DECISION_MESSAGES)
+        if received.data_centre == self._app.settings.data_centre:
+            self._pool_selector.shares(message.service).adopt(
+                message.leaving_share
+            )
+        decision = decode_decision(self._app.instance, message)
         if decision is not None:
             self._enqueue_decision(received.sender.router_id, decision)
--- a/packages/router/src/lacewingspar_router/components/admission/messages.py
+++ b/packages/router/src/lacewingspar_router/components/admission/messages.py
@@ -28,7 +28,7 @@
 
 
 def encode_request(
-    pool: Pool, admission: Admission, now: float
+    pool: Pool, admission: Admission, leaving_share: float, now: float
 ) -> AdmissionRequest:
     """Return the message that requests admission to a pool."""
     return AdmissionRequest(
@@ -50,6 +50,7 @@
             admission.first_chunk_deadline_at - now
         ),
         cached_at=admission.cached_at,
+        leaving_share=leaving_share,
     )
 
 
@@ -89,15 +90,19 @@
 
 
 def encode_decision(
-    service: str, decision: AdmissionDecision
+    service: str, decision: AdmissionDecision, leaving_share: float
 ) -> AnyPeerMessage:
     """Return the message that contains a decision."""
     number = decision.key.number
     match decision:
         case Granted(_, upstream_id, fetch_from):
-            return AdmissionGranted(service, number, upstream_id, fetch_from)
+            return AdmissionGranted(
+                service, number, upstream_id, fetch_from, leaving_share
+            )
         case Queued(_, wait_seconds):
-            return AdmissionQueued(service, number, milliseconds(wait_seconds))
+            return AdmissionQueued(
+                service, number, milliseconds(wait_seconds), leaving_share
+            )
         case Declined():
             return AdmissionDeclined(
                 service,
@@ -105,6 +110,7 @@
                 decision.reason,
                 milliseconds(decision.wait_seconds),
                 milliseconds(decision.retry_after_seconds),
+                leaving_share,
             )
 
 
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -16,6 +16,7 @@
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.data_centre_shares import MeanLeavingShare
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.pool_admission import PoolAdmission
@@ -29,7 +30,7 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-DeliverDecision = Callable[[str, AdmissionDecision], None]
+DeliverDecision = Callable[[Pool, AdmissionDecision], None]
 
 
 class OwnedPools:
@@ -40,7 +41,7 @@
 
     Args:
         app: The application.
-        deliver: Called with the service name and each decision.
+        deliver: Called with the pool and each decision.
     """
 
     def __init__(self, app: Application, deliver: DeliverDecision) -> None:
@@ -50,6 +51,7 @@
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
         self._admission_by_pool: dict[Pool, PoolAdmission] = {}
+        self._leaving_share_by_pool: dict[Pool, MeanLeavingShare] = {}
         self._known_instances: set[RouterInstance] = set()
         self._peers.subscribe(AdmissionRequest, self._on_request)
         self._peers.subscribe(RunStarted, self._on_started)
@@ -58,8 +60,27 @@
         self._peers.add_listener(self._on_peers_changed)
         self._routing.add_listener(self._on_routing_changed)
 
-    def submit(self, pool: Pool, admission: Admission) -> None:
-        """Submit an admission request for a decision."""
+    def mean_leaving_share(self, pool: Pool) -> float:
+        """Return the mean leaving share of the routers near a pool."""
+        mean = self._leaving_share_by_pool.get(pool)
+        return 0.0 if mean is None else mean.value
+
+    def submit(
+        self, pool: Pool, admission: Admission, leaving_share: float
+    ) -> None:
+        """Submit an admission request for a decision.
+
+        Args:
+            pool: Pool of the request.
+            admission: The request.
+            leaving_share: Share of the requests of its ingress router that
+                leave the data centre.
+        """
+        if admission.data_centre == pool.data_centre:
+            mean = self._leaving_share_by_pool.setdefault(
+                pool, MeanLeavingShare()
+            )
+            mean.add(leaving_share)
         decisions = self._pool_admission(pool).submit(
             admission, self._app.now()
         )
@@ -170,7 +191,7 @@
         self, pool: Pool, decisions: list[AdmissionDecision]
     ) -> None:
         for decision in decisions:
-            self._deliver_decision(pool.service, decision)
+            self._deliver_decision(pool, decision)
 
     def _on_routing_changed(self) -> None:
         for pool, admission in self._admission_by_pool.items():
@@ -203,7 +224,9 @@
             received.sender, received.data_centre, request, self._app.now()
         )
         self.submit(
-            Pool(request.service, request.data_centre, request.shard), admission
+            Pool(request.service, request.data_centre, request.shard),
+            admission,
+            request.leaving_share,
         )
 
     def _on_started(self, received: ReceivedMessage) -> None:
--- a/tests/core/test_data_centre_shares.py
+++ b/tests/core/test_data_centre_shares.py
@@ -8,7 +8,10 @@
 from tests.core.engine_model import entry
 
 from lacewingspar_core import data_centre_shares
-from lacewingspar_core.data_centre_shares import DataCentreShares
+from lacewingspar_core.data_centre_shares import (
+    DataCentreShares,
+    MeanLeavingShare,
+)
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.pools import (
     ALL_DATA_CENTRES,
@@ -223,3 +226,20 @@
     for pool, count in counts.items():
         share = len(pool_members(pool, usable)) / len(usable)
         assert count / 4000 == pytest.approx(share, abs=0.03)
+
+
+def test_routers_of_a_data_centre_approach_the_same_share() -> None:
+    """Guards against prompts that two routers send to different places.
+
+    Most requests come through one router, as with one large workspace.
+    """
+    routers = [DataCentreShares("dc-a") for _ in range(4)]
+    routers[0].leaving_share = 0.6
+    mean = MeanLeavingShare()
+    generator = random.Random(1)
+    for _ in range(400):
+        (router,) = generator.choices(routers, [17, 1, 1, 1])
+        mean.add(router.leaving_share)
+        router.adopt(mean.value)
+    shares = [router.leaving_share for router in routers]
+    assert max(shares) - min(shares) <= 0.05
