Take the shared state from other routers before listing it at a start

A router that starts asks the reader and the relays of its data centre and lists the topics itself if nothing has come after 0.4 s. The reader and the first relays list at once.

--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -48,7 +48,9 @@
         configuration,
         is_log_unreachable,
     )
-    registration = Registration(app, source.routers, role)
+    registration = Registration(
+        app, source.routers, role, synchronizer.request_missing_state
+    )
     assert app.settings.platform is not None
     registration.contact_seeds(app.settings.platform.seed_hosts)
     app.create_task(configuration.async_run(), "follow configuration")
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -25,6 +25,9 @@
 FIRST_RELAY_TIMEOUT_SECONDS = 1.0
 SECOND_RELAY_TIMEOUT_SECONDS = 1.15
 FOLLOWER_TIMEOUT_SECONDS = 1.3
+# Time for which a router that starts waits for the state from others before it
+# lists the topics itself. A reply takes milliseconds.
+START_WAIT_SECONDS = 0.4
 # For this long after its start a router takes registered routers for alive.
 # Heartbeats of all routers have arrived by then.
 REGISTERED_READERS_SECONDS = 5.0
--- a/packages/router/src/lacewingspar_router/components/routing/follower.py
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -24,6 +24,8 @@
 class TopicFollower:
     """Lists a topic, then reads its new records until cancelled.
 
+    It does neither while another router supplies the topic.
+
     Attributes:
         is_available: Whether the last read succeeded.
 
@@ -91,13 +93,12 @@
                 await asyncio.sleep(self._read_delay_seconds)
 
     async def _async_read_once(self) -> None:
+        await self._role.async_wait_until_read_due()
         if self._offset is None:
             listing = await self._topic.async_read_newest()
             self._offset = listing.end_offset
-            self._role.record_listing()
             self._on_listing(listing)
             return
-        await self._role.async_wait_until_read_due()
         self._offset = max(self._offset, self._known_offset())
         records = await self._topic.async_read(self._offset, self._wait_seconds)
         self._offset = records.next_offset
--- a/packages/router/src/lacewingspar_router/components/routing/reader_role.py
+++ b/packages/router/src/lacewingspar_router/components/routing/reader_role.py
@@ -48,7 +48,13 @@
         self._app = app
         self._peers = app.get(PEERS)
         self._started_at = app.now()
-        self._confirmed_at = float("-inf")
+        # A router that starts gives others a moment to send it the state.
+        self._confirmed_at = (
+            self._started_at
+            - const.FOLLOWER_TIMEOUT_SECONDS
+            + const.START_WAIT_SECONDS
+        )
+        self._rank_changed = asyncio.Event()
         self._is_following = False
         self._registered_by_router_id: Mapping[str, str] = {}
         self._assignment = ReaderAssignment.of({})
@@ -127,10 +133,6 @@
             if router_id and router_id != own_id
         ]
 
-    def record_listing(self) -> None:
-        """Record that this router has listed a topic when it started."""
-        self._confirmed_at = self._app.now()
-
     def record_confirmation(self, router_id: str) -> None:
         """Record that another router has confirmed its state."""
         self._confirmed_at = self._app.now()
@@ -146,7 +148,12 @@
             seconds = self._seconds_until_read_due()
             if seconds <= 0:
                 break
-            await asyncio.sleep(seconds)
+            self._rank_changed.clear()
+            try:
+                async with asyncio.timeout(seconds):
+                    await self._rank_changed.wait()
+            except TimeoutError:
+                continue
         if self._is_following:
             self._is_following = False
             _LOGGER.warning(
@@ -190,3 +197,4 @@
                 reader=self._assignment.reader,
             )
             self.rank = rank
+            self._rank_changed.set()
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -1,7 +1,7 @@
 """Registers this router and discovers the others."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import structlog
@@ -40,12 +40,18 @@
         app: The application.
         topic: Topic in which routers register.
         role: Told which routers are registered.
+        request_state: Requests the shared state from some routers.
     """
 
     def __init__(
-        self, app: Application, topic: KeyedTopic, role: LogReaderRole
+        self,
+        app: Application,
+        topic: KeyedTopic,
+        role: LogReaderRole,
+        request_state: Callable[[Iterable[str]], None],
     ) -> None:
         self._app = app
+        self._request_state = request_state
         self._role = role
         self._topic = topic
         self._peers = app.get(PEERS)
@@ -106,7 +112,9 @@
         self._role.set_registered_routers(
             {seed.router_id: seed.data_centre for seed in seeds}
         )
-        self._peers.announce_to(self._role.readers_to_contact(), len(seeds))
+        readers = self._role.readers_to_contact()
+        self._peers.announce_to(readers, len(seeds))
+        self._request_state(readers)
         _LOGGER.info("registered routers listed", count=len(seeds))
 
     def _is_stale(self, instance: RouterInstance) -> bool:
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -1,6 +1,7 @@
 """Synchronizes the shared state between routers."""
 
 import asyncio
+from collections.abc import Iterable
 
 from lacewingspar_core.log_readers import ReaderRank
 from lacewingspar_core.messages import RouterState
@@ -59,6 +60,16 @@
             self._request_state(self._choose_peer())
             await asyncio.sleep(const.OUTAGE_REQUEST_INTERVAL_SECONDS)
 
+    def request_missing_state(self, router_ids: Iterable[str]) -> None:
+        """Request the state that this router lacks after its start."""
+        if self._state.is_ready:
+            return
+        request = StateRequest(
+            self._state.configuration_version, self._state.directory_offset
+        )
+        for router_id in router_ids:
+            self._peers.send(router_id, request)
+
     def send_confirmation(self) -> None:
         """Confirm to the followers of this router that the log was read."""
         if not self._role.confirms_reads:
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -40,6 +40,10 @@
     return len(serving) == ROUTERS
 
 
+def is_ready(app: Application) -> bool:
+    return routing_state_of(app).is_ready
+
+
 def readers(apps: list[Application]) -> list[Application]:
     """Return the reader and its relays."""
     assignment = ReaderAssignment.of(
@@ -214,8 +218,10 @@
             for number in range(1, 8)
         )
     )
-    # Each router lists three topics once; a few may read beside the reader.
-    assert served.store.calls["/log-newest"] <= 8 * 3
+    await until(lambda: all(is_ready(app) for app in served.apps), 1.0)
+    # Each router lists the routers. The reader and two relays list the other
+    # topics, and a router that finds none of them registered.
+    assert served.store.calls["/log-newest"] <= 8 + 2 * 4
     assert await reads_per_second(served, 2.0) <= 2.5 * 2
 
 
--- a/tests/router/deployed/test_registration.py
+++ b/tests/router/deployed/test_registration.py
@@ -19,6 +19,8 @@
     """Guards against a router without peers while the log is unavailable."""
     app = mock.Mock(instance=RouterInstance("r1", 1))
     app.settings.peer_address = "10.0.0.1:7400"
-    Registration(app, mock.Mock(), mock.Mock()).contact_seeds([host])
+    Registration(app, mock.Mock(), mock.Mock(), mock.Mock()).contact_seeds(
+        [host]
+    )
     ((seeds,), _) = app.get.return_value.add_seeds.call_args
     assert [seed.address for seed in seeds] == [address]
