Tell the pools of other data centres where prompts are cached

Cause: with pools in each data centre every one of them read the prompts of its callers for itself, although an engine elsewhere held them; ingress routers know only what they have sent themselves.

--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -169,3 +169,22 @@
     data_centre: str
     shard: int
     runs: tuple[ReportedRun, ...]
+
+
+class CachedPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt whose shared parts an upstream has prefilled or copied.
+
+    Attributes:
+        part_key: Key of the last shared part.
+        upstream_id: The upstream.
+    """
+
+    part_key: int
+    upstream_id: str
+
+
+class PromptsCached(PeerMessage, frozen=True, tag="kv"):
+    """Tells the owners of pools elsewhere from where they may copy prompts."""
+
+    service: str
+    prompts: tuple[CachedPrompt, ...]
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -9,6 +9,7 @@
     AdmissionGranted,
     AdmissionQueued,
     AdmissionRequest,
+    PromptsCached,
     RunEnded,
     RunReport,
     RunStarted,
@@ -390,6 +391,7 @@
     | AdmissionGranted
     | AdmissionQueued
     | AdmissionDeclined
+    | PromptsCached
     | RunStarted
     | RunEnded
     | RunReport
--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -12,6 +12,7 @@
 from lacewingspar_core.circuit_breaker import CircuitBreaker
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.ownership import shard_owner
+from lacewingspar_core.prompt_locations import PromptLocations
 from lacewingspar_core.routing import UpstreamService
 from lacewingspar_core.upstream_load import (
     EngineLoad,
@@ -89,6 +90,7 @@
 
     Attributes:
         member_by_id: Upstreams that accept new requests.
+        prompts_elsewhere: Prompts that upstreams of other pools hold.
 
     Args:
         pool: Name of the pool, which seeds the hash for affinity upstreams.
@@ -100,6 +102,7 @@
         self._affinity_id_by_part_key: dict[int, str] = {}
         self._rejection_by_key: dict[AdmissionKey, _Rejection] = {}
         self._load_version = 0
+        self.prompts_elsewhere = PromptLocations()
 
     def update(
         self,
@@ -293,8 +296,8 @@
             if tokens > most_cached:
                 source_id, most_cached = upstream_id, tokens
         transfer_factor = 1.0
-        if not source_id and self._is_cached_elsewhere(admission):
-            source_id = admission.cached_at
+        if not source_id:
+            source_id = self._source_elsewhere(admission)
             most_cached = admission.prompt_tokens - admission.own_tokens
             transfer_factor = CROSS_DATA_CENTRE_COPY_FACTOR
         if not source_id:
@@ -310,10 +313,12 @@
         longest = MAX_COPY_DURATION_FACTOR * prefill_seconds
         return source_id if copy_seconds < longest else ""
 
-    def _is_cached_elsewhere(self, admission: Admission) -> bool:
-        """Return whether an upstream of another pool may hold the prompt."""
+    def _source_elsewhere(self, admission: Admission) -> str:
+        """Return the upstream of another pool that may hold a prompt, or ""."""
         source_id = admission.cached_at
-        return bool(source_id) and source_id not in self.member_by_id
+        if not source_id:
+            source_id = self.prompts_elsewhere.find(admission.shared_parts)
+        return "" if source_id in self.member_by_id else source_id
 
     def min_cost(self, admission: Admission) -> float:
         """Return the lowest cost of a request over all upstreams."""
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -80,6 +80,10 @@
 # end was lost.
 RUN_DEADLINE_GRACE_SECONDS = 2.0
 
+# Other pools are told where a prompt is if its upstream had to prefill this
+# many shared tokens. Reading fewer takes no longer than a copy.
+MIN_ANNOUNCED_TOKENS = 1000
+
 REASON_OVERLOADED = "overloaded"
 REASON_NO_UPSTREAM = "no_upstream"
 REASON_DEADLINE = "deadline_unreachable"
@@ -108,6 +112,7 @@
         self._recent_grants: deque[tuple[float, float]] = deque()
         self._backlogged_since: float | None = None
         self._first_attempt_targets = FirstAttemptTargets()
+        self._new_prompts: dict[int, str] = {}
 
     def set_upstreams(
         self,
@@ -331,6 +336,7 @@
         self._queue.charge(admission.workspace, charged)
         self.granted.add(admission.workspace, round(charged))
         fetch_from = self._placement.fetch_source(admission, member)
+        self._record_new_prompt(admission, member, cost)
         upstream_id = member.entry.upstream_id
         member.load.begin(admission, now)
         self._placement.record_load_change(member)
@@ -338,6 +344,30 @@
         self._upstream_by_run[admission.key] = upstream_id
         return Granted(admission.key, upstream_id, fetch_from)
 
+    def pop_new_prompts(self) -> dict[int, str]:
+        """Return the prompts that upstreams have taken into their caches.
+
+        Returns:
+            Upstream of each prompt since the last call, by the key of the last
+            shared part. Short prompts are left out.
+        """
+        new, self._new_prompts = self._new_prompts, {}
+        return new
+
+    def record_prompts_elsewhere(
+        self, upstream_by_part_key: Mapping[int, str]
+    ) -> None:
+        """Record which upstreams of other pools hold some prompts."""
+        for key, upstream_id in upstream_by_part_key.items():
+            self._placement.prompts_elsewhere.record_key(key, upstream_id)
+
+    def _record_new_prompt(
+        self, admission: Admission, member: PoolMember, cost: float
+    ) -> None:
+        if cost - admission.own_tokens >= MIN_ANNOUNCED_TOKENS:
+            key = admission.shared_parts[-1].key
+            self._new_prompts[key] = member.entry.upstream_id
+
     def _with_original_target(
         self, admission: Admission, now: float
     ) -> Admission:
--- a/packages/core/src/lacewingspar_core/prompt_locations.py
+++ b/packages/core/src/lacewingspar_core/prompt_locations.py
@@ -1,4 +1,4 @@
-"""Upstreams that a router has last used for shared prompt parts."""
+"""Upstreams that were last used for shared prompt parts."""
 
 from lacewingspar_core.prefix_cache import PromptPart
 
@@ -11,7 +11,7 @@
     """Remembers the last upstream of each prompt.
 
     The owner of a pool knows what its own upstreams hold in their KV caches.
-    The ingress router adds what it has sent to upstreams of other pools.
+    Ingress routers and the owners of other pools add what other upstreams hold.
     """
 
     def __init__(self) -> None:
@@ -19,9 +19,11 @@
 
     def record(self, parts: tuple[PromptPart, ...], upstream_id: str) -> None:
         """Record that a prompt was sent to an upstream."""
-        if not parts:
-            return
-        key = parts[-1].key
+        if parts:
+            self.record_key(parts[-1].key, upstream_id)
+
+    def record_key(self, key: int, upstream_id: str) -> None:
+        """Record the upstream of the prompt with a key of the last part."""
         # Moves the prompt to the end of the order of use.
         self._upstream_id_by_part_key.pop(key, None)
         self._upstream_id_by_part_key[key] = upstream_id
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import structlog
@@ -17,6 +17,8 @@
     RunOutcome,
 )
 from lacewingspar_core.admission_messages import (
+    CachedPrompt,
+    PromptsCached,
     ReportedRun,
     RunEnded,
     RunReport,
@@ -280,6 +282,24 @@
     def tick(self) -> None:
         """Decline requests of owned pools that would miss their deadline."""
         self._owned_pools.tick()
+        for (
+            pool,
+            upstream_by_part_key,
+        ) in self._owned_pools.pop_new_prompts().items():
+            self._announce_prompts(pool, upstream_by_part_key)
+
+    def _announce_prompts(
+        self, pool: Pool, upstream_by_part_key: Mapping[int, str]
+    ) -> None:
+        """Tell the pools that may get the same prompts where these are."""
+        prompts_by_owner: dict[str, list[CachedPrompt]] = {}
+        for key, upstream_id in upstream_by_part_key.items():
+            for other in self._pool_selector.pools_elsewhere(pool, str(key)):
+                prompts_by_owner.setdefault(
+                    self._owner_selector.current_owner(other), []
+                ).append(CachedPrompt(key, upstream_id))
+        for owner, prompts in prompts_by_owner.items():
+            self._peers.send(owner, PromptsCached(pool.service, tuple(prompts)))
 
     def log_pool_loads(self) -> None:
         """Log the load of each owned pool."""
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -12,6 +12,7 @@
 )
 from lacewingspar_core.admission_messages import (
     AdmissionRequest,
+    PromptsCached,
     RunEnded,
     RunReport,
     RunStarted,
@@ -20,7 +21,7 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.pool_admission import PoolAdmission
-from lacewingspar_core.pools import Pool, pool_members
+from lacewingspar_core.pools import ALL_DATA_CENTRES, Pool, pool_members
 from lacewingspar_core.upstream_load import ActiveRun
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.messages import decode_request
@@ -57,6 +58,7 @@
         self._peers.subscribe(RunStarted, self._on_started)
         self._peers.subscribe(RunEnded, self._on_ended)
         self._peers.subscribe(RunReport, self._on_report)
+        self._peers.subscribe(PromptsCached, self._on_prompts_cached)
         self._peers.add_listener(self._on_peers_changed)
         self._routing.add_listener(self._on_routing_changed)
 
@@ -149,6 +151,33 @@
                 declined_by_workspace=admission.declined.pop_largest(),
             )
 
+    def pop_new_prompts(self) -> dict[Pool, dict[int, str]]:
+        """Return the prompts that upstreams have taken into their caches.
+
+        Returns:
+            Upstream by the key of the last shared part, for each pool of one
+            data centre.
+        """
+        new_by_pool = {
+            pool: admission.pop_new_prompts()
+            for pool, admission in self._admission_by_pool.items()
+        }
+        return {
+            pool: new
+            for pool, new in new_by_pool.items()
+            if new and pool.data_centre != ALL_DATA_CENTRES
+        }
+
+    def _on_prompts_cached(self, received: ReceivedMessage) -> None:
+        message = received.message
+        assert isinstance(message, PromptsCached)
+        upstream_by_part_key = {
+            prompt.part_key: prompt.upstream_id for prompt in message.prompts
+        }
+        for pool, admission in self._admission_by_pool.items():
+            if pool.service == message.service:
+                admission.record_prompts_elsewhere(upstream_by_part_key)
+
     def _pool_admission(self, pool: Pool) -> PoolAdmission:
         admission = self._admission_by_pool.get(pool)
         if admission is None:
--- a/packages/router/src/lacewingspar_router/components/admission/pools.py
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -4,7 +4,7 @@
 
 from lacewingspar_core.data_centre_shares import DataCentreShares
 from lacewingspar_core.ownership import assign_shard_owners, eligible_owners
-from lacewingspar_core.pools import Pool, PoolLayout
+from lacewingspar_core.pools import ALL_DATA_CENTRES, Pool, PoolLayout
 from lacewingspar_core.prefix_cache import PromptPart
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
@@ -71,6 +71,15 @@
             None if data_centre is None else layout.pool_for(data_centre, key)
         )
 
+    def pools_elsewhere(self, pool: Pool, key: str) -> list[Pool]:
+        """Return the pools of other data centres for requests with a key."""
+        layout = self._layout(pool.service)
+        return [
+            layout.pool_for(data_centre, key)
+            for data_centre in layout.upstream_count_by_data_centre
+            if data_centre not in (pool.data_centre, ALL_DATA_CENTRES)
+        ]
+
     def _layout(self, service: str) -> PoolLayout:
         layout = self._layout_by_service.get(service)
         if layout is None:
--- a/tests/core/test_prompt_locations.py
+++ b/tests/core/test_prompt_locations.py
@@ -108,3 +108,28 @@
         0.0,
     )
     assert granted(pool, 1, "other-pool").fetch_from == fetch_from
+
+
+def test_prompt_that_another_pool_has_announced_is_copied(
+    pool: PoolAdmission,
+) -> None:
+    """Guards against prompts that each data centre prefills for itself.
+
+    The ingress router has never sent this prompt anywhere.
+    """
+    pool.record_prompts_elsewhere({PARTS[-1].key: "e9"})
+    assert granted(pool, 1, "").fetch_from == "e9"
+
+
+@pytest.mark.parametrize(
+    ("parts", "announced"),
+    [(PARTS, {PARTS[-1].key: "e1"}), (PARTS[:1], {}), ((), {})],
+)
+def test_new_prompts_are_announced_once(
+    pool: PoolAdmission,
+    parts: tuple[PromptPart, ...],
+    announced: dict[int, str],
+) -> None:
+    for number in range(2):
+        pool.submit(admission(number, 0.0, shared=parts), 0.0)
+        assert pool.pop_new_prompts() == (announced if number == 0 else {})
