--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -24,6 +24,7 @@
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.data_centre_shares import DataCentreShares
 from lacewingspar_core.pool_admission import REASON_OVERLOADED
 from lacewingspar_core.pools import Pool
 from lacewingspar_core.prompt_locations import PromptLocations
@@ -215,6 +216,10 @@
             shard=pool.shard,
         )
 
+    def shares(self, service: str) -> DataCentreShares:
+        """Return how requests of a service are divided among data centres."""
+        return self._pool_selector.shares(service)
+
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
         run = self._run_by_number.get(grant.number)
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -133,18 +133,26 @@
         self.store.topic("keyed.op").append("config", data)
 
     async def add_upstream(
-        self, upstream_id: str, service: str, **options: Any
+        self,
+        upstream_id: str,
+        service: str,
+        data_centre: str = "dc-a",
+        **options: Any,
     ) -> Upstream:
         """Start and register an upstream."""
         upstream = Upstream(upstream_id, **options)
         await upstream.async_start()
         self._stack.push_async_callback(upstream.async_stop)
         self.upstream_by_id[upstream_id] = upstream
-        self.register(upstream_id, service)
+        self.register(upstream_id, service, data_centre=data_centre)
         return upstream
 
     def register(
-        self, upstream_id: str, service: str, state: str = "ready"
+        self,
+        upstream_id: str,
+        service: str,
+        state: str = "ready",
+        data_centre: str = "dc-a",
     ) -> None:
         """Write the directory entry of an upstream to the store."""
         entry = upstream_entry(
@@ -152,6 +160,7 @@
             self.upstream_by_id[upstream_id].address,
             next(self._sequences),
             state=state,
+            zone=data_centre,
         )
         self.store.topic("keyed.servers").append(
             upstream_id, msgspec.json.encode(entry)
--- /dev/null
+++ b/tests/router/deployed/test_data_centres.py
@@ -0,0 +1,107 @@
+"""Requests of two data centres whose services have pools of their own."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from tests.router.deployed.conftest import Caller, Deployment, manifest, until
+
+from lacewingspar_core import pools
+from lacewingspar_core.messages import RouterState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission.ingress import FleetAdmission
+from lacewingspar_router.components.admission.models import ADMISSION
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.routing.models import ROUTING
+
+CALLS = 12
+
+
+def knows_all(deployment: Deployment) -> bool:
+    def is_complete(app: Application) -> bool:
+        alive = app.get(PEERS).alive_by_router_id.values()
+        serving = [item for item in alive if item.state is RouterState.SERVING]
+        directory = app.get(ROUTING).directory
+        return (
+            len(serving) == len(deployment.apps)
+            and len(directory.ready_upstreams("plain")) == 2
+        )
+
+    return all(is_complete(app) for app in deployment.apps)
+
+
+@pytest.fixture
+async def caller(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> Caller:
+    """Return a caller of `dc-a`; each data centre has one plain upstream."""
+    monkeypatch.setattr(pools, "UPSTREAMS_PER_SHARD", 1)
+    deployment.publish(manifest())
+    await deployment.add_upstream("e1", "engines")
+    await deployment.add_upstream("near", "plain", "dc-a")
+    await deployment.add_upstream("far", "plain", "dc-b")
+    caller = await deployment.add_router("r1", "dc-a")
+    seeds = [deployment.apps[0].settings.peer_address]
+    for name in ("r2", "r3"):
+        await deployment.add_router(name, "dc-b", seed_hosts=seeds)
+    await until(lambda: knows_all(deployment))
+    return caller
+
+
+def set_leaving_share(deployment: Deployment, share: float) -> None:
+    admission = deployment.apps[0].get(ADMISSION)
+    assert isinstance(admission, FleetAdmission)
+    admission.shares("plain").leaving_share = share
+
+
+def runs(deployment: Deployment) -> Counter[str]:
+    return Counter(
+        {
+            upstream_id: upstream.runs.total()
+            for upstream_id, upstream in deployment.upstream_by_id.items()
+        }
+    )
+
+
+async def test_requests_stay_in_their_data_centre(
+    deployment: Deployment, caller: Caller
+) -> None:
+    for _ in range(CALLS):
+        assert (await caller.call("/write/")).status == 200
+    assert runs(deployment)["near"] == CALLS
+
+
+async def test_leaving_requests_are_served_elsewhere(
+    deployment: Deployment, caller: Caller
+) -> None:
+    set_leaving_share(deployment, 1.0)
+    assert (await caller.call("/write/")).status == 200
+    assert runs(deployment) == Counter(far=1)
+
+
+async def test_own_data_centre_serves_when_the_other_one_is_lost(
+    deployment: Deployment, caller: Caller
+) -> None:
+    """Guards against requests that try each router of a lost data centre."""
+    for app in deployment.apps[1:]:
+        await app.async_stop()
+    set_leaving_share(deployment, 1.0)
+    started_at = asyncio.get_running_loop().time()
+    assert (await caller.call("/write/")).status == 200
+    # One owner that does not respond takes 0.12 s.
+    assert asyncio.get_running_loop().time() - started_at < 0.3
+    assert runs(deployment) == Counter(near=1)
+
+
+async def test_upstreams_serve_without_routers_in_their_data_centre(
+    deployment: Deployment, caller: Caller
+) -> None:
+    """Guards against upstreams that idle because no router owns their pool."""
+    for app in deployment.apps[1:]:
+        await app.async_drain()
+        await app.async_stop()
+    deployment.register("near", "plain", "draining")
+    directory = deployment.apps[0].get(ROUTING).directory
+    await until(lambda: "near" not in directory.ready_upstreams("plain"))
+    assert (await caller.call("/write/", budget_ms=8000)).status == 200
+    assert runs(deployment) == Counter(far=1)
