Send cleared suspects of a crash in one message

Cause: after the crash of an engine each of its requests, once it had run elsewhere, sent the whole crash record to all routers: suspects x routers messages. Changes that only clear suspects are now collected for 0.5 s; crashes still go out at once.

--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -117,7 +117,7 @@
         state = self._exchange.find_state(run.service)
         if state is not None:
             state.record_success(run.fingerprint, self._app.now())
-            self._exchange.publish(state)
+            self._exchange.publish_soon(state)
 
     def _discard_run(self, run: GuardedRun) -> None:
         runs = self._runs_by_upstream.get(run.upstream_id)
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -1,5 +1,6 @@
 """Exchange of crash records with the other routers."""
 
+import asyncio
 from collections.abc import Callable
 
 from lacewingspar_core.identity import RouterInstance
@@ -9,6 +10,10 @@
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 
+# Changes that only clear suspects are collected for this long. After the crash
+# of an engine each of its requests clears itself when it has run elsewhere.
+CLEARING_DELAY_SECONDS = 0.5
+
 METRIC_RECORDS = "quarantine_records_received_total"
 
 
@@ -27,6 +32,7 @@
         # skip the checks.
         self._state_by_service: dict[str, QuarantineState] = {}
         self._known_instances: set[RouterInstance] = set()
+        self._scheduled_services: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
         self._peers.subscribe(Quarantine, self._receive)
         self._peers.add_listener(self._send_to_new_routers)
@@ -55,6 +61,22 @@
             if router_id != self._app.instance.router_id:
                 self._peers.send(router_id, message)
 
+    def publish_soon(self, state: QuarantineState) -> None:
+        """Send the changed records within `CLEARING_DELAY_SECONDS`.
+
+        All changes until then go out in one message to each router.
+        """
+        if state.service in self._scheduled_services:
+            return
+        self._scheduled_services.add(state.service)
+        asyncio.get_running_loop().call_later(
+            CLEARING_DELAY_SECONDS, self._publish_scheduled, state
+        )
+
+    def _publish_scheduled(self, state: QuarantineState) -> None:
+        self._scheduled_services.discard(state.service)
+        self.publish(state)
+
     def _receive(self, received: ReceivedMessage) -> None:
         message = received.message
         assert isinstance(message, Quarantine)
