Ask another data centre when no upstream is left in the nearest

Cause: with pools in each data centre a request whose last upstream nearby had declared it as not run was refused with no_upstream, although upstreams of other data centres could serve it.

--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -16,25 +16,24 @@
     Queued,
     RunOutcome,
 )
-from lacewingspar_core.admission_messages import (
-    CachedPrompt,
-    PromptsCached,
-    ReportedRun,
-    RunEnded,
-    RunReport,
-    RunStarted,
-)
+from lacewingspar_core.admission_messages import CachedPrompt, PromptsCached
 from lacewingspar_core.data_centre_shares import DataCentreShares
-from lacewingspar_core.pool_admission import REASON_OVERLOADED
+from lacewingspar_core.pool_admission import (
+    REASON_NO_UPSTREAM,
+    REASON_OVERLOADED,
+)
 from lacewingspar_core.pools import Pool
 from lacewingspar_core.prompt_locations import PromptLocations
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
+from lacewingspar_router.components.admission.granted_runs import (
+    GrantedRun,
+    GrantedRuns,
+)
 from lacewingspar_router.components.admission.messages import (
     DECISION_MESSAGES,
     decode_decision,
     encode_decision,
-    encode_request,
     milliseconds,
 )
 from lacewingspar_router.components.admission.models import (
@@ -42,6 +41,7 @@
     RequestRequirements,
 )
 from lacewingspar_router.components.admission.owner import OwnedPools
+from lacewingspar_router.components.admission.pool_owners import PoolOwners
 from lacewingspar_router.components.admission.pools import (
     OwnerSelector,
     PoolSelector,
@@ -73,25 +73,6 @@
     )
 
 
-@dataclass(slots=True)
-class _GrantedRun:
-    """A granted request that has not ended.
-
-    Attributes:
-        pool: Pool that granted the request.
-        admission: The admission request.
-        upstream_id: Upstream that runs the request.
-        owner: Router that accounts for the run.
-        has_first_chunk: Whether the first chunk of the response has arrived.
-    """
-
-    pool: Pool
-    admission: Admission
-    upstream_id: str
-    owner: str
-    has_first_chunk: bool = False
-
-
 class FleetAdmission:
     """Admits requests through the pool owners of the whole fleet.
 
@@ -109,10 +90,13 @@
         )
         self._owner_selector = OwnerSelector(app, self._pool_selector)
         self._owned_pools = OwnedPools(app, self._deliver_decision)
+        self._pool_owners = PoolOwners(app, self._owned_pools)
+        self._granted_runs = GrantedRuns(
+            app, self._owner_selector, self._pool_owners
+        )
         self._request_numbers = itertools.count(1)
         self._prompt_locations = PromptLocations()
         self._pending_by_number: dict[int, _PendingRequest] = {}
-        self._run_by_number: dict[int, _GrantedRun] = {}
         for message_type in DECISION_MESSAGES:
             self._peers.subscribe(message_type, self._on_decision)
 
@@ -186,16 +170,17 @@
         A request is declined once more at most, so that an overloaded fleet
         spends little on requests that it cannot serve.
         """
-        if declined.reason != REASON_OVERLOADED or len(declined_in) > 1:
+        if len(declined_in) > 1:
             return None
         pool = self._select_pool(requirements, number, declined_in)
-        if pool is None:
-            return None
+        if pool is None or declined.reason == REASON_NO_UPSTREAM:
+            return pool
         wait = self._pool_selector.shares(pool.service).mean_wait(
             pool.data_centre, self._app.now()
         )
         limit = const.OTHER_POOL_WAIT_FRACTION * declined.wait_seconds
-        return pool if wait < limit else None
+        is_better = declined.reason == REASON_OVERLOADED and wait < limit
+        return pool if is_better else None
 
     def _record_silent_owner(
         self, pending: _PendingRequest, requirements: RequestRequirements
@@ -220,70 +205,6 @@
         """Return how requests of a service are divided among data centres."""
         return self._pool_selector.shares(service)
 
-    def record_first_chunk(self, grant: Grant) -> None:
-        """Report to the owner that the first chunk of the response arrived."""
-        run = self._run_by_number.get(grant.number)
-        if run is None or run.has_first_chunk:
-            return
-        run.has_first_chunk = True
-        if run.owner == self._app.instance.router_id:
-            self._owned_pools.record_first_chunk(run.pool, run.admission.key)
-            return
-        self._peers.send(
-            run.owner,
-            RunStarted(
-                run.pool.service,
-                run.pool.data_centre,
-                run.pool.shard,
-                grant.number,
-            ),
-        )
-
-    def end(
-        self,
-        grant: Grant,
-        outcome: RunOutcome,
-        *,
-        is_unreachable: bool = False,
-    ) -> None:
-        """Report the end of a run to its owner; repeats have no effect."""
-        run = self._run_by_number.pop(grant.number, None)
-        if run is None:
-            return
-        unreachable = run.upstream_id if is_unreachable else ""
-        self._end_at_owner(
-            run.owner, run.pool, run.admission.key, outcome, unreachable
-        )
-
-    def report_runs(self) -> None:
-        """Report the runs of this router to the owners of their pools.
-
-        These reports also inform the new owner of a pool of existing runs.
-        """
-        reported: dict[tuple[Pool, str], list[ReportedRun]] = {}
-        for number, run in self._run_by_number.items():
-            self._transfer_to_current_owner(run)
-            reported.setdefault((run.pool, run.owner), []).append(
-                self._reported_run(number, run)
-            )
-        for (pool, owner), runs in reported.items():
-            report = RunReport(
-                pool.service, pool.data_centre, pool.shard, tuple(runs)
-            )
-            if owner == self._app.instance.router_id:
-                self._owned_pools.reconcile(self._app.instance, report)
-            else:
-                self._peers.send(owner, report)
-
-    def _transfer_to_current_owner(self, run: _GrantedRun) -> None:
-        """Move the accounting of a run to the current owner of its pool."""
-        owner = self._owner_selector.current_owner(run.pool)
-        if owner == run.owner:
-            return
-        key = run.admission.key
-        self._end_at_owner(run.owner, run.pool, key, RunOutcome.CANCELLED, "")
-        run.owner = owner
-
     def tick(self) -> None:
         """Decline requests of owned pools that would miss their deadline."""
         self._owned_pools.tick()
@@ -310,6 +231,24 @@
         """Log the load of each owned pool."""
         self._owned_pools.log_loads()
 
+    def record_first_chunk(self, grant: Grant) -> None:
+        """Report to the owner that the first chunk of the response arrived."""
+        self._granted_runs.record_first_chunk(grant)
+
+    def end(
+        self,
+        grant: Grant,
+        outcome: RunOutcome,
+        *,
+        is_unreachable: bool = False,
+    ) -> None:
+        """Report the end of a run to its owner; repeats have no effect."""
+        self._granted_runs.end(grant, outcome, is_unreachable=is_unreachable)
+
+    def report_runs(self) -> None:
+        """Report the runs of this router to the owners of their pools."""
+        self._granted_runs.report()
+
     async def _async_request_decision(
         self, pending: _PendingRequest
     ) -> AdmissionDecision | None:
@@ -353,49 +292,23 @@
         return const.OWNER_RESPONSE_TIMEOUT_SECONDS
 
     def _send_request(self, pending: _PendingRequest) -> None:
-        admission = pending.admission
         shares = self._pool_selector.shares(pending.pool.service)
-        if pending.owner == self._app.instance.router_id:
-            self._owned_pools.submit(
-                pending.pool, admission, shares.leaving_share
-            )
-            return
-        request = encode_request(
-            pending.pool, admission, shares.leaving_share, self._app.now()
+        self._pool_owners.submit(
+            pending.owner,
+            pending.pool,
+            pending.admission,
+            shares.leaving_share,
         )
-        self._peers.send(pending.owner, request)
 
     def _withdraw(self, pending: _PendingRequest) -> None:
         """Notify the owner that a request no longer needs an upstream."""
-        self._end_at_owner(
+        self._pool_owners.end(
             pending.owner,
             pending.pool,
             pending.admission.key,
             RunOutcome.CANCELLED,
-            "",
         )
 
-    def _end_at_owner(
-        self,
-        owner: str,
-        pool: Pool,
-        key: AdmissionKey,
-        outcome: RunOutcome,
-        unreachable: str,
-    ) -> None:
-        if owner == self._app.instance.router_id:
-            self._owned_pools.end(pool, key, outcome, unreachable)
-            return
-        message = RunEnded(
-            pool.service,
-            pool.data_centre,
-            pool.shard,
-            key.number,
-            outcome,
-            unreachable,
-        )
-        self._peers.send(owner, message)
-
     def _record_grant(
         self,
         pending: _PendingRequest,
@@ -406,8 +319,13 @@
         self._prompt_locations.record(
             requirements.shared_parts, granted.upstream_id
         )
-        self._run_by_number[number] = _GrantedRun(
-            pending.pool, pending.admission, granted.upstream_id, pending.owner
+        self._granted_runs.add(
+            GrantedRun(
+                pending.pool,
+                pending.admission,
+                granted.upstream_id,
+                pending.owner,
+            )
         )
         _LOGGER.info(
             "request admitted",
@@ -480,19 +398,6 @@
             cached_at=self._prompt_locations.find(requirements.shared_parts),
         )
 
-    def _reported_run(self, number: int, run: _GrantedRun) -> ReportedRun:
-        admission = run.admission
-        remaining_seconds = admission.deadline_at - self._app.now()
-        return ReportedRun(
-            number=number,
-            upstream_id=run.upstream_id,
-            pending_prefill_tokens=0
-            if run.has_first_chunk
-            else admission.own_tokens,
-            memory_tokens=admission.prompt_tokens + admission.output_tokens,
-            remaining_ms=max(0, milliseconds(remaining_seconds)),
-        )
-
     def _deliver_decision(
         self, pool: Pool, decision: AdmissionDecision
     ) -> None:
--- a/tests/router/deployed/test_data_centres.py
+++ b/tests/router/deployed/test_data_centres.py
@@ -105,3 +105,12 @@
     await until(lambda: "near" not in directory.ready_upstreams("plain"))
     assert (await caller.call("/write/", budget_ms=8000)).status == 200
     assert runs(deployment) == Counter(far=1)
+
+
+async def test_request_leaves_when_no_upstream_is_left_nearby(
+    deployment: Deployment, caller: Caller
+) -> None:
+    """Guards against refusals while another data centre could serve."""
+    deployment.upstream_by_id["near"].faults.refuse = True
+    assert (await caller.call("/read/", "GET")).status == 200
+    assert runs(deployment)["far"] == 1
