Leave requests to other data centres while all upstreams nearby are blocked

Cause: a pool sent requests to blocked upstreams when all were blocked, so that one that has recovered is found. That is right for the only pool of a service. A pool of one data centre kept its callers at dead engines while others had room. It declines now until the next probe is due, and the ingress router asks another data centre. The test got a grant at a dead engine before.

--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -94,10 +94,12 @@
 
     Args:
         pool: Name of the pool, which seeds the hash for affinity upstreams.
+        has_other_pools: Whether requests can use pools of other data centres.
     """
 
-    def __init__(self, pool: str) -> None:
+    def __init__(self, pool: str, *, has_other_pools: bool = False) -> None:
         self._pool = pool
+        self._has_other_pools = has_other_pools
         self.member_by_id: dict[str, PoolMember] = {}
         self._affinity_id_by_part_key: dict[int, str] = {}
         self._rejection_by_key: dict[AdmissionKey, _Rejection] = {}
@@ -142,7 +144,7 @@
 
     def available_members(self, now: float) -> list[PoolMember]:
         """Return the upstreams that can accept a request now."""
-        members = _unblocked(self.member_by_id.values(), now)
+        members = self._unblocked(self.member_by_id.values(), now)
         return [item for item in members if item.load.is_available]
 
     @property
@@ -165,7 +167,7 @@
                 for upstream_id, member in self.member_by_id.items()
                 if upstream_id not in admission.excluded
             ]
-        return _unblocked(members, now)
+        return self._unblocked(members, now)
 
     def choose(
         self,
@@ -330,6 +332,21 @@
             default=1.0,
         )
 
+    def _unblocked(
+        self, members: Collection[PoolMember], now: float
+    ) -> list[PoolMember]:
+        """Return the upstreams that are not blocked.
+
+        In the only pool of a service, requests go on when all are blocked.
+        Elsewhere other pools take them until the next probe is due.
+        """
+        unblocked = [
+            item for item in members if now >= item.breaker.blocked_until
+        ]
+        if unblocked or self._has_other_pools:
+            return unblocked
+        return list(members)
+
     def _affinity_member(
         self, admission: Admission, members: list[PoolMember]
     ) -> PoolMember | None:
@@ -349,15 +366,6 @@
         return affinity if affinity in members else None
 
 
-def _unblocked(members: Collection[PoolMember], now: float) -> list[PoolMember]:
-    """Return the upstreams that are not blocked, or all if all are blocked.
-
-    When all fail, requests go on so that a recovered upstream is found.
-    """
-    unblocked = [item for item in members if now >= item.breaker.blocked_until]
-    return unblocked or list(members)
-
-
 def _new_load(
     entry: UpstreamEntry,
     service: UpstreamService,
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -101,12 +101,14 @@
 
     Args:
         pool: Name of the pool, which seeds the hash for affinity upstreams.
+        has_other_pools: Whether a declined request can ask a pool of another
+            data centre.
     """
 
-    def __init__(self, pool: str) -> None:
+    def __init__(self, pool: str, *, has_other_pools: bool = False) -> None:
         self.granted = WorkspaceTally()
         self.declined = WorkspaceTally()
-        self._placement = Placement(pool)
+        self._placement = Placement(pool, has_other_pools=has_other_pools)
         self._queue = FairQueue()
         self._upstream_by_run: dict[AdmissionKey, str] = {}
         self._recent_grants: deque[tuple[float, float]] = deque()
--- a/packages/router/src/lacewingspar_router/components/admission/owner.py
+++ b/packages/router/src/lacewingspar_router/components/admission/owner.py
@@ -181,7 +181,10 @@
     def _pool_admission(self, pool: Pool) -> PoolAdmission:
         admission = self._admission_by_pool.get(pool)
         if admission is None:
-            admission = PoolAdmission(pool.name)
+            admission = PoolAdmission(
+                pool.name,
+                has_other_pools=pool.data_centre != ALL_DATA_CENTRES,
+            )
             self._admission_by_pool[pool] = admission
             _LOGGER.info(
                 "admission for pool started",
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,7 +5,12 @@
 import pytest
 from tests.core.engine_model import SERVICE, admission, entry
 
-from lacewingspar_core.admission_events import Admission, AdmissionDecision
+from lacewingspar_core.admission_events import (
+    Admission,
+    AdmissionDecision,
+    Declined,
+    Granted,
+)
 from lacewingspar_core.pool_admission import PoolAdmission
 from lacewingspar_core.upstream_load import EngineLoad
 
@@ -60,3 +65,25 @@
     # For each request, before the grant and again after it: the engine that
     # changed and the best engine of the request.
     assert assessed <= 2 * 2 * waiting
+
+
+@pytest.mark.parametrize(
+    ("has_other_pools", "decision"), [(False, Granted), (True, Declined)]
+)
+def test_pool_without_reachable_upstreams_leaves_requests_to_others(
+    has_other_pools: bool, decision: type[AdmissionDecision]
+) -> None:
+    """Guards against callers that only get the dead engines near them.
+
+    Load: all engines of a data centre have crashed but are still listed.
+    """
+    pool = PoolAdmission("models/dc/0", has_other_pools=has_other_pools)
+    engines = {f"e{number}": entry(f"e{number}") for number in range(2)}
+    pool.set_upstreams(engines, SERVICE, PREFILL_TOKENS_PER_SECOND, 0.0)
+    for upstream_id in engines:
+        pool.record_unreachable(upstream_id, 0.0)
+    (answer,) = pool.submit(admission(1, 0.01), 0.01)
+    assert isinstance(answer, decision)
+    # Later one request tries the engines again.
+    (later,) = pool.submit(admission(2, 10.0), 10.0)
+    assert isinstance(later, Granted)
