Log where requests go among the data centres, and why

A request that asks a second data centre and a share of prompts that leaves were decisions without a line.

--- a/packages/core/src/lacewingspar_core/data_centre_shares.py
+++ b/packages/core/src/lacewingspar_core/data_centre_shares.py
@@ -119,6 +119,13 @@
         wait = self._wait_by_data_centre.get(data_centre)
         return 0.0 if wait is None else wait.at(now)
 
+    def mean_waits(self, now: float) -> dict[str, float]:
+        """Return the mean of the recent waits by data centre, in seconds."""
+        return {
+            data_centre: wait.at(now)
+            for data_centre, wait in self._wait_by_data_centre.items()
+        }
+
     def exclude(self, data_centre: str, now: float) -> None:
         """Leave out another data centre whose pool owner did not respond."""
         if data_centre != self._own:
--- a/packages/router/src/lacewingspar_router/components/admission/const.py
+++ b/packages/router/src/lacewingspar_router/components/admission/const.py
@@ -8,6 +8,8 @@
 # A declined request asks another data centre if the mean wait there is below
 # this fraction of the wait for which it was declined.
 OTHER_POOL_WAIT_FRACTION = 0.5
+# Leaving shares below this one are not logged.
+MIN_LOGGED_LEAVING_SHARE = 0.01
 # Interval at which the ingress router asks the owner again about a queued
 # request, to detect the loss of the owner.
 QUEUED_RECHECK_INTERVAL_SECONDS = 0.4
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -133,6 +133,7 @@
                     )
                     if other is None:
                         raise self._refusal(pending, decision, requirements)
+                    self._log_move(pending, decision, requirements, other)
                     pool = other
                 case None:
                     self._withdraw(pending)
@@ -182,6 +183,31 @@
         is_better = declined.reason == REASON_OVERLOADED and wait < limit
         return pool if is_better else None
 
+    def _log_move(
+        self,
+        pending: _PendingRequest,
+        declined: Declined,
+        requirements: RequestRequirements,
+        other: Pool,
+    ) -> None:
+        self._telemetry.count(
+            "declined_elsewhere_total",
+            service=requirements.service,
+            reason=declined.reason,
+        )
+        _LOGGER.info(
+            "request declined; asking another data centre",
+            request_id=requirements.request_id,
+            service=requirements.service,
+            workspace=requirements.workspace,
+            reason=declined.reason,
+            expected_wait_ms=milliseconds(declined.wait_seconds),
+            owner=pending.owner,
+            pool_data_centre=pending.pool.data_centre,
+            next_data_centre=other.data_centre,
+            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
+        )
+
     def _record_silent_owner(
         self, pending: _PendingRequest, requirements: RequestRequirements
     ) -> None:
@@ -228,8 +254,21 @@
             self._peers.send(owner, PromptsCached(pool.service, tuple(prompts)))
 
     def log_pool_loads(self) -> None:
-        """Log the load of each owned pool."""
+        """Log the load of each owned pool, and where requests go."""
         self._owned_pools.log_loads()
+        now = self._app.now()
+        for service, shares in self._pool_selector.shares_by_service.items():
+            if shares.leaving_share < const.MIN_LOGGED_LEAVING_SHARE:
+                continue
+            _LOGGER.info(
+                "requests leave the data centre",
+                service=service,
+                leaving_share=round(shares.leaving_share, 2),
+                mean_wait_ms_by_data_centre={
+                    name: milliseconds(seconds)
+                    for name, seconds in shares.mean_waits(now).items()
+                },
+            )
 
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
--- a/packages/router/src/lacewingspar_router/components/admission/pools.py
+++ b/packages/router/src/lacewingspar_router/components/admission/pools.py
@@ -15,6 +15,9 @@
 class PoolSelector:
     """Selects the pool for a request.
 
+    Attributes:
+        shares_by_service: How requests are divided among data centres.
+
     Args:
         routing: Configuration and upstreams known to this router.
         data_centre: Data centre of this router.
@@ -24,7 +27,7 @@
         self._routing = routing
         self._data_centre = data_centre
         self._layout_by_service: dict[str, PoolLayout] = {}
-        self._shares_by_service: dict[str, DataCentreShares] = {}
+        self.shares_by_service: dict[str, DataCentreShares] = {}
         routing.add_listener(self._layout_by_service.clear)
 
     def shards(self, pool: Pool) -> int:
@@ -33,10 +36,10 @@
 
     def shares(self, service: str) -> DataCentreShares:
         """Return how requests of a service are divided among data centres."""
-        shares = self._shares_by_service.get(service)
+        shares = self.shares_by_service.get(service)
         if shares is None:
             shares = DataCentreShares(self._data_centre)
-            self._shares_by_service[service] = shares
+            self.shares_by_service[service] = shares
         return shares
 
     def pool_for(
--- a/tests/router/deployed/test_data_centres.py
+++ b/tests/router/deployed/test_data_centres.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 import pytest
+import structlog
 from tests.router.deployed.conftest import Caller, Deployment, manifest, until
 
 from lacewingspar_core import pools
@@ -112,5 +113,13 @@
 ) -> None:
     """Guards against refusals while another data centre could serve."""
     deployment.upstream_by_id["near"].faults.refuse = True
-    assert (await caller.call("/read/", "GET")).status == 200
+    with structlog.testing.capture_logs() as lines:
+        assert (await caller.call("/read/", "GET")).status == 200
     assert runs(deployment)["far"] == 1
+    (moved,) = (
+        line
+        for line in lines
+        if line["event"] == "request declined; asking another data centre"
+    )
+    assert moved["pool_data_centre"] == "dc-a"
+    assert moved["next_data_centre"] == "dc-b"
