--- a/packages/core/src/lacewingspar_core/data_centre_shares.py
+++ b/packages/core/src/lacewingspar_core/data_centre_shares.py
@@ -163,7 +163,8 @@
             if now >= self._excluded_until_by_data_centre.get(data_centre, 0.0)
         }
         candidates = reachable or candidates
-        self._adapt(candidates, now)
+        if not rejected:
+            self._adapt(candidates, now)
         return weighted_name(key, self._weights(candidates, now))
 
     def _weights(
