--- a/packages/core/src/lacewingspar_core/data_centre_shares.py
+++ b/packages/core/src/lacewingspar_core/data_centre_shares.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from lacewingspar_core.ownership import weighted_name
+from lacewingspar_core.ownership import weighted_choice
 
 # Mean wait for an upstream above which requests leave the own data centre. It
 # is below the waits at which requests are declined.
@@ -165,7 +165,7 @@
         candidates = reachable or candidates
         if not rejected:
             self._adapt(candidates, now)
-        return weighted_name(key, self._weights(candidates, now))
+        return weighted_choice(key, self._weights(candidates, now))
 
     def _weights(
         self, count_by_data_centre: Mapping[str, int], now: float
--- a/packages/core/src/lacewingspar_core/ownership.py
+++ b/packages/core/src/lacewingspar_core/ownership.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import xxhash
 
@@ -15,6 +16,8 @@
 
 _HASH_VALUES = 2**64
 
+_Option = TypeVar("_Option", int, str)
+
 
 def shard_count(upstream_count: int) -> int:
     """Return the number of shards of a service in one data centre."""
@@ -77,25 +80,25 @@
         key: Key to assign.
         weights: Weight of each shard, at least one of them above 0.
     """
-    return max(
-        range(len(weights)),
-        key=lambda shard: _weighted_rank(f"{shard}/{key}", weights[shard]),
-    )
+    return weighted_choice(key, dict(enumerate(weights)))
 
 
-def weighted_name(key: str, weight_by_name: Mapping[str, float]) -> str:
-    """Return the name for a key by weighted rendezvous hashing.
+def weighted_choice(
+    key: str, weight_by_option: Mapping[_Option, float]
+) -> _Option:
+    """Return the option for a key by weighted rendezvous hashing.
 
-    Unlike with `weighted_shard`, adding or removing a name moves only the keys
-    of that name.
+    Adding or removing an option moves only the keys of that option.
 
     Args:
         key: Key to assign.
-        weight_by_name: Weight of each name; not empty.
+        weight_by_option: Weight of each option; not empty.
     """
     return max(
-        weight_by_name,
-        key=lambda name: _weighted_rank(f"{name}/{key}", weight_by_name[name]),
+        weight_by_option,
+        key=lambda option: _weighted_rank(
+            f"{option}/{key}", weight_by_option[option]
+        ),
     )
 
 
--- a/packages/core/src/lacewingspar_core/pools.py
+++ b/packages/core/src/lacewingspar_core/pools.py
@@ -64,14 +64,13 @@
         self.upstream_count_by_data_centre: Mapping[str, int] = dict(
             sorted(Counter(data_centre_by_id.values()).items())
         ) or {ALL_DATA_CENTRES: 0}
-        self._size_by_pool = Counter(
-            Pool(
-                service,
-                data_centre,
-                upstream_shard(upstream_id, self.shard_count(data_centre)),
-            )
-            for upstream_id, data_centre in data_centre_by_id.items()
-        )
+        self._shard_sizes_by_data_centre = {
+            data_centre: [0] * self.shard_count(data_centre)
+            for data_centre in self.upstream_count_by_data_centre
+        }
+        for upstream_id, data_centre in data_centre_by_id.items():
+            sizes = self._shard_sizes_by_data_centre[data_centre]
+            sizes[upstream_shard(upstream_id, len(sizes))] += 1
 
     def shard_count(self, data_centre: str) -> int:
         """Return the number of pools in a data centre."""
@@ -88,14 +87,9 @@
             data_centre: One of the keys of `upstream_count_by_data_centre`.
             key: Requests with the same key go to the same pool.
         """
-        pools = [
-            Pool(self._service, data_centre, shard)
-            for shard in range(self.shard_count(data_centre))
-        ]
-        if len(pools) == 1:
-            return pools[0]
-        sizes = [self._size_by_pool[pool] for pool in pools]
-        return pools[weighted_shard(key, sizes)]
+        sizes = self._shard_sizes_by_data_centre[data_centre]
+        shard = 0 if len(sizes) == 1 else weighted_shard(key, sizes)
+        return Pool(self._service, data_centre, shard)
 
 
 def pool_members(
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -183,6 +183,25 @@
         is_better = declined.reason == REASON_OVERLOADED and wait < limit
         return pool if is_better else None
 
+    def _log_decision(
+        self,
+        event: str,
+        pending: _PendingRequest,
+        requirements: RequestRequirements,
+        **fields: str | int,
+    ) -> None:
+        """Log a decision of a pool owner on a request."""
+        _LOGGER.info(
+            event,
+            request_id=requirements.request_id,
+            service=requirements.service,
+            workspace=requirements.workspace,
+            owner=pending.owner,
+            pool_data_centre=pending.pool.data_centre,
+            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
+            **fields,
+        )
+
     def _log_move(
         self,
         pending: _PendingRequest,
@@ -195,17 +214,13 @@
             service=requirements.service,
             reason=declined.reason,
         )
-        _LOGGER.info(
+        self._log_decision(
             "request declined; asking another data centre",
-            request_id=requirements.request_id,
-            service=requirements.service,
-            workspace=requirements.workspace,
+            pending,
+            requirements,
             reason=declined.reason,
             expected_wait_ms=milliseconds(declined.wait_seconds),
-            owner=pending.owner,
-            pool_data_centre=pending.pool.data_centre,
             next_data_centre=other.data_centre,
-            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
 
     def _record_silent_owner(
@@ -366,19 +381,15 @@
                 pending.owner,
             )
         )
-        _LOGGER.info(
+        self._log_decision(
             "request admitted",
-            request_id=requirements.request_id,
-            service=requirements.service,
-            workspace=requirements.workspace,
+            pending,
+            requirements,
             upstream=granted.upstream_id,
             fetch_from=granted.fetch_from,
-            owner=pending.owner,
-            pool_data_centre=pending.pool.data_centre,
             prompt_tokens=pending.admission.prompt_tokens,
             output_tokens=requirements.output_tokens,
             waited_ms=milliseconds(self._app.now() - requirements.arrived_at),
-            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
         return Grant(
             number, granted.upstream_id, granted.fetch_from, pending.owner
@@ -395,17 +406,13 @@
             service=requirements.service,
             reason=declined.reason,
         )
-        _LOGGER.info(
+        self._log_decision(
             "request declined",
-            request_id=requirements.request_id,
-            service=requirements.service,
-            workspace=requirements.workspace,
+            pending,
+            requirements,
             reason=declined.reason,
             expected_wait_ms=milliseconds(declined.wait_seconds),
             retry_after_ms=milliseconds(declined.retry_after_seconds),
-            owner=pending.owner,
-            pool_data_centre=pending.pool.data_centre,
-            directory_age_ms=milliseconds(self._routing.directory_age_seconds),
         )
         return RequestRefusedError(
             503,
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -64,12 +64,15 @@
         """Request the state that this router lacks after its start."""
         if self._state.is_ready:
             return
-        request = StateRequest(
-            self._state.configuration_version, self._state.directory_offset
-        )
+        request = self._make_request()
         for router_id in router_ids:
             self._peers.send(router_id, request)
 
+    def _make_request(self) -> StateRequest:
+        return StateRequest(
+            self._state.configuration_version, self._state.directory_offset
+        )
+
     def send_confirmation(self) -> None:
         """Confirm to the followers of this router that the log was read."""
         if not self._role.confirms_reads:
@@ -166,10 +169,7 @@
         ):
             return
         self._requested_at = now
-        request = StateRequest(
-            self._state.configuration_version, self._state.directory_offset
-        )
-        self._peers.send(router_id, request)
+        self._peers.send(router_id, self._make_request())
 
     def _choose_peer(self) -> str | None:
         """Return a random peer, from the local data centre if possible."""
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -40,6 +40,19 @@
     return len(serving) == ROUTERS
 
 
+async def until_all_have(
+    apps: list[Application], version: int, seconds: float
+) -> None:
+    """Wait until a configuration is active in all routers."""
+    await until(
+        lambda: all(
+            routing_state_of(app).configuration_version == version
+            for app in apps
+        ),
+        seconds,
+    )
+
+
 def is_ready(app: Application) -> bool:
     return routing_state_of(app).is_ready
 
@@ -88,13 +101,7 @@
 async def test_followers_get_versions_and_upstreams(fleet: Deployment) -> None:
     await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     fleet.publish(manifest(7))
-    await until(
-        lambda: all(
-            routing_state_of(app).configuration_version == 7
-            for app in fleet.apps
-        ),
-        1.0,
-    )
+    await until_all_have(fleet.apps, version=7, seconds=1.0)
     fleet.register("p1", "plain", "draining")
     await until(
         lambda: all(
@@ -115,12 +122,7 @@
         await app.async_stop()
     fleet.publish(manifest(8))
     left = [app for app in fleet.apps if app not in lost]
-    await until(
-        lambda: all(
-            routing_state_of(app).configuration_version == 8 for app in left
-        ),
-        2.0,
-    )
+    await until_all_have(left, version=8, seconds=2.0)
 
 
 async def test_followers_get_versions_after_an_outage(
@@ -136,13 +138,7 @@
     assert calls <= 2 * 2.0 * (2 / 0.15 + 3 / 0.75)
     fleet.store.faults.outage = False
     fleet.publish(manifest(9))
-    await until(
-        lambda: all(
-            routing_state_of(app).configuration_version == 9
-            for app in fleet.apps
-        ),
-        2.0,
-    )
+    await until_all_have(fleet.apps, version=9, seconds=2.0)
 
 
 DATA_CENTRE_BY_ROUTER_ID = {
@@ -174,13 +170,7 @@
     await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
     assert await reads_per_second(wide_fleet, 2.0) <= 2.5
     wide_fleet.publish(manifest(7))
-    await until(
-        lambda: all(
-            routing_state_of(app).configuration_version == 7
-            for app in wide_fleet.apps
-        ),
-        1.0,
-    )
+    await until_all_have(wide_fleet.apps, version=7, seconds=1.0)
 
 
 async def test_data_centres_read_for_themselves_without_the_reader(
@@ -200,12 +190,7 @@
         await app.async_stop()
     wide_fleet.publish(manifest(8))
     left = [app for app in wide_fleet.apps if app not in lost]
-    await until(
-        lambda: all(
-            routing_state_of(app).configuration_version == 8 for app in left
-        ),
-        2.0,
-    )
+    await until_all_have(left, version=8, seconds=2.0)
 
 
 async def test_start_of_a_fleet_reads_little(served: Deployment) -> None:
