--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -53,6 +53,7 @@
 MAX_ENDLESS_BYTES = 48 * 1024 * 1024
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
+_STATUS_UNAVAILABLE = 503
 
 
 class UpstreamFaults(Faults):
@@ -81,6 +82,13 @@
             `ENDLESS_PARTS`, or "" for none.
         crash_marker: Text in a request body that makes the upstream stop
             listening and reset all its connections.
+        pause_after_events: Number of events of a run after which it pauses
+            once and then goes on; 0 pauses before the response head, also of
+            plain calls, and -1 never.
+        pause_seconds: Length of the pause.
+        leaving: Announce in every response that the upstream is leaving.
+        retry_after: Value of `Retry-After` in responses with status 503, or ""
+            for none.
     """
 
     refuse: bool = False
@@ -98,6 +106,10 @@
     no_seal: bool = False
     endless: str = ""
     crash_marker: str = ""
+    pause_after_events: int = -1
+    pause_seconds: float = 0.0
+    leaving: bool = False
+    retry_after: str = ""
 
 
 @dataclass(slots=True)
@@ -252,6 +264,7 @@
                 return
             if faults.mute:
                 await asyncio.Event().wait()
+            await self._async_pause_after(0)
             if "stream" in request.target:
                 await self._async_respond_stream(request)
             else:
@@ -323,8 +336,15 @@
                 return
             self._write_chunk(data)
             await asyncio.sleep(self._upstream.response_delay_seconds)
+            await self._async_pause_after(sent + 1)
         self._transport.write(b"0\r\n\r\n")
 
+    async def _async_pause_after(self, events: int) -> None:
+        """Pause if the run pauses after this number of events."""
+        faults = self._upstream.faults
+        if events == faults.pause_after_events:
+            await asyncio.sleep(faults.pause_seconds)
+
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
         sock = self._transport.get_extra_info("socket")
@@ -349,10 +369,15 @@
     def _write_head(
         self, request: ReceivedRequest, status: int, headers: list[str]
     ) -> None:
+        faults = self._upstream.faults
         request_id = request.value_by_header.get("x-attempt-id", "")
         lines = [
             f"HTTP/1.1 {status} Status",
             f"X-Attempt-Id: {request_id}",
             *headers,
         ]
+        if faults.leaving:
+            lines.append("Server-Leaving: 1")
+        if faults.retry_after and status == _STATUS_UNAVAILABLE:
+            lines.append(f"Retry-After: {faults.retry_after}")
         self._transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
