Answer each request whatever follows it on its connection

What callers saw: a request in flight lost its answer when the caller sent a last request behind it ('Connection: close'; 1 of 2 answered), bytes that are no request (0 of 1, the connection was closed after 0.5 s), more than eight requests (1 of 10), or when the router began to stop while another request was queued (1 of 2).

Cause: the connection kept what concerns one request or the end of its input as a state of the whole connection. must_close was set when the second request was parsed and closed the connection after the first one; an error in the input closed it at once; the stop was applied behind the request in flight without looking at the queue.

Change: whether the connection closes belongs to the queued request and is decided when the head of its response is sent; an error waits for the responses to earlier requests; a full queue pauses reading; a stopping server first answers what it has received. A caller that closes its sending side still counts as gone.

Ruled out: the parser itself; both event loops behave alike.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -21,7 +22,8 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-# Maximum number of queued requests while one is in flight.
+# Queued requests above which reading from the connection pauses. The requests
+# of one read are queued together, so the queue may become longer.
 MAX_PIPELINED_REQUESTS = 8
 # Unsent response data above which the handler waits for a slow caller.
 WRITE_BUFFER_HIGH_WATER_BYTES = 256 * 1024
@@ -44,31 +46,46 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class _QueuedRequest:
+    """A request that waits for the response to the one before it.
+
+    Attributes:
+        request: The request.
+        closes: Whether the caller asks to close the connection afterwards.
+    """
+
+    request: HttpRequest
+    closes: bool
+
+
 class CallerConnection(asyncio.Protocol):
-    """Connection of a caller; requests are handled in order."""
+    """Connection of a caller; requests are handled in order.
+
+    Whatever follows a request on the connection does not affect its response.
+    """
 
     def __init__(self, server: "Http1Server") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queued_requests: deque[HttpRequest] = deque()
+        self._queued_requests: deque[_QueuedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_reading = False
         self._is_head_complete = False
         self._is_closing = False
-        self._must_close = False
+        # Set by the last request, or by bytes that are no request.
+        self._is_input_ended = False
+        self._error_status_at_end: int | None = None
+        self._is_paused = False
+        self._closes_after_response = False
         self._last_active_at = self._loop.time()
         self._received_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    @property
-    def must_close(self) -> bool:
-        """Return whether the connection closes after this response."""
-        return self._must_close or self._server.is_closing_connections
-
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
@@ -93,7 +110,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_closing:
+        if self._is_closing or self._is_input_ended:
             return
         if not self._is_reading:
             self._received_at = self._server.now()
@@ -110,9 +127,11 @@
             status = (
                 cause.status if isinstance(cause, _LimitExceededError) else 0
             )
-            self._send_error_and_close(status or 400)
+            self._reject_input(status or 400)
         except httptools.HttpParserError:
-            self._send_error_and_close(400)
+            # The parser also rejects bytes after the last request.
+            if not self._is_input_ended:
+                self._reject_input(400)
 
     def eof_received(self) -> None:
         """Let the transport close, because the caller disconnected."""
@@ -182,8 +201,8 @@
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the one in flight."""
         self._is_reading = False
-        if not self._parser.should_keep_alive():
-            self._must_close = True
+        closes = not self._parser.should_keep_alive()
+        self._is_input_ended = closes
         request = HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
@@ -196,18 +215,30 @@
         self._body = []
         self._received_at = self._server.now()
         if self._task is None:
+            self._closes_after_response = closes
             early_response = self._server.early_responder(request)
             if early_response is not None:
                 self._send_early_response(request, early_response)
                 return
-        if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
-            raise _LimitExceededError(429)
-        self._queued_requests.append(request)
+        self._queued_requests.append(_QueuedRequest(request, closes))
         if self._task is None:
             self._start_next_request()
+        elif len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+            self._pause_reading()
 
     # ResponseConnection
 
+    def decide_close(self) -> bool:
+        """Decide whether the connection closes after the current response.
+
+        A server that closes its connections first responds to the requests
+        that it has already received.
+        """
+        self._closes_after_response = self._closes_after_response or (
+            self._server.is_closing_connections and not self._queued_requests
+        )
+        return self._closes_after_response
+
     def write(self, data: bytes) -> None:
         """Send data, unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
@@ -228,6 +259,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
+            self._transport.pause_reading()
+            self._is_paused = True
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._transport.resume_reading()
+            self._is_paused = False
+
     def _feed_parser(self, data: bytes) -> None:
         while True:
             try:
@@ -236,13 +277,13 @@
                 # Protocol upgrades are ignored.
                 data = data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
-                if data:
+                if data and not self._is_input_ended:
                     continue
             break
         if self._is_reading and not self._is_head_complete:
             self._received_head_bytes += len(data)
             if self._received_head_bytes > self._server.limits.header_bytes:
-                self._send_error_and_close(431)
+                self._reject_input(431)
 
     def _count_head_bytes(self, size: int) -> None:
         self._parsed_head_bytes += size
@@ -256,13 +297,21 @@
         ServerExchange(self, request).send_response(
             early_response.status, early_response.headers, early_response.body
         )
-        if self.must_close:
+        if self._closes_after_response:
             self.close()
 
     def _start_next_request(self) -> None:
-        if self._is_closing or not self._queued_requests:
+        if self._is_closing:
+            return
+        if not self._queued_requests:
+            if self._error_status_at_end is not None:
+                self._send_error_and_close(self._error_status_at_end)
             return
-        exchange = ServerExchange(self, self._queued_requests.popleft())
+        queued = self._queued_requests.popleft()
+        self._closes_after_response = queued.closes
+        if len(self._queued_requests) < MAX_PIPELINED_REQUESTS:
+            self._resume_reading()
+        exchange = ServerExchange(self, queued.request)
         self._task = self._loop.create_task(
             self._async_handle_request(exchange)
         )
@@ -284,7 +333,7 @@
             return
         if not exchange.is_finished:
             self._abort()
-        elif self.must_close:
+        elif self.decide_close():
             self.close()
         else:
             self._last_active_at = self._loop.time()
@@ -296,13 +345,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _reject_input(self, status: int) -> None:
+        """Respond with an error after the responses to earlier requests."""
+        _LOGGER.info(
+            "request rejected; connection will be closed",
+            status=status,
+            earlier_requests=len(self._queued_requests)
+            + (self._task is not None),
+        )
+        self._is_input_ended = True
+        self._is_reading = False
+        if self._task is None:
+            self._send_error_and_close(status)
+        else:
+            self._error_status_at_end = status
+
     def _send_error_and_close(self, status: int) -> None:
         """Respond with an error, and close the connection after a delay."""
-        _LOGGER.info("request rejected and connection closed", status=status)
         self._is_closing = True
-        if self._task is None:
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            self.write(encode_head(status_line(status), headers))
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        self.write(encode_head(status_line(status), headers))
         self._loop.call_later(LINGER_SECONDS, self.close)
 
     def _schedule_timeout_check(self) -> None:
@@ -327,7 +389,7 @@
             self._loop.time() >= self._last_active_at + self._timeout_seconds()
         ):
             if self._is_reading:
-                self._send_error_and_close(408)
+                self._reject_input(408)
             else:
                 self.close()
             return
--- a/packages/router/src/lacewingspar_router/http1/exchange.py
+++ b/packages/router/src/lacewingspar_router/http1/exchange.py
@@ -32,9 +32,8 @@
 class ResponseConnection(Protocol):
     """Connection on which a response is sent."""
 
-    @property
-    def must_close(self) -> bool:
-        """Return whether the connection closes after this response."""
+    def decide_close(self) -> bool:
+        """Decide whether the connection closes after the current response."""
 
     @property
     def can_write(self) -> bool:
@@ -107,6 +106,6 @@
             framed.append((b"transfer-encoding", b"chunked"))
         else:
             framed.append((b"content-length", b"%d" % length))
-        if self._connection.must_close:
+        if self._connection.decide_close():
             framed.append((b"connection", b"close"))
         return encode_head(status_line(status), framed)
--- a/tests/router/test_http1_server.py
+++ b/tests/router/test_http1_server.py
@@ -115,11 +115,12 @@
 class RecordingConnection:
     """Connection that records each write."""
 
-    must_close = False
-
     def __init__(self) -> None:
         self.writes: list[bytes] = []
 
+    def decide_close(self) -> bool:
+        return False
+
     def write(self, data: bytes) -> None:
         self.writes.append(data)
 
