Record requests that a shutdown cuts apart from callers that left

The only trace of a stop was the number in "drain ended early".

The handler now tracks the requests in flight. When a shutdown ends early, each of them gets a line "request cut by shutdown" with its id, state (waiting, sent, handed_over, responding), the number of events sent, its age and the time since the signal, a count in requests_cut_total, and the outcome "cut_by_shutdown" in its last line. A caller that left keeps "cancelled". cut_requests in "drain ended early" now counts requests, no longer connections, which included those that had only begun to send one.

Before: test_cut_request_is_told_from_one_whose_caller_left failed in 6 of 6 cases ('cancelled' == 'cut_by_shutdown'), and the log had no line of the cut. After: all pass.

The fixture overloaded_caller moved from test_hand_over.py to conftest.py without a change, as a second file uses it.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -24,9 +24,11 @@
     Attributes:
         last_id: Id of the last forwarded event, or None before the first event
             with an id.
+        forwarded: Number of forwarded events.
     """
 
     last_id: int | None = None
+    forwarded: int = 0
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
 
@@ -46,6 +48,7 @@
             start = end.end()
             if self._is_new(event):
                 ready += event
+                self.forwarded += 1
         del self._buffer[:start]
         self._bytes_without_new_event = (
             0 if ready else self._bytes_without_new_event + len(data)
--- a/packages/router/src/lacewingspar_router/application.py
+++ b/packages/router/src/lacewingspar_router/application.py
@@ -47,6 +47,14 @@
 class Application:
     """Owns components, tasks and shutdown of one router.
 
+    Attributes:
+        settings: Settings of this router.
+        random: Source of random numbers.
+        instance: Identity of this router and its start.
+        life_cycle: State in the life-cycle.
+        drain_started_at: Time on the clock of `now` at which the graceful
+            shutdown began, or None.
+
     Args:
         settings: Settings of this router.
     """
@@ -59,6 +67,7 @@
             new_incarnation(time.time(), self.random.getrandbits(12)),
         )
         self.life_cycle = LifeCycle.STARTING
+        self.drain_started_at: float | None = None
         self._component_by_name: dict[str, Any] = {}
         self._unload_hooks: list[tuple[str, Hook]] = []
         self._drain_hooks: list[tuple[str, Hook]] = []
@@ -120,6 +129,7 @@
     async def async_drain(self) -> None:
         """Stop accepting new work and wait for the work in flight."""
         self.life_cycle = LifeCycle.DRAINING
+        self.drain_started_at = self.now()
         _LOGGER.info("drain started")
         for name, hook in self._drain_hooks:
             await hook()
--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -56,7 +56,7 @@
         handler.close()
 
     async def async_abort_requests() -> int:
-        count = callers.busy_connection_count
+        count = handler.in_flight.cut()
         callers.close()
         return count
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -15,6 +15,7 @@
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.models import WIRE_FORMAT, Call
+from lacewingspar_router.components.forwarding.stopping import InFlightRequest
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.client import async_read_body, async_read_head
@@ -44,6 +45,7 @@
         BROKEN: The connection to the neighbour broke.
         DEADLINE_PASSED: The response was not complete at the deadline.
         CANCELLED: The caller disconnected.
+        CUT: The shutdown of this router ended the request.
     """
 
     RESPONDED = "answered"
@@ -51,6 +53,7 @@
     BROKEN = "broken"
     DEADLINE_PASSED = "deadline_passed"
     CANCELLED = "cancelled"
+    CUT = "cut_by_shutdown"
 
 
 class HandOver:
@@ -109,7 +112,7 @@
         )
 
     async def async_run(
-        self, exchange: ServerExchange, call: Call, neighbour: Neighbour
+        self, request: InFlightRequest, neighbour: Neighbour
     ) -> bool:
         """Hand a request over to a neighbour and relay its response.
 
@@ -121,6 +124,7 @@
             RequestRefusedError: The response did not arrive, and the request
                 may have run.
         """
+        exchange, call = request.exchange, request.call
         outcome = HandOverOutcome.CANCELLED
         self._neighbour_loads.begin(neighbour.router_id)
         remaining_seconds = call.deadline_at - self._app.now()
@@ -136,6 +140,8 @@
                 raise refusals.deadline_passed(may_have_run=True) from error
         finally:
             self._neighbour_loads.end(neighbour.router_id)
+            if request.is_cut and outcome is HandOverOutcome.CANCELLED:
+                outcome = HandOverOutcome.CUT
             self._record_end(call, neighbour, outcome)
         match outcome:
             case HandOverOutcome.NOT_TAKEN:
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -39,6 +39,10 @@
     CallProgress,
     RequestRecorder,
 )
+from lacewingspar_router.components.forwarding.stopping import (
+    InFlightRequest,
+    RequestsInFlight,
+)
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
@@ -77,6 +81,7 @@
         self._crash_guard = CrashGuard(app)
         self._recorder = RequestRecorder(app)
         self.accepts_requests = True
+        self.in_flight = RequestsInFlight(app)
         self.load_shedder = LoadShedder(app, self._recorder)
         self.hand_over = HandOver(app, self.load_shedder.record_decline)
 
@@ -94,31 +99,32 @@
             self._refuse(exchange, error, request_id, workspace, None)
             return
         try:
-            if not await self._async_hand_over(exchange, call):
-                await self._async_serve(exchange, call)
+            with self.in_flight.track(call, exchange) as in_flight:
+                if not await self._async_hand_over(in_flight):
+                    await self._async_serve(in_flight)
         finally:
             self.load_shedder.limit.release(call.workspace)
 
-    async def _async_hand_over(
-        self, exchange: ServerExchange, call: Call
-    ) -> bool:
+    async def _async_hand_over(self, request: InFlightRequest) -> bool:
         """Hand a request over if needed; return whether it got a response."""
+        exchange, call = request.exchange, request.call
         neighbour = self.hand_over.choose(call)
         if neighbour is None:
             return False
         try:
-            return await self.hand_over.async_run(exchange, call, neighbour)
+            return await self.hand_over.async_run(request, neighbour)
         except RequestRefusedError as error:
             self._refuse(
                 exchange, error, call.metadata.request_id, call.workspace, None
             )
             return True
 
-    async def _async_serve(self, exchange: ServerExchange, call: Call) -> None:
+    async def _async_serve(self, request: InFlightRequest) -> None:
         """Forward an accepted request to upstreams and record its end."""
+        exchange, call = request.exchange, request.call
         metadata = call.metadata
         events = EventSequence(last_id=metadata.last_event_id)
-        progress = CallProgress(
+        progress = request.progress = CallProgress(
             call,
             CallerResponse(exchange, events),
             AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
@@ -136,6 +142,8 @@
                 exchange, error, metadata.request_id, call.workspace, progress
             )
         finally:
+            if request.is_cut and outcome == "cancelled":
+                outcome = "cut_by_shutdown"
             self._recorder.record_end(progress, outcome)
 
     def close_stale_connections(self) -> None:
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -34,6 +34,13 @@
     history: AttemptHistory
     upstream_id: str = ""
 
+    @property
+    def is_attempt_in_flight(self) -> bool:
+        """Return whether the last attempt has not ended yet."""
+        return bool(self.upstream_id) and (
+            self.upstream_id not in self.history.tried
+        )
+
 
 class RequestRecorder:
     """Logs and counts refusals, failed attempts and ends of requests.
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
@@ -0,0 +1,122 @@
+"""Requests in flight and their end when a graceful shutdown ends early."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from enum import StrEnum
+
+import structlog
+
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding.models import Call
+from lacewingspar_router.components.forwarding.request_recorder import (
+    CallProgress,
+)
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.http1.exchange import ServerExchange
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class RequestState(StrEnum):
+    """State of a request in flight.
+
+    Attributes:
+        WAITING: No upstream works on it; it waits for admission.
+        SENT: It was sent to an upstream; the caller has received nothing.
+        HANDED_OVER: It was handed over to a neighbour; the caller has received
+            nothing.
+        RESPONDING: The response to the caller has started.
+    """
+
+    WAITING = "waiting"
+    SENT = "sent"
+    HANDED_OVER = "handed_over"
+    RESPONDING = "responding"
+
+
+@dataclass(slots=True, eq=False)
+class InFlightRequest:
+    """A request that this router handles.
+
+    Attributes:
+        call: The request.
+        exchange: HTTP exchange with the caller.
+        progress: State of its forwarding, or None while a neighbour has it.
+        is_cut: Whether the shutdown has cut it.
+    """
+
+    call: Call
+    exchange: ServerExchange
+    progress: CallProgress | None = None
+    is_cut: bool = False
+
+    @property
+    def state(self) -> RequestState:
+        """Return the state of the request."""
+        if self.exchange.is_started:
+            return RequestState.RESPONDING
+        if self.progress is None:
+            return RequestState.HANDED_OVER
+        if self.progress.is_attempt_in_flight:
+            return RequestState.SENT
+        return RequestState.WAITING
+
+    @property
+    def forwarded_events(self) -> int | None:
+        """Return the number of events sent to the caller, if known."""
+        if self.progress is None:
+            return None
+        return self.progress.caller_response.events.forwarded
+
+
+class RequestsInFlight:
+    """Tracks the requests in flight, to end them at the drain limit.
+
+    Args:
+        app: The application.
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._telemetry = app.get(TELEMETRY)
+        self._requests: set[InFlightRequest] = set()
+
+    @contextmanager
+    def track(
+        self, call: Call, exchange: ServerExchange
+    ) -> Iterator[InFlightRequest]:
+        """Track a request while it is handled."""
+        request = InFlightRequest(call, exchange)
+        self._requests.add(request)
+        try:
+            yield request
+        finally:
+            self._requests.discard(request)
+
+    def cut(self) -> int:
+        """Mark and record all requests as cut, and return their number."""
+        for request in self._requests:
+            request.is_cut = True
+            self._record_cut(request)
+        return len(self._requests)
+
+    def _record_cut(self, request: InFlightRequest) -> None:
+        now = self._app.now()
+        call, started_at = request.call, self._app.drain_started_at
+        self._telemetry.count(
+            "requests_cut_total", service=call.service, state=request.state
+        )
+        _LOGGER.error(
+            "request cut by shutdown",
+            request_id=call.metadata.request_id,
+            route=call.route.name,
+            service=call.service,
+            workspace=call.workspace,
+            state=request.state,
+            events=request.forwarded_events,
+            age_ms=round((now - call.arrived_at) * 1000),
+            since_signal_ms=(
+                None if started_at is None else round((now - started_at) * 1000)
+            ),
+        )
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -11,7 +11,11 @@
 import pytest
 from tests.router.connections import async_open_connection
 
+from lacewingspar_core.hand_over import HandOverController
+from lacewingspar_core.messages import RouterState
 from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding import hand_over
+from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.http1.messages import (
     Response,
     ResponseEnd,
@@ -52,12 +56,18 @@
 
 
 class Caller:
-    """Sends requests to one router."""
+    """Sends requests to one router.
+
+    Attributes:
+        address: Address of the router.
+        response: What was received of the response to the last request.
+    """
 
     ids = itertools.count(1)
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.response = ReceivedResponse()
 
     async def call(
         self,
@@ -88,7 +98,7 @@
         """Send bytes on a new connection and return the response."""
         connection = await async_open_connection(self.address)
         connection.send(data)
-        response = ReceivedResponse()
+        response = self.response = ReceivedResponse()
         try:
             while True:
                 match await connection.async_next_event():
@@ -213,6 +223,39 @@
     return deployment
 
 
+class _FullHandOverController(HandOverController):
+    """Controller of an overloaded router: hands over all requests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.share = 1.0
+
+    def record_loop_delay(self, seconds: float) -> None:
+        del seconds
+
+
+@pytest.fixture
+async def overloaded_caller(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> Caller:
+    """Provide a caller of an overloaded router with an idle neighbour."""
+    monkeypatch.setattr(
+        hand_over, "HandOverController", _FullHandOverController
+    )
+    caller = await served.add_router("r1")
+    monkeypatch.undo()
+    await served.add_router("r2")
+    first, second = served.apps
+    peers = first.get(PEERS)
+
+    def is_known() -> bool:
+        record = peers.alive_by_router_id.get(second.instance.router_id)
+        return record is not None and record.state is RouterState.SERVING
+
+    await until(is_known)
+    return caller
+
+
 async def until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -7,46 +7,9 @@
 from tests.router.connections import async_open_connection
 from tests.router.deployed.conftest import Caller, Deployment, until
 
-from lacewingspar_core.hand_over import HandOverController
-from lacewingspar_core.messages import RouterState
-from lacewingspar_router.components.forwarding import hand_over
-from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_standins.deployed.documents import request_bytes
 
 
-class _FullHandOverController(HandOverController):
-    """Controller of an overloaded router: hands over all requests."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.share = 1.0
-
-    def record_loop_delay(self, seconds: float) -> None:
-        del seconds
-
-
-@pytest.fixture
-async def overloaded_caller(
-    served: Deployment, monkeypatch: pytest.MonkeyPatch
-) -> Caller:
-    """Provide a caller of an overloaded router with an idle neighbour."""
-    monkeypatch.setattr(
-        hand_over, "HandOverController", _FullHandOverController
-    )
-    caller = await served.add_router("r1")
-    monkeypatch.undo()
-    await served.add_router("r2")
-    first, second = served.apps
-    peers = first.get(PEERS)
-
-    def is_known() -> bool:
-        record = peers.alive_by_router_id.get(second.instance.router_id)
-        return record is not None and record.state is RouterState.SERVING
-
-    await until(is_known)
-    return caller
-
-
 @pytest.mark.parametrize(
     ("path", "method", "body"),
     [
--- a/tests/router/deployed/test_stopping.py
+++ b/tests/router/deployed/test_stopping.py
@@ -1,9 +1,22 @@
 """Tests of the graceful shutdown of a router on the platform."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 import pytest
-from tests.router.deployed.conftest import Deployment
+import structlog
+from tests.router.deployed.conftest import (
+    Caller,
+    Deployment,
+    ReceivedResponse,
+    until,
+)
+
+from lacewingspar_router import main
+from lacewingspar_router.components.admission.models import ADMISSION
+from lacewingspar_router.shutdown import Shutdown
 
 # The platform kills a process 8 s after the stop signal. A stream that starts
 # later than 3 s after the signal may not end before that, so it must be
@@ -79,3 +92,135 @@
     text = page.body.decode()
     assert 'lacewingspar_requests_total{outcome="answered"' in text
     assert "lacewingspar_first_part_seconds_bucket" in text
+
+
+Condition = Callable[[], bool]
+
+
+def hold_in_admission(deployment: Deployment, _: Caller) -> Condition:
+    """Let requests to the first router wait for admission without end."""
+    waiting: list[Any] = []
+
+    async def async_acquire(requirements: Any, _: Any) -> None:
+        waiting.append(requirements)
+        await asyncio.Event().wait()
+
+    admission: Any = deployment.apps[0].get(ADMISSION)
+    admission.async_acquire = async_acquire
+    return lambda: bool(waiting)
+
+
+def hold_at_upstreams(deployment: Deployment, _: Caller) -> Condition:
+    upstreams = deployment.upstream_by_id.values()
+    for upstream in upstreams:
+        upstream.faults.mute = True
+    return lambda: any(upstream.running for upstream in upstreams)
+
+
+def hold_after_two_events(deployment: Deployment, caller: Caller) -> Condition:
+    for upstream in deployment.upstream_by_id.values():
+        upstream.faults.pause_after_events = 2
+        upstream.faults.pause_seconds = 60.0
+    return lambda: caller.response.body.count(b"\n\n") == 2
+
+
+async def stop(deployment: Deployment, *, is_immediate: bool) -> None:
+    """Stop the first router like a signal, or like two signals."""
+    shutdown = Shutdown()
+    shutdown.handle_signal()
+    if is_immediate:
+        shutdown.handle_signal()
+    app = deployment.apps[0]
+    assert not await main._async_drain(app, shutdown)
+    await app.async_stop()
+
+
+@dataclass(frozen=True, slots=True)
+class CutCase:
+    """A request that is in flight when a stop ends early.
+
+    Attributes:
+        path: Path of the request.
+        hold: Keeps the request in the state.
+        state: State in which the request is cut.
+        events: Number of events that the caller has received.
+    """
+
+    path: str
+    hold: Callable[[Deployment, Caller], Condition]
+    state: str
+    events: int = 0
+
+
+CUT_CASE_BY_NAME = {
+    "waiting": CutCase("/write/", hold_in_admission, "waiting"),
+    "waiting stream": CutCase("/stream-once/", hold_in_admission, "waiting"),
+    "sent, repeatable": CutCase("/read/", hold_at_upstreams, "sent"),
+    "sent, not repeatable": CutCase("/write/", hold_at_upstreams, "sent"),
+    "sent stream": CutCase("/stream/", hold_at_upstreams, "sent"),
+    "started stream": CutCase(
+        "/stream/", hold_after_two_events, "responding", 2
+    ),
+}
+cut_cases = pytest.mark.parametrize(
+    "case", CUT_CASE_BY_NAME.values(), ids=CUT_CASE_BY_NAME
+)
+
+
+async def hold_request(
+    deployment: Deployment, caller: Caller, case: CutCase
+) -> "asyncio.Task[ReceivedResponse]":
+    """Send a request and wait until it is in the state."""
+    is_held = case.hold(deployment, caller)
+    call = asyncio.create_task(caller.call(case.path, x_attempt_id="held"))
+    await until(is_held)
+    return call
+
+
+@cut_cases
+async def test_cut_request_is_told_from_one_whose_caller_left(
+    served: Deployment, case: CutCase
+) -> None:
+    """Guards against a log that does not tell which requests a stop cut."""
+    caller = await served.add_router()
+    call = await hold_request(served, caller, case)
+    with structlog.testing.capture_logs() as lines:
+        await stop(served, is_immediate=True)
+        await call
+    line_by_event = {line["event"]: line for line in lines}
+    assert line_by_event["request ended"]["outcome"] == "cut_by_shutdown"
+    line = line_by_event["request cut by shutdown"]
+    assert line["request_id"] == "held"
+    assert (line["state"], line["events"]) == (case.state, case.events)
+    assert 0 <= line["since_signal_ms"] <= line["age_ms"]
+    assert line_by_event["drain ended early"]["cut_requests"] == 1
+
+
+@cut_cases
+async def test_request_whose_caller_left_is_not_cut(
+    served: Deployment, case: CutCase
+) -> None:
+    caller = await served.add_router()
+    call = await hold_request(served, caller, case)
+    with structlog.testing.capture_logs() as lines:
+        call.cancel()
+        await until(lambda: "request ended" in str(lines))
+        await stop(served, is_immediate=True)
+    assert "request cut by shutdown" not in str(lines)
+    (end,) = [line for line in lines if line["event"] == "request ended"]
+    assert end["outcome"] == "cancelled"
+
+
+async def test_cut_request_that_was_handed_over_is_recorded(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    call = await hold_request(
+        served, overloaded_caller, CUT_CASE_BY_NAME["sent, repeatable"]
+    )
+    with structlog.testing.capture_logs() as lines:
+        await stop(served, is_immediate=True)
+        await call
+    line_by_event = {line["event"]: line for line in lines}
+    assert line_by_event["request handed over"]["outcome"] == "cut_by_shutdown"
+    line = line_by_event["request cut by shutdown"]
+    assert (line["state"], line["events"]) == ("handed_over", None)
