Answer requests that a shutdown cuts before their connections close

Callers saw: at the drain limit, or at a second signal, the connection of a request without any byte of its response closed silently, also while the request waited for admission and had never been sent.

Cause: the shutdown closed the callers' connections, and the loss of the connection cancelled the handlers, which then had nobody to answer.

Change: the order is reversed. RequestsInFlight ends the handling of each request through an asyncio.timeout whose deadline becomes now, so that all clean-up runs as on a cancellation (the connection to the upstream is aborted) and the handler itself answers on a connection that is still open: 503 "stopping" with Retry-After if the request was not sent, 502 "stopping" (run unknown) if an attempt was in flight, had ended unclearly, or a neighbour had the request. A stream whose response has started is cut as before, without its last chunk. Requests queued behind a cut one are refused by the handler. The server stops listening, gives partly received requests and new connections 0.15 s to arrive and be refused, refuses the rest with 503, and waits up to 0.15 s more until all connections have sent their data and are closed. A handover that a stopping neighbour refuses is forwarded by this router.

The same cause elsewhere in the path, changed with it: - a drain counted a connection as done while its response was still in the write buffer, which ends with the process; it is in flight until it is sent; - unloading (a start that fails or is stopped) closed connections silently; it now ends requests in the same way; - a handler that is cancelled while its caller is connected reset the connection although nothing had been sent; it answers 500.

Retry-After of "stopping" is 0.1 s in place of 0.5 s, as retries reach other routers, which can serve at once.

Ruled out: answering from task.cancel() alone, because a cancellation by the shutdown and one by a caller that leaves look the same in the handler.

Before (test_stopping.py, test_http1_server.py, test_caller_connection.py with the old code): 24 of the new cases fail, most with status 0 in place of 502 or 503; the two cases of a started stream pass. After: all pass, among them one with a process that gets two signals.

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -51,19 +51,22 @@
         )
 
     async def async_unload() -> None:
+        await async_end_requests()
         for server in servers:
             server.close()
         handler.close()
 
-    async def async_abort_requests() -> int:
+    async def async_end_requests() -> int:
+        """End all requests with a response, and return their number."""
+        handler.accepts_requests = False
         count = handler.in_flight.cut()
-        callers.close()
+        await callers.async_close(handler.stopping_response())
         return count
 
     routing.add_listener(apply_limits)
     app.on_drain("forwarding", lambda: _async_drain(app, callers, handler))
     app.on_unload("forwarding", async_unload)
-    app.on_abort(async_abort_requests)
+    app.on_abort(async_end_requests)
     app.create_task(_async_close_stale(handler), "drop stale connections")
     monitor = LoadMonitor(app, callers, handler.load_shedder, handler.hand_over)
     app.create_task(monitor.async_run(), "measure load")
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -27,6 +27,9 @@
 MIN_RETRY_TIME_LEFT_SECONDS = 0.1
 # Retry-After of refusals that have no better estimate, such as "not_ready".
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
+# Retry-After of a router that is shutting down. Retries reach other routers,
+# which can serve them at once.
+STOPPING_RETRY_AFTER_SECONDS = 0.1
 # Interval at which the delay of the event loop is measured.
 LOOP_DELAY_SAMPLE_INTERVAL_SECONDS = 0.1
 # Fraction of the file descriptors that caller connections may use before idle
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -99,9 +99,13 @@
             self._refuse(exchange, error, request_id, workspace, None)
             return
         try:
-            with self.in_flight.track(call, exchange) as in_flight:
+            async with self.in_flight.async_track(call, exchange) as in_flight:
                 if not await self._async_hand_over(in_flight):
                     await self._async_serve(in_flight)
+        except RequestRefusedError as error:
+            self._refuse(
+                exchange, error, request_id, workspace, in_flight.progress
+            )
         finally:
             self.load_shedder.limit.release(call.workspace)
 
@@ -146,6 +150,10 @@
                 outcome = "cut_by_shutdown"
             self._recorder.record_end(progress, outcome)
 
+    def stopping_response(self) -> Response:
+        """Return the refusal of a request that was not received completely."""
+        return self._wire_format.refusal_response(refusals.stopping(), "")
+
     def close_stale_connections(self) -> None:
         """Close stale connections and those to removed upstreams."""
         self.hand_over.close_stale_connections()
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -129,5 +129,17 @@
         503,
         _STOPPING,
         "this router is shutting down",
-        retry_after_seconds=const.DEFAULT_RETRY_AFTER_SECONDS,
+        retry_after_seconds=const.STOPPING_RETRY_AFTER_SECONDS,
     )
+
+
+def stopped(*, may_have_run: bool) -> RequestRefusedError:
+    """Return the error for a request that the shutdown has cut."""
+    if may_have_run:
+        return RequestRefusedError(
+            502,
+            _STOPPING,
+            "this router shut down before the upstream responded",
+            run=RunState.UNKNOWN,
+        )
+    return stopping()
--- a/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
@@ -1,13 +1,15 @@
 """Requests in flight and their end when a graceful shutdown ends early."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 import structlog
 
 from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding import refusals
 from lacewingspar_router.components.forwarding.models import Call
 from lacewingspar_router.components.forwarding.request_recorder import (
     CallProgress,
@@ -44,12 +46,16 @@
         exchange: HTTP exchange with the caller.
         progress: State of its forwarding, or None while a neighbour has it.
         is_cut: Whether the shutdown has cut it.
+        limit: Ends its handling when the shutdown cuts it.
     """
 
     call: Call
     exchange: ServerExchange
     progress: CallProgress | None = None
     is_cut: bool = False
+    limit: asyncio.Timeout = field(
+        default_factory=lambda: asyncio.timeout(None)
+    )
 
     @property
     def state(self) -> RequestState:
@@ -62,6 +68,11 @@
             return RequestState.SENT
         return RequestState.WAITING
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run the request."""
+        return self.progress is None or self.progress.history.may_have_run
+
     @property
     def forwarded_events(self) -> int | None:
         """Return the number of events sent to the caller, if known."""
@@ -82,22 +93,39 @@
         self._telemetry = app.get(TELEMETRY)
         self._requests: set[InFlightRequest] = set()
 
-    @contextmanager
-    def track(
+    @asynccontextmanager
+    async def async_track(
         self, call: Call, exchange: ServerExchange
-    ) -> Iterator[InFlightRequest]:
-        """Track a request while it is handled."""
+    ) -> AsyncIterator[InFlightRequest]:
+        """Track a request while it is handled.
+
+        If the request is cut, its handling is cancelled.
+
+        Raises:
+            RequestRefusedError: The request was cut before its response
+                started.
+        """
         request = InFlightRequest(call, exchange)
         self._requests.add(request)
         try:
-            yield request
+            async with request.limit:
+                yield request
+        except TimeoutError:
+            if not request.is_cut:
+                raise
+            if not exchange.is_started:
+                raise refusals.stopped(
+                    may_have_run=request.may_have_run
+                ) from None
         finally:
             self._requests.discard(request)
 
     def cut(self) -> int:
-        """Mark and record all requests as cut, and return their number."""
+        """Cut all requests and return their number."""
+        now = asyncio.get_running_loop().time()
         for request in self._requests:
             request.is_cut = True
+            request.limit.reschedule(now)
             self._record_cut(request)
         return len(self._requests)
 
--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -91,6 +91,14 @@
         """Return whether no request is being received or handled."""
         return self._task is None and not self._is_reading
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether the write buffer holds data."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def last_active_at(self) -> float:
         """Return the loop time at which a request last made progress."""
@@ -305,7 +313,9 @@
             return
         if not self._queued_requests:
             if self._error_status_at_end is not None:
-                self._send_error_and_close(self._error_status_at_end)
+                self._send_error_and_close(
+                    Response(self._error_status_at_end, [], b"")
+                )
             return
         queued = self._queued_requests.popleft()
         self._closes_after_response = queued.closes
@@ -321,7 +331,7 @@
             await self._server.handler(exchange)
         except asyncio.CancelledError:
             if not self._is_closing:
-                self._abort()
+                self._end_cancelled(exchange)
             raise
         except Exception:
             _LOGGER.exception("request handler failed")
@@ -332,17 +342,48 @@
         if self._is_closing:
             return
         if not exchange.is_finished:
-            self._abort()
+            self._break_off()
         elif self.decide_close():
             self.close()
         else:
             self._last_active_at = self._loop.time()
             self._start_next_request()
 
-    def _abort(self) -> None:
-        """Reset the connection, so that the response is seen as incomplete."""
+    def refuse_partial_request(self, refusal: Response) -> bool:
+        """Refuse a request that is not received completely.
+
+        The connection stays open, so that the caller reads the refusal before
+        it sees the end of the connection.
+
+        Returns:
+            Whether there was such a request.
+        """
+        if self._is_closing or self._task is not None or not self._is_reading:
+            return False
+        self._send_error_and_close(refusal)
+        return True
+
+    def _end_cancelled(self, exchange: ServerExchange) -> None:
+        """End the response of a cancelled handler."""
+        if exchange.is_started and not exchange.is_finished:
+            self._break_off()
+            return
+        if not exchange.is_started:
+            exchange.send_response(500, [], b"")
+        self.close()
+
+    def _break_off(self) -> None:
+        """Close the connection, so that the response is seen as incomplete.
+
+        A chunked response lacks its end. A server that closes its connections
+        still sends the data that is buffered.
+        """
         self._is_closing = True
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._server.is_closing_connections:
+            self._transport.close()
+        else:
             self._transport.abort()
 
     def _reject_input(self, status: int) -> None:
@@ -356,15 +397,20 @@
         self._is_input_ended = True
         self._is_reading = False
         if self._task is None:
-            self._send_error_and_close(status)
+            self._send_error_and_close(Response(status, [], b""))
         else:
             self._error_status_at_end = status
 
-    def _send_error_and_close(self, status: int) -> None:
+    def _send_error_and_close(self, response: Response) -> None:
         """Respond with an error, and close the connection after a delay."""
         self._is_closing = True
-        headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        self.write(encode_head(status_line(status), headers))
+        headers = [
+            *response.headers,
+            (b"content-length", b"%d" % len(response.body)),
+            (b"connection", b"close"),
+        ]
+        head = encode_head(status_line(response.status), headers)
+        self.write(head + response.body)
         self._loop.call_later(LINGER_SECONDS, self.close)
 
     def _schedule_timeout_check(self) -> None:
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers."""
 
+import asyncio
 import heapq
 from collections.abc import Awaitable, Callable
 
@@ -21,6 +22,13 @@
 # Idle connections closed together, because finding the longest idle ones scans
 # all connections.
 IDLE_CLOSE_BATCH_SIZE = 64
+# Time for which a closing server receives requests that callers are sending, or
+# send on connections that they have just opened.
+CLOSE_RECEIVE_SECONDS = 0.15
+# Time for callers to read their last responses after that. Both together are
+# half of the time between the end of the drain and the kill of the process.
+CLOSE_SEND_SECONDS = 0.15
+CLOSE_POLL_SECONDS = 0.01
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
@@ -92,8 +100,14 @@
 
     @property
     def busy_connection_count(self) -> int:
-        """Return the number of connections with a request in flight."""
-        return sum(not item.is_idle for item in self.connections)
+        """Return the number of connections with a request in flight.
+
+        A request is in flight until its response was sent completely.
+        """
+        return sum(
+            not item.is_idle or item.has_unsent_data
+            for item in self.connections
+        )
 
     def add(self, connection: CallerConnection) -> None:
         """Register a new connection; close idle ones above the limit."""
@@ -131,6 +145,39 @@
             if connection.is_idle:
                 connection.close()
 
+    async def async_close(self, refusal: Response) -> None:
+        """Close all connections after their last responses.
+
+        Handlers must end at once from now on.
+
+        Args:
+            refusal: Response to requests that are not received completely.
+        """
+        self.is_closing_connections = True
+        self.stop_listening()
+        await self._async_wait_closed(CLOSE_RECEIVE_SECONDS)
+        refused = sum(
+            item.refuse_partial_request(refusal) for item in self.connections
+        )
+        self.close_idle()
+        await self._async_wait_closed(CLOSE_SEND_SECONDS)
+        if refused or self.connections:
+            _LOGGER.warning(
+                "connections closed early",
+                partial_requests=refused,
+                unfinished=len(self.connections),
+            )
+        self.close()
+
+    async def _async_wait_closed(self, seconds: float) -> None:
+        """Wait until all connections are closed, at most this long."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        # The first wait also registers connections that were just accepted.
+        await asyncio.sleep(CLOSE_POLL_SECONDS)
+        while self.connections and loop.time() < ends_at:  # noqa: ASYNC110
+            await asyncio.sleep(CLOSE_POLL_SECONDS)
+
     def close(self) -> None:
         """Close the listener and all connections."""
         self.stop_listening()
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -16,6 +16,7 @@
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import hand_over
 from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.messages import (
     Response,
     ResponseEnd,
@@ -98,27 +99,34 @@
         """Send bytes on a new connection and return the response."""
         connection = await async_open_connection(self.address)
         connection.send(data)
-        response = self.response = ReceivedResponse()
+        self.response = ReceivedResponse()
         try:
-            while True:
-                match await connection.async_next_event():
-                    case ResponseHead(status, pairs):
-                        response.status = status
-                        response.headers = {
-                            name.decode(): value.decode()
-                            for name, value in pairs
-                        }
-                    case ResponseEnd():
-                        response.is_complete = True
-                        return response
-                    case bytes() as chunk:
-                        response.body += chunk
-        except Exception:
-            return response
+            return await receive(connection, self.response)
         finally:
             connection.abort()
 
 
+async def receive(
+    connection: ClientConnection, response: ReceivedResponse
+) -> ReceivedResponse:
+    """Receive a response, as far as it arrives."""
+    try:
+        while True:
+            match await connection.async_next_event():
+                case ResponseHead(status, pairs):
+                    response.status = status
+                    response.headers = {
+                        name.decode(): value.decode() for name, value in pairs
+                    }
+                case ResponseEnd():
+                    response.is_complete = True
+                    return response
+                case bytes() as chunk:
+                    response.body += chunk
+    except Exception:
+        return response
+
+
 class Deployment:
     """Starts and stops the store, upstreams and routers of a test."""
 
@@ -176,13 +184,13 @@
             upstream_id, msgspec.json.encode(entry)
         )
 
-    async def add_router(
+    def settings(
         self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
-    ) -> Caller:
-        """Start a router and return a caller that uses it."""
+    ) -> Settings:
+        """Return the settings of a router with addresses of its own."""
         addresses = [self._ports.reserve() for _ in range(4)]
         platform: dict[str, Any] = {"stop_grace_seconds": 2.0}
-        settings = Settings(
+        return Settings(
             router_id=name,
             data_centre=data_centre,
             caller_address=addresses[0],
@@ -195,13 +203,19 @@
                 metrics_address=addresses[3], **(platform | changes)
             ),
         )
+
+    async def add_router(
+        self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
+    ) -> Caller:
+        """Start a router and return a caller that uses it."""
+        settings = self.settings(name, data_centre, **changes)
         app = Application(settings)
         self.apps.append(app)
         self._stack.push_async_callback(app.async_stop)
         start = asyncio.create_task(app.async_start(setup_functions(settings)))
         self._stack.callback(start.cancel)
         await asyncio.wait({start}, timeout=1.0)
-        return Caller(addresses[0])
+        return Caller(settings.caller_address)
 
 
 @pytest.fixture
--- a/tests/router/deployed/test_stopping.py
+++ b/tests/router/deployed/test_stopping.py
@@ -1,22 +1,31 @@
 """Tests of the graceful shutdown of a router on the platform."""
 
 import asyncio
+import signal
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import pytest
 import structlog
+from pydantic import TypeAdapter
+from tests.router.connections import async_open_connection
 from tests.router.deployed.conftest import (
     Caller,
     Deployment,
     ReceivedResponse,
+    receive,
     until,
 )
 
 from lacewingspar_router import main
 from lacewingspar_router.components.admission.models import ADMISSION
+from lacewingspar_router.http1 import server as http1_server
+from lacewingspar_router.settings import Settings
 from lacewingspar_router.shutdown import Shutdown
+from lacewingspar_standins.deployed.documents import request_bytes
 
 # The platform kills a process 8 s after the stop signal. A stream that starts
 # later than 3 s after the signal may not end before that, so it must be
@@ -143,23 +152,27 @@
         path: Path of the request.
         hold: Keeps the request in the state.
         state: State in which the request is cut.
+        status: Status of the response.
         events: Number of events that the caller has received.
     """
 
     path: str
     hold: Callable[[Deployment, Caller], Condition]
     state: str
+    status: int
     events: int = 0
 
 
 CUT_CASE_BY_NAME = {
-    "waiting": CutCase("/write/", hold_in_admission, "waiting"),
-    "waiting stream": CutCase("/stream-once/", hold_in_admission, "waiting"),
-    "sent, repeatable": CutCase("/read/", hold_at_upstreams, "sent"),
-    "sent, not repeatable": CutCase("/write/", hold_at_upstreams, "sent"),
-    "sent stream": CutCase("/stream/", hold_at_upstreams, "sent"),
+    "waiting": CutCase("/write/", hold_in_admission, "waiting", 503),
+    "waiting stream": CutCase(
+        "/stream-once/", hold_in_admission, "waiting", 503
+    ),
+    "sent, repeatable": CutCase("/read/", hold_at_upstreams, "sent", 502),
+    "sent, not repeatable": CutCase("/write/", hold_at_upstreams, "sent", 502),
+    "sent stream": CutCase("/stream/", hold_at_upstreams, "sent", 502),
     "started stream": CutCase(
-        "/stream/", hold_after_two_events, "responding", 2
+        "/stream/", hold_after_two_events, "responding", 200, 2
     ),
 }
 cut_cases = pytest.mark.parametrize(
@@ -224,3 +237,164 @@
     assert line_by_event["request handed over"]["outcome"] == "cut_by_shutdown"
     line = line_by_event["request cut by shutdown"]
     assert (line["state"], line["events"]) == ("handed_over", None)
+
+
+async def pass_iterations() -> None:
+    """Let the event loop handle what has arrived on the connections."""
+    for _ in range(10):
+        await asyncio.sleep(0.001)
+
+
+def is_refusal(response: ReceivedResponse) -> bool:
+    """Return whether a response tells that the request did not run."""
+    return (
+        response.status == 503
+        and response.is_complete
+        and response.body.startswith(b"stopping:")
+        and float(response.headers["retry-after"]) > 0
+        and response.headers["connection"] == "close"
+    )
+
+
+@pytest.mark.parametrize("is_immediate", [True, False])
+@cut_cases
+async def test_request_that_is_cut_gets_an_answer(
+    served: Deployment, case: CutCase, *, is_immediate: bool
+) -> None:
+    """Guards against connections that a stop closes without a response."""
+    caller = await served.add_router(stop_grace_seconds=1.0)
+    call = await hold_request(served, caller, case)
+    await stop(served, is_immediate=is_immediate)
+    response = await call
+    upstreams = served.upstream_by_id.values()
+    assert response.status == case.status
+    assert response.is_complete == (case.state != "responding")
+    assert is_refusal(response) == (case.status == 503)
+    assert any(item.received for item in upstreams) == (case.status != 503)
+    # The work at the upstream ends with the request.
+    await until(lambda: not any(item.running for item in upstreams), 1.0)
+
+
+async def test_request_that_is_cut_at_a_neighbour_gets_an_answer(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    case = CUT_CASE_BY_NAME["sent, not repeatable"]
+    call = await hold_request(served, overloaded_caller, case)
+    await stop(served, is_immediate=True)
+    response = await call
+    assert (response.status, response.is_complete) == (502, True)
+
+
+async def test_request_that_a_stopping_neighbour_refuses_is_served(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    """Guards against a refusal that the router of the caller passes on."""
+    served.apps.reverse()
+    is_waiting = hold_in_admission(served, overloaded_caller)
+    call = asyncio.create_task(overloaded_caller.call("/write/"))
+    await until(is_waiting)
+    await stop(served, is_immediate=True)
+    assert (await call).status == 200
+
+
+@pytest.mark.parametrize("name", ["waiting", "sent, not repeatable"])
+async def test_queued_request_is_refused_behind_one_that_is_cut(
+    served: Deployment, name: str
+) -> None:
+    """Guards against queued requests that a stop drops without a response."""
+    caller = await served.add_router()
+    case = CUT_CASE_BY_NAME[name]
+    is_held = case.hold(served, caller)
+    connection = await async_open_connection(caller.address)
+    connection.send(
+        request_bytes(case.path, "first", 3000)
+        + request_bytes(case.path, "second", 3000)
+    )
+    await until(is_held)
+    stopping = asyncio.create_task(stop(served, is_immediate=True))
+    first = await receive(connection, ReceivedResponse())
+    second = await receive(connection, ReceivedResponse())
+    connection.abort()
+    await stopping
+    assert (first.status, first.is_complete) == (case.status, True)
+    assert is_refusal(second)
+    assert second.headers["x-attempt-id"] == "second"
+    received = [
+        item.value_by_header["x-attempt-id"]
+        for upstream in served.upstream_by_id.values()
+        for item in upstream.received
+    ]
+    assert "second" not in received
+
+
+@pytest.mark.parametrize("sent_bytes", [1, 60, -1])
+@pytest.mark.parametrize("is_completed", [True, False])
+async def test_request_that_is_being_received_is_refused(
+    served: Deployment, sent_bytes: int, *, is_completed: bool
+) -> None:
+    """Guards against a close while a caller sends its request."""
+    caller = await served.add_router()
+    data = request_bytes("/write/", "half", 3000, b"order")
+    connection = await async_open_connection(caller.address)
+    connection.send(data[:sent_bytes])
+    await pass_iterations()
+    stopping = asyncio.create_task(stop(served, is_immediate=True))
+    await pass_iterations()
+    if is_completed:
+        connection.send(data[sent_bytes:])
+    response = await receive(connection, ReceivedResponse())
+    connection.abort()
+    await stopping
+    assert is_refusal(response)
+    assert not any(item.received for item in served.upstream_by_id.values())
+
+
+async def test_request_on_an_idle_connection_is_refused(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http1_server, "CLOSE_RECEIVE_SECONDS", 5.0)
+    caller = await served.add_router()
+    connection = await async_open_connection(caller.address)
+    await pass_iterations()
+    stopping = asyncio.create_task(stop(served, is_immediate=True))
+    await pass_iterations()
+    connection.send(request_bytes("/write/", "late", 3000))
+    response = await receive(connection, ReceivedResponse())
+    connection.abort()
+    await stopping
+    assert is_refusal(response)
+
+
+async def test_process_that_is_stopped_answers_before_it_ends(
+    served: Deployment, tmp_path: Path
+) -> None:
+    """Guards against responses that are lost with the process."""
+    hold_at_upstreams(served, Caller(""))
+    settings = served.settings("r1")
+    file = tmp_path / "settings.json"
+    file.write_bytes(TypeAdapter(Settings).dump_json(settings))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "lacewingspar_router",
+        "run",
+        str(file),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    try:
+        async with asyncio.timeout(30.0):
+            while b"router started" not in await process.stdout.readline():
+                pass
+            caller = Caller(settings.caller_address)
+            call = asyncio.create_task(caller.call("/write/"))
+            while b"request admitted" not in await process.stdout.readline():
+                pass
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGINT)
+            response = await call
+            assert (response.status, response.is_complete) == (502, True)
+            assert await process.wait() == main.EXIT_FAILED
+    finally:
+        if process.returncode is None:
+            process.kill()
--- a/tests/router/test_caller_connection.py
+++ b/tests/router/test_caller_connection.py
@@ -138,3 +138,15 @@
         await asyncio.sleep(RESPONSE_DELAY_SECONDS / 2)
         server.is_closing_connections = True
         assert await receiving == [(200, "/0"), (200, "/1")]
+
+
+async def test_cancelled_request_is_answered() -> None:
+    """Guards against a reset of a caller that is still connected."""
+
+    async def async_handle(_: ServerExchange) -> None:
+        raise asyncio.CancelledError
+
+    server = Http1Server(async_handle, asyncio.get_running_loop().time)
+    await server.async_start("127.0.0.1:0")
+    assert await responses(server, (request(0),), 0.0) == [(500, "")]
+    server.close()
--- a/tests/router/test_http1_server.py
+++ b/tests/router/test_http1_server.py
@@ -139,3 +139,31 @@
     (data,) = sink.writes
     assert data.startswith(b"HTTP/1.1 503 ")
     assert data.endswith(b"content-length: 5\r\n\r\nlater")
+
+
+async def test_unread_response_is_sent_before_the_end() -> None:
+    """Guards against responses that a process leaves behind when it ends."""
+    body = b"x" * 8_000_000
+
+    async def async_handle(exchange: ServerExchange) -> None:
+        exchange.send_response(200, [], body)
+
+    server = Http1Server(async_handle, asyncio.get_running_loop().time)
+    await server.async_start("127.0.0.1:0")
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", server.port, limit=1000
+    )
+    writer.write(REQUEST)
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        assert server.busy_connection_count == 1
+        closing = asyncio.create_task(
+            server.async_close(Response(503, [], b""))
+        )
+        assert await reader.readexactly(len(body)) == body
+        assert await reader.read() == b""
+        await closing
+    finally:
+        writer.close()
+        server.close()
+    assert server.busy_connection_count == 0
