Refuse requests that a stopping router could not finish

Callers saw streams that a router had taken up to 1 s after its stop signal cut 7.4 s after it: a stopping router takes requests for 0.28 of its grace, also those whose usual length says that they cannot end before the drain limit.

Each router now learns the run times of answered requests by route (core/run_time_estimates.py: exponentially weighted mean and variance, at most 1,024 routes). While it drains, a request is accepted if its deadline or its estimate comes before the drain limit, or if its route has fewer than five run times; otherwise it gets 503 "stopping" with Retry-After 0.1 s at once and can be served from its start elsewhere. The estimate is the mean plus two standard deviations: at most one in five run times is longer whatever the distribution, one in 40 if it is normal, while a single slow request does not turn away the short ones. A neighbour that handed the request over recognises the code and forwards the request itself.

The check of requests moves from handler.py to acceptance.py, and the drain limit from main.py to shutdown.py, as both main and the forwarding use it.

Before: test_request_that_cannot_end_before_the_drain_limit_is_refused (200 in place of 503; the stream was taken with 1.5 s left and takes 1.8 s) and test_long_request_that_a_stopping_neighbour_refuses_is_served ("answered" in place of "not_taken") failed. After: both pass; in the same test a short call, a stream with a near deadline and one without history are still taken.

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -5,9 +5,10 @@
 import structlog
 
 from lacewingspar_router.application import Application
-from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.handler import CallHandler
 from lacewingspar_router.components.forwarding.load_monitor import LoadMonitor
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
 from lacewingspar_router.components.forwarding.readiness import (
     MonitoringHandler,
 )
@@ -26,6 +27,7 @@
     settings = app.settings
     assert settings.platform is not None
     routing = app.get(ROUTING)
+    wire_format = app.get(WIRE_FORMAT)
     handler = CallHandler(app)
     callers = Http1Server(
         handler.async_handle, app.now, handler.load_shedder.refuse_early
@@ -58,9 +60,11 @@
 
     async def async_end_requests() -> int:
         """End all requests with a response, and return their number."""
-        handler.accepts_requests = False
+        handler.acceptor.accepts_requests = False
         count = handler.in_flight.cut()
-        await callers.async_close(handler.stopping_response())
+        await callers.async_close(
+            wire_format.refusal_response(refusals.stopping(), "")
+        )
         return count
 
     routing.add_listener(apply_limits)
@@ -102,7 +106,7 @@
     grace = app.settings.platform.stop_grace_seconds
     callers.is_closing_connections = True
     await asyncio.sleep(const.DRAIN_ACCEPT_FRACTION * grace)
-    handler.accepts_requests = False
+    handler.acceptor.accepts_requests = False
     callers.close_idle()
     _LOGGER.info(
         "waiting for requests in flight", count=callers.busy_connection_count
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -14,7 +14,6 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_core.retry_budget import RetryBudget, RetryBudgetConfig
-from lacewingspar_core.routing import choose_target
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
@@ -22,6 +21,9 @@
     RequestRequirements,
 )
 from lacewingspar_router.components.forwarding import const, refusals
+from lacewingspar_router.components.forwarding.acceptance import (
+    RequestAcceptor,
+)
 from lacewingspar_router.components.forwarding.attempt import (
     Attempt,
     AttemptEnd,
@@ -30,11 +32,7 @@
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
-from lacewingspar_router.components.forwarding.models import (
-    WIRE_FORMAT,
-    Call,
-    RequestMetadata,
-)
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT, Call
 from lacewingspar_router.components.forwarding.request_recorder import (
     CallProgress,
     RequestRecorder,
@@ -49,7 +47,7 @@
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
-from lacewingspar_router.http1.messages import HttpRequest, Response
+from lacewingspar_router.http1.messages import Response
 from lacewingspar_router.http_headers import RawHeaders
 
 _LOGGER = structlog.get_logger(__name__)
@@ -80,7 +78,7 @@
         self._pool_by_address: dict[str, ConnectionPool] = {}
         self._crash_guard = CrashGuard(app)
         self._recorder = RequestRecorder(app)
-        self.accepts_requests = True
+        self.acceptor = RequestAcceptor(app)
         self.in_flight = RequestsInFlight(app)
         self.load_shedder = LoadShedder(app, self._recorder)
         self.hand_over = HandOver(app, self.load_shedder.record_decline)
@@ -92,7 +90,7 @@
         try:
             metadata = self._wire_format.parse_metadata(request)
             request_id = metadata.request_id
-            call = self._accept(request, metadata)
+            call = self.acceptor.accept(request, metadata)
             workspace = call.workspace
             self.load_shedder.begin(workspace)
         except RequestRefusedError as error:
@@ -110,18 +108,15 @@
             self.load_shedder.limit.release(call.workspace)
 
     async def _async_hand_over(self, request: InFlightRequest) -> bool:
-        """Hand a request over if needed; return whether it got a response."""
-        exchange, call = request.exchange, request.call
-        neighbour = self.hand_over.choose(call)
+        """Hand a request over if needed; return whether it got a response.
+
+        Raises:
+            RequestRefusedError: The neighbour may have run the request.
+        """
+        neighbour = self.hand_over.choose(request.call)
         if neighbour is None:
             return False
-        try:
-            return await self.hand_over.async_run(request, neighbour)
-        except RequestRefusedError as error:
-            self._refuse(
-                exchange, error, call.metadata.request_id, call.workspace, None
-            )
-            return True
+        return await self.hand_over.async_run(request, neighbour)
 
     async def _async_serve(self, request: InFlightRequest) -> None:
         """Forward an accepted request to upstreams and record its end."""
@@ -136,6 +131,8 @@
         outcome = "cancelled"
         try:
             outcome = await self._async_forward(progress)
+            if outcome == "answered":
+                self.acceptor.record_run_time(call)
         except RequestRefusedError as error:
             outcome = error.code
             if error.retry_after_seconds is not None:
@@ -150,10 +147,6 @@
                 outcome = "cut_by_shutdown"
             self._recorder.record_end(progress, outcome)
 
-    def stopping_response(self) -> Response:
-        """Return the refusal of a request that was not received completely."""
-        return self._wire_format.refusal_response(refusals.stopping(), "")
-
     def close_stale_connections(self) -> None:
         """Close stale connections and those to removed upstreams."""
         self.hand_over.close_stale_connections()
@@ -173,42 +166,6 @@
         for pool in self._pool_by_address.values():
             pool.close()
 
-    def _accept(self, request: HttpRequest, metadata: RequestMetadata) -> Call:
-        """Check a request against the active configuration.
-
-        Raises:
-            RequestRefusedError: The request is not allowed.
-        """
-        configuration = self._routing.configuration
-        if configuration is None or not self._routing.is_ready:
-            raise refusals.not_ready()
-        if not self.accepts_requests:
-            raise refusals.stopping()
-        if not request.target.startswith("/"):
-            raise refusals.bad_target()
-        route = self._routing.table.match(metadata.host, request.path)
-        if route is None:
-            raise refusals.unknown_route()
-        workspace = configuration.workspace_by_key.get(metadata.key, "")
-        if not workspace and not route.is_public:
-            raise refusals.unknown_key()
-        arrived_at = request.received_at
-        if metadata.handed_over_after_seconds is not None:
-            arrived_at -= metadata.handed_over_after_seconds
-        limit = route.timeout_seconds
-        if metadata.time_budget_seconds is not None:
-            limit = min(limit, metadata.time_budget_seconds)
-        return Call(
-            request=request,
-            metadata=metadata,
-            route=route,
-            service=choose_target(route, metadata.request_id),
-            workspace=workspace,
-            arrived_at=arrived_at,
-            deadline_at=arrived_at + limit,
-            configuration_version=configuration.version,
-        )
-
     async def _async_forward(self, progress: CallProgress) -> str:
         """Forward a request until an upstream responds or the deadline passes.
 
--- a/packages/router/src/lacewingspar_router/main.py
+++ b/packages/router/src/lacewingspar_router/main.py
@@ -18,7 +18,11 @@
 )
 from lacewingspar_router.errors import ComponentSetupError, SettingsError
 from lacewingspar_router.settings import Settings, load_settings
-from lacewingspar_router.shutdown import SHUTDOWN, Shutdown
+from lacewingspar_router.shutdown import (
+    SHUTDOWN,
+    Shutdown,
+    drain_limit_seconds,
+)
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -47,9 +51,6 @@
     "components.forwarding",
 )
 
-# Time between the end of the drain and the kill by the platform.
-STOP_MARGIN_SECONDS = 0.6
-
 # Objects allocated between two collections of the youngest generation, and
 # collections of a generation between two of the next one. A busy router
 # allocates the default of 700 objects in a few milliseconds.
@@ -206,7 +207,7 @@
     abort = asyncio.ensure_future(shutdown.immediate.wait())
     await asyncio.wait(
         {drain, abort},
-        timeout=_drain_limit_seconds(application.settings),
+        timeout=drain_limit_seconds(application.settings),
         return_when=asyncio.FIRST_COMPLETED,
     )
     is_aborted = abort.done()
@@ -223,14 +224,6 @@
     return False
 
 
-def _drain_limit_seconds(settings: Settings) -> float:
-    """Return the maximum duration of a graceful shutdown."""
-    if settings.platform is None:
-        return settings.drain_limit_seconds
-    grace = settings.platform.stop_grace_seconds - STOP_MARGIN_SECONDS
-    return min(settings.drain_limit_seconds, grace)
-
-
 def _load_or_exit(path: Path) -> Settings:
     try:
         return load_settings(path)
--- a/packages/router/src/lacewingspar_router/shutdown.py
+++ b/packages/router/src/lacewingspar_router/shutdown.py
@@ -3,6 +3,10 @@
 import asyncio
 
 from lacewingspar_router.application import ComponentKey
+from lacewingspar_router.settings import Settings
+
+# Time between the end of the drain and the kill by the platform.
+STOP_MARGIN_SECONDS = 0.6
 
 
 class Shutdown:
@@ -23,4 +27,12 @@
         self.graceful.set()
 
 
+def drain_limit_seconds(settings: Settings) -> float:
+    """Return the maximum duration of a graceful shutdown."""
+    if settings.platform is None:
+        return settings.drain_limit_seconds
+    grace = settings.platform.stop_grace_seconds - STOP_MARGIN_SECONDS
+    return min(settings.drain_limit_seconds, grace)
+
+
 SHUTDOWN: ComponentKey[Shutdown] = ComponentKey("shutdown")
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -184,6 +184,14 @@
             upstream_id, msgspec.json.encode(entry)
         )
 
+    def received_ids(self) -> set[str]:
+        """Return the ids of the requests that reached an upstream."""
+        return {
+            request.value_by_header["x-attempt-id"]
+            for upstream in self.upstream_by_id.values()
+            for request in upstream.received
+        }
+
     def settings(
         self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
     ) -> Settings:
--- a/tests/router/deployed/test_stopping.py
+++ b/tests/router/deployed/test_stopping.py
@@ -20,11 +20,13 @@
     until,
 )
 
+from lacewingspar_core.run_time_estimates import MIN_RUN_TIMES
 from lacewingspar_router import main
+from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import ADMISSION
 from lacewingspar_router.http1 import server as http1_server
 from lacewingspar_router.settings import Settings
-from lacewingspar_router.shutdown import Shutdown
+from lacewingspar_router.shutdown import Shutdown, drain_limit_seconds
 from lacewingspar_standins.deployed.documents import request_bytes
 
 # The platform kills a process 8 s after the stop signal. A stream that starts
@@ -319,12 +321,7 @@
     assert (first.status, first.is_complete) == (case.status, True)
     assert is_refusal(second)
     assert second.headers["x-attempt-id"] == "second"
-    received = [
-        item.value_by_header["x-attempt-id"]
-        for upstream in served.upstream_by_id.values()
-        for item in upstream.received
-    ]
-    assert "second" not in received
+    assert "second" not in served.received_ids()
 
 
 @pytest.mark.parametrize("sent_bytes", [1, 60, -1])
@@ -398,3 +395,51 @@
     finally:
         if process.returncode is None:
             process.kill()
+
+
+async def give_history(deployment: Deployment, caller: Caller) -> None:
+    """Let a router finish streams that take long and calls that do not."""
+    for name in ("e1", "e2"):
+        deployment.upstream_by_id[name].response_delay_seconds = 0.3
+    for path in ("/stream/", "/write/"):
+        await asyncio.gather(*(caller.call(path) for _ in range(MIN_RUN_TIMES)))
+
+
+def drain_with_seconds_left(app: Application, seconds: float) -> None:
+    """Let an application drain since so long that this time is left."""
+    limit = drain_limit_seconds(app.settings)
+    app.drain_started_at = app.now() - limit + seconds
+
+
+async def test_request_that_cannot_end_before_the_drain_limit_is_refused(
+    served: Deployment,
+) -> None:
+    """Guards against streams that are taken by a stopping router and cut."""
+    caller = await served.add_router(stop_grace_seconds=8.0)
+    await give_history(served, caller)
+    received = served.received_ids()
+    # A stream takes 1.8 s.
+    drain_with_seconds_left(served.apps[0], 1.5)
+    refused = await caller.call("/stream/", x_attempt_id="too-long")
+    ends_early = caller.call("/stream/", budget_ms=1000, x_attempt_id="early")
+    short = caller.call("/write/", x_attempt_id="short")
+    unknown = caller.call("/stream-once/", x_attempt_id="unknown")
+    responses = await asyncio.gather(ends_early, short, unknown)
+    assert refused.status == 503
+    assert refused.body.startswith(b"stopping:")
+    assert float(refused.headers["retry-after"]) > 0
+    assert [response.status for response in responses] == [200] * 3
+    assert served.received_ids() - received == {"early", "short", "unknown"}
+
+
+async def test_long_request_that_a_stopping_neighbour_refuses_is_served(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    neighbour = served.apps[1]
+    await give_history(served, Caller(neighbour.settings.caller_address))
+    drain_with_seconds_left(neighbour, 1.5)
+    with structlog.testing.capture_logs() as lines:
+        response = await overloaded_caller.call("/stream/")
+    assert (response.status, response.is_complete) == (200, True)
+    (line,) = [line for line in lines if line["event"] == "request handed over"]
+    assert line["outcome"] == "not_taken"
