Separate the parsing of requests from the caller's connection

RequestReader holds the parser, the request being received and its limits; the connection keeps the queue, the responses and the timeouts. No change of behaviour; the tests are unchanged.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
-import httptools
 import structlog
 
 from lacewingspar_router.http1.exchange import ServerExchange
@@ -15,6 +14,10 @@
     encode_head,
     status_line,
 )
+from lacewingspar_router.http1.request_reader import (
+    InputRejectedError,
+    RequestReader,
+)
 from lacewingspar_router.http_headers import RawHeaders
 
 if TYPE_CHECKING:
@@ -34,18 +37,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class _LimitExceededError(Exception):
-    """A request exceeds a limit.
-
-    Attributes:
-        status: Status code of the response.
-    """
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 @dataclass(frozen=True, slots=True)
 class _QueuedRequest:
     """A request that waits for the response to the one before it.
@@ -69,16 +60,12 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(self, lambda: server.limits)
         self._queued_requests: deque[_QueuedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self._is_reading = False
-        self._is_head_complete = False
         self._is_closing = False
-        # Set by the last request, or by bytes that are no request.
-        self._is_input_ended = False
         self._error_status_at_end: int | None = None
         self._is_paused = False
         self._closes_after_response = False
@@ -89,7 +76,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
-        return self._task is None and not self._is_reading
+        return self._task is None and not self._reader.is_reading
 
     @property
     def has_unsent_data(self) -> bool:
@@ -118,28 +105,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_closing or self._is_input_ended:
+        reader = self._reader
+        if self._is_closing or reader.is_ended:
             return
-        if not self._is_reading:
+        was_reading = reader.is_reading
+        if not was_reading:
             self._received_at = self._server.now()
-            self._received_head_bytes = 0
-        if not self._is_reading or self._is_head_complete:
+        if not was_reading or reader.is_head_complete:
             self._last_active_at = self._loop.time()
-        was_reading = self._is_reading
         try:
-            self._feed_parser(data)
-            if self._is_reading and not was_reading:
-                self._schedule_timeout_check()
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            status = (
-                cause.status if isinstance(cause, _LimitExceededError) else 0
-            )
-            self._reject_input(status or 400)
-        except httptools.HttpParserError:
-            # The parser also rejects bytes after the last request.
-            if not self._is_input_ended:
-                self._reject_input(400)
+            reader.feed(data)
+        except InputRejectedError as error:
+            self._reject_input(error.status)
+            return
+        if reader.is_reading and not was_reading:
+            self._schedule_timeout_check()
 
     def eof_received(self) -> None:
         """Let the transport close, because the caller disconnected."""
@@ -155,9 +135,7 @@
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
-        # The parser and this connection form a reference cycle. Breaking it
-        # frees both now instead of at the next garbage collection.
-        del self._parser
+        self._reader.close()
 
     def pause_writing(self) -> None:
         """Make handlers wait until the write buffer has room."""
@@ -167,60 +145,14 @@
         """Let handlers continue to write."""
         self._can_write.set()
 
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._is_reading = True
-        self._is_head_complete = False
-        self._url = b""
-        self._headers: RawHeaders = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._parsed_head_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        """Append received data to the target."""
-        self._url += url
-        self._count_head_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value))
-        self._count_head_bytes(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Check the announced body length; send 100 Continue if expected."""
-        self._is_head_complete = True
-        values = dict(self._headers)
-        length = values.get(b"content-length", b"0")
-        if int(length) > self._server.limits.body_bytes:
-            raise _LimitExceededError(413)
-        if values.get(b"expect", b"").lower() == b"100-continue":
-            self.write(_CONTINUE)
-
-    def on_body(self, body: bytes) -> None:
-        """Append received data to the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes:
-            raise _LimitExceededError(413)
-
-    def on_message_complete(self) -> None:
-        """Handle the request, or queue it behind the one in flight."""
-        self._is_reading = False
-        closes = not self._parser.should_keep_alive()
-        self._is_input_ended = closes
-        request = HttpRequest(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._url.decode("latin-1"),
-            headers=self._headers,
-            body=b"".join(self._body),
-            received_at=self._received_at,
-        )
-        # An idle connection must not keep its last request in memory.
-        self._headers = []
-        self._body = []
+    # RequestReceiver
+
+    def receive_request(
+        self, method: str, target: str, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Handle a request, or queue it behind the one in flight."""
+        closes = self._reader.is_ended
+        request = HttpRequest(method, target, headers, body, self._received_at)
         self._received_at = self._server.now()
         if self._task is None:
             self._closes_after_response = closes
@@ -234,6 +166,10 @@
         elif len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading()
 
+    def send_continue(self) -> None:
+        """Tell the caller to send the body of its request."""
+        self.write(_CONTINUE)
+
     # ResponseConnection
 
     def decide_close(self) -> bool:
@@ -277,27 +213,6 @@
             self._transport.resume_reading()
             self._is_paused = False
 
-    def _feed_parser(self, data: bytes) -> None:
-        while True:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserUpgrade as upgrade:
-                # Protocol upgrades are ignored.
-                data = data[upgrade.args[0] :]
-                self._parser = httptools.HttpRequestParser(self)
-                if data and not self._is_input_ended:
-                    continue
-            break
-        if self._is_reading and not self._is_head_complete:
-            self._received_head_bytes += len(data)
-            if self._received_head_bytes > self._server.limits.header_bytes:
-                self._reject_input(431)
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._parsed_head_bytes += size
-        if self._parsed_head_bytes > self._server.limits.header_bytes:
-            raise _LimitExceededError(431)
-
     def _send_early_response(
         self, request: HttpRequest, early_response: Response
     ) -> None:
@@ -358,7 +273,11 @@
         Returns:
             Whether there was such a request.
         """
-        if self._is_closing or self._task is not None or not self._is_reading:
+        if (
+            self._is_closing
+            or self._task is not None
+            or not self._reader.is_reading
+        ):
             return False
         self._send_error_and_close(refusal)
         return True
@@ -394,8 +313,7 @@
             earlier_requests=len(self._queued_requests)
             + (self._task is not None),
         )
-        self._is_input_ended = True
-        self._is_reading = False
+        self._reader.end()
         if self._task is None:
             self._send_error_and_close(Response(status, [], b""))
         else:
@@ -422,7 +340,7 @@
 
     def _timeout_seconds(self) -> float:
         limits = self._server.limits
-        if self._is_reading and not self._is_head_complete:
+        if self._reader.is_reading and not self._reader.is_head_complete:
             return limits.header_timeout_seconds
         return limits.idle_timeout_seconds
 
@@ -434,7 +352,7 @@
         elif (
             self._loop.time() >= self._last_active_at + self._timeout_seconds()
         ):
-            if self._is_reading:
+            if self._reader.is_reading:
                 self._reject_input(408)
             else:
                 self.close()
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/http1/request_reader.py
@@ -0,0 +1,173 @@
+"""Parsing of the requests on a caller's connection."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+
+from lacewingspar_router.http1.exchange import ConnectionLimits
+from lacewingspar_router.http_headers import RawHeaders
+
+
+class InputRejectedError(Exception):
+    """The received bytes are not a request, or it exceeds a limit.
+
+    Attributes:
+        status: Status code of the response.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class RequestReceiver(Protocol):
+    """Receives the requests of a connection."""
+
+    def receive_request(
+        self, method: str, target: str, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Handle a request."""
+
+    def send_continue(self) -> None:
+        """Tell the caller to send the body of its request."""
+
+
+class RequestReader:
+    """Parses the requests of one connection.
+
+    Attributes:
+        is_reading: Whether a request has begun and is not complete.
+        is_head_complete: Whether the headers of that request are complete.
+        is_ended: Whether further bytes are ignored, after the last request or
+            a rejection.
+
+    Args:
+        receiver: Receives each request.
+        limits: Returns the limits that apply now.
+    """
+
+    def __init__(
+        self,
+        receiver: RequestReceiver,
+        limits: Callable[[], ConnectionLimits],
+    ) -> None:
+        self.is_reading = False
+        self.is_head_complete = False
+        self.is_ended = False
+        self._receiver = receiver
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises:
+            InputRejectedError: The bytes cannot be accepted.
+        """
+        if not self.is_reading:
+            self._received_head_bytes = 0
+        try:
+            self._feed_parser(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            status = (
+                cause.status if isinstance(cause, InputRejectedError) else 0
+            )
+            self._reject(status or 400)
+        except httptools.HttpParserError:
+            # The parser also rejects bytes after the last request.
+            if not self.is_ended:
+                self._reject(400)
+
+    def end(self) -> None:
+        """Ignore the bytes that follow."""
+        self.is_ended = True
+        self.is_reading = False
+
+    def close(self) -> None:
+        """Release the parser.
+
+        It forms a reference cycle with this reader. Breaking it frees both now
+        instead of at the next garbage collection.
+        """
+        del self._parser, self._receiver, self._limits
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.is_reading = True
+        self.is_head_complete = False
+        self._url = b""
+        self._headers: RawHeaders = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._parsed_head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Append received data to the target."""
+        self._url += url
+        self._count_head_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header."""
+        self._headers.append((name.lower(), value))
+        self._count_head_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Check the announced body length; send 100 Continue if expected."""
+        self.is_head_complete = True
+        values = dict(self._headers)
+        length = values.get(b"content-length", b"0")
+        if int(length) > self._limits().body_bytes:
+            raise InputRejectedError(413)
+        if values.get(b"expect", b"").lower() == b"100-continue":
+            self._receiver.send_continue()
+
+    def on_body(self, body: bytes) -> None:
+        """Append received data to the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits().body_bytes:
+            raise InputRejectedError(413)
+
+    def on_message_complete(self) -> None:
+        """Hand over the request."""
+        self.is_reading = False
+        self.is_ended = not self._parser.should_keep_alive()
+        headers, body = self._headers, b"".join(self._body)
+        # An idle connection must not keep its last request in memory.
+        self._headers = []
+        self._body = []
+        self._receiver.receive_request(
+            self._parser.get_method().decode("latin-1"),
+            self._url.decode("latin-1"),
+            headers,
+            body,
+        )
+
+    def _feed_parser(self, data: bytes) -> None:
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                # Protocol upgrades are ignored.
+                data = data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+                if data and not self.is_ended:
+                    continue
+            break
+        if self.is_reading and not self.is_head_complete:
+            self._received_head_bytes += len(data)
+            if self._received_head_bytes > self._limits().header_bytes:
+                self._reject(431)
+
+    def _count_head_bytes(self, size: int) -> None:
+        self._parsed_head_bytes += size
+        if self._parsed_head_bytes > self._limits().header_bytes:
+            raise InputRejectedError(431)
+
+    def _reject(self, status: int) -> None:
+        self.end()
+        raise InputRejectedError(status)
