Cut each request once

A request whose handler ends later than the connections are waited for was cut a second time when the component was unloaded. Its timeout had expired, so that raised RuntimeError, and the servers and the connections to upstreams were left open ("component unload failed").

Before: test_request_is_cut_once failed with that line. After: it passes.

--- a/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
@@ -121,13 +121,14 @@
             self._requests.discard(request)
 
     def cut(self) -> int:
-        """Cut all requests and return their number."""
+        """Cut all requests that were not cut before; return their number."""
         now = asyncio.get_running_loop().time()
-        for request in self._requests:
+        requests = [item for item in self._requests if not item.is_cut]
+        for request in requests:
             request.is_cut = True
             request.limit.reschedule(now)
             self._record_cut(request)
-        return len(self._requests)
+        return len(requests)
 
     def _record_cut(self, request: InFlightRequest) -> None:
         now = self._app.now()
--- a/tests/router/deployed/test_stopping.py
+++ b/tests/router/deployed/test_stopping.py
@@ -277,6 +277,36 @@
     await until(lambda: not any(item.running for item in upstreams), 1.0)
 
 
+async def test_request_is_cut_once(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop that fails at a request that ends slowly."""
+    monkeypatch.setattr(http1_server, "CLOSE_RECEIVE_SECONDS", 0.0)
+    monkeypatch.setattr(http1_server, "CLOSE_SEND_SECONDS", 0.0)
+    caller = await served.add_router()
+    may_end = asyncio.Event()
+    is_waiting = asyncio.Event()
+
+    async def async_acquire(*_: Any) -> None:
+        try:
+            is_waiting.set()
+            await asyncio.Event().wait()
+        finally:
+            await may_end.wait()
+
+    admission: Any = served.apps[0].get(ADMISSION)
+    admission.async_acquire = async_acquire
+    call = asyncio.create_task(caller.call("/write/"))
+    await is_waiting.wait()
+    with structlog.testing.capture_logs() as lines:
+        await stop(served, is_immediate=True)
+        may_end.set()
+        await call
+    events = [line["event"] for line in lines]
+    assert events.count("request cut by shutdown") == 1
+    assert "component unload failed" not in events
+
+
 async def test_request_that_is_cut_at_a_neighbour_gets_an_answer(
     served: Deployment, overloaded_caller: Caller
 ) -> None:
