--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -14,7 +14,6 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_core.retry_budget import RetryBudget, RetryBudgetConfig
-from lacewingspar_core.routing import choose_target
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
@@ -22,6 +21,9 @@
     RequestRequirements,
 )
 from lacewingspar_router.components.forwarding import const, refusals
+from lacewingspar_router.components.forwarding.acceptance import (
+    RequestAcceptor,
+)
 from lacewingspar_router.components.forwarding.attempt import (
     Attempt,
     AttemptEnd,
@@ -30,22 +32,22 @@
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
-from lacewingspar_router.components.forwarding.models import (
-    WIRE_FORMAT,
-    Call,
-    RequestMetadata,
-)
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT, Call
 from lacewingspar_router.components.forwarding.request_recorder import (
     CallProgress,
     RequestRecorder,
 )
+from lacewingspar_router.components.forwarding.stopping import (
+    InFlightRequest,
+    RequestsInFlight,
+)
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
-from lacewingspar_router.http1.messages import HttpRequest, Response
+from lacewingspar_router.http1.messages import Response
 from lacewingspar_router.http_headers import RawHeaders
 
 _LOGGER = structlog.get_logger(__name__)
@@ -76,7 +78,8 @@
         self._pool_by_address: dict[str, ConnectionPool] = {}
         self._crash_guard = CrashGuard(app)
         self._recorder = RequestRecorder(app)
-        self.accepts_requests = True
+        self.acceptor = RequestAcceptor(app)
+        self.in_flight = RequestsInFlight(app)
         self.load_shedder = LoadShedder(app, self._recorder)
         self.hand_over = HandOver(app, self.load_shedder.record_decline)
 
@@ -87,38 +90,40 @@
         try:
             metadata = self._wire_format.parse_metadata(request)
             request_id = metadata.request_id
-            call = self._accept(request, metadata)
+            call = self.acceptor.accept(request, metadata)
             workspace = call.workspace
             self.load_shedder.begin(workspace)
         except RequestRefusedError as error:
             self._refuse(exchange, error, request_id, workspace, None)
             return
         try:
-            if not await self._async_hand_over(exchange, call):
-                await self._async_serve(exchange, call)
+            async with self.in_flight.async_track(call, exchange) as in_flight:
+                if not await self._async_hand_over(in_flight):
+                    await self._async_serve(in_flight)
+        except RequestRefusedError as error:
+            self._refuse(
+                exchange, error, request_id, workspace, in_flight.progress
+            )
         finally:
             self.load_shedder.limit.release(call.workspace)
 
-    async def _async_hand_over(
-        self, exchange: ServerExchange, call: Call
-    ) -> bool:
-        """Hand a request over if needed; return whether it got a response."""
-        neighbour = self.hand_over.choose(call)
+    async def _async_hand_over(self, request: InFlightRequest) -> bool:
+        """Hand a request over if needed; return whether it got a response.
+
+        Raises:
+            RequestRefusedError: The neighbour may have run the request.
+        """
+        neighbour = self.hand_over.choose(request.call)
         if neighbour is None:
             return False
-        try:
-            return await self.hand_over.async_run(exchange, call, neighbour)
-        except RequestRefusedError as error:
-            self._refuse(
-                exchange, error, call.metadata.request_id, call.workspace, None
-            )
-            return True
+        return await self.hand_over.async_run(request, neighbour)
 
-    async def _async_serve(self, exchange: ServerExchange, call: Call) -> None:
+    async def _async_serve(self, request: InFlightRequest) -> None:
         """Forward an accepted request to upstreams and record its end."""
+        exchange, call = request.exchange, request.call
         metadata = call.metadata
         events = EventSequence(last_id=metadata.last_event_id)
-        progress = CallProgress(
+        progress = request.progress = CallProgress(
             call,
             CallerResponse(exchange, events),
             AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
@@ -126,6 +131,8 @@
         outcome = "cancelled"
         try:
             outcome = await self._async_forward(progress)
+            if outcome == "answered":
+                self.acceptor.record_run_time(call)
         except RequestRefusedError as error:
             outcome = error.code
             if error.retry_after_seconds is not None:
@@ -136,6 +143,8 @@
                 exchange, error, metadata.request_id, call.workspace, progress
             )
         finally:
+            if request.is_cut and outcome == "cancelled":
+                outcome = "cut_by_shutdown"
             self._recorder.record_end(progress, outcome)
 
     def close_stale_connections(self) -> None:
@@ -157,42 +166,6 @@
         for pool in self._pool_by_address.values():
             pool.close()
 
-    def _accept(self, request: HttpRequest, metadata: RequestMetadata) -> Call:
-        """Check a request against the active configuration.
-
-        Raises:
-            RequestRefusedError: The request is not allowed.
-        """
-        configuration = self._routing.configuration
-        if configuration is None or not self._routing.is_ready:
-            raise refusals.not_ready()
-        if not self.accepts_requests:
-            raise refusals.stopping()
-        if not request.target.startswith("/"):
-            raise refusals.bad_target()
-        route = self._routing.table.match(metadata.host, request.path)
-        if route is None:
-            raise refusals.unknown_route()
-        workspace = configuration.workspace_by_key.get(metadata.key, "")
-        if not workspace and not route.is_public:
-            raise refusals.unknown_key()
-        arrived_at = request.received_at
-        if metadata.handed_over_after_seconds is not None:
-            arrived_at -= metadata.handed_over_after_seconds
-        limit = route.timeout_seconds
-        if metadata.time_budget_seconds is not None:
-            limit = min(limit, metadata.time_budget_seconds)
-        return Call(
-            request=request,
-            metadata=metadata,
-            route=route,
-            service=choose_target(route, metadata.request_id),
-            workspace=workspace,
-            arrived_at=arrived_at,
-            deadline_at=arrived_at + limit,
-            configuration_version=configuration.version,
-        )
-
     async def _async_forward(self, progress: CallProgress) -> str:
         """Forward a request until an upstream responds or the deadline passes.
 
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -11,7 +11,12 @@
 import pytest
 from tests.router.connections import async_open_connection
 
+from lacewingspar_core.hand_over import HandOverController
+from lacewingspar_core.messages import RouterState
 from lacewingspar_router.application import Application
+from lacewingspar_router.components.forwarding import hand_over
+from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.messages import (
     Response,
     ResponseEnd,
@@ -52,12 +57,18 @@
 
 
 class Caller:
-    """Sends requests to one router."""
+    """Sends requests to one router.
+
+    Attributes:
+        address: Address of the router.
+        response: What was received of the response to the last request.
+    """
 
     ids = itertools.count(1)
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.response = ReceivedResponse()
 
     async def call(
         self,
@@ -88,27 +99,34 @@
         """Send bytes on a new connection and return the response."""
         connection = await async_open_connection(self.address)
         connection.send(data)
-        response = ReceivedResponse()
+        self.response = ReceivedResponse()
         try:
-            while True:
-                match await connection.async_next_event():
-                    case ResponseHead(status, pairs):
-                        response.status = status
-                        response.headers = {
-                            name.decode(): value.decode()
-                            for name, value in pairs
-                        }
-                    case ResponseEnd():
-                        response.is_complete = True
-                        return response
-                    case bytes() as chunk:
-                        response.body += chunk
-        except Exception:
-            return response
+            return await receive(connection, self.response)
         finally:
             connection.abort()
 
 
+async def receive(
+    connection: ClientConnection, response: ReceivedResponse
+) -> ReceivedResponse:
+    """Receive a response, as far as it arrives."""
+    try:
+        while True:
+            match await connection.async_next_event():
+                case ResponseHead(status, pairs):
+                    response.status = status
+                    response.headers = {
+                        name.decode(): value.decode() for name, value in pairs
+                    }
+                case ResponseEnd():
+                    response.is_complete = True
+                    return response
+                case bytes() as chunk:
+                    response.body += chunk
+    except Exception:
+        return response
+
+
 class Deployment:
     """Starts and stops the store, upstreams and routers of a test."""
 
@@ -166,13 +184,21 @@
             upstream_id, msgspec.json.encode(entry)
         )
 
-    async def add_router(
+    def received_ids(self) -> set[str]:
+        """Return the ids of the requests that reached an upstream."""
+        return {
+            request.value_by_header["x-attempt-id"]
+            for upstream in self.upstream_by_id.values()
+            for request in upstream.received
+        }
+
+    def settings(
         self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
-    ) -> Caller:
-        """Start a router and return a caller that uses it."""
+    ) -> Settings:
+        """Return the settings of a router with addresses of its own."""
         addresses = [self._ports.reserve() for _ in range(4)]
         platform: dict[str, Any] = {"stop_grace_seconds": 2.0}
-        settings = Settings(
+        return Settings(
             router_id=name,
             data_centre=data_centre,
             caller_address=addresses[0],
@@ -185,13 +211,19 @@
                 metrics_address=addresses[3], **(platform | changes)
             ),
         )
+
+    async def add_router(
+        self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
+    ) -> Caller:
+        """Start a router and return a caller that uses it."""
+        settings = self.settings(name, data_centre, **changes)
         app = Application(settings)
         self.apps.append(app)
         self._stack.push_async_callback(app.async_stop)
         start = asyncio.create_task(app.async_start(setup_functions(settings)))
         self._stack.callback(start.cancel)
         await asyncio.wait({start}, timeout=1.0)
-        return Caller(addresses[0])
+        return Caller(settings.caller_address)
 
 
 @pytest.fixture
@@ -213,6 +245,39 @@
     return deployment
 
 
+class _FullHandOverController(HandOverController):
+    """Controller of an overloaded router: hands over all requests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.share = 1.0
+
+    def record_loop_delay(self, seconds: float) -> None:
+        del seconds
+
+
+@pytest.fixture
+async def overloaded_caller(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> Caller:
+    """Provide a caller of an overloaded router with an idle neighbour."""
+    monkeypatch.setattr(
+        hand_over, "HandOverController", _FullHandOverController
+    )
+    caller = await served.add_router("r1")
+    monkeypatch.undo()
+    await served.add_router("r2")
+    first, second = served.apps
+    peers = first.get(PEERS)
+
+    def is_known() -> bool:
+        record = peers.alive_by_router_id.get(second.instance.router_id)
+        return record is not None and record.state is RouterState.SERVING
+
+    await until(is_known)
+    return caller
+
+
 async def until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
