Log what is decided about a silent upstream

Callers saw streams that were cut and requests that got 502 or 503. The log named the silence of the upstream only as the result of a failed attempt, and not why no other upstream had taken over. A cut after a silence looked like a cut after a crash.

New line "upstream silent" with the length of the silence, the last relayed event and the decision, once per attempt; counter silent_upstreams_total by outcome; field no_replacement in "request ended". The line for an upstream that goes on needs an attempt that outlives the silence and follows with it.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -39,11 +39,14 @@
         result: Result of the attempt.
         reason: Explanation for the log.
         response: The complete response, if it was read but not relayed yet.
+        silent_seconds: Time without a part of the response before the attempt
+            timed out, or 0.
     """
 
     result: AttemptResult
     reason: str = ""
     response: Response | None = None
+    silent_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -96,6 +99,7 @@
         self._now = now
         self._on_first_chunk = on_first_chunk
         self._can_switch_upstream = can_switch_upstream
+        self._has_first_chunk = False
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -151,7 +155,16 @@
                     connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
                 )
         except TimeoutError:
-            return AttemptEnd(AttemptResult.TIMED_OUT, "no response in time")
+            limit = (
+                self._event_gap_timeout()
+                if self._has_first_chunk
+                else self._response_timeout()
+            )
+            return AttemptEnd(
+                AttemptResult.TIMED_OUT,
+                "no response in time",
+                silent_seconds=limit or 0.0,
+            )
         except ConnectionBrokenError as error:
             return AttemptEnd(AttemptResult.BROKEN, str(error))
         except (InvalidResponseError, EventSizeError) as error:
@@ -208,6 +221,7 @@
 
     def record_first_chunk(self) -> None:
         """Report that the first chunk of the response arrived."""
+        self._has_first_chunk = True
         self._on_first_chunk()
 
     async def async_drain(self) -> None:
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -36,6 +36,10 @@
     RequestMetadata,
 )
 from lacewingspar_router.components.forwarding.request_recorder import (
+    REASON_ATTEMPTS,
+    REASON_BUDGET,
+    REASON_TIME,
+    REPLACED,
     CallProgress,
     RequestRecorder,
 )
@@ -223,9 +227,7 @@
         request_fingerprint = self._crash_guard.fingerprint_of(call)
         while True:
             self._crash_guard.check(call, request_fingerprint)
-            grant = await self._admission.async_acquire(
-                requirements, history.tried
-            )
+            grant = await self._async_acquire(progress, requirements)
             end = await self._async_attempt(
                 progress, grant, request_fingerprint
             )
@@ -253,6 +255,34 @@
                 end.result, may_have_run=history.may_have_run
             )
 
+    async def _async_acquire(
+        self, progress: CallProgress, requirements: RequestRequirements
+    ) -> Grant:
+        """Wait for an upstream that was not tried yet."""
+        try:
+            grant = await self._admission.async_acquire(
+                requirements, progress.history.tried
+            )
+        except RequestRefusedError as error:
+            self._record_no_replacement(progress, error.code)
+            raise
+        if progress.silent_seconds:
+            self._recorder.record_silence(
+                progress, progress.silent_seconds, REPLACED
+            )
+        return grant
+
+    def _record_no_replacement(
+        self, progress: CallProgress, reason: str
+    ) -> None:
+        if not progress.history.tried:
+            return
+        progress.no_replacement = reason
+        if progress.silent_seconds:
+            self._recorder.record_silence(
+                progress, progress.silent_seconds, reason
+            )
+
     async def _async_attempt(
         self, progress: CallProgress, grant: Grant, request_fingerprint: str
     ) -> AttemptEnd:
@@ -290,6 +320,7 @@
             is_unreachable = end.result is AttemptResult.UNREACHABLE
         finally:
             self._admission.end(grant, outcome, is_unreachable=is_unreachable)
+        progress.silent_seconds = end.silent_seconds
         if end.result is not AttemptResult.RESPONDED:
             self._recorder.record_failed_attempt(progress, end)
         return end
@@ -337,14 +368,18 @@
         call, history = progress.call, progress.history
         now = self._app.now()
         if not history.may_try_again(end.result):
+            if history.may_run_again:
+                self._record_no_replacement(progress, REASON_ATTEMPTS)
             return False
         if call.deadline_at - now < const.MIN_RETRY_TIME_LEFT_SECONDS:
+            self._record_no_replacement(progress, REASON_TIME)
             return False
         if not history.sent:
             return True
         routers = len(self._peers.alive_by_router_id)
         if self._retry_budget(call.service).try_spend(routers, now):
             return True
+        self._record_no_replacement(progress, REASON_BUDGET)
         self._telemetry.count("retries_denied_total", service=call.service)
         _LOGGER.info(
             "retry denied: fleet-wide retry budget exhausted",
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -17,6 +17,14 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
+# Outcome of a silence after which the request continues at another upstream.
+REPLACED = "replaced"
+# Reasons why no upstream replaces one that is silent or has failed, besides
+# those for which a pool declines the request.
+REASON_ATTEMPTS = "attempts"
+REASON_TIME = "time"
+REASON_BUDGET = "retry_budget"
+
 
 @dataclass(slots=True)
 class CallProgress:
@@ -27,12 +35,16 @@
         caller_response: Response to the caller.
         history: Attempts so far.
         upstream_id: Upstream of the last attempt, or "".
+        silent_seconds: Silence for which the last attempt was ended, or 0.
+        no_replacement: Why no other upstream has replaced the last one, or "".
     """
 
     call: Call
     caller_response: CallerResponse
     history: AttemptHistory
     upstream_id: str = ""
+    silent_seconds: float = 0.0
+    no_replacement: str = ""
 
 
 class RequestRecorder:
@@ -98,6 +110,33 @@
             directory_age_ms=_milliseconds(self._routing.directory_age_seconds),
         )
 
+    def record_silence(
+        self, progress: CallProgress, silent_seconds: float, outcome: str
+    ) -> None:
+        """Record what was decided about an upstream that is silent.
+
+        Args:
+            progress: State of the request.
+            silent_seconds: Time since the upstream sent a part of the response.
+            outcome: `REPLACED`, or the reason why no upstream replaces it.
+        """
+        is_replaced = outcome == REPLACED
+        self._telemetry.count(
+            "silent_upstreams_total",
+            service=progress.call.service,
+            outcome=outcome,
+        )
+        _LOGGER.warning(
+            "upstream silent",
+            request_id=progress.call.metadata.request_id,
+            upstream=progress.upstream_id,
+            service=progress.call.service,
+            silent_ms=_milliseconds(silent_seconds),
+            last_event_id=progress.caller_response.events.last_id,
+            decision=REPLACED if is_replaced else "no replacement",
+            reason="" if is_replaced else outcome,
+        )
+
     def record_end(self, progress: CallProgress, outcome: str) -> None:
         """Record the end of an accepted request."""
         call = progress.call
@@ -125,6 +164,7 @@
             sent=progress.history.sent,
             duration_ms=_milliseconds(seconds),
             first_part_ms=first_part_ms,
+            no_replacement=progress.no_replacement,
             configuration_version=call.configuration_version,
         )
 
