--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,9 +1,6 @@
 """Handling of callers' requests, from the headers to the response."""
 
 import asyncio
-from dataclasses import replace
-
-import structlog
 
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import (
@@ -13,7 +10,6 @@
 )
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence
-from lacewingspar_core.retry_budget import RetryBudget, RetryBudgetConfig
 from lacewingspar_core.routing import choose_target
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
@@ -43,17 +39,18 @@
     CallProgress,
     RequestRecorder,
 )
-from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.forwarding.requirements import (
+    requirements_of,
+    resumed,
+)
+from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
 from lacewingspar_router.components.routing.models import ROUTING
-from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import HttpRequest, Response
 from lacewingspar_router.http_headers import RawHeaders
 
-_LOGGER = structlog.get_logger(__name__)
-
 
 class CallHandler:
     """Handles the requests of callers.
@@ -63,21 +60,12 @@
     """
 
     def __init__(self, app: Application) -> None:
-        assert app.settings.platform is not None
-        settings = app.settings.platform
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
         self._wire_format = app.get(WIRE_FORMAT)
-        self._peers = app.get(PEERS)
-        self._telemetry = app.get(TELEMETRY)
-        self._retry_budget_config = RetryBudgetConfig(
-            settings.retry_ratio,
-            settings.retry_window_seconds,
-            settings.retry_allowance,
-        )
-        self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._pool_by_address: dict[str, ConnectionPool] = {}
+        self._retry_budgets = RetryBudgets(app)
         self._crash_guard = CrashGuard(app)
         self._recorder = RequestRecorder(app)
         self.accepts_requests = True
@@ -207,7 +195,7 @@
             RequestRefusedError: No upstream responded.
         """
         call = progress.call
-        self._retry_budget(call.service).record_request(self._app.now())
+        self._retry_budgets.record_request(call.service)
         remaining_seconds = call.deadline_at - self._app.now()
         try:
             async with asyncio.timeout(
@@ -223,7 +211,7 @@
 
     async def _async_try_upstreams(self, progress: CallProgress) -> str:
         call, history = progress.call, progress.history
-        requirements = self._requirements(call)
+        requirements = requirements_of(call)
         request_fingerprint = self._crash_guard.fingerprint_of(call)
         while True:
             self._crash_guard.check(call, request_fingerprint)
@@ -240,9 +228,7 @@
             if self._may_try_again(progress, end):
                 progress.caller_response.events.drop_partial_event()
                 if progress.caller_response.exchange.is_started:
-                    requirements = self._resumed_requirements(
-                        requirements, call
-                    )
+                    requirements = resumed(requirements, call, self._app.now())
                 continue
             if progress.caller_response.exchange.is_started:
                 return "broken_off"
@@ -376,53 +362,11 @@
             return False
         if not history.sent:
             return True
-        routers = len(self._peers.alive_by_router_id)
-        if self._retry_budget(call.service).try_spend(routers, now):
+        if self._retry_budgets.try_spend(call):
             return True
         self._record_no_replacement(progress, REASON_BUDGET)
-        self._telemetry.count("retries_denied_total", service=call.service)
-        _LOGGER.info(
-            "retry denied: fleet-wide retry budget exhausted",
-            request_id=call.metadata.request_id,
-            service=call.service,
-            routers=routers,
-        )
         return False
 
-    def _requirements(self, call: Call) -> RequestRequirements:
-        metadata = call.metadata
-        return RequestRequirements(
-            request_id=metadata.request_id,
-            service=call.service,
-            workspace=call.workspace,
-            shared_parts=metadata.shared_parts,
-            own_tokens=metadata.own_tokens,
-            output_tokens=metadata.output_tokens,
-            priority=call.route.priority,
-            arrived_at=call.arrived_at,
-            latency_target_at=call.arrived_at
-            + call.route.latency_target_seconds,
-            deadline_at=call.deadline_at,
-            first_chunk_timeout_seconds=call.route.first_chunk_timeout_seconds,
-            identity=call.identity,
-        )
-
-    def _resumed_requirements(
-        self, requirements: RequestRequirements, call: Call
-    ) -> RequestRequirements:
-        """Return the requirements of a stream that continues elsewhere.
-
-        The latency target counts from now, as the caller waits for the next
-        event. With the original times the pool would treat the request as late
-        and decline it first.
-        """
-        now = self._app.now()
-        return replace(
-            requirements,
-            arrived_at=now,
-            latency_target_at=now + call.route.latency_target_seconds,
-        )
-
     def _send_response(
         self, exchange: ServerExchange, response: Response
     ) -> None:
@@ -447,13 +391,6 @@
                 response.status, response.headers, response.body
             )
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budget_by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(self._retry_budget_config)
-            self._retry_budget_by_service[service] = budget
-        return budget
-
     def _connection_pool(self, address: str) -> ConnectionPool:
         pool = self._pool_by_address.get(address)
         if pool is None:
