Keep reading from a silent upstream until another one takes over

Callers saw streams that were cut in the middle, and 502 or 503 in place of whole responses, although the upstream was sound and only paused for a second or so.

Cause: a repeatable request was taken from an upstream that had sent nothing for max(1 s, 4 x event gap target), or max(0.5 s, 4 x latency target) before the first chunk, and the connection was aborted. Only then were the limit of attempts, the retry budget, the pool and the other upstreams asked. Any "no" ended the request: what worked was given up before its replacement was certain.

Now the attempt goes on reading. A timer for each attempt looks at the time of the last received data; beyond the limit a task asks the pool for another upstream. Only with a grant at an upstream that is still in the directory, attempts and time left, and the retry budget spent last, is the attempt interrupted. Its connection is closed before the request is sent again, so that no two upstreams work on it. If the upstream goes on, the search is withdrawn or the grant given back, at no cost to the budget. Without a replacement the request waits for the upstream until its deadline, and asks again after the same time. An attempt that fails during a search takes over the search and its place in the queue. The check and the interruption happen without a wait in between, and data that has been received but not yet read counts as progress.

An upstream that is silent when its request is cancelled counts as failed, as the time limit did before; otherwise the breaker of a dead upstream would stay closed when the retry budget is used up.

The time limit also ran while the caller did not read: after a wait longer than the gap limit the attempt timed out at once (trial on the old class: sink full for 0.2 s, limit 0.1 s, TimeoutError on resuming). Reading that was paused for the caller is now no silence.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -23,7 +23,7 @@
     BROKEN = "broken"
     # The received data is not a valid response to the request.
     INVALID = "invalid"
-    # The upstream sent nothing within the time limit.
+    # The upstream was silent and another one takes over.
     TIMED_OUT = "silent"
 
 
@@ -94,6 +94,15 @@
         self.may_have_run |= rule.may_have_run
         self.tried |= {upstream_id}
 
+    @property
+    def may_replace(self) -> bool:
+        """Return whether another attempt may replace the one in flight."""
+        return (
+            self.may_run_again
+            and self.sent + 1 < max(1, self.max_sent)
+            and self.unreachable < MAX_UNREACHABLE_ATTEMPTS
+        )
+
     def may_try_again(self, result: AttemptResult) -> bool:
         """Return whether another attempt may follow one that ended in `result`.
 
--- a/packages/core/src/lacewingspar_core/retry_budget.py
+++ b/packages/core/src/lacewingspar_core/retry_budget.py
@@ -57,16 +57,19 @@
         Returns:
             Whether the request may be retried.
         """
-        self._prune(now)
-        fixed = self.bound.base_retries / max(1, routers)
-        earned = self.bound.ratio * len(self._request_times)
-        if len(self._retry_times) + 1 > ROUTER_BUDGET_FRACTION * (
-            fixed + earned
-        ):
+        if not self.allows_retry(routers, now):
             return False
         self._retry_times.append(now)
         return True
 
+    def allows_retry(self, routers: int, now: float) -> bool:
+        """Return whether a retry is allowed now, without counting it."""
+        self._prune(now)
+        fixed = self.bound.base_retries / max(1, routers)
+        earned = self.bound.ratio * len(self._request_times)
+        limit = ROUTER_BUDGET_FRACTION * (fixed + earned)
+        return len(self._retry_times) + 1 <= limit
+
     def _prune(self, now: float) -> None:
         oldest = now - self.bound.window_seconds
         for times in (self._request_times, self._retry_times):
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -1,6 +1,5 @@
 """A single attempt to serve a request at one upstream."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -20,6 +19,7 @@
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
     ConnectionFailedError,
+    ExchangeInterruptedError,
     InvalidResponseError,
 )
 from lacewingspar_router.http1.exchange import ServerExchange
@@ -39,14 +39,11 @@
         result: Result of the attempt.
         reason: Explanation for the log.
         response: The complete response, if it was read but not relayed yet.
-        silent_seconds: Time without a part of the response before the attempt
-            timed out, or 0.
     """
 
     result: AttemptResult
     reason: str = ""
     response: Response | None = None
-    silent_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -74,9 +71,9 @@
         wire_format: Wire format of requests and responses.
         caller_response: Response to the caller.
         now: Clock in seconds.
+        on_sent: Called with the connection when the request is sent. If it
+            interrupts the exchange, the attempt ends as timed out.
         on_first_chunk: Called when the first chunk of the response arrives.
-        can_switch_upstream: Whether to time out on an unresponsive upstream, so
-            that the request is sent to another one.
     """
 
     def __init__(
@@ -87,9 +84,8 @@
         wire_format: WireFormat,
         caller_response: CallerResponse,
         now: Callable[[], float],
+        on_sent: Callable[[ClientConnection], None],
         on_first_chunk: Callable[[], None],
-        *,
-        can_switch_upstream: bool,
     ) -> None:
         self._call = call
         self._upstream = upstream
@@ -97,9 +93,8 @@
         self._wire_format = wire_format
         self._caller_response = caller_response
         self._now = now
+        self._on_sent = on_sent
         self._on_first_chunk = on_first_chunk
-        self._can_switch_upstream = can_switch_upstream
-        self._has_first_chunk = False
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -123,6 +118,7 @@
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
+            self._on_sent(connection)
             end = await self._async_receive_response(connection)
             is_reusable = end.result not in _UNUSABLE_CONNECTION_RESULTS
             return end
@@ -146,24 +142,15 @@
         self, connection: ClientConnection
     ) -> AttemptEnd:
         try:
-            async with asyncio.timeout(self._response_timeout()):
-                head, info = await self._async_read_matching_head(connection)
+            head, info = await self._async_read_matching_head(connection)
             if self._is_stream(head, info):
                 return await self._async_relay_stream(connection, head)
-            async with asyncio.timeout(self._response_timeout()):
-                response = await async_read_body(
-                    connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
-                )
-        except TimeoutError:
-            limit = (
-                self._event_gap_timeout()
-                if self._has_first_chunk
-                else self._response_timeout()
+            response = await async_read_body(
+                connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
             )
+        except ExchangeInterruptedError:
             return AttemptEnd(
-                AttemptResult.TIMED_OUT,
-                "no response in time",
-                silent_seconds=limit or 0.0,
+                AttemptResult.TIMED_OUT, "another upstream takes over"
             )
         except ConnectionBrokenError as error:
             return AttemptEnd(AttemptResult.BROKEN, str(error))
@@ -196,9 +183,7 @@
         """Relay events as they arrive."""
         caller_response = self._caller_response
         sink = _EventSink(self, head)
-        await connection.async_stream_body(
-            sink, self._response_timeout(), self._event_gap_timeout()
-        )
+        await connection.async_stream_body(sink)
         if caller_response.events.has_partial_event:
             return AttemptEnd(
                 AttemptResult.BROKEN, "stream ended inside an event"
@@ -221,7 +206,6 @@
 
     def record_first_chunk(self) -> None:
         """Report that the first chunk of the response arrived."""
-        self._has_first_chunk = True
         self._on_first_chunk()
 
     async def async_drain(self) -> None:
@@ -274,26 +258,6 @@
             and head.status < 300
         )
 
-    def _response_timeout(self) -> float | None:
-        """Return the time limit for the response head and for a whole body."""
-        if not self._can_switch_upstream:
-            return None
-        return max(
-            const.MIN_RESPONSE_TIMEOUT_SECONDS,
-            const.RESPONSE_TIMEOUT_TARGET_FACTOR
-            * self._call.route.latency_target_seconds,
-        )
-
-    def _event_gap_timeout(self) -> float | None:
-        """Return the longest gap that the upstream may leave in a stream."""
-        if not self._can_switch_upstream:
-            return None
-        return max(
-            const.MIN_EVENT_GAP_TIMEOUT_SECONDS,
-            const.EVENT_GAP_TIMEOUT_FACTOR
-            * self._call.route.event_gap_target_seconds,
-        )
-
 
 class _EventSink:
     """Receives the body of a streamed response."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -14,15 +14,21 @@
 # Time after the deadline in which a neighbour may still report that a request
 # handed over to it missed the deadline.
 HAND_OVER_DEADLINE_GRACE_SECONDS = 0.1
-# A repeatable request is sent to another upstream if its response has not
-# started after this multiple of its latency target, and at least the minimum
+# Another upstream is sought for a repeatable request if its upstream has sent
+# nothing for this multiple of its latency target, and at least the minimum
 # time.
-RESPONSE_TIMEOUT_TARGET_FACTOR = 4.0
-MIN_RESPONSE_TIMEOUT_SECONDS = 0.5
-# A repeatable stream continues at another upstream after a gap of this multiple
-# of its event gap target, and at least the minimum time, before callers abort.
-EVENT_GAP_TIMEOUT_FACTOR = 4.0
-MIN_EVENT_GAP_TIMEOUT_SECONDS = 1.0
+RESPONSE_SILENCE_TARGET_FACTOR = 4.0
+MIN_RESPONSE_SILENCE_SECONDS = 0.5
+# Another upstream is sought for a repeatable stream after a gap of this
+# multiple of its event gap target, and at least the minimum time, before
+# callers abort.
+EVENT_GAP_FACTOR = 4.0
+MIN_EVENT_GAP_SECONDS = 1.0
+# Interval at which an upstream that is silent is checked.
+SILENCE_CHECK_INTERVAL_SECONDS = 0.1
+# Time after the start of a silence check in which the event loop reads data
+# that arrived while it was held up.
+SILENCE_CONFIRM_SECONDS = 0.01
 # A request is retried only if at least this much time remains.
 MIN_RETRY_TIME_LEFT_SECONDS = 0.1
 # Retry-After of refusals that have no better estimate, such as "not_ready".
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -233,7 +233,7 @@
             exchange.send_response(response.status, headers, response.body)
             return None
         exchange.start(head.status, headers, length=None)
-        await connection.async_stream_body(exchange, None, None)
+        await connection.async_stream_body(exchange)
         exchange.finish()
         return None
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -15,7 +15,6 @@
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
     Grant,
-    RequestRequirements,
 )
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.attempt import (
@@ -35,15 +34,13 @@
     REASON_ATTEMPTS,
     REASON_BUDGET,
     REASON_TIME,
-    REPLACED,
     CallProgress,
     RequestRecorder,
 )
-from lacewingspar_router.components.forwarding.requirements import (
-    requirements_of,
-    resumed,
-)
 from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
+from lacewingspar_router.components.forwarding.upstream_switch import (
+    UpstreamSwitch,
+)
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
@@ -210,67 +207,48 @@
             ) from error
 
     async def _async_try_upstreams(self, progress: CallProgress) -> str:
+        switch = UpstreamSwitch(
+            self._app, self._retry_budgets, self._recorder, progress
+        )
+        try:
+            return await self._async_try_in_turn(progress, switch)
+        finally:
+            switch.close()
+
+    async def _async_try_in_turn(
+        self, progress: CallProgress, switch: UpstreamSwitch
+    ) -> str:
         call, history = progress.call, progress.history
-        requirements = requirements_of(call)
+        exchange = progress.caller_response.exchange
         request_fingerprint = self._crash_guard.fingerprint_of(call)
         while True:
             self._crash_guard.check(call, request_fingerprint)
-            grant = await self._async_acquire(progress, requirements)
+            grant = await switch.async_next_grant()
             end = await self._async_attempt(
-                progress, grant, request_fingerprint
+                progress, grant, request_fingerprint, switch
             )
             if end.result is AttemptResult.RESPONDED:
                 if end.response is not None:
-                    self._send_response(
-                        progress.caller_response.exchange, end.response
-                    )
+                    self._send_response(exchange, end.response)
                 return "answered"
             if self._may_try_again(progress, end):
                 progress.caller_response.events.drop_partial_event()
-                if progress.caller_response.exchange.is_started:
-                    requirements = resumed(requirements, call, self._app.now())
                 continue
-            if progress.caller_response.exchange.is_started:
+            if exchange.is_started:
                 return "broken_off"
             if end.response is not None:
-                self._send_response(
-                    progress.caller_response.exchange, end.response
-                )
+                self._send_response(exchange, end.response)
                 return "upstream_failure"
             raise refusals.attempts_failed(
                 end.result, may_have_run=history.may_have_run
             )
 
-    async def _async_acquire(
-        self, progress: CallProgress, requirements: RequestRequirements
-    ) -> Grant:
-        """Wait for an upstream that was not tried yet."""
-        try:
-            grant = await self._admission.async_acquire(
-                requirements, progress.history.tried
-            )
-        except RequestRefusedError as error:
-            self._record_no_replacement(progress, error.code)
-            raise
-        if progress.silent_seconds:
-            self._recorder.record_silence(
-                progress, progress.silent_seconds, REPLACED
-            )
-        return grant
-
-    def _record_no_replacement(
-        self, progress: CallProgress, reason: str
-    ) -> None:
-        if not progress.history.tried:
-            return
-        progress.no_replacement = reason
-        if progress.silent_seconds:
-            self._recorder.record_silence(
-                progress, progress.silent_seconds, reason
-            )
-
     async def _async_attempt(
-        self, progress: CallProgress, grant: Grant, request_fingerprint: str
+        self,
+        progress: CallProgress,
+        grant: Grant,
+        request_fingerprint: str,
+        switch: UpstreamSwitch,
     ) -> AttemptEnd:
         """Run one attempt and report its end to admission.
 
@@ -278,6 +256,7 @@
             progress: The request and its state.
             grant: Grant for the upstream to use.
             request_fingerprint: Fingerprint of the request.
+            switch: Watches the upstream.
         """
         history = progress.history
         entries = self._routing.directory.entry_by_id
@@ -298,15 +277,19 @@
                 )
             else:
                 end = await self._async_send(
-                    progress, grant, upstream, request_fingerprint
+                    progress, grant, upstream, request_fingerprint, switch
                 )
             history.may_have_run = previously_may_have_run
             history.record(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
             is_unreachable = end.result is AttemptResult.UNREACHABLE
+        except asyncio.CancelledError:
+            if switch.is_silent:
+                outcome = RunOutcome.FAILED
+            raise
         finally:
+            switch.end_watch()
             self._admission.end(grant, outcome, is_unreachable=is_unreachable)
-        progress.silent_seconds = end.silent_seconds
         if end.result is not AttemptResult.RESPONDED:
             self._recorder.record_failed_attempt(progress, end)
         return end
@@ -317,9 +300,15 @@
         grant: Grant,
         upstream: UpstreamEntry,
         request_fingerprint: str,
+        switch: UpstreamSwitch,
     ) -> AttemptEnd:
         """Send a request to an upstream and relay the response."""
         call = progress.call
+
+        def record_first_chunk() -> None:
+            switch.record_first_chunk()
+            self._admission.record_first_chunk(grant)
+
         attempt = Attempt(
             call,
             upstream,
@@ -327,8 +316,8 @@
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            lambda: self._admission.record_first_chunk(grant),
-            can_switch_upstream=self._can_switch_upstream(progress.history),
+            switch.watch,
+            record_first_chunk,
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
@@ -347,24 +336,24 @@
             self._crash_guard.record_success(run)
         return end
 
-    def _can_switch_upstream(self, history: AttemptHistory) -> bool:
-        return history.may_run_again and history.sent + 1 < history.max_sent
-
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
-        now = self._app.now()
+        if end.result is AttemptResult.TIMED_OUT:
+            # The switch has a grant and has spent the retry budget.
+            return True
         if not history.may_try_again(end.result):
             if history.may_run_again:
-                self._record_no_replacement(progress, REASON_ATTEMPTS)
+                progress.no_replacement = REASON_ATTEMPTS
             return False
-        if call.deadline_at - now < const.MIN_RETRY_TIME_LEFT_SECONDS:
-            self._record_no_replacement(progress, REASON_TIME)
+        time_left = call.deadline_at - self._app.now()
+        if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
+            progress.no_replacement = REASON_TIME
             return False
         if not history.sent:
             return True
         if self._retry_budgets.try_spend(call):
             return True
-        self._record_no_replacement(progress, REASON_BUDGET)
+        progress.no_replacement = REASON_BUDGET
         return False
 
     def _send_response(
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -24,6 +24,9 @@
 REASON_ATTEMPTS = "attempts"
 REASON_TIME = "time"
 REASON_BUDGET = "retry_budget"
+REASON_REMOVED = "upstream_removed"
+# Outcome of a silence after which the upstream has sent more.
+WENT_ON = "went_on"
 
 
 @dataclass(slots=True)
@@ -35,7 +38,6 @@
         caller_response: Response to the caller.
         history: Attempts so far.
         upstream_id: Upstream of the last attempt, or "".
-        silent_seconds: Silence for which the last attempt was ended, or 0.
         no_replacement: Why no other upstream has replaced the last one, or "".
     """
 
@@ -43,7 +45,6 @@
     caller_response: CallerResponse
     history: AttemptHistory
     upstream_id: str = ""
-    silent_seconds: float = 0.0
     no_replacement: str = ""
 
 
@@ -137,6 +138,24 @@
             reason="" if is_replaced else outcome,
         )
 
+    def record_silence_end(
+        self, progress: CallProgress, silent_seconds: float
+    ) -> None:
+        """Record that a silent upstream has sent more of its response."""
+        self._telemetry.count(
+            "silent_upstreams_total",
+            service=progress.call.service,
+            outcome=WENT_ON,
+        )
+        _LOGGER.info(
+            "upstream went on",
+            request_id=progress.call.metadata.request_id,
+            upstream=progress.upstream_id,
+            service=progress.call.service,
+            silent_ms=_milliseconds(silent_seconds),
+            last_event_id=progress.caller_response.events.last_id,
+        )
+
     def record_end(self, progress: CallProgress, outcome: str) -> None:
         """Record the end of an accepted request."""
         call = progress.call
--- a/packages/router/src/lacewingspar_router/components/forwarding/retry_budgets.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/retry_budgets.py
@@ -35,6 +35,12 @@
         """Count the first attempt of a request."""
         self._budget(service).record_request(self._now())
 
+    def allows_retry(self, service: str) -> bool:
+        """Return whether a retry is allowed now, without counting it."""
+        return self._budget(service).allows_retry(
+            len(self._peers.alive_by_router_id), self._now()
+        )
+
     def try_spend(self, call: Call) -> bool:
         """Count a retry of a request if the budget of its service allows it."""
         routers = len(self._peers.alive_by_router_id)
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -0,0 +1,287 @@
+"""Switch of a request to another upstream while its upstream is silent."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from lacewingspar_core.admission_events import RunOutcome
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission.models import (
+    ADMISSION,
+    Grant,
+    RequestRequirements,
+)
+from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding.request_recorder import (
+    REASON_ATTEMPTS,
+    REASON_BUDGET,
+    REASON_REMOVED,
+    REASON_TIME,
+    REPLACED,
+    CallProgress,
+    RequestRecorder,
+)
+from lacewingspar_router.components.forwarding.requirements import (
+    requirements_of,
+    resumed,
+)
+from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
+from lacewingspar_router.components.forwarding.silence import (
+    SilenceState,
+    SilenceTracker,
+    event_gap_limit,
+    response_silence_limit,
+)
+from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.errors import RequestRefusedError
+from lacewingspar_router.http1.client_connection import ClientConnection
+
+
+@dataclass(slots=True)
+class _WatchedAttempt:
+    """An attempt whose upstream may be replaced.
+
+    Attributes:
+        connection: Connection to the upstream.
+        upstream_id: ID of the upstream.
+        tracker: Its silences.
+        recorded: Outcomes of the present silence that were recorded.
+    """
+
+    connection: ClientConnection
+    upstream_id: str
+    tracker: SilenceTracker
+    recorded: set[str] = field(default_factory=set)
+
+
+class UpstreamSwitch:
+    """Finds the upstreams of one request, and replaces one that is silent.
+
+    A silent upstream may go on, so its attempt continues while a replacement is
+    sought. The attempt is interrupted only if another upstream was granted, the
+    retry budget allows it and the upstream is still silent.
+
+    Args:
+        app: The application.
+        retry_budgets: Retry budgets of the services.
+        recorder: Records the decisions.
+        progress: The request and its state.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        retry_budgets: RetryBudgets,
+        recorder: RequestRecorder,
+        progress: CallProgress,
+    ) -> None:
+        self._app = app
+        self._admission = app.get(ADMISSION)
+        self._routing = app.get(ROUTING)
+        self._retry_budgets = retry_budgets
+        self._recorder = recorder
+        self._progress = progress
+        self._initial_requirements = requirements_of(progress.call)
+        self._watched: _WatchedAttempt | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._search: asyncio.Task[None] | None = None
+        self._reserved: Grant | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the upstream in use is silent beyond the limit."""
+        return self._watched is not None and self._watched.tracker.is_silent
+
+    async def async_next_grant(self) -> Grant:
+        """Return the grant for the next attempt.
+
+        Raises:
+            RequestRefusedError: No other upstream is granted.
+        """
+        history = self._progress.history
+        try:
+            if self._search is not None:
+                await self._search
+            grant, self._reserved = self._reserved, None
+            if grant is not None:
+                return grant
+            return await self._admission.async_acquire(
+                self._requirements(), history.tried
+            )
+        except RequestRefusedError as error:
+            if history.tried:
+                self._progress.no_replacement = error.code
+            raise
+
+    def watch(self, connection: ClientConnection) -> None:
+        """Watch the upstream of an attempt that was just sent."""
+        route = self._progress.call.route
+        if not route.may_run_again:
+            return
+        connection.watch_progress()
+        tracker = SilenceTracker(response_silence_limit(route))
+        self._watched = _WatchedAttempt(
+            connection, self._progress.upstream_id, tracker
+        )
+        self._check_after(tracker.limit_seconds)
+
+    def record_first_chunk(self) -> None:
+        """Apply the limit for gaps from now on."""
+        if self._watched is None:
+            return
+        tracker = self._watched.tracker
+        limit = event_gap_limit(self._progress.call.route)
+        if limit < tracker.limit_seconds and not tracker.is_silent:
+            self._check_after(limit)
+        tracker.limit_seconds = limit
+
+    def end_watch(self) -> None:
+        """Stop watching; a search goes on for the next attempt."""
+        watched, self._watched = self._watched, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if watched is not None and watched.tracker.is_silent:
+            self._update(watched)
+
+    def close(self) -> None:
+        """Withdraw the search and give back a grant that was not used."""
+        self.end_watch()
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        if self._search is not None:
+            self._search.cancel()
+            self._search = None
+        if self._reserved is not None:
+            self._admission.end(self._reserved, RunOutcome.CANCELLED)
+            self._reserved = None
+
+    def _check_after(self, seconds: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._check)
+
+    def _check(self) -> None:
+        watched = self._watched
+        assert watched is not None
+        match self._update(watched):
+            case SilenceState.WENT_ON:
+                self._withdraw()
+            case SilenceState.SEARCH_DUE if self._search is None:
+                self._start_search(watched)
+        self._check_after(watched.tracker.check_after_seconds)
+
+    def _update(self, watched: _WatchedAttempt) -> SilenceState:
+        """Update the tracker and record the end of a silence."""
+        state = watched.tracker.update(
+            watched.connection.last_progress_at, time.monotonic()
+        )
+        if state is SilenceState.WENT_ON:
+            watched.recorded.clear()
+            self._progress.no_replacement = ""
+            self._recorder.record_silence_end(
+                self._progress, watched.tracker.silent_seconds
+            )
+        return state
+
+    def _start_search(self, watched: _WatchedAttempt) -> None:
+        obstacle = self._find_obstacle()
+        if obstacle:
+            self._record_no_replacement(watched, obstacle)
+            return
+        self._search = self._app.create_task(
+            self._async_search(watched), "search for another upstream"
+        )
+
+    async def _async_search(self, watched: _WatchedAttempt) -> None:
+        """Wait for another upstream and decide whether to use it.
+
+        Raises:
+            RequestRefusedError: No upstream is granted, and the attempt has
+                ended.
+        """
+        try:
+            await asyncio.sleep(const.SILENCE_CONFIRM_SECONDS)
+            if self._watched is watched and not _is_silent(watched):
+                return
+            tried = self._progress.history.tried
+            self._reserved = await self._admission.async_acquire(
+                self._requirements(), tried | {watched.upstream_id}
+            )
+        except RequestRefusedError as error:
+            if self._watched is not watched:
+                raise
+            self._record_no_replacement(watched, error.code)
+        else:
+            self._use_reserved(watched)
+        finally:
+            if self._search is asyncio.current_task():
+                self._search = None
+
+    def _use_reserved(self, watched: _WatchedAttempt) -> None:
+        """Interrupt the attempt in favour of the reserved grant, if allowed.
+
+        An attempt that has failed needs no interruption: the next one takes the
+        grant.
+        """
+        if self._watched is not watched or watched.connection.has_failed:
+            return
+        if not _is_silent(watched):
+            self._withdraw()
+            return
+        obstacle = self._find_obstacle(self._reserved)
+        if not obstacle and not self._retry_budgets.try_spend(
+            self._progress.call
+        ):
+            obstacle = REASON_BUDGET
+        if obstacle:
+            self._withdraw()
+            self._record_no_replacement(watched, obstacle)
+            return
+        self._progress.no_replacement = ""
+        self._record(watched, REPLACED)
+        watched.connection.interrupt()
+
+    def _find_obstacle(self, grant: Grant | None = None) -> str:
+        """Return why no upstream may replace the present one, or ""."""
+        call = self._progress.call
+        directory = self._routing.directory.entry_by_id
+        if not self._progress.history.may_replace:
+            return REASON_ATTEMPTS
+        time_left = call.deadline_at - self._app.now()
+        if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
+            return REASON_TIME
+        if not self._retry_budgets.allows_retry(call.service):
+            return REASON_BUDGET
+        if grant is not None and grant.upstream_id not in directory:
+            return REASON_REMOVED
+        return ""
+
+    def _record_no_replacement(
+        self, watched: _WatchedAttempt, reason: str
+    ) -> None:
+        watched.tracker.postpone_search(time.monotonic())
+        self._progress.no_replacement = reason
+        self._record(watched, reason)
+
+    def _record(self, watched: _WatchedAttempt, outcome: str) -> None:
+        """Record an outcome once in each silence."""
+        if outcome in watched.recorded:
+            return
+        watched.recorded.add(outcome)
+        silent_seconds = time.monotonic() - watched.connection.last_progress_at
+        self._recorder.record_silence(self._progress, silent_seconds, outcome)
+
+    def _requirements(self) -> RequestRequirements:
+        if not self._progress.caller_response.exchange.is_started:
+            return self._initial_requirements
+        return resumed(
+            self._initial_requirements, self._progress.call, self._app.now()
+        )
+
+
+def _is_silent(watched: _WatchedAttempt) -> bool:
+    seconds = time.monotonic() - watched.connection.last_progress_at
+    return seconds >= watched.tracker.limit_seconds
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -11,6 +11,7 @@
 from lacewingspar_core.event_stream import EventSizeError
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
+    ExchangeInterruptedError,
     InvalidResponseError,
 )
 from lacewingspar_router.http1.messages import ResponseEnd, ResponseHead
@@ -41,8 +42,6 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
 
-_NEVER = float("inf")
-
 _Event = ResponseHead | bytes | ResponseEnd
 
 
@@ -68,8 +67,8 @@
         self._bytes_since_event = 0
         self._has_progressed = False
         self._sink: BodySink | None = None
-        self._gap_timeout_seconds = _NEVER
-        self._next_chunk_deadline = _NEVER
+        self._is_watched = False
+        self._last_progress_at = 0.0
         self._is_paused = False
         self._is_busy = False
         self._is_closing = False
@@ -144,19 +143,18 @@
             and status not in _STATUSES_WITHOUT_BODY
         )
         self._has_progressed = True
+        self._last_progress_at = time.monotonic()
         self._push_event(ResponseHead(status, self._headers))
 
     def on_body(self, body: bytes) -> None:
         """Pass body data to the sink, or queue it if there is none."""
         self._has_progressed = True
+        if self._is_watched:
+            self._last_progress_at = time.monotonic()
         if self._sink is None:
             self._buffered_bytes += len(body)
             self._push_event(body)
             return
-        if self._gap_timeout_seconds < _NEVER:
-            self._next_chunk_deadline = (
-                time.monotonic() + self._gap_timeout_seconds
-            )
         try:
             accepts_more = self._sink.write(body)
         except EventSizeError as error:
@@ -175,6 +173,7 @@
         self._idle_timeout_seconds = _parse_idle_timeout(self._headers)
         self._is_close_delimited = False
         self._has_progressed = True
+        self._last_progress_at = time.monotonic()
         self._push_event(ResponseEnd())
 
     # Exchange
@@ -183,6 +182,7 @@
         """Send an encoded request."""
         assert self._transport is not None
         self._is_busy = True
+        self._is_watched = False
         self._transport.write(data)
 
     async def async_next_event(
@@ -195,6 +195,7 @@
 
         Raises:
             ConnectionBrokenError: The connection ended.
+            ExchangeInterruptedError: The exchange was interrupted.
             InvalidResponseError: The received data is not a valid response.
             TimeoutError: No event arrived in time.
         """
@@ -206,12 +207,7 @@
                 raise self._error
             await self._async_wait(limit_seconds)
 
-    async def async_stream_body(
-        self,
-        sink: BodySink,
-        first_chunk_timeout_seconds: float | None,
-        gap_timeout_seconds: float | None,
-    ) -> None:
+    async def async_stream_body(self, sink: BodySink) -> None:
         """Pass the body of a response to a sink until its end.
 
         The parser callback writes to the sink directly, which avoids waking
@@ -219,22 +215,14 @@
 
         Args:
             sink: Receives the body.
-            first_chunk_timeout_seconds: Maximum time to the first chunk, or
-                None for no limit.
-            gap_timeout_seconds: Maximum time between two chunks, or None for no
-                limit.
 
         Raises:
             ConnectionBrokenError: The connection ended.
             EventSizeError: Raised by the sink.
+            ExchangeInterruptedError: The exchange was interrupted.
             InvalidResponseError: The received data is not a valid response, or
                 another response starts before the end.
-            TimeoutError: No chunk arrived in time.
         """
-        self._gap_timeout_seconds = _timeout_or_never(gap_timeout_seconds)
-        self._next_chunk_deadline = time.monotonic() + _timeout_or_never(
-            first_chunk_timeout_seconds
-        )
         while True:
             event = self.pop_ready_event()
             if isinstance(event, ResponseEnd):
@@ -244,9 +232,6 @@
                     "another response started before the end"
                 )
             if event is not None:
-                self._next_chunk_deadline = (
-                    time.monotonic() + self._gap_timeout_seconds
-                )
                 if not sink.write(event):
                     await sink.async_drain()
                 continue
@@ -254,35 +239,13 @@
                 raise self._error
             self._sink = sink
             try:
-                await self._async_wait_for_end()
+                await self._async_wait(None)
             finally:
                 self._sink = None
             if self._is_paused:
                 await sink.async_drain()
                 self._resume_reading()
 
-    async def _async_wait_for_end(self) -> None:
-        """Wait for the end of the body, an error, or a sink that is full."""
-        loop = asyncio.get_running_loop()
-        waiter = self._waiter = loop.create_future()
-        timer: asyncio.TimerHandle | None = None
-
-        def check() -> None:
-            nonlocal timer
-            left = self._next_chunk_deadline - time.monotonic()
-            if left <= 0:
-                _set_timeout_error(waiter)
-            else:
-                timer = loop.call_later(left, check)
-
-        if self._next_chunk_deadline < _NEVER:
-            check()
-        try:
-            await waiter
-        finally:
-            if timer is not None:
-                timer.cancel()
-
     async def _async_wait(self, limit_seconds: float | None) -> None:
         """Wait until an event arrives.
 
@@ -344,6 +307,32 @@
         self._parser = httptools.HttpResponseParser(self)
         return True
 
+    def watch_progress(self) -> None:
+        """Keep `last_progress_at` until the next request is sent."""
+        self._is_watched = True
+        self._last_progress_at = time.monotonic()
+
+    @property
+    def last_progress_at(self) -> float:
+        """Return when the peer last sent a part of the response.
+
+        The time is on the clock of `time.monotonic`. It is the present one
+        while received data waits for its reader.
+        """
+        if self._events or self._is_paused:
+            return time.monotonic()
+        return self._last_progress_at
+
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the exchange in flight has failed."""
+        return self._error is not None
+
+    def interrupt(self) -> None:
+        """Fail the exchange in flight and close the connection at once."""
+        self._set_error(ExchangeInterruptedError("exchange interrupted"))
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once, which cancels a request in flight."""
         self._is_closing = True
@@ -384,6 +373,7 @@
         if self._is_paused and self._transport is not None:
             self._transport.resume_reading()
             self._is_paused = False
+            self._last_progress_at = time.monotonic()
 
     def _check_framing_limit(self, received_bytes: int) -> None:
         """Reject a head or chunk framing of excessive size."""
@@ -411,10 +401,6 @@
             self._waiter.set_result(None)
 
 
-def _timeout_or_never(seconds: float | None) -> float:
-    return _NEVER if seconds is None else seconds
-
-
 def _set_timeout_error(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_exception(TimeoutError())
--- a/packages/router/src/lacewingspar_router/http1/errors.py
+++ b/packages/router/src/lacewingspar_router/http1/errors.py
@@ -13,3 +13,7 @@
 
 class InvalidResponseError(RouterError):
     """The received data is not a valid response to the request."""
+
+
+class ExchangeInterruptedError(RouterError):
+    """This side gave up an exchange before its response was complete."""
--- a/tests/core/test_attempt_rules.py
+++ b/tests/core/test_attempt_rules.py
@@ -43,3 +43,28 @@
         history.record(result, f"u{number}")
     assert history.may_try_again(results[-1]) is expected
     assert history.may_have_run is may_have_run
+
+
+@pytest.mark.parametrize(
+    ("results", "may_run_again", "limit", "expected"),
+    [
+        ([], True, 2, True),
+        ([], True, 1, False),
+        ([], False, 2, False),
+        ([Result.UNREACHABLE], True, 2, True),
+        ([Result.NOT_RUN], True, 2, False),
+        ([Result.BROKEN], True, 3, True),
+        ([Result.UNREACHABLE] * 4, True, 3, False),
+    ],
+)
+def test_whether_an_attempt_in_flight_may_be_replaced(
+    results: list[AttemptResult],
+    may_run_again: bool,
+    limit: int,
+    expected: bool,
+) -> None:
+    """Guards against an attempt that is ended though it is the last one."""
+    history = AttemptHistory(may_run_again, limit)
+    for number, result in enumerate(results):
+        history.record(result, f"u{number}")
+    assert history.may_replace is expected
