Give back an unused grant without cancelling the search from within

No change for callers. is_silent looks at the connection at the moment of the question, and whole responses no longer set a timer at their end.

--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from lacewingspar_core.admission_events import RunOutcome
+from lacewingspar_core.routing import RouteKind
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
@@ -90,7 +91,7 @@
     @property
     def is_silent(self) -> bool:
         """Return whether the upstream in use is silent beyond the limit."""
-        return self._watched is not None and self._watched.tracker.is_silent
+        return self._watched is not None and _is_silent(self._watched)
 
     async def async_next_grant(self) -> Grant:
         """Return the grant for the next attempt.
@@ -127,10 +128,11 @@
 
     def record_first_chunk(self) -> None:
         """Apply the limit for gaps from now on."""
-        if self._watched is None:
+        route = self._progress.call.route
+        if self._watched is None or route.kind is not RouteKind.STREAM:
             return
         tracker = self._watched.tracker
-        limit = event_gap_limit(self._progress.call.route)
+        limit = event_gap_limit(route)
         if limit < tracker.limit_seconds and not tracker.is_silent:
             self._check_after(limit)
         tracker.limit_seconds = limit
@@ -153,6 +155,9 @@
         if self._search is not None:
             self._search.cancel()
             self._search = None
+        self._give_back_reserved()
+
+    def _give_back_reserved(self) -> None:
         if self._reserved is not None:
             self._admission.end(self._reserved, RunOutcome.CANCELLED)
             self._reserved = None
@@ -229,7 +234,7 @@
         if self._watched is not watched or watched.connection.has_failed:
             return
         if not _is_silent(watched):
-            self._withdraw()
+            self._give_back_reserved()
             return
         obstacle = self._find_obstacle(self._reserved)
         if not obstacle and not self._retry_budgets.try_spend(
@@ -237,7 +242,7 @@
         ):
             obstacle = REASON_BUDGET
         if obstacle:
-            self._withdraw()
+            self._give_back_reserved()
             self._record_no_replacement(watched, obstacle)
             return
         self._progress.no_replacement = ""
