Connect to a replacement before a silent upstream is given up

Callers saw a stream cut although its upstream went on, if the upstream that was granted in its place had died and was still in the directory.

Cause: a grant alone does not make a replacement certain. The connection was opened after the attempt at the silent upstream had ended; if it failed, both upstreams were excluded and the pool declined the request as no_upstream.

Now the search opens a connection, or finds an idle one, and leaves it in the pool of connections for the attempt that follows. If that fails, the grant is given back as unreachable, the upstream is excluded, and the request stays with the silent one (reason upstream_unreachable).

The connection may still break between the check and the use.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -208,7 +208,11 @@
 
     async def _async_try_upstreams(self, progress: CallProgress) -> str:
         switch = UpstreamSwitch(
-            self._app, self._retry_budgets, self._recorder, progress
+            self._app,
+            self._retry_budgets,
+            self._recorder,
+            progress,
+            self._connection_pool,
         )
         try:
             return await self._async_try_in_turn(progress, switch)
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -25,6 +25,7 @@
 REASON_TIME = "time"
 REASON_BUDGET = "retry_budget"
 REASON_REMOVED = "upstream_removed"
+REASON_UNREACHABLE = "upstream_unreachable"
 # Outcome of a silence after which the upstream has sent more.
 WENT_ON = "went_on"
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lacewingspar_core.admission_events import RunOutcome
+from lacewingspar_core.attempt_rules import AttemptResult
 from lacewingspar_core.routing import RouteKind
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
@@ -18,6 +20,7 @@
     REASON_BUDGET,
     REASON_REMOVED,
     REASON_TIME,
+    REASON_UNREACHABLE,
     REPLACED,
     CallProgress,
     RequestRecorder,
@@ -36,6 +39,8 @@
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.connection_pool import ConnectionPool
+from lacewingspar_router.http1.errors import ConnectionFailedError
 
 
 @dataclass(slots=True)
@@ -59,14 +64,16 @@
     """Finds the upstreams of one request, and replaces one that is silent.
 
     A silent upstream may go on, so its attempt continues while a replacement is
-    sought. The attempt is interrupted only if another upstream was granted, the
-    retry budget allows it and the upstream is still silent.
+    sought. The attempt is interrupted only if another upstream was granted and
+    accepts a connection, the retry budget allows it and the upstream is still
+    silent.
 
     Args:
         app: The application.
         retry_budgets: Retry budgets of the services.
         recorder: Records the decisions.
         progress: The request and its state.
+        connection_pool: Returns the pool of connections to an address.
     """
 
     def __init__(
@@ -75,6 +82,7 @@
         retry_budgets: RetryBudgets,
         recorder: RequestRecorder,
         progress: CallProgress,
+        connection_pool: Callable[[str], ConnectionPool],
     ) -> None:
         self._app = app
         self._admission = app.get(ADMISSION)
@@ -82,6 +90,7 @@
         self._retry_budgets = retry_budgets
         self._recorder = recorder
         self._progress = progress
+        self._connection_pool = connection_pool
         self._initial_requirements = requirements_of(progress.call)
         self._watched: _WatchedAttempt | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -215,16 +224,40 @@
             self._reserved = await self._admission.async_acquire(
                 self._requirements(), tried | {watched.upstream_id}
             )
+            await self._async_connect(self._reserved)
         except RequestRefusedError as error:
             if self._watched is not watched:
                 raise
             self._record_no_replacement(watched, error.code)
+        except ConnectionFailedError:
+            self._give_back_unreachable()
+            if self._watched is watched:
+                self._record_no_replacement(watched, REASON_UNREACHABLE)
         else:
             self._use_reserved(watched)
         finally:
             if self._search is asyncio.current_task():
                 self._search = None
 
+    async def _async_connect(self, grant: Grant) -> None:
+        """Keep a connection for a grant ready in its pool.
+
+        Raises:
+            ConnectionFailedError: No connection could be opened.
+        """
+        entry = self._routing.directory.entry_by_id.get(grant.upstream_id)
+        if entry is not None:
+            pool = self._connection_pool(entry.address)
+            pool.release(await pool.async_acquire())
+
+    def _give_back_unreachable(self) -> None:
+        grant, self._reserved = self._reserved, None
+        assert grant is not None
+        self._progress.history.record(
+            AttemptResult.UNREACHABLE, grant.upstream_id
+        )
+        self._admission.end(grant, RunOutcome.NOT_RUN, is_unreachable=True)
+
     def _use_reserved(self, watched: _WatchedAttempt) -> None:
         """Interrupt the attempt in favour of the reserved grant, if allowed.
 
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -15,6 +15,7 @@
     UpstreamSwitch,
 )
 from lacewingspar_router.errors import RequestRefusedError
+from lacewingspar_router.http1.errors import ConnectionFailedError
 
 GRANT = Grant(2, "u2", "", "r1")
 LIMIT_SECONDS = 0.05
@@ -33,7 +34,11 @@
         self.asked: list[frozenset[str]] = []
         self.admission = mock.Mock(async_acquire=self._async_acquire)
         self.routing = mock.Mock()
-        self.routing.directory.entry_by_id = {"u1": 1, "u2": 2}
+        self.routing.directory.entry_by_id = {
+            "u1": mock.Mock(),
+            "u2": mock.Mock(),
+        }
+        self.pool = mock.Mock(async_acquire=mock.AsyncMock())
         app = mock.Mock()
         app.get = lambda key: (
             self.admission if key is ADMISSION else self.routing
@@ -55,7 +60,11 @@
             last_progress_at=time.monotonic(), has_failed=False
         )
         self.switch = UpstreamSwitch(
-            app, self.budgets, self.recorder, self.progress
+            app,
+            self.budgets,
+            self.recorder,
+            self.progress,
+            mock.Mock(return_value=self.pool),
         )
         self.switch.watch(self.connection)
 
@@ -130,6 +139,30 @@
     assert len(harness.returned) == 1
 
 
+async def test_unreachable_replacement_leaves_the_attempt_alone(
+    harness: Harness,
+) -> None:
+    """Guards against a silent upstream that is given up for a dead one."""
+    harness.pool.async_acquire.side_effect = ConnectionFailedError("refused")
+    await harness.async_grant()
+    harness.connection.interrupt.assert_not_called()
+    harness.budgets.try_spend.assert_not_called()
+    assert harness.returned == [(GRANT, RunOutcome.NOT_RUN)]
+    assert harness.progress.history.tried == {"u2"}
+    assert harness.progress.history.sent == 0
+
+
+async def test_grant_is_given_back_if_the_request_ends_while_it_connects(
+    harness: Harness,
+) -> None:
+    harness.pool.async_acquire.side_effect = asyncio.Event().wait
+    await harness.async_grant()
+    harness.connection.interrupt.assert_not_called()
+    harness.switch.close()
+    await asyncio.sleep(0)
+    assert harness.returned == [(GRANT, RunOutcome.CANCELLED)]
+
+
 async def test_failed_attempt_keeps_its_place_in_the_queue(
     harness: Harness,
 ) -> None:
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -308,3 +308,20 @@
     response = await caller.call("/read/", budget_ms=budget_ms)
     assert response.status == 504
     assert ends == [outcome]
+
+
+async def test_silent_upstream_is_kept_if_the_other_one_is_unreachable(
+    deployment: Deployment,
+) -> None:
+    """Guards against a stream that is cut for an upstream that has died."""
+    (first,) = await add_engines(deployment, 1)
+    first.faults.pause_after_events = 3
+    first.faults.pause_seconds = 1.6
+    caller = await deployment.add_router()
+    await caller.call("/write/")
+    second = await deployment.add_upstream("e2", "engines")
+    await second.async_stop()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=9000))
+    response = await call
+    assert (response.body, response.is_complete) == (STREAM, True)
+    assert first.runs.total() == 2
