--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,9 +1,6 @@
 """Handling of callers' requests, from the headers to the response."""
 
 import asyncio
-from dataclasses import replace
-
-import structlog
 
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import (
@@ -13,12 +10,10 @@
 )
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence
-from lacewingspar_core.retry_budget import RetryBudget, RetryBudgetConfig
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
     Grant,
-    RequestRequirements,
 )
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.acceptance import (
@@ -32,26 +27,29 @@
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
-from lacewingspar_router.components.forwarding.models import WIRE_FORMAT, Call
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
 from lacewingspar_router.components.forwarding.request_recorder import (
+    REASON_ATTEMPTS,
+    REASON_BUDGET,
+    REASON_TIME,
     CallProgress,
     RequestRecorder,
 )
+from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
 from lacewingspar_router.components.forwarding.stopping import (
     InFlightRequest,
     RequestsInFlight,
 )
-from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.forwarding.upstream_switch import (
+    UpstreamSwitch,
+)
 from lacewingspar_router.components.routing.models import ROUTING
-from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import Response
 from lacewingspar_router.http_headers import RawHeaders
 
-_LOGGER = structlog.get_logger(__name__)
-
 
 class CallHandler:
     """Handles the requests of callers.
@@ -61,21 +59,12 @@
     """
 
     def __init__(self, app: Application) -> None:
-        assert app.settings.platform is not None
-        settings = app.settings.platform
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
         self._wire_format = app.get(WIRE_FORMAT)
-        self._peers = app.get(PEERS)
-        self._telemetry = app.get(TELEMETRY)
-        self._retry_budget_config = RetryBudgetConfig(
-            settings.retry_ratio,
-            settings.retry_window_seconds,
-            settings.retry_allowance,
-        )
-        self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._pool_by_address: dict[str, ConnectionPool] = {}
+        self._retry_budgets = RetryBudgets(app)
         self._crash_guard = CrashGuard(app)
         self._recorder = RequestRecorder(app)
         self.acceptor = RequestAcceptor(app)
@@ -176,7 +165,7 @@
             RequestRefusedError: No upstream responded.
         """
         call = progress.call
-        self._retry_budget(call.service).record_request(self._app.now())
+        self._retry_budgets.record_request(call.service)
         remaining_seconds = call.deadline_at - self._app.now()
         try:
             async with asyncio.timeout(
@@ -191,43 +180,52 @@
             ) from error
 
     async def _async_try_upstreams(self, progress: CallProgress) -> str:
+        switch = UpstreamSwitch(
+            self._app,
+            self._retry_budgets,
+            self._recorder,
+            progress,
+            self._connection_pool,
+        )
+        try:
+            return await self._async_try_in_turn(progress, switch)
+        finally:
+            switch.close()
+
+    async def _async_try_in_turn(
+        self, progress: CallProgress, switch: UpstreamSwitch
+    ) -> str:
         call, history = progress.call, progress.history
-        requirements = self._requirements(call)
+        exchange = progress.caller_response.exchange
         request_fingerprint = self._crash_guard.fingerprint_of(call)
         while True:
             self._crash_guard.check(call, request_fingerprint)
-            grant = await self._admission.async_acquire(
-                requirements, history.tried
-            )
+            grant = await switch.async_next_grant()
             end = await self._async_attempt(
-                progress, grant, request_fingerprint
+                progress, grant, request_fingerprint, switch
             )
             if end.result is AttemptResult.RESPONDED:
                 if end.response is not None:
-                    self._send_response(
-                        progress.caller_response.exchange, end.response
-                    )
+                    self._send_response(exchange, end.response)
                 return "answered"
             if self._may_try_again(progress, end):
                 progress.caller_response.events.drop_partial_event()
-                if progress.caller_response.exchange.is_started:
-                    requirements = self._resumed_requirements(
-                        requirements, call
-                    )
                 continue
-            if progress.caller_response.exchange.is_started:
+            if exchange.is_started:
                 return "broken_off"
             if end.response is not None:
-                self._send_response(
-                    progress.caller_response.exchange, end.response
-                )
+                self._send_response(exchange, end.response)
                 return "upstream_failure"
             raise refusals.attempts_failed(
                 end.result, may_have_run=history.may_have_run
             )
 
     async def _async_attempt(
-        self, progress: CallProgress, grant: Grant, request_fingerprint: str
+        self,
+        progress: CallProgress,
+        grant: Grant,
+        request_fingerprint: str,
+        switch: UpstreamSwitch,
     ) -> AttemptEnd:
         """Run one attempt and report its end to admission.
 
@@ -235,6 +233,7 @@
             progress: The request and its state.
             grant: Grant for the upstream to use.
             request_fingerprint: Fingerprint of the request.
+            switch: Watches the upstream.
         """
         history = progress.history
         entries = self._routing.directory.entry_by_id
@@ -255,13 +254,18 @@
                 )
             else:
                 end = await self._async_send(
-                    progress, grant, upstream, request_fingerprint
+                    progress, grant, upstream, request_fingerprint, switch
                 )
             history.may_have_run = previously_may_have_run
             history.record(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
             is_unreachable = end.result is AttemptResult.UNREACHABLE
+        except asyncio.CancelledError:
+            if switch.is_silent:
+                outcome = RunOutcome.FAILED
+            raise
         finally:
+            switch.end_watch()
             self._admission.end(grant, outcome, is_unreachable=is_unreachable)
         if end.result is not AttemptResult.RESPONDED:
             self._recorder.record_failed_attempt(progress, end)
@@ -273,9 +277,15 @@
         grant: Grant,
         upstream: UpstreamEntry,
         request_fingerprint: str,
+        switch: UpstreamSwitch,
     ) -> AttemptEnd:
         """Send a request to an upstream and relay the response."""
         call = progress.call
+
+        def record_first_chunk() -> None:
+            switch.record_first_chunk()
+            self._admission.record_first_chunk(grant)
+
         attempt = Attempt(
             call,
             upstream,
@@ -283,8 +293,8 @@
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            lambda: self._admission.record_first_chunk(grant),
-            can_switch_upstream=self._can_switch_upstream(progress.history),
+            switch.watch,
+            record_first_chunk,
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
@@ -303,64 +313,26 @@
             self._crash_guard.record_success(run)
         return end
 
-    def _can_switch_upstream(self, history: AttemptHistory) -> bool:
-        return history.may_run_again and history.sent + 1 < history.max_sent
-
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
-        now = self._app.now()
+        if end.result is AttemptResult.TIMED_OUT:
+            # The switch has a grant and has spent the retry budget.
+            return True
         if not history.may_try_again(end.result):
+            if history.may_run_again:
+                progress.no_replacement = REASON_ATTEMPTS
             return False
-        if call.deadline_at - now < const.MIN_RETRY_TIME_LEFT_SECONDS:
+        time_left = call.deadline_at - self._app.now()
+        if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
+            progress.no_replacement = REASON_TIME
             return False
         if not history.sent:
             return True
-        routers = len(self._peers.alive_by_router_id)
-        if self._retry_budget(call.service).try_spend(routers, now):
+        if self._retry_budgets.try_spend(call):
             return True
-        self._telemetry.count("retries_denied_total", service=call.service)
-        _LOGGER.info(
-            "retry denied: fleet-wide retry budget exhausted",
-            request_id=call.metadata.request_id,
-            service=call.service,
-            routers=routers,
-        )
+        progress.no_replacement = REASON_BUDGET
         return False
 
-    def _requirements(self, call: Call) -> RequestRequirements:
-        metadata = call.metadata
-        return RequestRequirements(
-            request_id=metadata.request_id,
-            service=call.service,
-            workspace=call.workspace,
-            shared_parts=metadata.shared_parts,
-            own_tokens=metadata.own_tokens,
-            output_tokens=metadata.output_tokens,
-            priority=call.route.priority,
-            arrived_at=call.arrived_at,
-            latency_target_at=call.arrived_at
-            + call.route.latency_target_seconds,
-            deadline_at=call.deadline_at,
-            first_chunk_timeout_seconds=call.route.first_chunk_timeout_seconds,
-            identity=call.identity,
-        )
-
-    def _resumed_requirements(
-        self, requirements: RequestRequirements, call: Call
-    ) -> RequestRequirements:
-        """Return the requirements of a stream that continues elsewhere.
-
-        The latency target counts from now, as the caller waits for the next
-        event. With the original times the pool would treat the request as late
-        and decline it first.
-        """
-        now = self._app.now()
-        return replace(
-            requirements,
-            arrived_at=now,
-            latency_target_at=now + call.route.latency_target_seconds,
-        )
-
     def _send_response(
         self, exchange: ServerExchange, response: Response
     ) -> None:
@@ -385,13 +357,6 @@
                 response.status, response.headers, response.body
             )
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budget_by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(self._retry_budget_config)
-            self._retry_budget_by_service[service] = budget
-        return budget
-
     def _connection_pool(self, address: str) -> ConnectionPool:
         pool = self._pool_by_address.get(address)
         if pool is None:
