Send nothing more to an upstream that announces its shutdown

What callers saw: nothing broke yet; but requests went on to an upstream whose responses carry `Server-Leaving: 1` for as long as the registry listed it as ready, and for the whole outage of a registry.

Cause: the header was read nowhere. It is now decoded in `platform/` into a `Leaving` notice of the response head. `core/upstream_notices.py` holds the states of an upstream by incarnation; the directory counts a leaving incarnation as draining whatever later records of it say, so pools, layouts and owners follow without rules of their own. A notice about another incarnation changes nothing, one about a later incarnation waits for its entry. The first router to learn it tells the others with one message, unless the registry has listed the upstream as draining already. A response with status 421 comes from another upstream and announces nothing.

A grant is checked again at the moment of sending, as it may be older than the notice or come from an owner that does not know it. One for a draining upstream is given back as cancelled and admission is asked again: no attempt is counted and no retry spent. Idle connections to draining upstreams are closed.

Evidence: the new tests of the deployment run against the code before, with two imports of new names removed: all tests of requests after the notice fail for responses with status 200 and, for streams, for 503 and 500 too; so do the tests of other routers, of a restarted router and of streams under way. With the change all pass.

Ruled out: to keep the notice in admission alone; the layout of pools, the owners and the connections would then each need a rule.

--- a/packages/core/src/lacewingspar_core/directory.py
+++ b/packages/core/src/lacewingspar_core/directory.py
@@ -1,9 +1,11 @@
 """Directory of the upstreams that register themselves."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from lacewingspar_core.upstream_notices import Leaving, UpstreamNotices
+
 # After an outage of the registry, a live upstream whose entry expired is listed
 # again within this time, as the registry's interface guarantees.
 EXPIRY_GRACE_SECONDS = 2.0
@@ -87,10 +89,16 @@
     """Directory of one router, built from the records of the registry.
 
     Records may arrive late or come from an earlier instance of an upstream. The
-    start time and the sequence number determine which report is the newest.
+    start time and the sequence number determine which report is the newest. An
+    upstream that has announced its shutdown to this router counts as draining,
+    whatever the registry says of the same incarnation.
+
+    Attributes:
+        notices: What upstreams have announced to this router.
     """
 
     def __init__(self) -> None:
+        self.notices = UpstreamNotices()
         self._entry_by_id: dict[str, UpstreamEntry] = {}
         self._expires_at_by_id: dict[str, float] = {}
         self._removed_by_id: dict[str, _RemovedUpstream] = {}
@@ -124,6 +132,9 @@
             return None
         self._removed_by_id.pop(upstream_id, None)
         had_expired = self._expires_at_by_id.pop(upstream_id, None) is not None
+        self.notices.record_incarnation(upstream_id, entry.born_ms)
+        if self.notices.is_leaving(upstream_id, entry.born_ms):
+            entry = replace(entry, state=UpstreamState.DRAINING)
         self._entry_by_id[upstream_id] = entry
         if known is None:
             return DirectoryChange(ChangeKind.ADDED, entry)
@@ -133,6 +144,29 @@
             return DirectoryChange(ChangeKind.CHANGED, entry)
         return None
 
+    def mark_leaving(
+        self, upstream_id: str, born_ms: int, now: float
+    ) -> DirectoryChange | None:
+        """Record that an incarnation of an upstream announced its shutdown.
+
+        Args:
+            upstream_id: Id of the upstream.
+            born_ms: Start time of the incarnation. It may be listed later.
+            now: Time in seconds.
+
+        Returns:
+            The change, or None if the upstream was not in use.
+        """
+        self.notices.record(upstream_id, born_ms, Leaving(), now)
+        entry = self._entry_by_id.get(upstream_id)
+        if entry is None or entry.state is UpstreamState.DRAINING:
+            return None
+        if not self.notices.is_leaving(upstream_id, entry.born_ms):
+            return None
+        entry = replace(entry, state=UpstreamState.DRAINING)
+        self._entry_by_id[upstream_id] = entry
+        return DirectoryChange(ChangeKind.CHANGED, entry)
+
     def remove(
         self, upstream_id: str, now: float, *, grace_seconds: float
     ) -> DirectoryChange | None:
@@ -180,6 +214,7 @@
         for upstream_id, removed in list(self._removed_by_id.items()):
             if now - removed.removed_at > REMOVED_MEMORY_SECONDS:
                 del self._removed_by_id[upstream_id]
+        self.notices.forget_unlisted(self._entry_by_id, now)
         return [
             self._drop(self._entry_by_id[upstream_id], now)
             for upstream_id in due
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -21,6 +21,7 @@
     StateNotice,
     StateReply,
     StateRequest,
+    UpstreamLeaving,
 )
 
 
@@ -398,6 +399,7 @@
     | StateNotice
     | StateRequest
     | StateReply
+    | UpstreamLeaving
     | Demand
     | Offer
     | OfferAccepted
--- a/packages/core/src/lacewingspar_core/state_messages.py
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -22,6 +22,19 @@
     is_confirmed: bool
 
 
+class UpstreamLeaving(PeerMessage, frozen=True, tag="leaving"):
+    """Tells that an upstream has announced its shutdown to the sender.
+
+    Attributes:
+        upstream_id: The upstream.
+        born_ms: Start time of the incarnation that leaves, in milliseconds
+            since the Unix epoch.
+    """
+
+    upstream_id: str
+    born_ms: int
+
+
 class StateRequest(PeerMessage, frozen=True, tag="state?"):
     """Requests shared state that is newer than the sender's."""
 
--- a/packages/router/src/lacewingspar_router/components/admission/const.py
+++ b/packages/router/src/lacewingspar_router/components/admission/const.py
@@ -5,6 +5,9 @@
 OWNER_RESPONSE_TIMEOUT_SECONDS = 0.12
 # Time after which a single request tries an unresponsive owner again.
 UNRESPONSIVE_OWNER_RETRY_SECONDS = 1.0
+# Grants that one request may give back because the upstream wants no requests.
+# The owner learns of it from the same router, so a second one is rare.
+MAX_GRANTS = 4
 # A declined request asks another data centre if the mean wait there is below
 # this fraction of the wait for which it was declined.
 OTHER_POOL_WAIT_FRACTION = 0.5
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -46,6 +46,7 @@
     OwnerSelector,
     PoolSelector,
 )
+from lacewingspar_router.components.admission.send_check import SendCheck
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
@@ -94,6 +95,7 @@
         self._granted_runs = GrantedRuns(
             app, self._owner_selector, self._pool_owners
         )
+        self._send_check = SendCheck(app)
         self._request_numbers = itertools.count(1)
         self._prompt_locations = PromptLocations()
         self._pending_by_number: dict[int, _PendingRequest] = {}
@@ -109,6 +111,20 @@
             RequestRefusedError: The owner declined the request; it was not
                 sent to an upstream.
         """
+        for _ in range(const.MAX_GRANTS):
+            grant = await self._async_acquire_once(
+                requirements, excluded | self._send_check.excluded()
+            )
+            if self._send_check.try_begin(grant, requirements):
+                return grant
+            self.end(grant, RunOutcome.CANCELLED)
+            excluded |= {grant.upstream_id}
+        raise self._send_check.refusal(requirements)
+
+    async def _async_acquire_once(
+        self, requirements: RequestRequirements, excluded: frozenset[str]
+    ) -> Grant:
+        """Wait for a grant; the upstream may have left in the meantime."""
         number = next(self._request_numbers)
         admission = self._build_admission(requirements, excluded, number)
         pool = self._select_pool(requirements, number)
@@ -288,6 +304,7 @@
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
         self._granted_runs.record_first_chunk(grant)
+        self._send_check.record_response(grant)
 
     def end(
         self,
@@ -298,6 +315,8 @@
     ) -> None:
         """Report the end of a run to its owner; repeats have no effect."""
         self._granted_runs.end(grant, outcome, is_unreachable=is_unreachable)
+        if outcome is not RunOutcome.CANCELLED:
+            self._send_check.record_response(grant)
 
     def report_runs(self) -> None:
         """Report the runs of this router to the owners of their pools."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -8,6 +8,7 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence, EventSizeError
 from lacewingspar_core.routing import RouteKind
+from lacewingspar_core.upstream_notices import UpstreamNotice
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.forwarding.models import (
     Call,
@@ -72,6 +73,7 @@
         caller_response: Response to the caller.
         now: Clock in seconds.
         on_first_chunk: Called when the first chunk of the response arrives.
+        on_notice: Called with each notice of the upstream.
         can_switch_upstream: Whether to time out on an unresponsive upstream, so
             that the request is sent to another one.
     """
@@ -85,6 +87,7 @@
         caller_response: CallerResponse,
         now: Callable[[], float],
         on_first_chunk: Callable[[], None],
+        on_notice: Callable[[UpstreamNotice], None],
         *,
         can_switch_upstream: bool,
     ) -> None:
@@ -95,6 +98,7 @@
         self._caller_response = caller_response
         self._now = now
         self._on_first_chunk = on_first_chunk
+        self._on_notice = on_notice
         self._can_switch_upstream = can_switch_upstream
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
@@ -170,6 +174,8 @@
             info = self._wire_format.parse_response_head(
                 self._call, self._upstream, head
             )
+            if info.notice is not None:
+                self._on_notice(info.notice)
             if info.is_for_request:
                 return head, info
             await async_read_body(
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -11,7 +11,7 @@
     AttemptHistory,
     AttemptResult,
 )
-from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.directory import UpstreamEntry, UpstreamState
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_core.retry_budget import RetryBudget, RetryBudgetConfig
 from lacewingspar_core.routing import choose_target
@@ -40,7 +40,10 @@
     RequestRecorder,
 )
 from lacewingspar_router.components.peers.models import PEERS
-from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    UPSTREAM_AVAILABILITY,
+)
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
@@ -64,6 +67,7 @@
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
+        self._availability = app.get(UPSTREAM_AVAILABILITY)
         self._wire_format = app.get(WIRE_FORMAT)
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
@@ -139,16 +143,20 @@
             self._recorder.record_end(progress, outcome)
 
     def close_stale_connections(self) -> None:
-        """Close stale connections and those to removed upstreams."""
+        """Close stale connections and those to upstreams that leave."""
         self.hand_over.close_stale_connections()
-        addresses = {
+        entries = self._routing.directory.entry_by_id.values()
+        addresses = {entry.address for entry in entries}
+        addresses_in_use = {
             entry.address
-            for entry in self._routing.directory.entry_by_id.values()
+            for entry in entries
+            if entry.state is UpstreamState.READY
         }
         for address, pool in list(self._pool_by_address.items()):
             pool.close_expired()
-            if address not in addresses:
+            if address not in addresses_in_use:
                 pool.close()
+            if address not in addresses:
                 del self._pool_by_address[address]
 
     def close(self) -> None:
@@ -311,6 +319,7 @@
             progress.caller_response,
             self._app.now,
             lambda: self._admission.record_first_chunk(grant),
+            lambda notice: self._availability.record(upstream, notice),
             can_switch_upstream=self._can_switch_upstream(progress.history),
         )
         entries = self._routing.directory.entry_by_id
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -8,6 +8,7 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.prefix_cache import PromptPart
 from lacewingspar_core.routing import Route
+from lacewingspar_core.upstream_notices import UpstreamNotice
 from lacewingspar_router.application import ComponentKey
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.messages import (
@@ -113,6 +114,7 @@
         is_wrong_upstream: Whether the address belongs to another upstream.
         is_event_stream: Whether the body is an event stream.
         is_encoded: Whether the body has a content encoding.
+        notice: What the upstream announces about accepting requests, or None.
     """
 
     is_for_request: bool
@@ -121,6 +123,7 @@
     is_wrong_upstream: bool
     is_event_stream: bool
     is_encoded: bool
+    notice: UpstreamNotice | None
 
 
 class WireFormat(Protocol):
--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -9,6 +9,7 @@
 from lacewingspar_router.components.routing.models import (
     ROUTING,
     ROUTING_SOURCE,
+    UPSTREAM_AVAILABILITY,
     RoutingSource,
     TopicListing,
     TopicRecords,
@@ -22,6 +23,9 @@
 from lacewingspar_router.components.routing.state_synchronizer import (
     StateSynchronizer,
 )
+from lacewingspar_router.components.routing.upstream_availability import (
+    KnownUpstreamAvailability,
+)
 
 
 async def async_setup(app: Application) -> None:
@@ -29,6 +33,7 @@
     source = app.get(ROUTING_SOURCE)
     state = RoutingState(app, source)
     app.register(ROUTING, state)
+    app.register(UPSTREAM_AVAILABILITY, KnownUpstreamAvailability(app, state))
     app.get(PEERS).set_applied_offset_source(
         lambda: max(0, state.configuration_version)
     )
--- a/packages/router/src/lacewingspar_router/components/routing/models.py
+++ b/packages/router/src/lacewingspar_router/components/routing/models.py
@@ -8,6 +8,7 @@
 
 from lacewingspar_core.directory import UpstreamDirectory, UpstreamEntry
 from lacewingspar_core.routing import RouteTable, RoutingConfiguration
+from lacewingspar_core.upstream_notices import UpstreamNotice
 from lacewingspar_router.application import ComponentKey
 
 
@@ -136,5 +137,42 @@
         """Register a function that is called after every change."""
 
 
+class UpstreamAvailability(Protocol):
+    """Which upstreams may get requests of this router, as they announced."""
+
+    def record(self, upstream: UpstreamEntry, notice: UpstreamNotice) -> None:
+        """Record a notice in a response to this router.
+
+        Args:
+            upstream: Entry of the upstream at the time of the request.
+            notice: The notice.
+        """
+
+    def withheld(self) -> frozenset[str]:
+        """Return the upstreams that must not get a request now."""
+
+    def try_begin(self, upstream_id: str, number: int) -> bool:
+        """Return whether a request may be sent to an upstream now.
+
+        Args:
+            upstream_id: The upstream.
+            number: Number of the request, unique for this router process.
+        """
+
+    def end_probe(self, upstream_id: str, number: int) -> None:
+        """Record the end of a request that may have been a probe."""
+
+    def seconds_until_return(self, service: str) -> float | None:
+        """Return how long all upstreams of a service want no requests.
+
+        Returns:
+            Time in seconds until the first one returns, or None if there is one
+            that accepts requests, or none that asked to wait.
+        """
+
+
 ROUTING_SOURCE: ComponentKey[RoutingSource] = ComponentKey("routing_source")
 ROUTING: ComponentKey[RoutingView] = ComponentKey("routing")
+UPSTREAM_AVAILABILITY: ComponentKey[UpstreamAvailability] = ComponentKey(
+    "upstream_availability"
+)
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -222,6 +222,25 @@
         self._mark_confirmed(next_offset)
         self._publish_changes(changes, origin)
 
+    def mark_leaving(self, upstream_id: str, born_ms: int, origin: str) -> bool:
+        """Record that an upstream announced its shutdown.
+
+        Args:
+            upstream_id: The upstream.
+            born_ms: Start time of the incarnation.
+            origin: Source of the notice: `response`, or a router.
+
+        Returns:
+            Whether the upstream was in use until now.
+        """
+        change = self._directory.mark_leaving(
+            upstream_id, born_ms, self._app.now()
+        )
+        if change is None:
+            return False
+        self._publish_changes([change], origin)
+        return True
+
     def confirm_directory(self, offset: int) -> None:
         """Record that no upstream has changed up to an offset."""
         self._mark_available()
--- a/packages/router/src/lacewingspar_router/platform/names.py
+++ b/packages/router/src/lacewingspar_router/platform/names.py
@@ -43,6 +43,10 @@
 # Present if the upstream itself produced the response.
 HEADER_SERVER_SEAL = b"x-server-seal"
 HEADER_NOT_RUN = b"x-not-executed"
+# Value `1`: the upstream is shutting down.
+HEADER_LEAVING = b"server-leaving"
+# With status 503: seconds for which the upstream wants no requests.
+HEADER_RETRY_AFTER = b"retry-after"
 HEADER_CONTENT_ENCODING = b"content-encoding"
 
 AUTHORIZATION_SCHEME = "token "
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -1,7 +1,16 @@
 """Encodes and decodes the platform's request and response headers."""
 
+import re
+
+import structlog
+
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.prefix_cache import PromptPart
+from lacewingspar_core.upstream_notices import (
+    Leaving,
+    RetryAfter,
+    UpstreamNotice,
+)
 from lacewingspar_router.components.forwarding.models import (
     Call,
     CallerIdentity,
@@ -22,6 +31,12 @@
 # no estimate.
 _DEFAULT_OUTPUT_FRACTION = 0.5
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+# Whole or fractional seconds; HTTP also allows a date, which is ignored as the
+# clocks of upstreams may differ.
+_SECONDS = re.compile(r"\d{1,9}(\.\d*)?|\.\d+", re.ASCII)
+
+_LOGGER = structlog.get_logger(__name__)
 
 
 class PlatformWireFormat:
@@ -100,7 +115,6 @@
         self, call: Call, upstream: UpstreamEntry, head: ResponseHead
     ) -> ResponseInfo:
         """Interpret the status and headers of a response."""
-        del upstream
         values = dict(head.headers)
         response_request_id = values.get(names.HEADER_REQUEST_ID)
         is_declared_not_run = names.HEADER_NOT_RUN in values
@@ -121,6 +135,7 @@
                 values.get(names.HEADER_CONTENT_ENCODING, b"identity")
                 != b"identity"
             ),
+            notice=_notice(upstream, head.status, values),
         )
 
     def response_headers(self, headers: RawHeaders) -> RawHeaders:
@@ -147,6 +162,27 @@
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
+def _notice(
+    upstream: UpstreamEntry, status: int, values: dict[bytes, bytes]
+) -> UpstreamNotice | None:
+    """Return what the expected upstream announces in a response."""
+    if status == _STATUS_MISDIRECTED:
+        return None
+    if _header_text(values, names.HEADER_LEAVING) == "1":
+        return Leaving()
+    text = _header_text(values, names.HEADER_RETRY_AFTER)
+    if status != _STATUS_UNAVAILABLE or not text:
+        return None
+    if not _SECONDS.fullmatch(text):
+        _LOGGER.warning(
+            "Retry-After ignored: not a number of seconds",
+            upstream=upstream.upstream_id,
+            value=text,
+        )
+        return None
+    return RetryAfter(float(text))
+
+
 def _header_text(values: dict[bytes, bytes], name: bytes) -> str:
     return values.get(name, b"").decode("latin-1").strip()
 
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -49,6 +49,8 @@
         retry_ratio: Retries allowed per request, across the fleet.
         retry_window_seconds: Window over which retries are counted.
         retry_allowance: Retries allowed per window in addition to the ratio.
+        max_upstream_wait_seconds: Longest time for which an upstream is left
+            alone because of the `Retry-After` of its response.
         descriptor_limit: Maximum number of open file descriptors.
         processor_share: Share of a processor that the router may use.
         processor_speed: Speed of that processor, relative to a common one.
@@ -60,6 +62,7 @@
     retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
     retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
     retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
+    max_upstream_wait_seconds: Annotated[float, Field(gt=0, le=86_400)] = 300.0
     descriptor_limit: Annotated[int, Field(ge=256, le=10_000_000)] = 1024
     processor_share: Annotated[float, Field(gt=0, le=1024)] = 1.0
     processor_speed: Annotated[float, Field(gt=0, le=1024)] = 1.0
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -101,3 +101,31 @@
         (ChangeKind.ADDED, "u2"),
         (ChangeKind.REMOVED, "u1"),
     ]
+
+
+@pytest.mark.parametrize(
+    ("leaving_born_ms", "entry", "is_ready"),
+    [
+        (1000, replace(ENTRY, sequence=6), False),
+        (1000, replace(ENTRY, born_ms=1001, sequence=0), True),
+        (999, ENTRY, True),
+        (1001, ENTRY, False),
+        (1001, replace(ENTRY, born_ms=1001, sequence=0), False),
+        (1001, replace(ENTRY, born_ms=1002, sequence=0), True),
+    ],
+)
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_announced_shutdown_holds_for_its_incarnation_only(
+    leaving_born_ms: int,
+    entry: UpstreamEntry,
+    is_ready: bool,
+    is_listed_first: bool,
+) -> None:
+    """Guards against "ready" reports after an upstream said that it leaves."""
+    directory = UpstreamDirectory()
+    if is_listed_first:
+        directory.apply(ENTRY)
+    directory.mark_leaving("u1", leaving_born_ms, 10.0)
+    directory.apply(entry)
+    assert ("u1" in directory.ready_upstreams("s")) is is_ready
+    assert directory.mark_leaving("u1", leaving_born_ms, 11.0) is None
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -153,6 +153,7 @@
         service: str,
         state: str = "ready",
         data_centre: str = "dc-a",
+        **changes: Any,
     ) -> None:
         """Write the directory entry of an upstream to the store."""
         entry = upstream_entry(
@@ -161,6 +162,7 @@
             next(self._sequences),
             state=state,
             zone=data_centre,
+            **changes,
         )
         self.store.topic("keyed.servers").append(
             upstream_id, msgspec.json.encode(entry)
