Leave an upstream alone for a moment after it refused a request

What callers saw: with two engines of which one refuses (503, not run), nine in ten streams were refused while the other engine idled.

Cause: a refusal takes no time, so the refusing engine has no runs, scores best and draws each request; the second send then spends the retry budget, and without budget the caller is refused. The circuit breaker took no notice of refusals. Plain upstreams were no better: they looked well only because the estimate of a call starts at 50 ms and only that of the upstream in use falls. With calls of 50 ms the refusals, counted as calls of 1 ms, make the refusing upstream look fastest, and 13% of the calls are served.

Fix: a refusal blocks the upstream at the owner of its pool for 0.1 s, doubling to 4 s with one probe after each block; the next response of a run ends the block, so one that was full for a moment returns with its next free slot. A refused call is no sample of the time of a call. In a pool whose upstreams all refuse requests go on as before, also where other pools exist: a queue is not declined because of one refusal.

--- a/packages/core/src/lacewingspar_core/circuit_breaker.py
+++ b/packages/core/src/lacewingspar_core/circuit_breaker.py
@@ -16,10 +16,14 @@
 # is short compared with the seconds that a restart takes.
 FIRST_BLOCK_SECONDS = 0.5
 MAX_BLOCK_SECONDS = 4.0
+# First block after a refusal. It is shorter than the one after a failure: most
+# upstreams that refuse are full and have room when the next request ends.
+FIRST_REFUSAL_BLOCK_SECONDS = 0.1
 # After a block, one request probes the upstream (half-open state) and the
 # others stay blocked for this long. A failing connection takes about as long.
 PROBE_SECONDS = 0.5
-_MAX_CONSECUTIVE_BLOCKS = 3
+# Exponent at which the shortest block has grown to the longest.
+_MAX_CONSECUTIVE_BLOCKS = 6
 
 _FAILURES = frozenset({RunOutcome.FAILED, RunOutcome.BROKEN})
 
@@ -34,12 +38,15 @@
         failure_rate: Moving average of the fraction of failed runs.
         is_probing: Whether one request probes the upstream after a block
             (half-open state).
+        is_refusing: Whether the last block followed a refusal, so that the
+            upstream responds and may be tried if there is no other.
     """
 
     blocked_until: float = 0.0
     consecutive_blocks: int = 0
     failure_rate: float = 0.0
     is_probing: bool = False
+    is_refusing: bool = False
 
     def record(self, outcome: RunOutcome, now: float) -> bool:
         """Record the outcome of a run.
@@ -56,18 +63,33 @@
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
         if self.failure_rate <= FAILURE_RATE_LIMIT or self.is_blocked(now):
             return False
-        self._block(now)
+        self._block(now, FIRST_BLOCK_SECONDS)
         return True
 
     def record_unreachable(self, now: float) -> bool:
         """Record that no connection could be opened.
 
+        Returns:
+            Whether this starts a new block.
+        """
+        if self.is_blocked(now) and not (self.is_probing or self.is_refusing):
+            return False
+        self._block(now, FIRST_BLOCK_SECONDS)
+        return True
+
+    def record_refusal(self, now: float) -> bool:
+        """Record that the upstream did not run a request.
+
+        A refusal takes less time than a run, so without a block the upstream
+        would look emptiest and get every request.
+
         Returns:
             Whether this starts a new block.
         """
         if self.is_blocked(now) and not self.is_probing:
             return False
-        self._block(now)
+        self._block(now, FIRST_REFUSAL_BLOCK_SECONDS)
+        self.is_refusing = True
         return True
 
     def is_blocked(self, now: float) -> bool:
@@ -86,9 +108,9 @@
         self.is_probing = False
         self.blocked_until = 0.0
 
-    def _block(self, now: float) -> None:
-        self.is_probing = False
-        seconds = FIRST_BLOCK_SECONDS * 2**self.consecutive_blocks
+    def _block(self, now: float, first_block_seconds: float) -> None:
+        self.is_probing = self.is_refusing = False
+        seconds = first_block_seconds * 2**self.consecutive_blocks
         self.blocked_until = now + min(MAX_BLOCK_SECONDS, seconds)
         self.consecutive_blocks = min(
             _MAX_CONSECUTIVE_BLOCKS, self.consecutive_blocks + 1
--- a/packages/core/src/lacewingspar_core/placement.py
+++ b/packages/core/src/lacewingspar_core/placement.py
@@ -338,13 +338,16 @@
         """Return the upstreams that are not blocked.
 
         In the only pool of a service, requests go on when all are blocked.
-        Elsewhere other pools take them until the next probe is due.
+        Elsewhere other pools take them until the next probe is due, unless the
+        upstreams only refuse: most of these are full for a moment.
         """
         unblocked = [
             item for item in members if now >= item.breaker.blocked_until
         ]
-        if unblocked or self._has_other_pools:
+        if unblocked:
             return unblocked
+        if self._has_other_pools:
+            return [item for item in members if item.breaker.is_refusing]
         return list(members)
 
     def _affinity_member(
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -202,9 +202,13 @@
         if member is None:
             return []
         del self._upstream_by_run[key]
-        member.load.end(key, now)
+        if outcome is RunOutcome.NOT_RUN:
+            member.load.discard(key)
+            member.breaker.record_refusal(now)
+        else:
+            member.load.end(key, now)
+            member.breaker.record(outcome, now)
         self._placement.record_load_change(member)
-        member.breaker.record(outcome, now)
         return self._grant_waiting(now)
 
     def record_unreachable(self, upstream_id: str, now: float) -> None:
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -122,6 +122,9 @@
     def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
         """Remove a run that has ended, and return it if it was known."""
 
+    def discard(self, key: AdmissionKey) -> None:
+        """Remove a run whose duration says nothing about the upstream."""
+
     def clear_cache(self) -> None:
         """Clear the model of the KV cache after a restart of the upstream."""
 
@@ -292,6 +295,13 @@
             self.memory_tokens -= run.memory_tokens
         return run
 
+    def discard(self, key: AdmissionKey) -> None:
+        """Remove a run whose duration says nothing about the upstream."""
+        run = self.run_by_key.pop(key, None)
+        if run is not None:
+            self.pending_prefill_tokens -= run.pending_prefill_tokens
+            self.memory_tokens -= run.memory_tokens
+
     def run_seconds(self, admission: Admission) -> float:
         """Return the expected time from sending to the end of the response."""
         decode_seconds = admission.output_tokens * self.decode_seconds_per_token
@@ -394,6 +404,10 @@
             )
         return run
 
+    def discard(self, key: AdmissionKey) -> None:
+        """Remove a call whose duration says nothing about the upstream."""
+        self.run_by_key.pop(key, None)
+
     def clear_cache(self) -> None:
         """Do nothing; plain upstreams cache nothing between calls."""
 
--- a/tests/core/test_circuit_breaker.py
+++ b/tests/core/test_circuit_breaker.py
@@ -7,6 +7,7 @@
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.circuit_breaker import (
     FIRST_BLOCK_SECONDS,
+    FIRST_REFUSAL_BLOCK_SECONDS,
     MAX_BLOCK_SECONDS,
     CircuitBreaker,
 )
@@ -48,3 +49,26 @@
 ) -> None:
     breaker = CircuitBreaker()
     assert not any(breaker.record(outcome, 0.0) for _ in range(50))
+
+
+def test_blocks_of_a_refusing_upstream_start_short_and_grow() -> None:
+    """Guards against a full upstream that is left out for long."""
+    breaker = CircuitBreaker()
+    now, lengths = 0.0, []
+    for _ in range(8):
+        assert breaker.record_refusal(now)
+        assert not breaker.record_refusal(now)
+        lengths.append(breaker.blocked_until - now)
+        now = breaker.blocked_until
+        breaker.record_grant(now)
+    assert lengths[0] == pytest.approx(FIRST_REFUSAL_BLOCK_SECONDS)
+    assert lengths == sorted(lengths)
+    assert lengths[-1] == pytest.approx(MAX_BLOCK_SECONDS)
+    breaker.record_response()
+    assert not breaker.is_blocked(now)
+    breaker.record_refusal(now)
+    assert breaker.blocked_until - now == pytest.approx(
+        FIRST_REFUSAL_BLOCK_SECONDS
+    )
+    assert breaker.record_unreachable(now)
+    assert breaker.blocked_until - now >= FIRST_BLOCK_SECONDS
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -178,6 +178,45 @@
     assert upstream_of(pool.submit(admission(1, 0.0), 0.0)) == "a"
 
 
+@pytest.mark.parametrize("has_other_pools", [False, True])
+@pytest.mark.parametrize("service", [SERVICE, UpstreamService("plain", None)])
+def test_refusing_upstream_does_not_look_emptiest(
+    service: UpstreamService, has_other_pools: bool
+) -> None:
+    """Guards against requests that all go to the upstream that refuses.
+
+    Load: a request every 10 ms, refused by "a" at once and run by "b" in 50 ms.
+    """
+    pool = PoolAdmission("models/0", has_other_pools=has_other_pools)
+    entries = {name: entry(name) for name in ("a", "b")}
+    pool.set_upstreams(entries, service, PREFILL_TOKENS_PER_SECOND, 0.0)
+    chosen = []
+    for number in range(400):
+        now = number * 0.01
+        request = admission(number, now, tokens=10)
+        chosen.append(upstream_of(pool.submit(request, now)))
+        if chosen[-1] == "a":
+            pool.end(request.key, RunOutcome.NOT_RUN, now)
+        if number >= 5 and chosen[number - 5] == "b":
+            ended = admission(number - 5, 0.0).key
+            pool.record_first_chunk(ended, now)
+            pool.end(ended, RunOutcome.COMPLETED, now)
+    assert chosen.count("a") <= 10
+
+
+@pytest.mark.parametrize("has_other_pools", [False, True])
+def test_pool_whose_upstreams_all_refuse_still_tries(
+    has_other_pools: bool,
+) -> None:
+    """Guards against a queue that is declined because of one refusal."""
+    pool = PoolAdmission("models/0", has_other_pools=has_other_pools)
+    pool.set_upstreams({"a": entry("a")}, SERVICE, 0.0, 0.0)
+    request = admission(1, 0.0)
+    assert upstream_of(pool.submit(request, 0.0)) == "a"
+    pool.end(request.key, RunOutcome.NOT_RUN, 0.0)
+    assert upstream_of(pool.submit(admission(2, 0.0), 0.0)) == "a"
+
+
 def test_new_owner_adds_reported_runs_and_drops_ended_ones() -> None:
     pool = make_pool("a")
     key = admission(1, 0.0).key
--- a/tests/router/deployed/test_upstream_notices.py
+++ b/tests/router/deployed/test_upstream_notices.py
@@ -190,3 +190,42 @@
             assert [item.status for item in responses] == [200] * 6
     assert any(item["event"].startswith("grant given back") for item in logs)
     assert len(leaving.received) == received
+
+
+async def async_load(
+    callers: list[Caller], path: str, seconds: float
+) -> list[ReceivedResponse]:
+    """Keep six callers at a time busy, and return all responses."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    responses: list[ReceivedResponse] = []
+
+    async def call_until_end(caller: Caller) -> None:
+        while loop.time() < ends_at:
+            responses.append(await caller.call(path))
+            await asyncio.sleep(0.02)
+
+    await asyncio.gather(
+        *(call_until_end(callers[n % len(callers)]) for n in range(6))
+    )
+    return responses
+
+
+def served_share(responses: list[ReceivedResponse]) -> float:
+    complete = [r.status == 200 and r.is_complete for r in responses]
+    return sum(complete) / len(complete)
+
+
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("path", PATHS)
+async def test_refusing_upstream_draws_few_requests(
+    served: Deployment, path: str, position: int
+) -> None:
+    """Guards against an upstream that looks emptiest because it refuses."""
+    caller = await served.add_router()
+    refusing = both(served, path)[position]
+    refusing.faults.refuse = True
+    both(served, path)[1 - position].response_delay_seconds = 0.05
+    responses = await async_load([caller], path, 2.5)
+    assert served_share(responses) >= 0.9
+    assert len(refusing.received) <= 20
