Keep requests from an upstream that asked this router to wait

What callers saw: an upstream that refused with 503 and `Retry-After` went on getting requests of the router that it had asked to wait, and streams to it were refused although another engine idled.

Cause: the `Retry-After` of upstreams was read nowhere. This commit adds what was left: a notice that arrives while a connection opens is heeded, as the grant is checked once more before the bytes are sent. Such an attempt counts as not sent and spends no retry. The expected wait of a request counts only the upstreams that it may use.

Per router: the other routers are not told to wait. Each hears it with its own first refusal, and the owner of the pool leaves a refusing upstream alone for a moment anyway.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -23,6 +23,9 @@
     BROKEN = "broken"
     # The received data is not a valid response to the request.
     INVALID = "invalid"
+    # The upstream announced that it wants no requests before the request was
+    # sent.
+    WITHHELD = "withheld"
     # The upstream sent nothing within the time limit.
     TIMED_OUT = "silent"
 
@@ -54,6 +57,9 @@
     AttemptResult.UNREACHABLE: ResultRule(
         RunOutcome.NOT_RUN, False, False, True
     ),
+    AttemptResult.WITHHELD: ResultRule(
+        RunOutcome.CANCELLED, False, False, True
+    ),
     AttemptResult.NOT_RUN: ResultRule(RunOutcome.NOT_RUN, False, True, True),
     AttemptResult.WRONG_UPSTREAM: ResultRule(
         RunOutcome.NOT_RUN, False, True, True
@@ -62,7 +68,8 @@
     AttemptResult.INVALID: ResultRule(RunOutcome.FAILED, True, True, True),
     AttemptResult.TIMED_OUT: ResultRule(RunOutcome.FAILED, True, True, True),
 }
-# Attempts without a connection do not count as sent, but each takes time.
+# Attempts that end before the request is sent do not count as sent, but each
+# takes time.
 MAX_UNREACHABLE_ATTEMPTS = 4
 
 
@@ -74,7 +81,7 @@
         may_run_again: Whether the request may safely run more than once.
         max_sent: Maximum number of times that the request may be sent.
         sent: Number of times that the request was sent.
-        unreachable: Number of attempts that found no connection.
+        unreachable: Number of attempts that ended before the request was sent.
         may_have_run: Whether any upstream may have run the request.
         tried: Ids of the upstreams that were tried.
     """
--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -398,12 +398,16 @@
         )
         return admission.latency_target_at + PREFILL_GRACE_FACTOR * cost / rate
 
-    def _grant_rate(self, now: float) -> float:
-        """Return the cost that the pool can grant per second."""
+    def _grant_rate(self, admission: Admission, now: float) -> float:
+        """Return the cost that the pool can grant per second.
+
+        Only upstreams that the request may use count.
+        """
         nominal = sum(
             member.load.rate
-            for member in self._placement.member_by_id.values()
+            for upstream_id, member in self._placement.member_by_id.items()
             if not member.breaker.is_blocked(now)
+            and upstream_id not in admission.excluded
         )
         since = self._backlogged_since
         if since is None or now - since < GRANT_RATE_WINDOW_SECONDS:
@@ -426,7 +430,7 @@
         self, admission: Admission, due_at: float, now: float
     ) -> float:
         """Return the expected wait for a grant under fair sharing."""
-        rate = self._grant_rate(now)
+        rate = self._grant_rate(admission, now)
         if rate <= 0:
             return 0.0
         earliest_first_chunk_at = now + self._placement.min_first_chunk_seconds
--- a/packages/core/src/lacewingspar_core/upstream_notices.py
+++ b/packages/core/src/lacewingspar_core/upstream_notices.py
@@ -135,6 +135,8 @@
     def try_begin(self, upstream_id: str, number: int, now: float) -> bool:
         """Record that a request is about to be sent, possibly as a probe.
 
+        May be called again for the same request.
+
         Args:
             upstream_id: Upstream of the request.
             number: Number of the request.
@@ -146,6 +148,9 @@
         known = self._record_by_id.get(upstream_id)
         if known is None:
             return True
+        match known.state:
+            case _Probing(number=probe) if probe == number:
+                return True
         if _is_withheld(known.state, now):
             return False
         self._record_by_id[upstream_id] = _Record(
--- a/packages/router/src/lacewingspar_router/components/admission/const.py
+++ b/packages/router/src/lacewingspar_router/components/admission/const.py
@@ -8,6 +8,9 @@
 # Grants that one request may give back because the upstream wants no requests.
 # The owner learns of it from the same router, so a second one is rare.
 MAX_GRANTS = 4
+# Callers that were refused because all upstreams asked to wait return within
+# this multiple of the time until the first of them accepts requests.
+RETURN_SPREAD_FACTOR = 1.25
 # A declined request asks another data centre if the mean wait there is below
 # this fraction of the wait for which it was declined.
 OTHER_POOL_WAIT_FRACTION = 0.5
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -115,11 +115,12 @@
             grant = await self._async_acquire_once(
                 requirements, excluded | self._send_check.excluded()
             )
-            if self._send_check.try_begin(grant, requirements):
+            if self._send_check.may_send(grant):
                 return grant
+            self._send_check.record_kept_back(grant, requirements)
             self.end(grant, RunOutcome.CANCELLED)
             excluded |= {grant.upstream_id}
-        raise self._send_check.refusal(requirements)
+        raise self._send_check.refusal(requirements.service)
 
     async def _async_acquire_once(
         self, requirements: RequestRequirements, excluded: frozenset[str]
@@ -301,6 +302,10 @@
                 },
             )
 
+    def may_send(self, grant: Grant) -> bool:
+        """Return whether the upstream of a grant still accepts requests."""
+        return self._send_check.may_send(grant)
+
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
         self._granted_runs.record_first_chunk(grant)
--- a/packages/router/src/lacewingspar_router/components/admission/models.py
+++ b/packages/router/src/lacewingspar_router/components/admission/models.py
@@ -80,6 +80,9 @@
                 sent to an upstream.
         """
 
+    def may_send(self, grant: Grant) -> bool:
+        """Return whether the upstream of a grant still accepts requests."""
+
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
 
--- a/packages/router/src/lacewingspar_router/components/admission/send_check.py
+++ b/packages/router/src/lacewingspar_router/components/admission/send_check.py
@@ -8,6 +8,7 @@
     REASON_NO_UPSTREAM,
 )
 from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission import const
 from lacewingspar_router.components.admission.models import (
     Grant,
     RequestRequirements,
@@ -33,6 +34,7 @@
     """
 
     def __init__(self, app: Application) -> None:
+        self._app = app
         self._routing = app.get(ROUTING)
         self._availability = app.get(UPSTREAM_AVAILABILITY)
         self._telemetry = app.get(TELEMETRY)
@@ -41,39 +43,42 @@
         """Return the upstreams that a request must not be granted now."""
         return self._availability.withheld()
 
-    def try_begin(
-        self, grant: Grant, requirements: RequestRequirements
-    ) -> bool:
-        """Return whether a granted request may be sent."""
+    def may_send(self, grant: Grant) -> bool:
+        """Return whether a granted request may be sent now."""
         entry = self._routing.directory.entry_by_id.get(grant.upstream_id)
-        is_draining = (
-            entry is not None and entry.state is UpstreamState.DRAINING
-        )
-        if not is_draining and self._availability.try_begin(
-            grant.upstream_id, grant.number
-        ):
-            return True
+        if entry is not None and entry.state is UpstreamState.DRAINING:
+            return False
+        return self._availability.try_begin(grant.upstream_id, grant.number)
+
+    def record_kept_back(
+        self, grant: Grant, requirements: RequestRequirements
+    ) -> None:
+        """Log and count a grant that is given back."""
         self._telemetry.count(
             "requests_kept_back_total", service=requirements.service
         )
         _LOGGER.info(
             "grant given back: the upstream wants no requests",
             request_id=requirements.request_id,
+            service=requirements.service,
             upstream=grant.upstream_id,
             owner=grant.owner,
-            is_draining=is_draining,
         )
-        return False
 
     def record_response(self, grant: Grant) -> None:
         """Record that the upstream of a grant responded."""
         self._availability.end_probe(grant.upstream_id, grant.number)
 
-    def refusal(self, requirements: RequestRequirements) -> RequestRefusedError:
-        """Return the refusal of a request that found no upstream."""
+    def refusal(self, service: str) -> RequestRefusedError:
+        """Return the refusal of a request whose upstreams want no requests.
+
+        Callers return after the first upstream does, spread over some time.
+        """
+        seconds = self._availability.seconds_until_return(service) or 0.0
+        spread = self._app.random.uniform(1.0, const.RETURN_SPREAD_FACTOR)
         return RequestRefusedError(
             503,
             REASON_NO_UPSTREAM,
-            f"the upstreams of {requirements.service} want no requests",
-            retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
+            f"the upstreams of {service} want no requests now",
+            retry_after_seconds=(seconds + MIN_RETRY_AFTER_SECONDS) * spread,
         )
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -74,6 +74,7 @@
         now: Clock in seconds.
         on_first_chunk: Called when the first chunk of the response arrives.
         on_notice: Called with each notice of the upstream.
+        may_send: Returns whether the upstream still accepts the request.
         can_switch_upstream: Whether to time out on an unresponsive upstream, so
             that the request is sent to another one.
     """
@@ -88,6 +89,7 @@
         now: Callable[[], float],
         on_first_chunk: Callable[[], None],
         on_notice: Callable[[UpstreamNotice], None],
+        may_send: Callable[[], bool],
         *,
         can_switch_upstream: bool,
     ) -> None:
@@ -99,6 +101,7 @@
         self._now = now
         self._on_first_chunk = on_first_chunk
         self._on_notice = on_notice
+        self._may_send = may_send
         self._can_switch_upstream = can_switch_upstream
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
@@ -120,6 +123,11 @@
             )
         except ConnectionFailedError as error:
             return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
+        if not self._may_send():
+            connection.abort()
+            return AttemptEnd(
+                AttemptResult.WITHHELD, "the upstream wants no requests"
+            )
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -320,6 +320,7 @@
             self._app.now,
             lambda: self._admission.record_first_chunk(grant),
             lambda notice: self._availability.record(upstream, notice),
+            lambda: self._admission.may_send(grant),
             can_switch_upstream=self._can_switch_upstream(progress.history),
         )
         entries = self._routing.directory.entry_by_id
@@ -349,7 +350,7 @@
             return False
         if call.deadline_at - now < const.MIN_RETRY_TIME_LEFT_SECONDS:
             return False
-        if not history.sent:
+        if not history.sent or end.result is AttemptResult.WITHHELD:
             return True
         routers = len(self._peers.alive_by_router_id)
         if self._retry_budget(call.service).try_spend(routers, now):
--- a/tests/router/deployed/test_upstream_notices.py
+++ b/tests/router/deployed/test_upstream_notices.py
@@ -1,6 +1,7 @@
 """What upstreams announce in responses: shutdown, and a time to wait."""
 
 import asyncio
+import time
 from typing import Any
 
 import pytest
@@ -14,9 +15,19 @@
 
 from lacewingspar_core.pool_admission import PoolAdmission
 from lacewingspar_core.state_messages import UpstreamLeaving
+from lacewingspar_core.upstream_notices import (
+    Leaving,
+    RetryAfter,
+    UpstreamNotice,
+)
 from lacewingspar_router.components.admission.send_check import SendCheck
 from lacewingspar_router.components.peers.models import PEERS
-from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    UPSTREAM_AVAILABILITY,
+)
+from lacewingspar_router.http1 import connection_pool
+from lacewingspar_router.http1.client import async_connect
 from lacewingspar_standins.deployed.upstream import Upstream
 
 PATHS = ["/read/", "/write/", "/stream/1", "/stream-once/1"]
@@ -229,3 +240,155 @@
     responses = await async_load([caller], path, 2.5)
     assert served_share(responses) >= 0.9
     assert len(refusing.received) <= 20
+
+
+def late_arrivals(upstream: Upstream, asked_seconds: float) -> int:
+    """Return the requests that came after 0.5 s of the time asked for."""
+    first_at = upstream.received[0].at
+    return sum(
+        first_at + 0.5 < item.at < first_at + asked_seconds
+        for item in upstream.received
+    )
+
+
+@pytest.mark.parametrize(
+    ("routers", "used"), [(1, 1), (3, 1), (3, 3)], ids=["alone", "one", "all"]
+)
+@pytest.mark.parametrize("retry_after", ["2", "2.25"])
+@pytest.mark.parametrize("path", PATHS)
+async def test_upstream_that_asks_to_wait_is_left_alone(
+    served: Deployment, path: str, retry_after: str, routers: int, used: int
+) -> None:
+    """Guards against requests in the time that an upstream asked for.
+
+    The owner of the pool may be another router than the one that was asked.
+    """
+    callers = [await served.add_router(f"r{n}") for n in range(routers)]
+    for app in served.apps:
+        await until(
+            lambda app=app: len(app.get(PEERS).alive_by_router_id) == routers
+        )
+    waiting = both(served, path)[0]
+    waiting.faults.refuse = True
+    waiting.faults.retry_after = retry_after
+    responses = await async_load(callers[:used], path, float(retry_after))
+    assert served_share(responses) >= 0.9
+    assert late_arrivals(waiting, float(retry_after)) <= 2 * used
+    assert waiting.received
+
+
+@pytest.mark.parametrize("path", PATHS)
+async def test_upstream_returns_after_its_wait_with_one_request(
+    served: Deployment, path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a wait that a response ends early, and against a flood.
+
+    The time of day jumps, which must not matter.
+    """
+    caller = await served.add_router()
+    waiting, other = both(served, path)
+    other.faults.refuse = True
+    waiting.faults.refuse = True
+    waiting.faults.retry_after = "1"
+    await async_reach(caller, path, waiting)
+    asked_at = waiting.received[0].at
+    waiting.faults.refuse = other.faults.refuse = False
+    waiting.response_delay_seconds = 0.15
+    before = len(waiting.received)
+    hour_ahead = time.time() + 3600
+    monkeypatch.setattr(time, "time", lambda: hour_ahead)
+    await async_load([caller], path, 0.5)
+    assert len(waiting.received) == before
+    other.response_delay_seconds = 0.3
+    await until(lambda: asyncio.get_running_loop().time() > asked_at + 1.0)
+    load = asyncio.create_task(async_load([caller], path, 1.5))
+    await until(lambda: waiting.running > 0)
+    await asyncio.sleep(0.1)
+    assert len(waiting.received) == before + 1
+    await load
+    assert len(waiting.received) > before + 1
+
+
+@pytest.mark.parametrize(
+    "retry_after", ["Wed, 21 Oct 2026 07:28:00 GMT", "soon", "-1", "nan", "1e9"]
+)
+async def test_unreadable_retry_after_is_logged_and_ignored(
+    served: Deployment, retry_after: str
+) -> None:
+    caller = await served.add_router()
+    upstream = both(served, "/read/")[0]
+    upstream.faults.refuse = True
+    upstream.faults.retry_after = retry_after
+    with structlog.testing.capture_logs() as logs:
+        await async_reach(caller, "/read/", upstream)
+    assert any(item["event"].startswith("Retry-After ign") for item in logs)
+    assert not served.apps[0].get(UPSTREAM_AVAILABILITY).withheld()
+
+
+async def test_wait_is_bounded_by_the_setting(served: Deployment) -> None:
+    caller = await served.add_router(max_upstream_wait_seconds=0.2)
+    upstream = both(served, "/read/")[0]
+    upstream.faults.refuse = True
+    upstream.faults.retry_after = "86400"
+    await async_reach(caller, "/read/", upstream)
+    availability = served.apps[0].get(UPSTREAM_AVAILABILITY)
+    assert availability.withheld() == {"p1"}
+    await until(lambda: not availability.withheld(), 1.0)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [{"leaving": True, "retry_after": "0.2"}, {"retry_after": "30"}],
+    ids=["both notices", "wait"],
+)
+async def test_new_process_is_not_bound_by_what_the_old_one_said(
+    served: Deployment, faults: dict[str, Any]
+) -> None:
+    """Guards against a wait or shutdown that outlives its process.
+
+    The shutdown holds for longer than the wait that came with it.
+    """
+    caller = await served.add_router()
+    upstream, other = both(served, "/read/")
+    upstream.faults.refuse = True
+    for name, value in faults.items():
+        setattr(upstream.faults, name, value)
+    await async_reach(caller, "/read/", upstream)
+    received = len(upstream.received)
+    await async_load([caller], "/read/", 0.5)
+    assert len(upstream.received) == received
+    upstream.faults = type(upstream.faults)()
+    served.register("p1", "plain", born=2)
+    other.response_delay_seconds = 0.05
+    await async_reach(caller, "/read/", upstream)
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("notice", [Leaving(), RetryAfter(5.0)])
+async def test_request_is_not_sent_if_a_notice_comes_while_connecting(
+    served: Deployment,
+    path: str,
+    notice: UpstreamNotice,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that cross the notice in a slow connection."""
+    caller = await served.add_router(retry_ratio=0.0, retry_allowance=0.0)
+    routing = served.apps[0].get(ROUTING)
+    availability = served.apps[0].get(UPSTREAM_AVAILABILITY)
+    addresses: list[str] = []
+
+    async def async_connect_late(address: str) -> Any:
+        if not addresses:
+            addresses.append(address)
+            (entry,) = (
+                item
+                for item in routing.directory.entry_by_id.values()
+                if item.address == address
+            )
+            availability.record(entry, notice)
+        return await async_connect(address)
+
+    monkeypatch.setattr(connection_pool, "async_connect", async_connect_late)
+    assert (await caller.call(path)).status == 200
+    (unused,) = (u for u in both(served, path) if u.address == addresses[0])
+    assert not unused.received
