Refuse callers at once while all upstreams asked to wait

What callers saw: with all upstreams of a service away for 20 s, the refusal carried a Retry-After of 0.6 to 0.9 s, so callers came back many times for nothing; a queued request was declined as overloaded, with 0.37 s.

Fix: before a request asks the owner of its pool, and every 0.4 s while it is queued, the router checks whether all ready upstreams of the service want no requests of it. If so the caller gets 503, not run, with the time until the first of them returns, spread over a quarter of it. Upstreams that leave do not count as ready, so with all of them leaving the pool declines at once as before.

Tests first: test_callers_are_refused_at_once_when_all_upstreams_are_away failed in 8 of 8 cases with upstreams that asked to wait (least Retry-After 0.59 s for 20 s asked), test_queued_requests_are_refused_when_all_upstreams_are_away with 0.368 s for 60 s. The case of two leaving upstreams passed before.

--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -330,12 +330,17 @@
     async def _async_request_decision(
         self, pending: _PendingRequest
     ) -> AdmissionDecision | None:
-        """Return the final decision, or None if the owner does not respond."""
+        """Return the final decision, or None if the owner does not respond.
+
+        Raises:
+            RequestRefusedError: No upstream accepts requests now.
+        """
         number = pending.admission.key.number
         self._pending_by_number[number] = pending
         is_settled = False
         try:
             while True:
+                self._send_check.check_availability(pending.pool.service)
                 self._send_request(pending)
                 decision: AdmissionDecision | None
                 async with asyncio.timeout(self._response_timeout(pending)):
--- a/packages/router/src/lacewingspar_router/components/admission/send_check.py
+++ b/packages/router/src/lacewingspar_router/components/admission/send_check.py
@@ -69,6 +69,16 @@
         """Record that the upstream of a grant responded."""
         self._availability.end_probe(grant.upstream_id, grant.number)
 
+    def check_availability(self, service: str) -> None:
+        """Check that some upstream of a service accepts requests.
+
+        Raises:
+            RequestRefusedError: All of them asked this router to wait.
+        """
+        if self._availability.seconds_until_return(service) is not None:
+            self._telemetry.count("requests_kept_back_total", service=service)
+            raise self.refusal(service)
+
     def refusal(self, service: str) -> RequestRefusedError:
         """Return the refusal of a request whose upstreams want no requests.
 
--- a/tests/router/deployed/test_upstream_notices.py
+++ b/tests/router/deployed/test_upstream_notices.py
@@ -10,6 +10,7 @@
     Caller,
     Deployment,
     ReceivedResponse,
+    manifest,
     until,
 )
 
@@ -28,6 +29,7 @@
 )
 from lacewingspar_router.http1 import connection_pool
 from lacewingspar_router.http1.client import async_connect
+from lacewingspar_standins.deployed.documents import SLOTS
 from lacewingspar_standins.deployed.upstream import Upstream
 
 PATHS = ["/read/", "/write/", "/stream/1", "/stream-once/1"]
@@ -363,6 +365,64 @@
     await async_reach(caller, "/read/", upstream)
 
 
+@pytest.mark.parametrize(
+    ("first", "second", "least_seconds", "most_seconds"),
+    [
+        ({"retry_after": "20"}, {"retry_after": "30"}, 15, 26),
+        ({"retry_after": "20"}, {"leaving": True}, 15, 26),
+        ({"leaving": True}, {"leaving": True}, 0.25, 1),
+    ],
+)
+@pytest.mark.parametrize("path", PATHS)
+async def test_callers_are_refused_at_once_when_all_upstreams_are_away(
+    served: Deployment,
+    path: str,
+    first: dict[str, Any],
+    second: dict[str, Any],
+    least_seconds: float,
+    most_seconds: float,
+) -> None:
+    """Guards against requests that wait until their deadline."""
+    caller = await served.add_router()
+    for upstream, faults in zip(
+        both(served, path), (first, second), strict=True
+    ):
+        upstream.faults.refuse = True
+        for name, value in faults.items():
+            setattr(upstream.faults, name, value)
+        await async_reach(caller, path, upstream)
+    arrived = [len(item.received) for item in both(served, path)]
+    responses = await call_at_once(caller, path)
+    assert [len(item.received) for item in both(served, path)] == arrived
+    returns = [float(item.headers["retry-after"]) for item in responses]
+    assert {item.status for item in responses} == {503}
+    assert least_seconds <= min(returns) < max(returns) <= most_seconds
+
+
+async def test_queued_requests_are_refused_when_all_upstreams_are_away(
+    deployment: Deployment,
+) -> None:
+    """Guards against a queue that nobody empties."""
+    deployment.publish(manifest())
+    upstream = await deployment.add_upstream(
+        "p1", "plain", response_delay_seconds=2.0
+    )
+    caller = await deployment.add_router()
+    running = asyncio.create_task(call_at_once(caller, "/write/", SLOTS))
+    await until(lambda: upstream.running == SLOTS)
+    queued = asyncio.create_task(caller.call("/write/"))
+    entry = deployment.apps[0].get(ROUTING).directory.entry_by_id["p1"]
+    await asyncio.sleep(0.1)
+    assert not queued.done()
+    availability = deployment.apps[0].get(UPSTREAM_AVAILABILITY)
+    availability.record(entry, RetryAfter(60.0))
+    response = await queued
+    assert not running.done()
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 50
+    assert {item.status for item in await running} == {200}
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("notice", [Leaving(), RetryAfter(5.0)])
 async def test_request_is_not_sent_if_a_notice_comes_while_connecting(
