--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -7,6 +7,7 @@
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.event_stream import EventSequence, EventSizeError
 from lacewingspar_core.routing import RouteKind
+from lacewingspar_core.upstream_notices import UpstreamNotice
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.forwarding.models import (
     Call,
@@ -74,6 +75,8 @@
         on_sent: Called with the connection when the request is sent. If it
             interrupts the exchange, the attempt ends as timed out.
         on_first_chunk: Called when the first chunk of the response arrives.
+        on_notice: Called with each notice of the upstream.
+        may_send: Returns whether the upstream still accepts the request.
     """
 
     def __init__(
@@ -86,6 +89,8 @@
         now: Callable[[], float],
         on_sent: Callable[[ClientConnection], None],
         on_first_chunk: Callable[[], None],
+        on_notice: Callable[[UpstreamNotice], None],
+        may_send: Callable[[], bool],
     ) -> None:
         self._call = call
         self._upstream = upstream
@@ -95,6 +100,8 @@
         self._now = now
         self._on_sent = on_sent
         self._on_first_chunk = on_first_chunk
+        self._on_notice = on_notice
+        self._may_send = may_send
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -115,6 +122,11 @@
             )
         except ConnectionFailedError as error:
             return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
+        if not self._may_send():
+            connection.abort()
+            return AttemptEnd(
+                AttemptResult.WITHHELD, "the upstream wants no requests"
+            )
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
@@ -170,6 +182,8 @@
             info = self._wire_format.parse_response_head(
                 self._call, self._upstream, head
             )
+            if info.notice is not None:
+                self._on_notice(info.notice)
             if info.is_for_request:
                 return head, info
             await async_read_body(
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -8,7 +8,7 @@
     AttemptHistory,
     AttemptResult,
 )
-from lacewingspar_core.directory import UpstreamEntry
+from lacewingspar_core.directory import UpstreamEntry, UpstreamState
 from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
@@ -43,7 +43,10 @@
 from lacewingspar_router.components.forwarding.upstream_switch import (
     UpstreamSwitch,
 )
-from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    UPSTREAM_AVAILABILITY,
+)
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
@@ -62,6 +65,7 @@
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
+        self._availability = app.get(UPSTREAM_AVAILABILITY)
         self._wire_format = app.get(WIRE_FORMAT)
         self._pool_by_address: dict[str, ConnectionPool] = {}
         self._retry_budgets = RetryBudgets(app)
@@ -137,16 +141,20 @@
             self._recorder.record_end(progress, outcome)
 
     def close_stale_connections(self) -> None:
-        """Close stale connections and those to removed upstreams."""
+        """Close stale connections and those to upstreams that leave."""
         self.hand_over.close_stale_connections()
-        addresses = {
+        entries = self._routing.directory.entry_by_id.values()
+        addresses = {entry.address for entry in entries}
+        addresses_in_use = {
             entry.address
-            for entry in self._routing.directory.entry_by_id.values()
+            for entry in entries
+            if entry.state is UpstreamState.READY
         }
         for address, pool in list(self._pool_by_address.items()):
             pool.close_expired()
-            if address not in addresses:
+            if address not in addresses_in_use:
                 pool.close()
+            if address not in addresses:
                 del self._pool_by_address[address]
 
     def close(self) -> None:
@@ -295,6 +303,8 @@
             self._app.now,
             switch.watch,
             record_first_chunk,
+            lambda notice: self._availability.record(upstream, notice),
+            lambda: self._admission.may_send(grant),
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
@@ -326,7 +336,7 @@
         if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
             progress.no_replacement = REASON_TIME
             return False
-        if not history.sent:
+        if not history.sent or end.result is AttemptResult.WITHHELD:
             return True
         if self._retry_budgets.try_spend(call):
             return True
