Start no further search once a silent upstream is replaced

Found on reading: between the interruption of an attempt and its end, the timer could start a second search, whose grant would overwrite the reserved one. That grant would have stayed with its pool until the next report of runs.

test_interrupted_attempt_starts_no_further_search, before: 3 admission requests in two check intervals, now 1. Not seen in a run of the router.

--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -180,11 +180,14 @@
     def _check(self) -> None:
         watched = self._watched
         assert watched is not None
-        match self._update(watched):
-            case SilenceState.WENT_ON:
-                self._withdraw()
-            case SilenceState.SEARCH_DUE if self._search is None:
-                self._start_search(watched)
+        state = self._update(watched)
+        if state is SilenceState.WENT_ON:
+            self._withdraw()
+        if watched.connection.has_failed:
+            # The attempt ends, and a reserved grant is for the next one.
+            return
+        if state is SilenceState.SEARCH_DUE and self._search is None:
+            self._start_search(watched)
         self._check_after(watched.tracker.check_after_seconds)
 
     def _update(self, watched: _WatchedAttempt) -> SilenceState:
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -10,7 +10,7 @@
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import AttemptHistory, AttemptResult
 from lacewingspar_router.components.admission.models import ADMISSION, Grant
-from lacewingspar_router.components.forwarding import upstream_switch
+from lacewingspar_router.components.forwarding import const, upstream_switch
 from lacewingspar_router.components.forwarding.upstream_switch import (
     UpstreamSwitch,
 )
@@ -59,6 +59,9 @@
         self.connection = mock.Mock(
             last_progress_at=time.monotonic(), has_failed=False
         )
+        self.connection.interrupt.side_effect = lambda: setattr(
+            self.connection, "has_failed", True
+        )
         self.switch = UpstreamSwitch(
             app,
             self.budgets,
@@ -110,6 +113,19 @@
     assert len(harness.asked) == 1
 
 
+async def test_interrupted_attempt_starts_no_further_search(
+    harness: Harness,
+) -> None:
+    """Guards against a second grant that replaces the reserved one."""
+    await harness.async_grant()
+    await asyncio.sleep(2 * const.SILENCE_CHECK_INTERVAL_SECONDS)
+    harness.connection.interrupt.assert_called_once()
+    harness.switch.end_watch()
+    assert await harness.switch.async_next_grant() is GRANT
+    harness.switch.close()
+    assert len(harness.asked) == 1
+
+
 @pytest.mark.parametrize(
     "change",
     [
