Report a refused search to the request only

The log had "task failed" at error level when a pool refused a search that the next attempt had taken over: the application logs the exception of each task, also if somebody awaits it. The refusal is now kept for the request. test_refusal_of_the_search_ends_a_failed_request failed before with the exception of the task.

--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -96,6 +96,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._search: asyncio.Task[None] | None = None
         self._reserved: Grant | None = None
+        self._refusal: RequestRefusedError | None = None
 
     @property
     def is_silent(self) -> bool:
@@ -112,6 +113,8 @@
         try:
             if self._search is not None:
                 await self._search
+            if self._refusal is not None:
+                raise self._refusal
             grant, self._reserved = self._reserved, None
             if grant is not None:
                 return grant
@@ -213,12 +216,7 @@
         )
 
     async def _async_search(self, watched: _WatchedAttempt) -> None:
-        """Wait for another upstream and decide whether to use it.
-
-        Raises:
-            RequestRefusedError: No upstream is granted, and the attempt has
-                ended.
-        """
+        """Wait for another upstream and decide whether to use it."""
         try:
             await asyncio.sleep(const.SILENCE_CONFIRM_SECONDS)
             if self._watched is watched and not _is_silent(watched):
@@ -229,9 +227,10 @@
             )
             await self._async_connect(self._reserved)
         except RequestRefusedError as error:
-            if self._watched is not watched:
-                raise
-            self._record_no_replacement(watched, error.code)
+            if self._watched is watched:
+                self._record_no_replacement(watched, error.code)
+            else:
+                self._refusal = error
         except ConnectionFailedError:
             self._give_back_unreachable()
             if self._watched is watched:
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -213,9 +213,16 @@
     harness.switch.end_watch()
     following = asyncio.create_task(harness.switch.async_next_grant())
     await asyncio.sleep(0)
+    (search,) = (
+        task
+        for task in asyncio.all_tasks()
+        if task.get_name() == "search for another upstream"
+    )
     harness.granted.set_exception(RequestRefusedError(503, "overloaded", ""))
     with pytest.raises(RequestRefusedError):
         await following
+    # The application reports the exception of a task as an error.
+    assert search.exception() is None
     assert harness.progress.no_replacement == "overloaded"
     assert len(harness.asked) == 1
 
