--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -96,6 +96,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._search: asyncio.Task[None] | None = None
         self._reserved: Grant | None = None
+        self._refusal: RequestRefusedError | None = None
 
     @property
     def is_silent(self) -> bool:
@@ -112,6 +113,8 @@
         try:
             if self._search is not None:
                 await self._search
+            if self._refusal is not None:
+                raise self._refusal
             grant, self._reserved = self._reserved, None
             if grant is not None:
                 return grant
@@ -180,11 +183,14 @@
     def _check(self) -> None:
         watched = self._watched
         assert watched is not None
-        match self._update(watched):
-            case SilenceState.WENT_ON:
-                self._withdraw()
-            case SilenceState.SEARCH_DUE if self._search is None:
-                self._start_search(watched)
+        state = self._update(watched)
+        if state is SilenceState.WENT_ON:
+            self._withdraw()
+        if watched.connection.has_failed:
+            # The attempt ends, and a reserved grant is for the next one.
+            return
+        if state is SilenceState.SEARCH_DUE and self._search is None:
+            self._start_search(watched)
         self._check_after(watched.tracker.check_after_seconds)
 
     def _update(self, watched: _WatchedAttempt) -> SilenceState:
@@ -210,12 +216,7 @@
         )
 
     async def _async_search(self, watched: _WatchedAttempt) -> None:
-        """Wait for another upstream and decide whether to use it.
-
-        Raises:
-            RequestRefusedError: No upstream is granted, and the attempt has
-                ended.
-        """
+        """Wait for another upstream and decide whether to use it."""
         try:
             await asyncio.sleep(const.SILENCE_CONFIRM_SECONDS)
             if self._watched is watched and not _is_silent(watched):
@@ -226,9 +227,10 @@
             )
             await self._async_connect(self._reserved)
         except RequestRefusedError as error:
-            if self._watched is not watched:
-                raise
-            self._record_no_replacement(watched, error.code)
+            if self._watched is watched:
+                self._record_no_replacement(watched, error.code)
+            else:
+                self._refusal = error
         except ConnectionFailedError:
             self._give_back_unreachable()
             if self._watched is watched:
