Keep a connection whose last response announced no close for a moment

Callers saw the connection of a stopping router closed behind a stream that had begun before the signal: the head of its response had not announced the close, so a request that followed at once got no answer.

Cause: the server decided again at the end of the response, and closed at once. It now closes at once only if the head announced it. Otherwise the connection closes when it has been idle for LINGER_SECONDS (0.5 s); a request that arrives meanwhile is answered or refused, with the close announced.

Before: test_request_behind_a_stream_that_spans_the_signal_is_answered failed (the connection was gone after the stream). After: it passes.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -30,8 +30,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Unsent response data above which the handler waits for a slow caller.
 WRITE_BUFFER_HIGH_WATER_BYTES = 256 * 1024
-# Delay before a connection is closed in the middle of a request, so that the
-# caller reads the response before it sees the reset.
+# Delay before a connection is closed that the caller may be sending on, so that
+# it reads the response before it sees the reset, or gets another response.
 LINGER_SECONDS = 0.5
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -203,6 +203,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _close_if_idle(self) -> None:
+        if self.is_idle:
+            self.close()
+
     def _pause_reading(self) -> None:
         if not self._is_paused and self._transport is not None:
             self._transport.pause_reading()
@@ -258,10 +262,14 @@
             return
         if not exchange.is_finished:
             self._break_off()
-        elif self.decide_close():
+        elif self._closes_after_response:
             self.close()
         else:
             self._last_active_at = self._loop.time()
+            if self._server.is_closing_connections:
+                # The response started before and announced no close, so that
+                # the caller may already be sending its next request.
+                self._loop.call_later(LINGER_SECONDS, self._close_if_idle)
             self._start_next_request()
 
     def refuse_partial_request(self, refusal: Response) -> bool:
--- a/tests/router/deployed/test_stopping.py
+++ b/tests/router/deployed/test_stopping.py
@@ -24,6 +24,7 @@
 from lacewingspar_router import main
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import ADMISSION
+from lacewingspar_router.http1 import caller_connection
 from lacewingspar_router.http1 import server as http1_server
 from lacewingspar_router.settings import Settings
 from lacewingspar_router.shutdown import Shutdown, drain_limit_seconds
@@ -376,6 +377,31 @@
     assert not any(item.received for item in served.upstream_by_id.values())
 
 
+async def test_request_behind_a_stream_that_spans_the_signal_is_answered(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close that the response before did not announce."""
+    monkeypatch.setattr(caller_connection, "LINGER_SECONDS", 5.0)
+    caller = await served.add_router(stop_grace_seconds=8.0)
+    for name in ("e1", "e2"):
+        served.upstream_by_id[name].response_delay_seconds = 0.05
+    connection = await async_open_connection(caller.address)
+    connection.send(request_bytes("/stream/", "spans", 3000))
+    stream = ReceivedResponse()
+    receiving = asyncio.create_task(receive(connection, stream))
+    await until(lambda: b"\n\n" in stream.body)
+    task = await drain(served)
+    assert (await receiving).is_complete
+    assert "connection" not in stream.headers
+    assert connection.complete_exchange()
+    connection.send(request_bytes("/write/", "next", 3000))
+    response = await receive(connection, ReceivedResponse())
+    connection.abort()
+    task.cancel()
+    assert response.status == 200
+    assert response.headers["connection"] == "close"
+
+
 async def test_request_on_an_idle_connection_is_refused(
     served: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
