Take no cancelled call as a sample of a plain upstream's speed

Cause: a grant that is given back ends as a cancelled run of a millisecond, and a cancelled run counted as a sample of the time of a call. After some of them an upstream that returns from its wait looks fastest and gets every call.

Fix: a cancelled call counts only if it ran longer than the estimate, as it would have taken at least that long. Engines are unchanged.

The check for upstreams that all ask to wait no longer reads the directory while none does.

--- a/packages/core/src/lacewingspar_core/pool_admission.py
+++ b/packages/core/src/lacewingspar_core/pool_admission.py
@@ -202,12 +202,15 @@
         if member is None:
             return []
         del self._upstream_by_run[key]
-        if outcome is RunOutcome.NOT_RUN:
-            member.load.discard(key)
-            member.breaker.record_refusal(now)
-        else:
-            member.load.end(key, now)
-            member.breaker.record(outcome, now)
+        match outcome:
+            case RunOutcome.NOT_RUN:
+                member.load.discard(key)
+                member.breaker.record_refusal(now)
+            case RunOutcome.CANCELLED:
+                member.load.cancel(key, now)
+            case _:
+                member.load.end(key, now)
+                member.breaker.record(outcome, now)
         self._placement.record_load_change(member)
         return self._grant_waiting(now)
 
--- a/packages/core/src/lacewingspar_core/upstream_load.py
+++ b/packages/core/src/lacewingspar_core/upstream_load.py
@@ -122,8 +122,11 @@
     def end(self, key: AdmissionKey, now: float) -> ActiveRun | None:
         """Remove a run that has ended, and return it if it was known."""
 
+    def cancel(self, key: AdmissionKey, now: float) -> None:
+        """Remove a run that was cancelled, or not sent at all."""
+
     def discard(self, key: AdmissionKey) -> None:
-        """Remove a run whose duration says nothing about the upstream."""
+        """Remove a run that the upstream refused."""
 
     def clear_cache(self) -> None:
         """Clear the model of the KV cache after a restart of the upstream."""
@@ -295,8 +298,12 @@
             self.memory_tokens -= run.memory_tokens
         return run
 
+    def cancel(self, key: AdmissionKey, now: float) -> None:
+        """Remove a run that was cancelled, or not sent at all."""
+        self.end(key, now)
+
     def discard(self, key: AdmissionKey) -> None:
-        """Remove a run whose duration says nothing about the upstream."""
+        """Remove a run that the engine refused."""
         run = self.run_by_key.pop(key, None)
         if run is not None:
             self.pending_prefill_tokens -= run.pending_prefill_tokens
@@ -404,8 +411,16 @@
             )
         return run
 
+    def cancel(self, key: AdmissionKey, now: float) -> None:
+        """Remove a call that would have taken at least as long as until now."""
+        run = self.run_by_key.get(key)
+        if run is not None and now - run.granted_at > self.call_seconds:
+            self.end(key, now)
+        else:
+            self.discard(key)
+
     def discard(self, key: AdmissionKey) -> None:
-        """Remove a call whose duration says nothing about the upstream."""
+        """Remove a call that the upstream refused."""
         self.run_by_key.pop(key, None)
 
     def clear_cache(self) -> None:
--- a/packages/router/src/lacewingspar_router/components/routing/upstream_availability.py
+++ b/packages/router/src/lacewingspar_router/components/routing/upstream_availability.py
@@ -60,8 +60,9 @@
 
     def withheld(self) -> frozenset[str]:
         """Return the listed upstreams that must not get a request now."""
-        listed = self._state.directory.entry_by_id.keys()
-        return self._notices.withheld(self._app.now()) & listed
+        listed = self._state.directory.entry_by_id
+        withheld = self._notices.withheld(self._app.now())
+        return frozenset(item for item in withheld if item in listed)
 
     def try_begin(self, upstream_id: str, number: int) -> bool:
         """Return whether a request may be sent to an upstream now."""
@@ -73,8 +74,11 @@
 
     def seconds_until_return(self, service: str) -> float | None:
         """Return how long all upstreams of a service want no requests."""
+        withheld = self.withheld()
+        if not withheld:
+            return None
         ready = self._state.directory.ready_upstreams(service).keys()
-        if not ready or not ready <= self.withheld():
+        if not ready <= withheld:
             return None
         returns = [self._notices.returns_at(item) for item in ready]
         return min(
--- a/tests/core/test_pool_admission.py
+++ b/tests/core/test_pool_admission.py
@@ -204,6 +204,25 @@
     assert chosen.count("a") <= 10
 
 
+def test_grants_given_back_do_not_make_an_upstream_look_fast() -> None:
+    """Guards against a flood to an upstream that asked routers to wait.
+
+    Load: 40 grants of "a" are given back at once; then calls of 50 ms.
+    """
+    pool = PoolAdmission("plain/0")
+    entries = {name: entry(name, slots=8) for name in ("a", "b")}
+    pool.set_upstreams(entries, UpstreamService("plain", None), 0.0, 0.0)
+    for number in range(40):
+        request = admission(number, 0.0, excluded=frozenset("b"))
+        assert upstream_of(pool.submit(request, 0.0)) == "a"
+        pool.end(request.key, RunOutcome.CANCELLED, 0.001)
+    chosen = [
+        upstream_of(pool.submit(admission(number, 1.0), 1.0))
+        for number in range(100, 108)
+    ]
+    assert chosen.count("b") == 4
+
+
 @pytest.mark.parametrize("has_other_pools", [False, True])
 def test_pool_whose_upstreams_all_refuse_still_tries(
     has_other_pools: bool,
