Replace a silent upstream only by one that still takes requests

Found while joining the two parts: a replacement that announced its shutdown, or asked to wait, between its grant and the connection to it was accepted. The stream was then taken from the silent upstream, the replacement withheld, and the stream could be cut.

Test: one more row of the table in test_upstream_switch.py; 1 failed before, none after.

--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -287,7 +287,6 @@
     def _find_obstacle(self, grant: Grant | None = None) -> str:
         """Return why no upstream may replace the present one, or ""."""
         call = self._progress.call
-        directory = self._routing.directory.entry_by_id
         if not self._progress.history.may_replace:
             return REASON_ATTEMPTS
         time_left = call.deadline_at - self._app.now()
@@ -295,10 +294,16 @@
             return REASON_TIME
         if not self._retry_budgets.allows_retry(call.service):
             return REASON_BUDGET
-        if grant is not None and grant.upstream_id not in directory:
+        if grant is not None and not self._is_usable(grant):
             return REASON_REMOVED
         return ""
 
+    def _is_usable(self, grant: Grant) -> bool:
+        directory = self._routing.directory.entry_by_id
+        return grant.upstream_id in directory and self._admission.may_send(
+            grant
+        )
+
     def _record_no_replacement(
         self, watched: _WatchedAttempt, reason: str
     ) -> None:
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -137,9 +137,10 @@
             return_value=False
         ),
         lambda item: item.routing.directory.entry_by_id.pop("u2"),
+        lambda item: item.admission.may_send.configure_mock(return_value=False),
         lambda item: setattr(item.progress.call, "deadline_at", 0.05),
     ],
-    ids=["went on", "budget", "no budget", "removed", "time"],
+    ids=["went on", "budget", "no budget", "removed", "withheld", "time"],
 )
 async def test_grant_that_may_not_be_used_is_given_back(
     harness: Harness, change: Any
