Soak the fleet with planned work that overlaps

Some callers keep idle connections for seconds.

The check of shutdowns looked at cut responses beside a stop alone. In its place, "lost" looks at each request that was read and whose connection ended without a whole response, whatever is planned beside it, and excuses what the rule LOST excuses: a fault from 3 s before the request until its end, the caller's deadline or the route's timeout, and an upstream still at work in the last sixth of the grace on a request sent at most 3 s after the signal. "failed without a fault" does so for 500, 502 and 504. "old configuration" knows all routes, keys and services instead of two routes, and counts a request from 2 s after the publication that it contradicts, also when further ones follow.

Spans record the end of a fault itself; the time for its detection is part of the checks.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -13,23 +13,32 @@
     InvalidResponseError,
 )
 from lacewingspar_router.http1.messages import ResponseEnd, ResponseHead
-from lacewingspar_standins.deployed.documents import request_bytes
+from lacewingspar_standins.bench.soak_configuration import (
+    CHANGING_KEY,
+    EXTRA_PATHS,
+    FLIP_PATHS,
+    SERVICES_BY_MOVING_PATH,
+)
+from lacewingspar_standins.deployed.documents import KEY, request_bytes
 
-# Weights of the paths. Each flip path exists in every other configuration.
 WEIGHT_BY_PATH = {
     "/stream/": 4,
     "/stream-once/": 2,
     "/read/": 4,
     "/write/": 4,
-    "/flip-0/": 1,
-    "/flip-1/": 1,
+    **dict.fromkeys(FLIP_PATHS, 1),
+    **dict.fromkeys(SERVICES_BY_MOVING_PATH, 2),
+    EXTRA_PATHS[-1]: 1,
 }
+# Fraction of the requests with the key that is not always valid.
+CHANGING_KEY_FRACTION = 0.05
 # Paths whose requests must not run twice.
 SINGLE_RUN_PATHS = frozenset({"/stream-once/", "/write/"})
 # Fraction of the requests whose caller disconnects before the response.
 DISCONNECT_FRACTION = 0.06
-# Upper limit of the time between two requests of a caller.
-MAX_REQUEST_GAP_SECONDS = 0.12
+# Upper limits of the time between two requests of a caller. Callers with a long
+# one find connections that a router is closing.
+MAX_REQUEST_GAPS_SECONDS = (0.12, 0.12, 0.12, 2.5)
 # Callers wait this long after the deadline of their request.
 DEADLINE_GRACE_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -42,6 +51,7 @@
     Attributes:
         request_id: Id of the request.
         path: Path of the request.
+        key: API key of the request.
         router_id: Router that it was sent to.
         sent_at: Time of sending in seconds of the event loop.
         deadline_seconds: Deadline of the request, relative to `sent_at`.
@@ -55,6 +65,7 @@
 
     request_id: str
     path: str
+    key: str
     router_id: str
     sent_at: float
     deadline_seconds: float
@@ -68,7 +79,7 @@
     @property
     def is_closed_early(self) -> bool:
         """Return whether the connection closed before the response ended."""
-        return not self.is_complete and self.disconnected_at == float("inf")
+        return not self.is_complete and self.ended_at < float("inf")
 
 
 class SoakCallers:
@@ -97,6 +108,9 @@
     async def _async_caller(self, number: int) -> None:
         generator = random.Random(self._seed * 1000 + number)
         router_ids = sorted(self._address_by_router_id)
+        max_gap = MAX_REQUEST_GAPS_SECONDS[
+            number % len(MAX_REQUEST_GAPS_SECONDS)
+        ]
         while True:
             router_id = generator.choice(router_ids)
             connection = await self._async_connect(router_id)
@@ -104,9 +118,12 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                while await self._async_call(connection, router_id, generator):
-                    request_gap = generator.uniform(0, MAX_REQUEST_GAP_SECONDS)
-                    await asyncio.sleep(request_gap)
+                is_open = True
+                while is_open:
+                    is_open = await self._async_call(
+                        connection, router_id, generator
+                    )
+                    await asyncio.sleep(generator.uniform(0, max_gap))
             finally:
                 connection.abort()
 
@@ -126,29 +143,13 @@
         generator: random.Random,
     ) -> bool:
         """Send a request and return whether the connection is reusable."""
-        loop = asyncio.get_running_loop()
-        path = generator.choices(
-            list(WEIGHT_BY_PATH), list(WEIGHT_BY_PATH.values())
-        )[0]
-        call = ObservedCall(
-            request_id=f"s{self._seed}-{next(self._numbers)}",
-            path=path,
-            router_id=router_id,
-            sent_at=loop.time(),
-            deadline_seconds=generator.choice((1.0, 2.0, 4.0)),
-        )
-        self.calls.append(call)
-        timeout_seconds = call.deadline_seconds + DEADLINE_GRACE_SECONDS
+        deadline_seconds = generator.choice((1.0, 2.0, 4.0))
+        timeout_seconds = deadline_seconds + DEADLINE_GRACE_SECONDS
         if generator.random() < DISCONNECT_FRACTION:
             timeout_seconds = generator.uniform(0.0, 0.05)
-        connection.send(
-            request_bytes(
-                call.path,
-                call.request_id,
-                round(call.deadline_seconds * 1000),
-                call.request_id.encode(),
-            )
-        )
+        call = self._new_call(router_id, deadline_seconds, generator)
+        connection.send(_encode(call))
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_seconds):
                 await _async_read(connection, call)
@@ -162,6 +163,36 @@
             return False
         return connection.complete_exchange()
 
+    def _new_call(
+        self,
+        router_id: str,
+        deadline_seconds: float,
+        generator: random.Random,
+    ) -> ObservedCall:
+        is_changing = generator.random() < CHANGING_KEY_FRACTION
+        call = ObservedCall(
+            request_id=f"s{self._seed}-{next(self._numbers)}",
+            path=generator.choices(
+                list(WEIGHT_BY_PATH), list(WEIGHT_BY_PATH.values())
+            )[0],
+            key=CHANGING_KEY if is_changing else KEY,
+            router_id=router_id,
+            sent_at=asyncio.get_running_loop().time(),
+            deadline_seconds=deadline_seconds,
+        )
+        self.calls.append(call)
+        return call
+
+
+def _encode(call: ObservedCall) -> bytes:
+    return request_bytes(
+        call.path,
+        call.request_id,
+        round(call.deadline_seconds * 1000),
+        call.request_id.encode(),
+        key=call.key,
+    )
+
 
 async def _async_read(connection: ClientConnection, call: ObservedCall) -> None:
     while True:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -2,13 +2,18 @@
 
 import math
 import re
-from dataclasses import dataclass
 
 from lacewingspar_standins.bench.soak_callers import (
     SINGLE_RUN_PATHS,
     ObservedCall,
 )
-from lacewingspar_standins.deployed.upstream import SEAL, Upstream
+from lacewingspar_standins.bench.soak_configuration import SoakConfiguration
+from lacewingspar_standins.bench.soak_observations import (
+    MAX_APPLY_SECONDS,
+    SoakObservations,
+)
+from lacewingspar_standins.deployed.documents import KEY
+from lacewingspar_standins.deployed.upstream import SEAL
 
 # Statuses that mean that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -16,8 +21,10 @@
 MAX_RESPONSE_DELAY_SECONDS = 0.5
 # Maximum time from a caller's disconnect until its request reaches an upstream.
 MAX_DISCONNECT_DELAY_SECONDS = 0.6
-# Maximum time until routers apply a new configuration.
-MAX_APPLY_SECONDS = 2.0
+# Failures that a router reports when it has not received a response.
+FAILURE_STATUSES = frozenset({500, 502, 504})
+# Statuses that a request gets because of the configuration.
+_DENIED_STATUSES = frozenset({401, 403, 404})
 # Maximum time for which a draining upstream still receives requests.
 MAX_DRAIN_DELAY_SECONDS = 2.0
 # A request sent less than this before its connection closed may be unread.
@@ -29,57 +36,6 @@
 _EVENT_NUMBER = re.compile(rb"data: event (\d+)\n\n")
 
 
-@dataclass(frozen=True, slots=True)
-class Span:
-    """Period in which a fault affected a part.
-
-    Attributes:
-        subject: Router or upstream by id, `store`, or `link` for each link.
-        kind: Kind of the fault.
-        start: Start in seconds of the event loop.
-        end: End, including the time that the fleet needs to detect it.
-    """
-
-    subject: str
-    kind: str
-    start: float
-    end: float
-
-    def overlaps(self, start: float, end: float) -> bool:
-        """Return whether the span overlaps a period."""
-        return self.start <= end and start <= self.end
-
-
-@dataclass(frozen=True, slots=True)
-class SoakObservations:
-    """Everything that was observed in a soak.
-
-    Attributes:
-        calls: Requests of the callers.
-        upstreams: Upstreams with the requests that they received.
-        spans: Periods of the injected faults.
-        route_changes: Time and route number of each configuration.
-        drains: Upstream, start and end of each drain.
-        faults_end_at: Time after which no fault was active.
-        events: Number of events in a complete stream.
-    """
-
-    calls: list[ObservedCall]
-    upstreams: list[Upstream]
-    spans: list[Span]
-    route_changes: list[tuple[float, int]]
-    drains: list[tuple[str, float, float]]
-    faults_end_at: float
-    events: int
-
-    def is_fault_free(self, start: float, end: float, *subjects: str) -> bool:
-        """Return whether no fault affected the subjects in a period."""
-        return not any(
-            span.subject in subjects and span.overlaps(start, end)
-            for span in self.spans
-        )
-
-
 def breaches(observations: SoakObservations) -> dict[str, list[str]]:
     """Describe violations by check, without the checks that passed."""
     found = {
@@ -88,20 +44,17 @@
         "false refusals": _false_refusals(observations),
         "late answers": _late_responses(observations),
         "sent after the caller left": _sent_after_disconnect(observations),
-        "old configuration": _old_configuration(observations),
+        "old configuration": _wrong_configuration(observations),
         "sent to a leaving upstream": _sent_while_draining(observations),
-        "cut by a shutdown": _aborted_by_shutdown(observations),
+        "lost": _lost_requests(observations),
+        "failed without a fault": _failed_requests(observations),
         "recovery": _recovery(observations),
     }
-    return {name: items[:MAX_SHOWN] for name, items in found.items() if items}
-
-
-def _runs(observations: SoakObservations) -> dict[str, int]:
-    runs: dict[str, int] = {}
-    for upstream in observations.upstreams:
-        for request_id, count in upstream.runs.items():
-            runs[request_id] = runs.get(request_id, 0) + count
-    return runs
+    return {
+        name: [f"{len(items)} in all", *items[:MAX_SHOWN]]
+        for name, items in found.items()
+        if items
+    }
 
 
 def _wrong_responses(observations: SoakObservations) -> list[str]:
@@ -135,13 +88,13 @@
     path_by_id = {call.request_id: call.path for call in observations.calls}
     return [
         f"{request_id}: {count} runs of {path_by_id.get(request_id)}"
-        for request_id, count in _runs(observations).items()
+        for request_id, count in observations.runs.items()
         if count > 1 and path_by_id.get(request_id) in SINGLE_RUN_PATHS
     ]
 
 
 def _false_refusals(observations: SoakObservations) -> list[str]:
-    runs = _runs(observations)
+    runs = observations.runs
     return [
         f"{call.request_id}: {call.status} for {call.path}, "
         f"{runs[call.request_id]} runs"
@@ -173,10 +126,9 @@
 def _sent_after_disconnect(observations: SoakObservations) -> list[str]:
     call_by_id = {call.request_id: call for call in observations.calls}
     found = []
-    for upstream in observations.upstreams:
-        for received in upstream.received:
-            request_id = received.value_by_header.get("x-attempt-id", "")
-            call = call_by_id.get(request_id)
+    for request_id, arrivals in observations.arrivals_by_id.items():
+        call = call_by_id.get(request_id)
+        for _, received in arrivals:
             if (
                 call is None
                 or received.at
@@ -193,40 +145,54 @@
     return found
 
 
-def _old_configuration(observations: SoakObservations) -> list[str]:
+def _wrong_configuration(observations: SoakObservations) -> list[str]:
+    """Describe outcomes that no configuration in force allows."""
     found = []
     for call in observations.calls:
-        if not call.path.startswith("/flip-") or call.status not in (200, 404):
+        if call.status != 200 and call.status not in _DENIED_STATUSES:
             continue
-        route_changes = [
-            item
-            for item in observations.route_changes
-            if item[0] <= call.ended_at
-        ]
-        since, number = route_changes[-1]
-        if len(route_changes) < 2 or call.sent_at < since + MAX_APPLY_SECONDS:
+        expected = {
+            _expected_service(item, call)
+            for item in observations.in_force(call.sent_at, call.ended_at)
+        }
+        outcomes = {
+            observations.service_by_upstream[name]
+            for name, _ in observations.arrivals_by_id.get(call.request_id, ())
+        }
+        if call.status != 200:
+            outcomes.add("")
+        if outcomes <= expected or not observations.is_fault_free(
+            call.sent_at - MAX_APPLY_SECONDS,
+            call.ended_at,
+            call.router_id,
+            "store",
+            "link",
+        ):
             continue
-        expected = 200 if call.path == f"/flip-{number}/" else 404
-        is_fault_free = observations.is_fault_free(
-            since, call.ended_at, call.router_id, "store", "link"
+        found.append(
+            f"{call.request_id}: {call.status} for {call.path} at "
+            f"{call.router_id} by {outcomes}, not {expected}"
         )
-        if call.status != expected and is_fault_free:
-            found.append(
-                f"{call.request_id}: {call.status} for {call.path} at "
-                f"{call.router_id}, {call.sent_at - since:.2f} s after"
-            )
     return found
 
 
+def _expected_service(
+    configuration: SoakConfiguration, call: ObservedCall
+) -> str:
+    """Return the service that must serve a request, or "" for none."""
+    if call.key not in configuration.keys:
+        return ""
+    return configuration.service_by_path.get(call.path, "")
+
+
 def _sent_while_draining(observations: SoakObservations) -> list[str]:
     found = []
-    upstream_by_id = {item.upstream_id: item for item in observations.upstreams}
     for upstream_id, started_at, ended_at in observations.drains:
         since = started_at + MAX_DRAIN_DELAY_SECONDS
         found += [
             f"{received.value_by_header.get('x-attempt-id')}: at {upstream_id}"
             f" {received.at - started_at:.2f} s after"
-            for received in upstream_by_id[upstream_id].received
+            for received in observations.upstream_by_id[upstream_id].received
             if since < received.at < ended_at
             and observations.is_fault_free(
                 started_at, received.at, "store", "link"
@@ -235,47 +201,71 @@
     return found
 
 
-def _aborted_by_shutdown(observations: SoakObservations) -> list[str]:
-    """Describe requests that a graceful shutdown aborted.
+def _lost_requests(observations: SoakObservations) -> list[str]:
+    """Describe requests whose connection ended without a whole response.
 
     A request sent while the router closed the connection may not have been read
     and does not count; its caller can retry it.
     """
-    forwarded_ids = {
-        received.value_by_header.get("x-attempt-id")
-        for upstream in observations.upstreams
-        for received in upstream.received
-    }
     found = []
-    for span in observations.spans:
-        if span.kind != "terminate":
-            continue
-        for call in observations.calls:
-            was_in_flight = (
-                call.router_id == span.subject
-                and call.is_closed_early
-                and span.start - 0.5 <= call.sent_at
-                and call.ended_at <= span.end
-                and (
-                    call.request_id in forwarded_ids
-                    or call.ended_at - call.sent_at > CLOSE_RACE_SECONDS
-                )
-            )
-            others = [item for item in observations.spans if item is not span]
-            if was_in_flight and not any(
-                item.overlaps(call.sent_at - 1.0, call.ended_at)
-                for item in others
-            ):
-                found.append(f"{call.request_id}: status {call.status}")
+    for call in observations.calls:
+        seconds = call.ended_at - call.sent_at
+        was_read = (
+            call.request_id in observations.arrivals_by_id
+            or seconds > CLOSE_RACE_SECONDS
+        )
+        if call.is_closed_early and was_read and _is_due(observations, call):
+            found.append(_describe(observations, call))
     return found
 
 
+def _failed_requests(observations: SoakObservations) -> list[str]:
+    """Describe requests that failed although nothing was at fault."""
+    return [
+        _describe(observations, call)
+        for call in observations.calls
+        if call.status in FAILURE_STATUSES
+        and call.is_complete
+        and _is_due(observations, call)
+    ]
+
+
+def _is_due(observations: SoakObservations, call: ObservedCall) -> bool:
+    """Return whether a request should have got a whole response."""
+    return (
+        call.ended_at - call.sent_at < observations.limit_seconds(call)
+        and observations.is_calm(call)
+        and not observations.is_cut_at_grace_end(call)
+    )
+
+
+def _describe(observations: SoakObservations, call: ObservedCall) -> str:
+    names = [
+        name for name, _ in observations.arrivals_by_id.get(call.request_id, ())
+    ]
+    work = sorted(
+        {
+            span.kind
+            for span in observations.spans
+            if span.overlaps(call.sent_at, call.ended_at)
+        }
+    )
+    return (
+        f"{call.request_id}: {call.status} for {call.path} at "
+        f"{call.router_id} after {call.ended_at - call.sent_at:.2f} s of "
+        f"{observations.limit_seconds(call)} s and {len(call.body)} bytes, "
+        f"sent to {names}, beside {work}"
+    )
+
+
 def _recovery(observations: SoakObservations) -> list[str]:
+    always_allowed = observations.publications[-1].configuration.service_by_path
     calls = [
         call
         for call in observations.calls
         if call.sent_at > observations.faults_end_at
-        and not call.path.startswith("/flip-")
+        and call.path in always_allowed
+        and call.key == KEY
         and call.disconnected_at == math.inf
         and call.ended_at < math.inf
     ]
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -4,15 +4,14 @@
 import itertools
 import time
 from contextlib import AsyncExitStack
-from typing import Any
 
 import msgspec
 
-from lacewingspar_standins.deployed.documents import (
-    manifest,
-    route,
-    upstream_entry,
+from lacewingspar_standins.bench.soak_configuration import (
+    SoakConfiguration,
+    first_configuration,
 )
+from lacewingspar_standins.deployed.documents import upstream_entry
 from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
 from lacewingspar_standins.deployed.upstream import Upstream
 from lacewingspar_standins.fleet import Fleet
@@ -29,6 +28,10 @@
     "p1": "plain",
     "p2": "plain",
     "p3": "plain",
+    "f1": "spare-engines",
+    "f2": "spare-engines",
+    "q1": "spare",
+    "q2": "spare",
 }
 EVENTS = 8
 EVENT_SECONDS = 0.01
@@ -38,8 +41,9 @@
 EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
 READY_SECONDS = 30.0
 HISTORY_RECORDS = 400
-# Exceeds the deadlines of all callers.
-ROUTE_LIMIT_MS = 5000
+# An upstream that leaves checks this often whether its last request has ended.
+LEAVE_CHECK_SECONDS = 0.01
+LEAVE_CHECKS = 800
 
 
 class SoakFleet:
@@ -47,10 +51,14 @@
 
     Attributes:
         store: The store, in this process.
-        upstream_by_id: The upstreams, in this process.
+        upstream_by_id: The upstreams, in this process, also those that left.
+        service_by_upstream: Services of the upstreams.
+        present: Upstreams that have not left.
+        configuration: The newest configuration.
         link_by_name: Links: `store/ROUTER`, `peer/ROUTER`, `upstream/ID`.
         plan_by_id: Names and addresses of the routers.
         router_by_id: The latest process of each router.
+        starting: Routers that start and are not ready yet.
         draining: Upstreams that announce the state `draining`.
 
     Args:
@@ -66,14 +74,15 @@
         self._stack = stack
         self._routers = routers
         self.store = PlatformStore(StoreFaults())
-        self.upstream_by_id = {
-            name: Upstream(name, EVENTS, EVENT_SECONDS)
-            for name in SERVICE_BY_UPSTREAM
-        }
+        self.upstream_by_id: dict[str, Upstream] = {}
+        self.service_by_upstream: dict[str, str] = {}
+        self.present: set[str] = set()
+        self.configuration = first_configuration()
         self.link_by_name: dict[str, Link] = {}
         self.plan_by_id: dict[str, RouterPlan] = {}
         self.router_by_id: dict[str, RouterProcess] = {}
         self.draining: set[str] = set()
+        self.starting: set[str] = set()
         self._address_by_link: dict[str, str] = {}
         self._started_ms_by_upstream: dict[str, int] = {}
         self._down: set[str] = set()
@@ -85,13 +94,9 @@
         store_address = await self._stack.enter_async_context(
             running(self.store)
         )
-        self.publish(0)
-        for name, upstream in self.upstream_by_id.items():
-            await upstream.async_start()
-            self._stack.push_async_callback(upstream.async_stop)
-            await self._async_link(f"upstream/{name}", upstream.address)
-            self._started_ms_by_upstream[name] = int(time.time() * 1000)
-            self.write_entry(name)
+        self.publish(self.configuration)
+        for name, service in SERVICE_BY_UPSTREAM.items():
+            await self.async_add_upstream(name, service)
         for number in range(self._routers):
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             plan = self._fleet.plan_router(f"r{number}", data_centre)
@@ -103,8 +108,48 @@
         for router_id in self.plan_by_id:
             await self.async_wait_ready(router_id)
 
+    async def async_add_upstream(self, name: str, service: str) -> None:
+        """Start an upstream and write its entry."""
+        upstream = self.upstream_by_id[name] = Upstream(
+            name, EVENTS, EVENT_SECONDS
+        )
+        self.service_by_upstream[name] = service
+        self.present.add(name)
+        await upstream.async_start()
+        self._stack.push_async_callback(upstream.async_stop)
+        await self._async_link(f"upstream/{name}", upstream.address)
+        self._started_ms_by_upstream[name] = int(time.time() * 1000)
+        self.write_entry(name)
+
+    async def async_remove_upstream(self, name: str) -> None:
+        """End an upstream after its last request."""
+        upstream = self.upstream_by_id[name]
+        for _ in range(LEAVE_CHECKS):
+            if not upstream.running:
+                break
+            await asyncio.sleep(LEAVE_CHECK_SECONDS)
+        upstream.crash()
+        self.remove_entry(name)
+        self.present.discard(name)
+        del self.link_by_name[f"upstream/{name}"]
+
+    async def async_restart_router(self, router_id: str) -> None:
+        """Start a router that has ended and wait until it is ready."""
+        await self.async_start_router(router_id)
+        await self.async_wait_ready(router_id)
+
+    def reload_settings(self, router_id: str, log_level: str) -> None:
+        """Change the settings file of a router and tell the router."""
+        file = self._fleet.folder / f"{router_id}.json"
+        settings = msgspec.json.decode(file.read_bytes())
+        file.write_bytes(
+            msgspec.json.encode(settings | {"log_level": log_level})
+        )
+        self.router_by_id[router_id].hang_up()
+
     async def async_start_router(self, router_id: str) -> None:
         """Start a router, or restart it after it has ended."""
+        self.starting.add(router_id)
         plan = self.plan_by_id[router_id]
         store = self._address_by_link[f"store/{router_id}"]
         seeds = [
@@ -140,14 +185,14 @@
         await self.router_by_id[router_id].wait_ready(
             self.plan_by_id[router_id].admin_address, READY_SECONDS, "/readyz"
         )
+        self.starting.discard(router_id)
 
     async def async_renew_entries(self) -> None:
         """Renew the entries of the upstreams until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            for name in self.upstream_by_id:
-                if name not in self._down:
-                    self.write_entry(name)
+            for name in sorted(self.present - self._down):
+                self.write_entry(name)
             topic = self.store.topic("keyed.servers")
             if len(topic.records) > HISTORY_RECORDS:
                 topic.compact()
@@ -155,10 +200,10 @@
     def write_entry(self, upstream_id: str) -> None:
         """Write the entry of an upstream."""
         entry = upstream_entry(
-            SERVICE_BY_UPSTREAM[upstream_id],
+            self.service_by_upstream[upstream_id],
             self._address_by_link[f"upstream/{upstream_id}"],
             next(self._sequences),
-            zone=DATA_CENTRES[int(upstream_id[1:]) - 1],
+            zone=DATA_CENTRES[int(upstream_id[1:]) % len(DATA_CENTRES) - 1],
             state="draining" if upstream_id in self.draining else "ready",
             born=self._started_ms_by_upstream[upstream_id],
         )
@@ -166,6 +211,11 @@
             upstream_id, msgspec.json.encode(entry)
         )
 
+    def remove_entry(self, name: str) -> None:
+        """Remove the entry of an upstream, which is not renewed again."""
+        self._down.add(name)
+        self.store.topic("keyed.servers").append(name, b"")
+
     async def async_crash_upstream(self, name: str, seconds: float) -> None:
         """Crash an upstream and restart it."""
         upstream = self.upstream_by_id[name]
@@ -174,7 +224,7 @@
         upstream.crash()
         if seconds > EXPIRY_SECONDS:
             await asyncio.sleep(EXPIRY_SECONDS)
-            self.store.topic("keyed.servers").append(name, b"")
+            self.remove_entry(name)
             seconds -= EXPIRY_SECONDS
         await asyncio.sleep(seconds)
         await upstream.async_start(port=int(port))
@@ -182,9 +232,10 @@
         self._down.discard(name)
         self.write_entry(name)
 
-    def publish(self, number: int) -> None:
-        """Publish a configuration with one of the flip routes."""
-        data = msgspec.json.encode(_configuration(next(self._version), number))
+    def publish(self, configuration: SoakConfiguration) -> None:
+        """Publish a configuration."""
+        self.configuration = configuration
+        data = msgspec.json.encode(configuration.document(next(self._version)))
         self.store.topic("keyed.op").append("config", data)
 
     async def _async_link(self, name: str, target: str) -> None:
@@ -193,20 +244,3 @@
         self._address_by_link[name] = await self._stack.enter_async_context(
             link.listening("127.0.0.1", 0)
         )
-
-
-def _configuration(version: int, number: int) -> dict[str, Any]:
-    return manifest(
-        version,
-        routes=[
-            _route("/stream/", "streaming", "engines", resumable=True),
-            _route("/stream-once/", "streaming", "engines"),
-            _route("/read/", "idempotent", "plain"),
-            _route("/write/", "non_idempotent", "plain"),
-            _route(f"/flip-{number}/", "idempotent", "plain"),
-        ],
-    )
-
-
-def _route(prefix: str, kind: str, service: str, **changes: Any) -> Any:
-    return route(prefix, kind, service, timeoutMs=ROUTE_LIMIT_MS, **changes)
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -0,0 +1,123 @@
+"""Planned work in the fault soak, which must not lose or fail requests."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from lacewingspar_standins.bench.soak_configuration import (
+    changed_configuration,
+)
+from lacewingspar_standins.bench.soak_fleet import (
+    STOP_GRACE_SECONDS,
+)
+from lacewingspar_standins.bench.soak_state import Soak
+
+PlannedWork = Callable[[Soak, random.Random], Coroutine[Any, Any, None]]
+
+# Time that an upstream serves after it has announced that it leaves.
+MIN_LEAVE_SECONDS = 2.0
+_NUMBERS = itertools.count(10)
+
+
+async def _async_change_configuration(
+    soak: Soak, generator: random.Random
+) -> None:
+    for _ in range(generator.choice((1, 1, 4, 12))):
+        soak.publish(changed_configuration(soak.fleet.configuration, generator))
+        await asyncio.sleep(generator.uniform(0.0, 0.3))
+
+
+async def _async_reload_settings(soak: Soak, generator: random.Random) -> None:
+    """Change the settings of routers, also of those that are stopping."""
+    for _ in range(generator.choice((1, 3, 6))):
+        started = set(soak.fleet.plan_by_id) - soak.fleet.starting
+        if started:
+            router_id = generator.choice(sorted(started))
+            log_level = generator.choice(("debug", "info"))
+            soak.fleet.reload_settings(router_id, log_level)
+        await asyncio.sleep(generator.uniform(0.0, 0.5))
+
+
+async def _async_stop_one(soak: Soak, generator: random.Random) -> None:
+    free = soak.unaffected(soak.fleet.plan_by_id)
+    if len(free) > 1:
+        await _async_stop_and_restart(soak, generator.choice(free))
+
+
+async def _async_stop_in_turn(soak: Soak, generator: random.Random) -> None:
+    """Stop all routers in turn, the next before the last one has returned."""
+    pause_seconds = generator.uniform(0.3, 3.0)
+    order = sorted(soak.fleet.plan_by_id)
+    generator.shuffle(order)
+    async with asyncio.TaskGroup() as group:
+        for router_id in order:
+            free = soak.unaffected(order)
+            if len(free) > 1 and router_id in free:
+                group.create_task(_async_stop_and_restart(soak, router_id))
+            await asyncio.sleep(pause_seconds)
+
+
+async def _async_stop_and_restart(soak: Soak, router_id: str) -> None:
+    with soak.affecting(router_id, "terminate"):
+        await soak.fleet.router_by_id[router_id].end(STOP_GRACE_SECONDS)
+        await soak.fleet.async_restart_router(router_id)
+
+
+async def _async_drain_upstream(soak: Soak, generator: random.Random) -> None:
+    """Let an upstream announce that it leaves, and change its mind."""
+    free = soak.unaffected(soak.fleet.present)
+    if len(free) < 2:
+        return
+    name = generator.choice(free)
+    with soak.affecting(name, "drain"):
+        since = soak.now
+        soak.fleet.draining.add(name)
+        soak.fleet.write_entry(name)
+        await asyncio.sleep(generator.uniform(1.0, 4.0))
+        soak.fleet.draining.discard(name)
+        soak.drains.append((name, since, soak.now))
+        soak.fleet.write_entry(name)
+
+
+async def _async_replace_upstreams(
+    soak: Soak, generator: random.Random
+) -> None:
+    """Replace upstreams of a service; the old ones leave after the new start.
+
+    Some upstreams leave without announcing it before their entry is removed.
+    """
+    service_by_upstream = soak.fleet.service_by_upstream
+    service = generator.choice(sorted(set(service_by_upstream.values())))
+    names = [
+        name
+        for name in soak.unaffected(soak.fleet.present)
+        if service_by_upstream[name] == service
+    ]
+    for old in names[: generator.choice((1, 1, 3))]:
+        if old not in soak.unaffected(soak.fleet.present):
+            continue
+        new = f"{old[0]}{next(_NUMBERS)}"
+        with soak.affecting(old, "replace"):
+            await soak.fleet.async_add_upstream(new, service)
+            await asyncio.sleep(generator.uniform(0.2, 1.0))
+            since = soak.now
+            if generator.random() < 0.5:
+                soak.fleet.remove_entry(old)
+            else:
+                soak.fleet.draining.add(old)
+                soak.fleet.write_entry(old)
+            await asyncio.sleep(MIN_LEAVE_SECONDS + generator.uniform(0.2, 1.5))
+            await soak.fleet.async_remove_upstream(old)
+            soak.drains.append((old, since, soak.now))
+
+
+WEIGHT_BY_PLANNED_WORK: dict[PlannedWork, int] = {
+    _async_change_configuration: 4,
+    _async_reload_settings: 2,
+    _async_stop_one: 2,
+    _async_stop_in_turn: 2,
+    _async_drain_upstream: 2,
+    _async_replace_upstreams: 3,
+}
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -122,9 +122,11 @@
         value_by_header: Values by header name in lower case.
         body: Whole body.
         at: Time of arrival on the clock of the event loop, in seconds.
+        ended_at: Time at which the upstream stopped working on it.
     """
 
     at: float = 0.0
+    ended_at: float = float("inf")
     method: str = ""
     target: str = ""
     value_by_header: dict[str, str] = field(default_factory=dict)
@@ -270,6 +272,7 @@
             else:
                 self._respond_plain(request)
         finally:
+            request.ended_at = asyncio.get_running_loop().time()
             self._upstream.running -= 1
 
     async def _async_respond_endlessly(self, request: ReceivedRequest) -> None:
--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -49,6 +49,10 @@
         """Ask the process to shut down."""
         self._send_signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell the process that its settings file has changed."""
+        self._send_signal(signal.SIGHUP)
+
     def stop(self) -> None:
         """Suspend the process."""
         self._send_signal(signal.SIGSTOP)
--- /dev/null
+++ b/tests/standins/test_soak_checks.py
@@ -0,0 +1,172 @@
+"""Test what the checks of the fault soak report and what they excuse."""
+
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from lacewingspar_standins.bench.soak_callers import ObservedCall
+from lacewingspar_standins.bench.soak_checks import breaches
+from lacewingspar_standins.bench.soak_configuration import (
+    CHANGING_KEY,
+    SoakConfiguration,
+    first_configuration,
+)
+from lacewingspar_standins.bench.soak_observations import (
+    Publication,
+    SoakObservations,
+    Span,
+)
+from lacewingspar_standins.deployed.documents import KEY
+from lacewingspar_standins.deployed.upstream import (
+    SEAL,
+    ReceivedRequest,
+    Upstream,
+)
+
+# Each request is sent at this time of the event loop.
+SENT_AT = 100.0
+ID = "s1-1"
+STOP = Span("r0", "terminate", SENT_AT - 1.0, SENT_AT + 6.0)
+
+
+def call(
+    path: str = "/read/", seconds: float = 0.5, **changes: object
+) -> ObservedCall:
+    observed = ObservedCall(
+        ID, path, KEY, "r0", SENT_AT, 4.0, ended_at=SENT_AT + seconds
+    )
+    for name, value in changes.items():
+        setattr(observed, name, value)
+    return observed
+
+
+def configuration(**service_by_path: str) -> SoakConfiguration:
+    first = first_configuration()
+    changes = {f"/{name}/": value for name, value in service_by_path.items()}
+    return replace(first, service_by_path={**first.service_by_path, **changes})
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """What was observed and the checks that must report it.
+
+    Attributes:
+        call: The request.
+        found: Checks that report the request.
+        spans: Faults and planned work.
+        service: Service of the upstream that received the request, or "".
+        worked_seconds: Time for which the upstream worked on it.
+        changes: Later configurations by time of publication.
+    """
+
+    call: ObservedCall
+    found: tuple[str, ...] = ()
+    spans: tuple[Span, ...] = ()
+    service: str = ""
+    worked_seconds: float = 0.1
+    changes: dict[float, SoakConfiguration] = field(default_factory=dict)
+
+
+def crash(ended_before: float) -> Span:
+    return Span("e1", "crash", SENT_AT - 20.0, SENT_AT - ended_before)
+
+
+def answered(path: str, **changes: object) -> ObservedCall:
+    headers = {"x-server-seal": SEAL, "x-attempt-id": ID}
+    body = b"answer of u1"
+    answer = {"headers": headers, "body": body, "is_complete": True}
+    return call(path, status=200, **answer, **changes)
+
+
+def denied(status: int, path: str = "/read/", **changes: object) -> Case:
+    observed = call(path, status=status, is_complete=True, **changes)
+    return Case(observed, ("old configuration",))
+
+
+FAILED = call(status=502, is_complete=True)
+CASE_BY_NAME = {
+    "cut": Case(call(), ("lost",)),
+    "cut beside a stop": Case(call(), ("lost",), (STOP,)),
+    "cut in the response": Case(call(status=200), ("answers", "lost")),
+    "cut long after a fault": Case(call(), ("lost",), (crash(3.1),)),
+    "cut after a fault": Case(call(), (), (crash(2.9),)),
+    "cut beside a fault of another part": Case(
+        call(), (), (Span("link", "cut", SENT_AT, SENT_AT + 1.0),)
+    ),
+    "cut at the deadline": Case(call(seconds=4.0)),
+    "closed before it was read": Case(call(seconds=0.1)),
+    "sent and closed": Case(call(seconds=0.1), ("lost",), service="plain"),
+    "cut while its upstream worked at the end of the grace": Case(
+        call(seconds=2.5), (), (STOP,), "plain", worked_seconds=2.4
+    ),
+    "cut before the end of the grace": Case(
+        call(seconds=2.2), ("lost",), (STOP,), "plain", worked_seconds=2.2
+    ),
+    "cut though sent long after the signal": Case(
+        call(seconds=0.5),
+        ("lost",),
+        (replace(STOP, start=SENT_AT - 3.1),),
+        "plain",
+        worked_seconds=0.5,
+    ),
+    "failed": Case(FAILED, ("failed without a fault",)),
+    "failed beside a fault": Case(FAILED, (), (crash(0.0),)),
+    "known route denied": denied(404),
+    "known key denied": denied(401),
+    "unknown route denied": replace(denied(404, "/flip-1/"), found=()),
+    "unknown key denied": replace(denied(401, key=CHANGING_KEY), found=()),
+    "served by its service": Case(answered("/moved/"), service="plain"),
+    "served by the old service in time": Case(
+        answered("/moved/"),
+        service="plain",
+        changes={SENT_AT - 1.9: configuration(moved="spare")},
+    ),
+    "served by the old service": Case(
+        answered("/moved/"),
+        ("old configuration",),
+        service="plain",
+        changes={SENT_AT - 2.1: configuration(moved="spare")},
+    ),
+    "served by the service of an earlier of two changes": Case(
+        answered("/moved/"),
+        service="spare",
+        changes={
+            SENT_AT - 2.1: configuration(moved="spare"),
+            SENT_AT - 0.1: configuration(moved="plain"),
+        },
+    ),
+}
+
+
+def observations(case: Case) -> SoakObservations:
+    upstream = Upstream("u1")
+    if case.service:
+        upstream.received.append(
+            ReceivedRequest(
+                at=SENT_AT + 0.01,
+                ended_at=SENT_AT + case.worked_seconds,
+                value_by_header={"x-attempt-id": ID},
+            )
+        )
+    first = Publication(0.0, first_configuration())
+    later = [Publication(at, item) for at, item in case.changes.items()]
+    recovered = answered(
+        "/read/", seconds=101.5, sent_at=SENT_AT + 101.0, request_id="s1-2"
+    )
+    recovered.headers = {**recovered.headers, "x-attempt-id": "s1-2"}
+    return SoakObservations(
+        calls=[case.call, recovered],
+        upstream_by_id={"u1": upstream},
+        service_by_upstream={"u1": case.service},
+        spans=list(case.spans),
+        publications=[first, *later],
+        drains=[],
+        faults_end_at=SENT_AT + 100.0,
+        events=8,
+        grace_seconds=4.0,
+    )
+
+
+@pytest.mark.parametrize("case", CASE_BY_NAME.values(), ids=CASE_BY_NAME)
+def test_checks_report_what_is_not_excused(case: Case) -> None:
+    assert set(breaches(observations(case))) == set(case.found)
