Let upstreams of the soak fall silent and slow down

Sound upstreams, several at once and beside planned work, pause once in each run for 0.5 to 1.6 s, before the response or between events, or take up to 0.3 s for each event. The checks don't excuse anything by it.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -19,8 +19,9 @@
 # last part of the grace, unless it was sent later than this after the signal.
 LAST_GRACE_FRACTION = 1 / 6
 MAX_SENT_AFTER_SIGNAL_SECONDS = 3.0
-# Planned work is no reason to lose a request.
-PLANNED_KINDS = frozenset({"terminate", "drain", "replace"})
+# Planned work and sound upstreams that fall silent or slow down, which are no
+# reason to lose a request.
+PLANNED_KINDS = frozenset({"terminate", "drain", "replace", "silence", "slow"})
 # Maximum time until routers apply a new configuration.
 MAX_APPLY_SECONDS = 2.0
 
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -1,15 +1,22 @@
-"""Planned work in the fault soak, which must not lose or fail requests."""
+"""Planned work in the fault soak, and upstreams that fall silent.
+
+None of it is a fault: requests must not be lost or fail because of it.
+"""
 
 import asyncio
 import itertools
 import random
 from collections.abc import Callable, Coroutine
+from contextlib import ExitStack
 from typing import Any
 
 from lacewingspar_standins.bench.soak_configuration import (
     changed_configuration,
 )
+from lacewingspar_standins.bench.soak_faults import active_fault
 from lacewingspar_standins.bench.soak_fleet import (
+    EVENT_SECONDS,
+    EVENTS,
     STOP_GRACE_SECONDS,
 )
 from lacewingspar_standins.bench.soak_state import Soak
@@ -18,6 +25,12 @@
 
 # Time that an upstream serves after it has announced that it leaves.
 MIN_LEAVE_SECONDS = 2.0
+# Silence that upstreams may keep in the middle of a request.
+MIN_SILENCE_SECONDS = 0.5
+MAX_SILENCE_SECONDS = 1.6
+# Longest time per event of an upstream that works slowly; on time for the gap
+# target of the routes.
+MAX_EVENT_SECONDS = 0.3
 _NUMBERS = itertools.count(10)
 
 
@@ -113,6 +126,44 @@
             soak.drains.append((old, since, soak.now))
 
 
+async def _async_silence(soak: Soak, generator: random.Random) -> None:
+    """Let upstreams fall silent once in each request and go on."""
+    free = soak.unaffected(soak.fleet.present)
+    generator.shuffle(free)
+    with ExitStack() as stack:
+        for name in free[: generator.choice((1, 2, len(free)))]:
+            faults = soak.fleet.upstream_by_id[name].faults
+            seconds = generator.uniform(
+                MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS
+            )
+            after_events = generator.choice((0, 1, EVENTS // 2, EVENTS - 1))
+            stack.enter_context(soak.affecting(name, "silence"))
+            stack.enter_context(
+                active_fault(faults, ("pause_seconds", seconds))
+            )
+            stack.enter_context(
+                active_fault(faults, ("pause_after_events", after_events))
+            )
+        await asyncio.sleep(generator.uniform(0.5, 3.0))
+
+
+async def _async_slow_down(soak: Soak, generator: random.Random) -> None:
+    """Let upstreams work slowly, so that streams last for seconds."""
+    free = soak.unaffected(soak.fleet.present)
+    generator.shuffle(free)
+    with ExitStack() as stack:
+        for name in free[: generator.choice((1, 2, len(free)))]:
+            upstream = soak.fleet.upstream_by_id[name]
+            stack.enter_context(soak.affecting(name, "slow"))
+            stack.callback(
+                setattr, upstream, "response_delay_seconds", EVENT_SECONDS
+            )
+            upstream.response_delay_seconds = generator.uniform(
+                0.05, MAX_EVENT_SECONDS
+            )
+        await asyncio.sleep(generator.uniform(1.0, 6.0))
+
+
 WEIGHT_BY_PLANNED_WORK: dict[PlannedWork, int] = {
     _async_change_configuration: 4,
     _async_reload_settings: 2,
@@ -120,4 +171,6 @@
     _async_stop_in_turn: 2,
     _async_drain_upstream: 2,
     _async_replace_upstreams: 3,
+    _async_silence: 4,
+    _async_slow_down: 2,
 }
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -87,6 +87,9 @@
 CASE_BY_NAME = {
     "cut": Case(call(), ("lost",)),
     "cut beside a stop": Case(call(), ("lost",), (STOP,)),
+    "cut beside silence": Case(
+        call(), ("lost",), (Span("e1", "silence", 0.0, 200.0),)
+    ),
     "cut in the response": Case(call(status=200), ("answers", "lost")),
     "cut long after a fault": Case(call(), ("lost",), (crash(3.1),)),
     "cut after a fault": Case(call(), (), (crash(2.9),)),
