--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -83,6 +83,7 @@
     return Case(observed, ("old configuration",))
 
 
+CUT_BEHIND_CUT = call(previous=call())
 FAILED = call(status=502, is_complete=True)
 CASE_BY_NAME = {
     "cut": Case(call(), ("lost",)),
@@ -97,6 +98,7 @@
         call(), (), (Span("link", "cut", SENT_AT, SENT_AT + 1.0),)
     ),
     "cut at the deadline": Case(call(seconds=4.0)),
+    "cut behind another cut": Case(CUT_BEHIND_CUT),
     "closed before it was read": Case(call(seconds=0.1)),
     "sent and closed": Case(call(seconds=0.1), ("lost",), service="plain"),
     "cut while its upstream worked at the end of the grace": Case(
