Let requests of the soak wait for a slot

Engines of the soak have four slots instead of eight and are silent for up to 6 s in place of 3 s, so that requests wait in queues while the configuration, the upstreams and the routers change.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
@@ -34,6 +34,8 @@
     "/moved-stream/": "streaming",
     "/write/": "non_idempotent",
 }
+# Few, so that requests wait while upstreams are slow or silent.
+ENGINE_SLOTS = 4
 # Exceeds the deadlines of all callers, or is below that of some.
 _TIMEOUTS_MS = (5000, 3000)
 
@@ -59,7 +61,7 @@
     def document(self, version: int) -> dict[str, Any]:
         """Return the document to publish."""
         default = manifest()
-        engine = default["services"][0]["engine"]
+        engine = default["services"][0]["engine"] | {"slots": ENGINE_SLOTS}
         return default | {
             "version": version,
             "routes": [
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lacewingspar_standins.bench.soak_configuration import (
+    ENGINE_SLOTS,
     SoakConfiguration,
     first_configuration,
 )
@@ -203,6 +204,7 @@
             self.service_by_upstream[upstream_id],
             self._address_by_link[f"upstream/{upstream_id}"],
             next(self._sequences),
+            slots=ENGINE_SLOTS,
             zone=DATA_CENTRES[int(upstream_id[1:]) % len(DATA_CENTRES) - 1],
             state="draining" if upstream_id in self.draining else "ready",
             born=self._started_ms_by_upstream[upstream_id],
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -144,7 +144,7 @@
             stack.enter_context(
                 active_fault(faults, ("pause_after_events", after_events))
             )
-        await asyncio.sleep(generator.uniform(0.5, 3.0))
+        await asyncio.sleep(generator.uniform(1.0, 6.0))
 
 
 async def _async_slow_down(soak: Soak, generator: random.Random) -> None:
