--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -41,6 +41,7 @@
 # Upper limits of the time between two requests of a caller. Callers with a long
 # one find connections that a router is closing.
 MAX_REQUEST_GAPS_SECONDS = (0.12, 0.12, 0.12, 2.5)
+DEADLINES_SECONDS = (1.0, 2.0, 4.0, 8.0)
 # Callers wait this long after the deadline of their request.
 DEADLINE_GRACE_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -154,7 +155,7 @@
         generator: random.Random,
     ) -> bool:
         """Send requests and return whether the connection is reusable."""
-        deadline_seconds = generator.choice((1.0, 2.0, 4.0))
+        deadline_seconds = generator.choice(DEADLINES_SECONDS)
         timeout_seconds = deadline_seconds + DEADLINE_GRACE_SECONDS
         if generator.random() < DISCONNECT_FRACTION:
             timeout_seconds = generator.uniform(0.0, 0.05)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
@@ -36,8 +36,8 @@
 }
 # Few, so that requests wait while upstreams are slow or silent.
 ENGINE_SLOTS = 4
-# Exceeds the deadlines of all callers, or is below that of some.
-_TIMEOUTS_MS = (5000, 3000)
+# At least as long as any caller waits, or shorter than some callers wait.
+_TIMEOUTS_MS = (8000, 3000)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -44,7 +44,7 @@
 HISTORY_RECORDS = 400
 # An upstream that leaves checks this often whether its last request has ended.
 LEAVE_CHECK_SECONDS = 0.01
-LEAVE_CHECKS = 800
+LEAVE_CHECKS = 1000
 
 
 class SoakFleet:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -28,9 +28,9 @@
 # Silence that upstreams may keep in the middle of a request.
 MIN_SILENCE_SECONDS = 0.5
 MAX_SILENCE_SECONDS = 1.6
-# Longest time per event of an upstream that works slowly; on time for the gap
-# target of the routes.
-MAX_EVENT_SECONDS = 0.3
+# Longest time per event of an upstream that works slowly. A stream then lasts
+# longer than the grace of a router that stops.
+MAX_EVENT_SECONDS = 0.6
 _NUMBERS = itertools.count(10)
 
 
