Say that a failed request may have run when it gets no repeat

Cause: the refusal of the repeat was sent as it came from the pool or the quarantine, which know nothing of the run before. It is 502 now, with the same Retry-After.

Ruled out: requests that may not run twice are not repeated after a failure.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -207,8 +207,9 @@
         exchange = progress.caller_response.exchange
         request_fingerprint = self._crash_guard.fingerprint_of(call)
         while True:
-            self._crash_guard.check(call, request_fingerprint)
-            grant = await switch.async_next_grant()
+            grant = await self._async_next_grant(
+                progress, request_fingerprint, switch
+            )
             end = await self._async_attempt(
                 progress, grant, request_fingerprint, switch
             )
@@ -228,6 +229,25 @@
                 end.result, may_have_run=history.may_have_run
             )
 
+    async def _async_next_grant(
+        self,
+        progress: CallProgress,
+        request_fingerprint: str,
+        switch: UpstreamSwitch,
+    ) -> Grant:
+        """Return the grant for the next attempt.
+
+        Raises:
+            RequestRefusedError: No upstream may be used.
+        """
+        try:
+            self._crash_guard.check(progress.call, request_fingerprint)
+            return await switch.async_next_grant()
+        except RequestRefusedError as error:
+            if progress.history.may_have_run:
+                raise refusals.repeat_refused(error) from error
+            raise
+
     async def _async_attempt(
         self,
         progress: CallProgress,
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -123,6 +123,21 @@
     )
 
 
+def repeat_refused(refusal: RequestRefusedError) -> RequestRefusedError:
+    """Return the error for a request that has failed and gets no repeat.
+
+    Args:
+        refusal: Why it is not sent again.
+    """
+    return RequestRefusedError(
+        502,
+        refusal.code,
+        f"the upstream failed; {refusal.message}",
+        retry_after_seconds=refusal.retry_after_seconds,
+        run=RunState.UNKNOWN,
+    )
+
+
 def stopping() -> RequestRefusedError:
     """Return the refusal of a router that is shutting down."""
     return RequestRefusedError(
--- a/tests/router/deployed/test_failure_after_run.py
+++ b/tests/router/deployed/test_failure_after_run.py
@@ -4,7 +4,6 @@
 from tests.router.deployed.conftest import Deployment, manifest
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 3; issue 29")
 @pytest.mark.parametrize(
     ("path", "service", "faults"),
     [
