Refuse a handed-over request that a newer configuration has accepted

What callers saw: beside a change of the configuration, 404 for an added route and 401 for an added key, though the router they were connected to had the change already.

Cause: a router that lacks processor time hands requests over to a neighbour, which checks them against its own configuration. A neighbour one version behind refuses what the first router has accepted, and the first router relays that.

Change: the hand-over names the version with which the request was accepted. A router with an older one refuses as one that others can replace, so the first router serves the request. A newer neighbour is not refused: what it no longer allows, a version in force forbids.

Before: added route 404, added key 401 (2 of 2 cases of the new test fail); after: both 200.

Not shown: that users met this; they report a request without any answer. A neighbour that is unaware of the header, of an older release, behaves as before.

--- a/packages/router/src/lacewingspar_router/components/forwarding/acceptance.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/acceptance.py
@@ -48,6 +48,8 @@
             raise refusals.not_ready()
         if not self.accepts_requests:
             raise refusals.stopping()
+        if (metadata.min_configuration_version or 0) > configuration.version:
+            raise refusals.outdated()
         if not request.target.startswith("/"):
             raise refusals.bad_target()
         route = self._routing.table.match(metadata.host, request.path)
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -192,7 +192,7 @@
             waited = self._app.now() - call.arrived_at
             connection.send(
                 self._wire_format.encode_handed_over_request(
-                    call.request, waited
+                    call.request, waited, call.configuration_version
                 )
             )
             head = await async_read_head(connection)
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -53,6 +53,8 @@
         handed_over_after_seconds: Time between the arrival of the request at
             another router and its hand-over to this one, or None if it came
             from the caller.
+        min_configuration_version: Version of the configuration with which the
+            router that handed the request over has accepted it, or None.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     output_tokens: int
     last_event_id: int | None
     handed_over_after_seconds: float | None = None
+    min_configuration_version: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,13 +143,18 @@
         """
 
     def encode_handed_over_request(
-        self, request: HttpRequest, waited_seconds: float
+        self,
+        request: HttpRequest,
+        waited_seconds: float,
+        configuration_version: int,
     ) -> bytes:
         """Encode a request for the hand-over to another router.
 
         Args:
             request: The request.
             waited_seconds: Time since the request arrived.
+            configuration_version: Version of the configuration with which the
+                request was accepted.
         """
 
     def encode_upstream_request(
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -11,8 +11,14 @@
 _NOT_READY = "not_ready"
 _ROUTER_OVERLOADED = "router_overloaded"
 _STOPPING = "stopping"
+_OUTDATED = "outdated"
 # Codes of refusals after which another router can serve the request.
-_ROUTER_REFUSAL_CODES = (_NOT_READY, _ROUTER_OVERLOADED, _STOPPING)
+_ROUTER_REFUSAL_CODES = (
+    _NOT_READY,
+    _ROUTER_OVERLOADED,
+    _STOPPING,
+    _OUTDATED,
+)
 
 
 def is_router_refusal(status: int, body: bytes) -> bool:
@@ -38,6 +44,16 @@
     )
 
 
+def outdated() -> RequestRefusedError:
+    """Return the refusal of a request accepted by a newer configuration."""
+    return RequestRefusedError(
+        503,
+        _OUTDATED,
+        "this router has not received the newest configuration yet",
+        retry_after_seconds=const.DEFAULT_RETRY_AFTER_SECONDS,
+    )
+
+
 def unknown_route() -> RequestRefusedError:
     """Return the refusal of a path without a route."""
     return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/platform/names.py
+++ b/packages/router/src/lacewingspar_router/platform/names.py
@@ -15,6 +15,8 @@
 # Milliseconds since the request arrived; set by a router that hands the request
 # over to another router.
 HEADER_HANDED_OVER_MS = b"x-lacewingspar-waited-ms"
+# Configuration version with which that router has accepted the request.
+HEADER_CONFIGURATION_VERSION = b"x-lacewingspar-version"
 
 # Headers of requests to upstreams that only the router sets.
 HEADER_WORKSPACE = b"x-tenant"
@@ -29,6 +31,7 @@
         HEADER_AUTHORIZATION,
         HEADER_LAST_EVENT_ID,
         HEADER_HANDED_OVER_MS,
+        HEADER_CONFIGURATION_VERSION,
         b"x-expect-version",
         b"x-hold",
         b"x-pin-ms",
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -71,16 +71,25 @@
             output_tokens=output,
             last_event_id=_header_integer(values, names.HEADER_LAST_EVENT_ID),
             handed_over_after_seconds=_handed_over_after(values),
+            min_configuration_version=_header_integer(
+                values, names.HEADER_CONFIGURATION_VERSION
+            ),
         )
 
     def encode_handed_over_request(
-        self, request: HttpRequest, waited_seconds: float
+        self,
+        request: HttpRequest,
+        waited_seconds: float,
+        configuration_version: int,
     ) -> bytes:
         """Encode a request that is handed over to another router."""
         headers = end_to_end_headers(request.headers, _REWRITTEN_HEADERS)
         waited_ms = max(0, int(waited_seconds * 1000))
-        headers.append((names.HEADER_HANDED_OVER_MS, b"%d" % waited_ms))
-        headers.append((b"content-length", b"%d" % len(request.body)))
+        headers += [
+            (names.HEADER_HANDED_OVER_MS, b"%d" % waited_ms),
+            (names.HEADER_CONFIGURATION_VERSION, b"%d" % configuration_version),
+            (b"content-length", b"%d" % len(request.body)),
+        ]
         first_line = f"{request.method} {request.target} HTTP/1.1"
         return encode_head(first_line, headers) + request.body
 
@@ -157,7 +166,12 @@
 
 
 _REWRITTEN_HEADERS = frozenset(
-    {names.HEADER_HANDED_OVER_MS, b"content-length", b"expect"}
+    {
+        names.HEADER_HANDED_OVER_MS,
+        names.HEADER_CONFIGURATION_VERSION,
+        b"content-length",
+        b"expect",
+    }
 )
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -7,7 +7,13 @@
 from tests.router.connections import async_open_connection
 from tests.router.deployed.conftest import Caller, Deployment, until
 
-from lacewingspar_standins.deployed.documents import request_bytes
+from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_standins.deployed.documents import (
+    KEY,
+    manifest,
+    request_bytes,
+    route,
+)
 
 
 @pytest.mark.parametrize(
@@ -110,3 +116,30 @@
         for item in upstream.received
     ]
     assert 0 < int(request.value_by_header["x-time-budget-ms"]) <= 2000
+
+
+_NEW_KEY = "key-of-beta"
+
+
+@pytest.mark.parametrize(
+    ("path", "key"),
+    [("/added/x", KEY), ("/read/x", _NEW_KEY)],
+    ids=["added route", "added key"],
+)
+async def test_neighbour_with_an_older_configuration_costs_no_request(
+    served: Deployment,
+    overloaded_caller: Caller,
+    monkeypatch: pytest.MonkeyPatch,
+    path: str,
+    key: str,
+) -> None:
+    """Guards against 404 and 401 for what the newest configuration allows."""
+    newer = manifest(2)
+    newer["routes"].append(route("/added/", "non_idempotent", "plain"))
+    newer["tenants"].append({"name": "beta", "apiKeys": [_NEW_KEY]})
+    current, outdated = (app.get(ROUTING) for app in served.apps)
+    monkeypatch.setattr(outdated, "apply_configuration", lambda *_: False)
+    served.publish(newer)
+    await until(lambda: current.configuration.version == 2)
+    response = await overloaded_caller.call(path, key=key)
+    assert response.status == 200
