Resume a handed-over stream when its router breaks off

What callers saw: a resumable stream cut in the middle when a second router stopped or died, to which the first one, the one they were connected to, had handed it over. Events 11 to 20 of 20 were missing although the engines, and the first router, went on.

Cause: the first router relayed the bytes of the neighbour without reading them, so that it did not know where the stream could be resumed, and gave up once a response had started.

Streams that may not be resumed are cut as before.

Relaying costs a few microseconds more for each event of a resumable stream.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from lacewingspar_core.event_stream import EventSequence, EventSizeError
 from lacewingspar_core.hand_over import (
     HandOverController,
     Neighbour,
@@ -19,7 +20,10 @@
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.client import async_read_body, async_read_head
-from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.client_connection import (
+    BodySink,
+    ClientConnection,
+)
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
@@ -116,15 +120,20 @@
     ) -> bool:
         """Hand a request over to a neighbour and relay its response.
 
+        Args:
+            request: The request.
+            neighbour: Router to hand the request over to.
+
         Returns:
             Whether the caller got a response. If not, the request did not run
-            or may run again, so this router can forward it.
+            or may run again, or its stream can be resumed, so this router can
+            forward it.
 
         Raises:
             RequestRefusedError: The response did not arrive, and the request
                 may have run.
         """
-        exchange, call = request.exchange, request.call
+        exchange, call, events = request.exchange, request.call, request.events
         outcome = HandOverOutcome.CANCELLED
         self._neighbour_loads.begin(neighbour.router_id)
         remaining_seconds = call.deadline_at - self._app.now()
@@ -132,7 +141,9 @@
             async with asyncio.timeout(
                 remaining_seconds + const.HAND_OVER_DEADLINE_GRACE_SECONDS
             ):
-                outcome = await self._async_exchange(exchange, call, neighbour)
+                outcome = await self._async_exchange(
+                    exchange, call, neighbour, events
+                )
         except TimeoutError as error:
             outcome = HandOverOutcome.DEADLINE_PASSED
             self._neighbour_loads.exclude(neighbour.router_id, self._app.now())
@@ -146,7 +157,10 @@
         match outcome:
             case HandOverOutcome.NOT_TAKEN:
                 return False
-            case HandOverOutcome.BROKEN if not exchange.is_started:
+            case HandOverOutcome.BROKEN if exchange.is_started:
+                events.drop_partial_event()
+                return not call.route.is_resumable
+            case HandOverOutcome.BROKEN:
                 if call.route.may_run_again:
                     return False
                 raise refusals.attempts_failed(
@@ -171,7 +185,11 @@
             pool.close()
 
     async def _async_exchange(
-        self, exchange: ServerExchange, call: Call, neighbour: Neighbour
+        self,
+        exchange: ServerExchange,
+        call: Call,
+        neighbour: Neighbour,
+        events: EventSequence,
     ) -> HandOverOutcome:
         """Send a request and relay the response."""
         pool = self._pool_by_address.get(neighbour.address)
@@ -197,10 +215,14 @@
             )
             head = await async_read_head(connection)
             refused = await self._async_relay_response(
-                exchange, call, connection, head
+                exchange, call, connection, head, events
             )
             is_reusable = True
-        except (ConnectionBrokenError, InvalidResponseError) as error:
+        except (
+            ConnectionBrokenError,
+            InvalidResponseError,
+            EventSizeError,
+        ) as error:
             self._neighbour_loads.exclude(neighbour.router_id, self._app.now())
             _LOGGER.warning(
                 "router failed after a request was handed over to it",
@@ -226,6 +248,7 @@
         call: Call,
         connection: ClientConnection,
         head: ResponseHead,
+        events: EventSequence,
     ) -> Response | None:
         """Relay a response, or return it if the router refused the request."""
         headers = end_to_end_headers(head.headers, _REPLACED_HEADERS)
@@ -239,7 +262,12 @@
             exchange.send_response(response.status, headers, response.body)
             return None
         exchange.start(head.status, headers, length=None)
-        await connection.async_stream_body(exchange)
+        sink: BodySink = exchange
+        if call.route.is_resumable:
+            sink = _EventSink(exchange, events)
+        await connection.async_stream_body(sink)
+        if events.has_partial_event:
+            raise InvalidResponseError("stream ended inside an event")
         exchange.finish()
         return None
 
@@ -275,3 +303,20 @@
 
     def _clear_neighbours(self) -> None:
         self._neighbours = None
+
+
+class _EventSink:
+    """Relays complete events, so that another router can resume the stream."""
+
+    def __init__(self, exchange: ServerExchange, events: EventSequence) -> None:
+        self._exchange = exchange
+        self._events = events
+
+    def write(self, data: bytes) -> bool:
+        """Relay the events that a chunk completes."""
+        ready = self._events.push(data)
+        return not ready or self._exchange.write(ready)
+
+    async def async_drain(self) -> None:
+        """Wait until the caller can take more data."""
+        await self._exchange.async_drain()
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -9,7 +9,6 @@
     AttemptResult,
 )
 from lacewingspar_core.directory import UpstreamEntry, UpstreamState
-from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
@@ -101,7 +100,7 @@
             self.load_shedder.limit.release(call.workspace)
 
     async def _async_hand_over(self, request: InFlightRequest) -> bool:
-        """Hand a request over if needed; return whether it got a response.
+        """Hand a request over if needed; return whether its response ended.
 
         Raises:
             RequestRefusedError: The neighbour may have run the request.
@@ -109,18 +108,27 @@
         neighbour = self.hand_over.choose(request.call)
         if neighbour is None:
             return False
-        return await self.hand_over.async_run(request, neighbour)
+        is_answered = await self.hand_over.async_run(request, neighbour)
+        if is_answered or not request.exchange.is_started:
+            return is_answered
+        progress = self._begin_progress(request)
+        end = AttemptEnd(AttemptResult.BROKEN, "neighbour broke off the stream")
+        progress.history.record(end.result, "")
+        return not self._may_try_again(progress, end)
 
-    async def _async_serve(self, request: InFlightRequest) -> None:
-        """Forward an accepted request to upstreams and record its end."""
-        exchange, call = request.exchange, request.call
-        metadata = call.metadata
-        events = EventSequence(last_id=metadata.last_event_id)
-        progress = request.progress = CallProgress(
+    def _begin_progress(self, request: InFlightRequest) -> CallProgress:
+        call = request.call
+        request.progress = CallProgress(
             call,
-            CallerResponse(exchange, events),
+            CallerResponse(request.exchange, request.events),
             AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
         )
+        return request.progress
+
+    async def _async_serve(self, request: InFlightRequest) -> None:
+        """Forward an accepted request to upstreams and record its end."""
+        call, metadata = request.call, request.call.metadata
+        progress = request.progress or self._begin_progress(request)
         outcome = "cancelled"
         try:
             outcome = await self._async_forward(progress)
@@ -133,7 +141,11 @@
                     call, error.code, error.retry_after_seconds
                 )
             self._refuse(
-                exchange, error, metadata.request_id, call.workspace, progress
+                request.exchange,
+                error,
+                metadata.request_id,
+                call.workspace,
+                progress,
             )
         finally:
             if request.is_cut and outcome == "cancelled":
--- a/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from lacewingspar_core.event_stream import EventSequence
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import refusals
 from lacewingspar_router.components.forwarding.models import Call
@@ -44,6 +45,7 @@
     Attributes:
         call: The request.
         exchange: HTTP exchange with the caller.
+        events: Events sent to the caller.
         progress: State of its forwarding, or None while a neighbour has it.
         is_cut: Whether the shutdown has cut it.
         limit: Ends its handling when the shutdown cuts it.
@@ -51,6 +53,7 @@
 
     call: Call
     exchange: ServerExchange
+    events: EventSequence
     progress: CallProgress | None = None
     is_cut: bool = False
     limit: asyncio.Timeout = field(
@@ -76,9 +79,10 @@
     @property
     def forwarded_events(self) -> int | None:
         """Return the number of events sent to the caller, if known."""
-        if self.progress is None:
+        if self.progress is None and not self.call.route.is_resumable:
+            # The events of a stream at a neighbour are relayed unread.
             return None
-        return self.progress.caller_response.events.forwarded
+        return self.events.forwarded
 
 
 class RequestsInFlight:
@@ -105,7 +109,8 @@
             RequestRefusedError: The request was cut before its response
                 started.
         """
-        request = InFlightRequest(call, exchange)
+        events = EventSequence(last_id=call.metadata.last_event_id)
+        request = InFlightRequest(call, exchange, events)
         self._requests.add(request)
         try:
             async with request.limit:
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -143,3 +143,20 @@
     await until(lambda: current.configuration.version == 2)
     response = await overloaded_caller.call(path, key=key)
     assert response.status == 200
+
+
+async def test_resumable_stream_outlasts_the_router_it_was_handed_over_to(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    engines = [served.upstream_by_id[name] for name in ("e1", "e2")]
+    for engine in engines:
+        engine.events = 20
+        engine.response_delay_seconds = 0.02
+    call = asyncio.create_task(overloaded_caller.call("/stream/x"))
+    await until(lambda: any(engine.running for engine in engines))
+    await asyncio.sleep(0.2)
+    await served.apps[1].async_stop()
+    response = await call
+    assert response.is_complete
+    events = [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 21)]
+    assert response.body == b"".join(events)
