--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -285,3 +285,16 @@
         "sys.exit('lacewingspar_core.documents' in sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code]).returncode == 0
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process() -> None:
+    code = (
+        "import os, runpy, signal, sys, types;"
+        "main = types.ModuleType('main');"
+        "main.run = lambda: os.kill(os.getpid(), signal.SIGHUP);"
+        "sys.modules['lacewingspar_router.main'] = main;"
+        "runpy.run_path('deploy/lacewingspar.py')"
+    )
+    root = Path(__file__).parents[2]
+    result = subprocess.run([sys.executable, "-c", code], cwd=root)
+    assert result.returncode == 0
