Report a settings file that is not UTF-8 like any other invalid one

What operators saw: SIGHUP with a settings file that is not UTF-8 logged an exception in a callback instead of 'settings cannot be reloaded'; a start with it ended with a traceback. A running router kept its settings and its requests.

Cause: decoding errors are no OSError, so load_settings let them through.

--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -135,6 +135,8 @@
         value: Any = pyjson5.decode(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"cannot read {path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path} is not UTF-8: {error}") from error
     except pyjson5.Json5Exception as error:
         raise SettingsError(f"{path} is not valid JSON: {error}") from error
     try:
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -276,6 +276,27 @@
     assert levels == [changes.get("log_level", "info")] * is_applied
 
 
+@pytest.mark.parametrize(
+    "content",
+    [b"", b'{"router_id": "rou', b"\xff{}", b"[]", None],
+    ids=["empty", "half-written", "not UTF-8", "no object", "directory"],
+)
+def test_unreadable_settings_are_reported_and_not_applied(
+    tmp_path: Path, content: bytes | None
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(VALUES))
+    running = main.load_settings(path)
+    path.unlink()
+    if content is None:
+        path.mkdir()
+    else:
+        path.write_bytes(content)
+    with structlog.testing.capture_logs() as lines:
+        main._reload(path, running)
+    assert lines[-1]["event"] == "settings cannot be reloaded"
+
+
 def test_router_on_the_platform_loads_no_schemas_of_documents() -> None:
     """Guards against starts that load what the platform's path never uses."""
     code = (
