Read the body of a request that asks for a protocol upgrade

What callers saw: a POST with 'Connection: Upgrade' and 'Upgrade: h2c', which some HTTP clients send with their first request, reached the upstream without its body. The body was handled as further requests on the connection: as 400 and a closed connection, or, if it reads like a request, as a request of its own.

Cause: the parser stops behind the headers of such a request and takes what follows for another protocol. The server ignored the upgrade, but parsed the body as the next request.

Change: if a body follows, the headers are parsed again without the upgrade. CONNECT, for which the parser always stops there, is rejected if it has a body.

--- a/packages/router/src/lacewingspar_router/http1/request_reader.py
+++ b/packages/router/src/lacewingspar_router/http1/request_reader.py
@@ -6,6 +6,10 @@
 import httptools
 
 from lacewingspar_router.http1.exchange import ConnectionLimits
+from lacewingspar_router.http1.ignored_upgrade import (
+    has_body,
+    head_without_upgrade,
+)
 from lacewingspar_router.http_headers import RawHeaders
 
 
@@ -134,6 +138,11 @@
 
     def on_message_complete(self) -> None:
         """Hand over the request."""
+        if self._parser.should_upgrade() and has_body(self._headers):
+            # The parser has skipped the body; another one reads it.
+            if self._parser.get_method() == b"CONNECT":
+                raise InputRejectedError(400)
+            return
         self.is_reading = False
         self.is_ended = not self._parser.should_keep_alive()
         headers, body = self._headers, b"".join(self._body)
@@ -152,8 +161,14 @@
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserUpgrade as upgrade:
-                # Protocol upgrades are ignored.
                 data = data[upgrade.args[0] :]
+                if self.is_reading:
+                    data = (
+                        head_without_upgrade(
+                            self._parser, self._url, self._headers
+                        )
+                        + data
+                    )
                 self._parser = httptools.HttpRequestParser(self)
                 if data and not self.is_ended:
                     continue
