Send 100 Continue only while no response is in flight

What callers saw: 100 Continue in the middle of the response to an earlier request on the connection, if the head of a request with 'Expect: 100-continue' arrived before that response was complete; the response could no longer be parsed. A caller that speaks HTTP/1.0 got 100 Continue, which it does not know.

Cause: it was written when the head was parsed, whatever was being sent.

Change: it waits until the earlier responses are complete, and is left out if the body has arrived by then, or for HTTP/1.0.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -167,8 +167,10 @@
             self._pause_reading()
 
     def send_continue(self) -> None:
-        """Tell the caller to send the body of its request."""
-        self.write(_CONTINUE)
+        """Tell the caller to send a body, unless a response is in flight."""
+        if self._task is None and self._reader.is_continue_due:
+            self._reader.is_continue_due = False
+            self.write(_CONTINUE)
 
     # ResponseConnection
 
@@ -235,6 +237,7 @@
                 self._send_error_and_close(
                     Response(self._error_status_at_end, [], b"")
                 )
+            self.send_continue()
             return
         queued = self._queued_requests.popleft()
         self._closes_after_response = queued.closes
--- a/packages/router/src/lacewingspar_router/http1/request_reader.py
+++ b/packages/router/src/lacewingspar_router/http1/request_reader.py
@@ -34,7 +34,7 @@
         """Handle a request."""
 
     def send_continue(self) -> None:
-        """Tell the caller to send the body of its request."""
+        """Tell the caller to send the body of its request when possible."""
 
 
 class RequestReader:
@@ -43,6 +43,7 @@
     Attributes:
         is_reading: Whether a request has begun and is not complete.
         is_head_complete: Whether the headers of that request are complete.
+        is_continue_due: Whether the caller waits for 100 Continue.
         is_ended: Whether further bytes are ignored, after the last request or
             a rejection.
 
@@ -58,6 +59,7 @@
     ) -> None:
         self.is_reading = False
         self.is_head_complete = False
+        self.is_continue_due = False
         self.is_ended = False
         self._receiver = receiver
         self._limits = limits
@@ -87,7 +89,7 @@
     def end(self) -> None:
         """Ignore the bytes that follow."""
         self.is_ended = True
-        self.is_reading = False
+        self.is_reading = self.is_continue_due = False
 
     def close(self) -> None:
         """Release the parser.
@@ -126,7 +128,11 @@
         length = values.get(b"content-length", b"0")
         if int(length) > self._limits().body_bytes:
             raise InputRejectedError(413)
-        if values.get(b"expect", b"").lower() == b"100-continue":
+        self.is_continue_due = (
+            values.get(b"expect", b"").lower() == b"100-continue"
+            and self._parser.get_http_version() != "1.0"
+        )
+        if self.is_continue_due:
             self._receiver.send_continue()
 
     def on_body(self, body: bytes) -> None:
@@ -143,7 +149,7 @@
             if self._parser.get_method() == b"CONNECT":
                 raise InputRejectedError(400)
             return
-        self.is_reading = False
+        self.is_reading = self.is_continue_due = False
         self.is_ended = not self._parser.should_keep_alive()
         headers, body = self._headers, b"".join(self._body)
         # An idle connection must not keep its last request in memory.
--- a/tests/router/test_request_framing.py
+++ b/tests/router/test_request_framing.py
@@ -12,6 +12,7 @@
 # Would be handled as a request of its own if it were not read as a body.
 BODY = b"GET /smuggled HTTP/1.1\r\nhost: h\r\n\r\n"
 CHUNKED_BODY = b"%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 def head(headers: str, method: str = "POST", version: str = "1.1") -> bytes:
@@ -20,6 +21,7 @@
 
 LENGTH = f"content-length: {len(BODY)}\r\n"
 CHUNKED = "transfer-encoding: chunked\r\n"
+EXPECT = "expect: 100-continue\r\n"
 NEXT = head("", "GET")
 
 
@@ -75,3 +77,22 @@
     bodies, received = await _async_send(head(LENGTH, method="CONNECT") + BODY)
     assert not bodies
     assert received.startswith(b"HTTP/1.1 400")
+
+
+@pytest.mark.parametrize(
+    ("parts", "position"),
+    [
+        ((head(EXPECT + LENGTH), BODY), "first"),
+        ((NEXT, head(EXPECT + LENGTH), BODY), "none"),
+        ((head(EXPECT + LENGTH, version="1.0"), BODY), "none"),
+    ],
+    ids=["alone", "behind a request", "HTTP/1.0"],
+)
+async def test_continue_is_sent_only_before_a_response(
+    parts: tuple[bytes, ...], position: str
+) -> None:
+    """Guards against 100 Continue in the middle of another response."""
+    bodies, received = await _async_send(*parts)
+    assert bodies[-1] == BODY
+    assert received.startswith(CONTINUE) is (position == "first")
+    assert received.count(CONTINUE) == (position == "first")
