Serve a request that exceeds the connection limits of a neighbour

What callers saw: 431 or 413 for a request within the limits, if their router handed it over: the hand-over adds headers, and a neighbour with another version of the configuration may have smaller limits. The first router relayed the refusal.

Cause: only refusals with a code of the handler counted as such; those of the connection, which come before the request is read, have no code.

Change: 408, 413 and 431 without any header of a request mean that the neighbour has not taken the request, so the first router serves it.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -38,6 +38,9 @@
 
 _STATUS_REFUSED = 503
 _REPLACED_HEADERS = frozenset({b"content-length"})
+# Statuses of requests that exceed a limit of a connection.
+_LIMIT_STATUSES = frozenset({408, 413, 431})
+_CONNECTION_HEADERS = frozenset({b"content-length", b"connection"})
 
 
 class HandOverOutcome(StrEnum):
@@ -256,7 +259,7 @@
             response = await async_read_body(
                 connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
             )
-            if refusals.is_router_refusal(response.status, response.body):
+            if _is_not_taken(response):
                 return response
             self._record_neighbour_decline(call, response)
             exchange.send_response(response.status, headers, response.body)
@@ -305,6 +308,17 @@
         self._neighbours = None
 
 
+def _is_not_taken(response: Response) -> bool:
+    """Return whether a router refused a request that others can serve.
+
+    A request that exceeds a limit of the router's connections is refused
+    without any header that concerns the request.
+    """
+    if response.status in _LIMIT_STATUSES:
+        return {name for name, _ in response.headers} <= _CONNECTION_HEADERS
+    return refusals.is_router_refusal(response.status, response.body)
+
+
 class _EventSink:
     """Relays complete events, so that another router can resume the stream."""
 
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -10,6 +10,7 @@
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_standins.deployed.documents import (
     KEY,
+    LIMITS,
     manifest,
     request_bytes,
     route,
@@ -160,3 +161,27 @@
     assert response.is_complete
     events = [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 21)]
     assert response.body == b"".join(events)
+
+
+@pytest.mark.parametrize(
+    ("limits_of_neighbour", "pad_bytes", "body_bytes"),
+    [({}, 16_220, 0), ({"maxBodyBytes": 1000}, 0, 2000)],
+    ids=["headers of a hand-over", "smaller bodies"],
+)
+async def test_request_beyond_the_limits_of_a_neighbour_is_served(
+    served: Deployment,
+    overloaded_caller: Caller,
+    monkeypatch: pytest.MonkeyPatch,
+    limits_of_neighbour: dict[str, int],
+    pad_bytes: int,
+    body_bytes: int,
+) -> None:
+    """Guards against 413 and 431 for a request within the caller's limits."""
+    own, neighbour = (app.get(ROUTING) for app in served.apps)
+    monkeypatch.setattr(own, "apply_configuration", lambda *_: False)
+    served.publish(manifest(2, limits=LIMITS | limits_of_neighbour))
+    await until(lambda: neighbour.configuration.version == 2)
+    response = await overloaded_caller.call(
+        "/write/x", body=bytes(body_bytes), x_pad="a" * pad_bytes
+    )
+    assert response.status == 200
