Do not report an upstream as unreachable that this router does not know

What callers saw: beside new or replaced upstreams, 503 'no_upstream' or 'overloaded' although the new ones were idle.

Cause: a pool owner may grant an upstream that the router of the request has not heard of yet. That router ended the grant as unreachable, so the owner blocked the upstream for the whole fleet, for 0.5 s at first and up to 4 s when it happened again.

Change: only an upstream to which a connection was tried is reported. The request itself is granted another upstream as before.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -299,7 +299,9 @@
             history.may_have_run = previously_may_have_run
             history.record(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
-            is_unreachable = end.result is AttemptResult.UNREACHABLE
+            is_unreachable = (
+                upstream is not None and end.result is AttemptResult.UNREACHABLE
+            )
         except asyncio.CancelledError:
             if switch.is_silent:
                 outcome = RunOutcome.FAILED
--- a/tests/router/deployed/test_shared_state.py
+++ b/tests/router/deployed/test_shared_state.py
@@ -195,3 +195,29 @@
             in served.store.topic("keyed.lacewingspar-routers").newest_by_key
         )
     )
+
+
+async def test_upstream_unknown_to_one_router_stays_in_use(
+    served: Deployment,
+) -> None:
+    """Guards against a new upstream that a router with old records blocks."""
+    added = await served.add_upstream("p3", "plain")
+    owner = await served.add_router("r1")
+    # Too small to own a pool.
+    outdated = await served.add_router("r2", processor_share=0.1)
+    await until(
+        lambda: all(
+            len(app.get(PEERS).alive_by_router_id) == 2 and is_serving(app)
+            for app in served.apps
+        )
+    )
+    directory = served.apps[1].get(ROUTING).directory
+    directory.remove("p3", 0.0, grace_seconds=0.0)
+    for name in ("p1", "p2", "p3"):
+        served.upstream_by_id[name].response_delay_seconds = 0.2
+    for caller in (outdated, owner):
+        responses = await asyncio.gather(
+            *(caller.call("/write/x") for _ in range(12))
+        )
+        assert {response.status for response in responses} == {200}
+    assert added.runs
