Bound a Retry-After of any length instead of ignoring long numbers

A number of more than nine digits was taken for unreadable, so an upstream that asks for "never" was probed like one that names no time. It is now bounded by the setting. test_wait_is_bounded_by_the_setting failed for 40 digits before.

--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -33,8 +33,8 @@
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 # Whole or fractional seconds; HTTP also allows a date, which is ignored as the
-# clocks of upstreams may differ.
-_SECONDS = re.compile(r"\d{1,9}(\.\d*)?|\.\d+", re.ASCII)
+# clocks of upstreams may differ. The number of digits keeps the value finite.
+_SECONDS = re.compile(r"\d{1,300}(\.\d*)?|\.\d+", re.ASCII)
 
 _LOGGER = structlog.get_logger(__name__)
 
--- a/tests/router/deployed/test_upstream_waits.py
+++ b/tests/router/deployed/test_upstream_waits.py
@@ -130,11 +130,14 @@
     assert not served.apps[0].get(UPSTREAM_AVAILABILITY).withheld()
 
 
-async def test_wait_is_bounded_by_the_setting(served: Deployment) -> None:
+@pytest.mark.parametrize("retry_after", ["86400", "9" * 40])
+async def test_wait_is_bounded_by_the_setting(
+    served: Deployment, retry_after: str
+) -> None:
     caller = await served.add_router(max_upstream_wait_seconds=0.2)
     upstream = both(served, "/read/")[0]
     upstream.faults.refuse = True
-    upstream.faults.retry_after = "86400"
+    upstream.faults.retry_after = retry_after
     await async_reach(caller, "/read/", upstream)
     availability = served.apps[0].get(UPSTREAM_AVAILABILITY)
     assert availability.withheld() == {"p1"}
