--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -150,7 +150,7 @@
             faults = soak.fleet.link_by_name[link].faults
             stack.enter_context(active_fault(faults, ("cut", True)))
             soak.fleet.link_by_name[link].faults_changed()
-        await asyncio.sleep(generator.uniform(0.5, 4.0))
+        await asyncio.sleep(generator.uniform(1.0, 6.0))
 
 
 async def _async_refuse(soak: Soak, generator: random.Random) -> None:
