Draw upstreams that leave or ask to wait in the soak

Upstreams announce in their responses for 1 to 6 s that they leave, before the directory says so, in some cases while a router is cut off from the store, or refuse requests with and without Retry-After for 0.5 to 3 s.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -20,6 +20,7 @@
 from types import MappingProxyType
 from typing import Annotated, Any
 
+import msgspec
 import typer
 
 from lacewingspar_standins.bench.soak_callers import SoakCallers
@@ -166,6 +167,8 @@
             faults_end_at=faults_end_at,
             events=EVENTS,
             grace_seconds=STOP_GRACE_SECONDS,
+            leaving=soak.leaving,
+            sender_by_id=_read_senders(processes.folder),
         )
         return SoakResult(
             [f"{span.kind} {span.subject}" for span in soak.spans],
@@ -174,6 +177,24 @@
         )
 
 
+def _read_senders(folder: Path) -> dict[str, str]:
+    """Return the routers that others handed requests over to.
+
+    Read from their logs, because upstreams can't tell routers apart. A request
+    that was not answered there may have been sent by either and maps to "".
+    """
+    sender_by_id: dict[str, str] = {}
+    for file in sorted(folder.glob("*.log")):
+        for line in file.read_bytes().splitlines():
+            if b'"request handed over"' in line:
+                entry = msgspec.json.decode(line)
+                is_sure = entry["outcome"] == "answered"
+                sender_by_id[entry["request_id"]] = (
+                    entry["neighbour"] if is_sure else ""
+                )
+    return sender_by_id
+
+
 async def _async_run_rounds(
     soak: Soak,
     callers: SoakCallers,
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -12,6 +12,10 @@
     MAX_APPLY_SECONDS,
     SoakObservations,
 )
+from lacewingspar_standins.bench.soak_upstream_checks import (
+    sent_after_leave,
+    sent_before_wait_end,
+)
 from lacewingspar_standins.deployed.documents import KEY
 from lacewingspar_standins.deployed.upstream import SEAL
 
@@ -49,6 +53,8 @@
         "lost": _lost_requests(observations),
         "failed without a fault": _failed_requests(observations),
         "recovery": _recovery(observations),
+        "sent after an announced leave": sent_after_leave(observations),
+        "sent before the time to wait": sent_before_wait_end(observations),
     }
     return {
         name: [f"{len(items)} in all", *items[:MAX_SHOWN]]
--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 
 from lacewingspar_standins.bench.soak_callers import ObservedCall
@@ -19,9 +19,11 @@
 # last part of the grace, unless it was sent later than this after the signal.
 LAST_GRACE_FRACTION = 1 / 6
 MAX_SENT_AFTER_SIGNAL_SECONDS = 3.0
-# Planned work and sound upstreams that fall silent or slow down, which are no
-# reason to lose a request.
-PLANNED_KINDS = frozenset({"terminate", "drain", "replace", "silence", "slow"})
+# Planned work and sound upstreams that fall silent, slow down or refuse,
+# which are no reason to lose a request.
+PLANNED_KINDS = frozenset(
+    {"terminate", "drain", "replace", "silence", "slow", "not now"}
+)
 # Maximum time until routers apply a new configuration.
 MAX_APPLY_SECONDS = 2.0
 
@@ -69,6 +71,10 @@
         faults_end_at: Time after which no fault was active.
         events: Number of events in a complete stream.
         grace_seconds: Time between the signal to stop and the kill.
+        leaving: Upstreams that announced in their responses that they leave,
+            and since when.
+        sender_by_id: Router that sent a request to its upstream, by the id of
+            the request, if another router had accepted it.
     """
 
     calls: list[ObservedCall]
@@ -80,6 +86,8 @@
     faults_end_at: float
     events: int
     grace_seconds: float
+    leaving: list[tuple[str, float]] = field(default_factory=list)
+    sender_by_id: Mapping[str, str] = field(default_factory=dict)
 
     @cached_property
     def arrivals_by_id(self) -> dict[str, list[tuple[str, ReceivedRequest]]]:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -1,4 +1,4 @@
-"""Planned work in the fault soak, and upstreams that fall silent.
+"""Planned work in the fault soak, and upstreams that are silent or refuse.
 
 None of it is a fault: requests must not be lost or fail because of it.
 """
@@ -25,6 +25,10 @@
 
 # Time that an upstream serves after it has announced that it leaves.
 MIN_LEAVE_SECONDS = 2.0
+# Fraction of the replaced upstreams that announce in their responses that they
+# leave, and of these, fraction with a router that is cut off from the store.
+LEAVING_FRACTION = 0.5
+LEAVING_CUT_FRACTION = 0.3
 # Silence that upstreams may keep in the middle of a request.
 MIN_SILENCE_SECONDS = 0.5
 MAX_SILENCE_SECONDS = 1.6
@@ -115,6 +119,8 @@
         with soak.affecting(old, "replace"):
             await soak.fleet.async_add_upstream(new, service)
             await asyncio.sleep(generator.uniform(0.2, 1.0))
+            if generator.random() < LEAVING_FRACTION:
+                await _async_announce_in_responses(soak, old, generator)
             since = soak.now
             if generator.random() < 0.5:
                 soak.fleet.remove_entry(old)
@@ -126,6 +132,44 @@
             soak.drains.append((old, since, soak.now))
 
 
+async def _async_announce_in_responses(
+    soak: Soak, name: str, generator: random.Random
+) -> None:
+    """Let an upstream announce in its responses alone that it leaves.
+
+    In some cases a router is cut off from the store meanwhile.
+    """
+    soak.fleet.upstream_by_id[name].faults.leaving = True
+    soak.leaving.append((name, soak.now))
+    links = [f"store/{router_id}" for router_id in soak.fleet.plan_by_id]
+    with ExitStack() as stack:
+        free = soak.unaffected(links)
+        if free and generator.random() < LEAVING_CUT_FRACTION:
+            link = generator.choice(free)
+            stack.enter_context(soak.affecting(link, "cut", "link"))
+            faults = soak.fleet.link_by_name[link].faults
+            stack.enter_context(active_fault(faults, ("cut", True)))
+            soak.fleet.link_by_name[link].faults_changed()
+        await asyncio.sleep(generator.uniform(1.0, 6.0))
+
+
+async def _async_refuse(soak: Soak, generator: random.Random) -> None:
+    """Let upstreams refuse requests, in some cases with a time to wait."""
+    free = soak.unaffected(soak.fleet.present)
+    generator.shuffle(free)
+    seconds = generator.uniform(0.5, 3.0)
+    with ExitStack() as stack:
+        for name in free[: generator.choice((1, 2, len(free)))]:
+            faults = soak.fleet.upstream_by_id[name].faults
+            retry_after = generator.choice(("", f"{seconds:.2f}"))
+            stack.enter_context(soak.affecting(name, "not now"))
+            stack.enter_context(
+                active_fault(faults, ("retry_after", retry_after))
+            )
+            stack.enter_context(active_fault(faults, ("refuse", True)))
+        await asyncio.sleep(seconds)
+
+
 async def _async_silence(soak: Soak, generator: random.Random) -> None:
     """Let upstreams fall silent once in each request and go on."""
     free = soak.unaffected(soak.fleet.present)
@@ -173,4 +217,5 @@
     _async_replace_upstreams: 3,
     _async_silence: 4,
     _async_slow_down: 2,
+    _async_refuse: 3,
 }
--- a/packages/standins/src/lacewingspar_standins/bench/soak_state.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_state.py
@@ -19,6 +19,8 @@
         spans: Faults and planned work so far.
         publications: Published configurations.
         drains: Drained upstreams with the start and end of each drain.
+        leaving: Upstreams that announce in their responses that they leave,
+            and since when.
     """
 
     def __init__(self, fleet: SoakFleet) -> None:
@@ -26,6 +28,7 @@
         self.spans: list[Span] = []
         self.publications = [Publication(self.now, fleet.configuration)]
         self.drains: list[tuple[str, float, float]] = []
+        self.leaving: list[tuple[str, float]] = []
         self._affected: set[str] = set()
 
     @property
--- /dev/null
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_upstream_checks.py
@@ -0,0 +1,93 @@
+"""Checks of the fault soak for what upstreams say in their responses."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from lacewingspar_standins.bench.soak_callers import ObservedCall
+from lacewingspar_standins.bench.soak_observations import SoakObservations
+from lacewingspar_standins.deployed.upstream import ReceivedRequest
+
+# A request sent by a caller this long after a router passed on a response that
+# announces the leave of an upstream must not reach it from that router.
+MAX_LEAVE_DELAY_SECONDS = 2.0
+# From this long after a response with `Retry-After` until the end of that time,
+# the router may send the upstream this many requests.
+MAX_WAIT_DELAY_SECONDS = 0.5
+MAX_REQUESTS_WHILE_WAITING = 2
+
+
+def sent_after_leave(observations: SoakObservations) -> list[str]:
+    """Describe requests to upstreams that had announced their leave."""
+    found = []
+    for upstream_id, since in observations.leaving:
+        arrivals = list(_arrivals(observations, upstream_id))
+        passed_on_at: dict[str, float] = {}
+        for call, received, sender in arrivals:
+            if (
+                received.at >= since
+                and call.is_complete
+                and len(observations.arrivals_by_id[call.request_id]) == 1
+            ):
+                passed_on_at[sender] = min(
+                    passed_on_at.get(sender, call.ended_at), call.ended_at
+                )
+        found += [
+            f"{call.request_id}: at {upstream_id} from {sender}, sent "
+            f"{call.sent_at - passed_on_at[sender]:.2f} s after"
+            for call, received, sender in arrivals
+            if sender in passed_on_at
+            and call.sent_at > passed_on_at[sender] + MAX_LEAVE_DELAY_SECONDS
+            and not _is_disturbed(
+                observations, passed_on_at[sender], received.at, sender
+            )
+        ]
+    return found
+
+
+def sent_before_wait_end(observations: SoakObservations) -> list[str]:
+    """Describe routers that sent requests to upstreams that asked to wait."""
+    excess: Counter[tuple[str, str]] = Counter()
+    for upstream_id in observations.upstream_by_id:
+        arrivals_by_sender = defaultdict(list)
+        for _, received, sender in _arrivals(observations, upstream_id):
+            arrivals_by_sender[sender].append(received)
+        for sender, arrivals in arrivals_by_sender.items():
+            for refusal in arrivals:
+                if not refusal.retry_after:
+                    continue
+                until = refusal.ended_at + float(refusal.retry_after)
+                since = refusal.ended_at + MAX_WAIT_DELAY_SECONDS
+                count = sum(since < item.at < until for item in arrivals)
+                if count > MAX_REQUESTS_WHILE_WAITING and not _is_disturbed(
+                    observations, refusal.ended_at, until, sender, "link"
+                ):
+                    key = (upstream_id, sender)
+                    excess[key] = max(excess[key], count)
+    return [
+        f"{count} requests from {sender} at {upstream_id}"
+        for (upstream_id, sender), count in excess.items()
+    ]
+
+
+def _arrivals(
+    observations: SoakObservations, upstream_id: str
+) -> Iterator[tuple[ObservedCall, ReceivedRequest, str]]:
+    """Yield the requests that reached an upstream, with their senders."""
+    call_by_id = {call.request_id: call for call in observations.calls}
+    for received in observations.upstream_by_id[upstream_id].received:
+        call = call_by_id.get(received.value_by_header.get("x-attempt-id", ""))
+        if call is None:
+            continue
+        sender = observations.sender_by_id.get(call.request_id, call.router_id)
+        if sender:
+            yield call, received, sender
+
+
+def _is_disturbed(
+    observations: SoakObservations, start: float, end: float, *subjects: str
+) -> bool:
+    """Return whether something affected one of the subjects in a period."""
+    return any(
+        span.subject in subjects and span.overlaps(start, end)
+        for span in observations.spans
+    )
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -123,10 +123,12 @@
         body: Whole body.
         at: Time of arrival on the clock of the event loop, in seconds.
         ended_at: Time at which the upstream stopped working on it.
+        retry_after: `Retry-After` of the response that refused it, or "".
     """
 
     at: float = 0.0
     ended_at: float = float("inf")
+    retry_after: str = ""
     method: str = ""
     target: str = ""
     value_by_header: dict[str, str] = field(default_factory=dict)
@@ -248,6 +250,8 @@
             await self._async_respond_endlessly(request)
             return
         if faults.refuse:
+            request.ended_at = asyncio.get_running_loop().time()
+            request.retry_after = faults.retry_after
             self._write_response(request, 503, b"full", ["X-Not-Executed: 1"])
             return
         if faults.refuse_silently:
--- /dev/null
+++ b/tests/standins/test_soak_upstream_checks.py
@@ -0,0 +1,109 @@
+"""Test the checks of the fault soak for what upstreams say in responses."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from lacewingspar_standins.bench.soak_callers import ObservedCall
+from lacewingspar_standins.bench.soak_configuration import first_configuration
+from lacewingspar_standins.bench.soak_observations import (
+    Publication,
+    SoakObservations,
+    Span,
+)
+from lacewingspar_standins.bench.soak_upstream_checks import (
+    sent_after_leave,
+    sent_before_wait_end,
+)
+from lacewingspar_standins.deployed.documents import KEY
+from lacewingspar_standins.deployed.upstream import ReceivedRequest, Upstream
+
+RESTART = Span("r0", "terminate", 2.0, 3.0)
+CUT = Span("link", "cut", 2.0, 3.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Requests of a router to an upstream that are refused or the last ones.
+
+    Attributes:
+        sent_at: Times at which callers sent the requests.
+        is_found: Whether a check must report them.
+        spans: Faults and planned work.
+        handed_over: Request that another router sent, by its index.
+    """
+
+    sent_at: tuple[float, ...]
+    is_found: bool
+    spans: tuple[Span, ...] = ()
+    handed_over: int = -1
+
+
+def observations(case: Case, retry_after: str) -> SoakObservations:
+    upstream = Upstream("u1")
+    calls = []
+    for number, at in enumerate(case.sent_at):
+        calls.append(
+            ObservedCall(
+                f"s1-{number}",
+                "/read/",
+                KEY,
+                "r0",
+                at,
+                4.0,
+                ended_at=at + 0.1,
+                is_complete=True,
+            )
+        )
+        upstream.received.append(
+            ReceivedRequest(
+                at=at,
+                ended_at=at + 0.1,
+                retry_after=retry_after if number == 0 else "",
+                value_by_header={"x-attempt-id": f"s1-{number}"},
+            )
+        )
+    return SoakObservations(
+        calls=calls,
+        upstream_by_id={"u1": upstream},
+        service_by_upstream={"u1": "plain"},
+        spans=list(case.spans),
+        publications=[Publication(0.0, first_configuration())],
+        drains=[],
+        faults_end_at=100.0,
+        events=8,
+        grace_seconds=4.0,
+        leaving=[("u1", 1.0)],
+        sender_by_id={f"s1-{case.handed_over}": "r1"},
+    )
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case((0.5, 10.0), False),
+        Case((1.5, 3.5), False),
+        Case((1.5, 3.7), True),
+        Case((1.5, 3.7), False, (RESTART,)),
+        Case((1.5, 3.7), False, handed_over=1),
+        Case((1.5, 3.7), True, (CUT,)),
+    ],
+)
+def test_requests_after_an_announced_leave_are_reported(case: Case) -> None:
+    assert bool(sent_after_leave(observations(case, ""))) == case.is_found
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case((1.0, 1.2, 1.3, 1.4, 1.5), False),
+        Case((1.0, 2.0, 2.5), False),
+        Case((1.0, 2.0, 2.5, 3.0), True),
+        Case((1.0, 2.0, 2.5, 4.2), False),
+        Case((1.0, 2.0, 2.5, 3.0), False, (RESTART,)),
+        Case((1.0, 2.0, 2.5, 3.0), False, (CUT,)),
+        Case((1.0, 2.0, 2.5, 3.0), False, handed_over=2),
+    ],
+)
+def test_requests_before_the_end_of_a_wait_are_reported(case: Case) -> None:
+    assert bool(sent_before_wait_end(observations(case, "3"))) == case.is_found
