Send heartbeats past a router that is gone

Traced by its log: 'peer router is no longer alive' of a router that lived, after which its peer read the log itself.

Cause: in small fleets a router sends its heartbeat to one router of each other data centre, chosen among all that it knows. One that is gone, or is only registered, is chosen as often as an alive one; three times in a row make the sender count as failed there.

Change: the choice is among alive routers, and one of the others is sent to in addition, so that it is found again. Ruled out: a late event loop (1 to 2 ms in the log).

Test: test_router_that_is_gone_takes_no_heartbeat_of_an_alive_one, failed before.

--- a/packages/core/src/lacewingspar_core/membership.py
+++ b/packages/core/src/lacewingspar_core/membership.py
@@ -1,7 +1,7 @@
 """Failure detection with heartbeat counters that spread by gossip."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -149,7 +149,7 @@
             self._own, heartbeat=self._own.heartbeat + 1
         )
         self._remove_expired(now)
-        return self._build_heartbeat(now), self._receivers()
+        return self._build_heartbeat(now), self._receivers(now)
 
     def next_full_table(self, now: float) -> tuple[Heartbeat | None, list[str]]:
         """Return the full table and the next routers to send it to.
@@ -333,17 +333,20 @@
         if known + MAX_MISSING_ROUTERS < len(self._alive_members(now)):
             self._full_table_receivers.setdefault(sender.life.router_id)
 
-    def _receivers(self) -> list[str]:
+    def _receivers(self, now: float) -> list[str]:
         ids_by_data_centre: dict[str, list[str]] = {}
         for router_id, data_centre in sorted(self._data_centre_by_id().items()):
             ids_by_data_centre.setdefault(data_centre, []).append(router_id)
         local = ids_by_data_centre.pop(self._own.data_centre, [])
         if self._uses_full_tables:
             groups = list(ids_by_data_centre.values())
-            return self._sample_ids(local, LOCAL_FANOUT) + [
+            alive = self.alive(now).keys()
+            return self._sample_alive_first(local, alive, LOCAL_FANOUT) + [
                 router_id
                 for ids in groups
-                for router_id in self._sample_ids(ids, REMOTE_FANOUT)
+                for router_id in self._sample_alive_first(
+                    ids, alive, REMOTE_FANOUT
+                )
             ]
         groups = self._generator.sample(
             list(ids_by_data_centre.values()),
@@ -355,6 +358,19 @@
             for router_id in self._sample_ids(ids, REMOTE_FANOUT)
         ]
 
+    def _sample_alive_first(
+        self, ids: list[str], alive: Collection[str], count: int
+    ) -> list[str]:
+        """Return some alive routers, and one of the others in addition.
+
+        A router that is gone must not take the place of an alive one, which
+        would miss heartbeats.
+        """
+        others = [router_id for router_id in ids if router_id not in alive]
+        return self._sample_ids(
+            [router_id for router_id in ids if router_id in alive], count
+        ) + self._sample_ids(others, 1)
+
     def _sample_ids(self, ids: list[str], count: int) -> list[str]:
         return self._generator.sample(ids, min(count, len(ids)))
 
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -11,6 +11,7 @@
     NEW_RECORDS_PER_HEARTBEAT,
     REMOTE_UPDATES_PER_HEARTBEAT,
     Membership,
+    Seed,
 )
 from lacewingspar_core.messages import Heartbeat, RouterState, encode_message
 from lacewingspar_standins.bench.gossip import GossipFleet, member_record
@@ -30,6 +31,20 @@
     assert (len(heartbeat.members), heartbeat.member_updates) == (routers, ())
 
 
+def test_router_that_is_gone_takes_no_heartbeat_of_an_alive_one() -> None:
+    """Guards against alive routers that count as failed."""
+    own, alive = (member_record(index, data_centres=2) for index in (0, 1))
+    gone = Seed("gone", alive.data_centre, "tcp://127.0.0.1:1")
+    membership = Membership(own, (gone,), random.Random(1))
+    receivers = []
+    for second in range(60):
+        record = msgspec.structs.replace(alive, heartbeat=second + 1)
+        membership.merge(Heartbeat((record,)), float(second))
+        receivers.append(membership.next_heartbeat(second + 0.5)[1])
+    assert all(alive.life.router_id in ids for ids in receivers)
+    assert any(gone.router_id in ids for ids in receivers)
+
+
 @pytest.mark.parametrize("routers", [40, 390, 1000])
 @pytest.mark.parametrize("now", [0.1, 8.0])
 def test_heartbeat_is_bounded(routers: int, now: float) -> None:
