Let callers of the soak that leave close their connection at once

Traced: the router admitted the request after 685 ms and answered it whole, so its connection was open until then. Since a caller that leaves noted the time and then waited, up to 2.5 s, before it closed the connection. The router was right. The check and its bound stay; callers close first and wait then, as before.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -130,14 +130,12 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                is_open = True
-                while is_open:
-                    is_open = await self._async_call(
-                        connection, router_id, generator
-                    )
-                    await asyncio.sleep(generator.uniform(0, max_gap))
+                while await self._async_call(connection, router_id, generator):
+                    request_gap = generator.uniform(0, max_gap)
+                    await asyncio.sleep(request_gap)
             finally:
                 connection.abort()
+            await asyncio.sleep(generator.uniform(0, max_gap))
 
     async def _async_connect(self, router_id: str) -> ClientConnection | None:
         try:
