End the probing of an upstream that responds slowly

What callers saw: 503 'no_upstream' from an idle upstream whose wait was over, for as long as requests kept coming: one request per 0.5 s was sent, the others were refused.

Cause: a new probe begins every 0.5 s while the one before has not ended, and only the response to the newest probe ended the probing. With responses that take longer than 0.5 s there is always a newer one.

Change: the response to any of the latest probes ends the probing.

--- a/packages/core/src/lacewingspar_core/upstream_notices.py
+++ b/packages/core/src/lacewingspar_core/upstream_notices.py
@@ -10,6 +10,8 @@
 # After the time for which an upstream asked a router to wait, one request
 # probes it and the others are withheld for this long, unless the probe ends.
 PROBE_SECONDS = 0.5
+# Maximum number of probes of one upstream whose responses end the probing.
+MAX_PROBES = 16
 # Notices of upstreams that are not listed are kept for this long, as their
 # entries may arrive later. Copies of entries are delayed by seconds at most.
 UNLISTED_MEMORY_SECONDS = 120.0
@@ -45,10 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Probing:
-    """One request probes the upstream; the others are withheld until a time."""
+    """One request probes the upstream; the others are withheld until a time.
+
+    Attributes:
+        until: Time until which the others are withheld.
+        numbers: Numbers of the latest probes, any of which may still end.
+    """
 
     until: float
-    number: int
+    numbers: tuple[int, ...]
 
 
 _State = Leaving | _Waiting | _Probing
@@ -148,20 +155,22 @@
         known = self._record_by_id.get(upstream_id)
         if known is None:
             return True
+        probes: tuple[int, ...] = ()
         match known.state:
-            case _Probing(number=probe) if probe == number:
+            case _Probing(numbers=probes) if number in probes:
                 return True
         if _is_withheld(known.state, now):
             return False
+        probes = (*probes, number)[-MAX_PROBES:]
         self._record_by_id[upstream_id] = _Record(
-            known.born_ms, _Probing(now + PROBE_SECONDS, number), now
+            known.born_ms, _Probing(now + PROBE_SECONDS, probes), now
         )
         return True
 
     def end_probe(self, upstream_id: str, number: int) -> None:
         """Record that a request was not answered with a new notice."""
         match self._record_by_id.get(upstream_id):
-            case _Record(state=_Probing(number=probe)) if probe == number:
+            case _Record(state=_Probing(numbers=probes)) if number in probes:
                 del self._record_by_id[upstream_id]
 
     def forget_unlisted(self, listed: Collection[str], now: float) -> None:
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -62,6 +62,22 @@
     assert all(known.try_begin("u", number, 2.6) for number in range(6, 9))
 
 
+def test_slow_responses_end_the_probing_of_an_upstream() -> None:
+    """Guards against one request per probe interval for as long as load lasts.
+
+    Load: a request every 0.1 s; each response takes 0.7 s.
+    """
+    known = UpstreamNotices()
+    known.record("u", 1, WAIT, 0.0)
+    begun = [
+        (step, known.try_begin("u", step, step / 10)) for step in range(20, 27)
+    ]
+    assert [step for step, is_sent in begun if is_sent] == [20, 25]
+    known.end_probe("u", 20)
+    assert known.try_begin("u", 27, 2.7)
+    assert known.try_begin("u", 28, 2.7)
+
+
 def test_new_incarnation_is_not_taken_for_the_old_one() -> None:
     known = UpstreamNotices()
     known.record("u", 2, LEAVING, 0.0)
--- a/tests/router/deployed/test_upstream_waits.py
+++ b/tests/router/deployed/test_upstream_waits.py
@@ -114,6 +114,25 @@
     assert len(waiting.received) > before + 1
 
 
+async def test_slow_upstream_returns_to_full_use_after_its_wait(
+    deployment: Deployment,
+) -> None:
+    """Guards against one request per probe interval, the others refused."""
+    deployment.publish(manifest())
+    upstream = await deployment.add_upstream("p1", "plain")
+    caller = await deployment.add_router()
+    upstream.faults.refuse = True
+    upstream.faults.retry_after = "0.5"
+    await async_reach(caller, "/read/", upstream)
+    upstream.faults.refuse = False
+    upstream.response_delay_seconds = 0.8
+    load = asyncio.create_task(async_load([caller], "/read/", 4.0))
+    try:
+        await until(lambda: upstream.running >= 4)
+    finally:
+        load.cancel()
+
+
 @pytest.mark.parametrize(
     "retry_after", ["Wed, 21 Oct 2026 07:28:00 GMT", "soon", "-1", "nan", "1e9"]
 )
