Ignore notices of an earlier incarnation than the listed one

What callers saw: nothing yet; an upstream that has restarted under its id gets no requests.

Cause: a response or a peer message about the old process may arrive after the new one is listed. Notices were compared with earlier notices only, so the late one was recorded, and the id was withheld until the next report of the upstream, which the store may delay.

Before: the new test failed for both notices; after: both pass.

--- a/packages/router/src/lacewingspar_router/components/routing/upstream_availability.py
+++ b/packages/router/src/lacewingspar_router/components/routing/upstream_availability.py
@@ -86,13 +86,24 @@
             default=None,
         )
 
+    def _record_notice(
+        self, upstream_id: str, born_ms: int, notice: UpstreamNotice
+    ) -> bool:
+        """Record a notice; return whether it is news about this incarnation.
+
+        One of an earlier incarnation than the listed one is ignored.
+        """
+        listed = self._state.directory.entry_by_id.get(upstream_id)
+        if listed is not None and listed.born_ms > born_ms:
+            return False
+        return self._notices.record(
+            upstream_id, born_ms, notice, self._app.now()
+        )
+
     def _record_wait(self, upstream: UpstreamEntry, seconds: float) -> bool:
         bounded = min(seconds, self._max_wait_seconds)
-        is_news = self._notices.record(
-            upstream.upstream_id,
-            upstream.born_ms,
-            RetryAfter(bounded),
-            self._app.now(),
+        is_news = self._record_notice(
+            upstream.upstream_id, upstream.born_ms, RetryAfter(bounded)
         )
         if is_news:
             _LOGGER.info(
@@ -112,8 +123,8 @@
         Other routers are told unless the registry has listed it as draining.
         """
         message = UpstreamLeaving(upstream.upstream_id, upstream.born_ms)
-        is_news = self._notices.record(
-            message.upstream_id, message.born_ms, Leaving(), self._app.now()
+        is_news = self._record_notice(
+            message.upstream_id, message.born_ms, Leaving()
         )
         if is_news and self._apply_leaving(message, _ORIGIN_RESPONSE):
             self._tell_peers(message)
@@ -140,8 +151,8 @@
     def _on_leaving(self, received: ReceivedMessage) -> None:
         message = received.message
         assert isinstance(message, UpstreamLeaving)
-        is_news = self._notices.record(
-            message.upstream_id, message.born_ms, Leaving(), self._app.now()
+        is_news = self._record_notice(
+            message.upstream_id, message.born_ms, Leaving()
         )
         if is_news:
             self._apply_leaving(message, f"router {received.sender.router_id}")
--- a/tests/router/deployed/test_upstream_notices.py
+++ b/tests/router/deployed/test_upstream_notices.py
@@ -137,6 +137,24 @@
     await async_reach(caller, "/read/", replaced)
 
 
+@pytest.mark.parametrize("notice", [Leaving(), RetryAfter(30.0)])
+async def test_late_notice_of_an_old_process_leaves_its_successor_in_use(
+    served: Deployment, notice: UpstreamNotice
+) -> None:
+    """Guards against a notice that arrives after the new process is listed."""
+    await served.add_router()
+    routing = served.apps[0].get(ROUTING)
+    availability = served.apps[0].get(UPSTREAM_AVAILABILITY)
+    old = routing.directory.entry_by_id["p1"]
+    served.register("p1", "plain", born=old.born_ms + 1)
+    await until(
+        lambda: routing.directory.entry_by_id["p1"].born_ms > old.born_ms
+    )
+    availability.record(old, notice)
+    assert not availability.withheld()
+    assert "p1" in routing.directory.ready_upstreams("plain")
+
+
 async def test_streams_under_way_end_at_an_upstream_that_leaves(
     served: Deployment,
 ) -> None:
