Say that a request may have run at a neighbour that broke off

What callers saw: 503 with Retry-After, which promises that a request has not run, for an idempotent request that a neighbour had run before its connection broke, if the repeat then found no upstream.

Cause: the router that handed it over started a fresh history for the repeat.

Before: the new test got 503; after: 502.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -164,6 +164,7 @@
                 events.drop_partial_event()
                 return not call.route.is_resumable
             case HandOverOutcome.BROKEN:
+                request.may_have_run_elsewhere = True
                 if call.route.may_run_again:
                     return False
                 raise refusals.attempts_failed(
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -121,7 +121,11 @@
         request.progress = CallProgress(
             call,
             CallerResponse(request.exchange, request.events),
-            AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
+            AttemptHistory(
+                call.route.may_run_again,
+                call.route.attempt_limit,
+                may_have_run=request.may_have_run_elsewhere,
+            ),
         )
         return request.progress
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/stopping.py
@@ -47,6 +47,8 @@
         exchange: HTTP exchange with the caller.
         events: Events sent to the caller.
         progress: State of its forwarding, or None while a neighbour has it.
+        may_have_run_elsewhere: Whether a neighbour that broke off may have run
+            it.
         is_cut: Whether the shutdown has cut it.
         limit: Ends its handling when the shutdown cuts it.
     """
@@ -55,6 +57,7 @@
     exchange: ServerExchange
     events: EventSequence
     progress: CallProgress | None = None
+    may_have_run_elsewhere: bool = False
     is_cut: bool = False
     limit: asyncio.Timeout = field(
         default_factory=lambda: asyncio.timeout(None)
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -7,7 +7,11 @@
 from tests.router.connections import async_open_connection
 from tests.router.deployed.conftest import Caller, Deployment, until
 
+from lacewingspar_router.components.forwarding import hand_over
 from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.errors import ConnectionBrokenError
+from lacewingspar_router.http1.messages import ResponseHead
 from lacewingspar_standins.deployed.documents import (
     KEY,
     LIMITS,
@@ -99,6 +103,28 @@
     assert response.status == 502 or not response.is_complete
 
 
+async def test_request_that_a_lost_neighbour_has_run_is_not_refused_as_not_run(
+    served: Deployment,
+    overloaded_caller: Caller,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a status that promises that a request has not run."""
+    upstreams = [served.upstream_by_id[name] for name in ("p1", "p2")]
+    for upstream in upstreams:
+        upstream.response_delay_seconds = 0.5
+
+    async def async_lose_connection(_: ClientConnection) -> ResponseHead:
+        monkeypatch.undo()
+        await until(lambda: any(item.running for item in upstreams))
+        for upstream in upstreams:
+            upstream.faults.refuse = True
+        raise ConnectionBrokenError("connection closed")
+
+    monkeypatch.setattr(hand_over, "async_read_head", async_lose_connection)
+    response = await overloaded_caller.call("/read/x")
+    assert response.status == 502
+
+
 async def test_deadline_counts_from_the_first_arrival(
     served: Deployment,
 ) -> None:
