Count a retry only once if its first upstream is unreachable

What callers saw: a resumable stream cut, or a 502, for want of a retry budget, when an upstream broke off and the next one was unreachable, as beside several upstreams that crash at once.

Cause: the retry was counted when the first attempt failed, and again after an attempt that had sent nothing. Grants that were given back were already exempt.

Before: the new test got 200, incomplete, with one retry allowed ('retry denied'); after: the whole stream with two arrivals.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -374,7 +374,8 @@
         if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
             progress.no_replacement = REASON_TIME
             return False
-        if not history.sent or end.result is AttemptResult.WITHHELD:
+        if not history.sent or not RULE_BY_RESULT[end.result].was_sent:
+            # No retry, or the one that was paid for before was not sent.
             return True
         if self._retry_budgets.try_spend(call):
             return True
--- a/tests/router/deployed/test_failure_after_run.py
+++ b/tests/router/deployed/test_failure_after_run.py
@@ -3,6 +3,11 @@
 import pytest
 from tests.router.deployed.conftest import Deployment, manifest
 
+from lacewingspar_router.http1 import connection_pool
+from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.errors import ConnectionFailedError
+
 
 @pytest.mark.parametrize(
     ("path", "service", "faults"),
@@ -23,3 +28,29 @@
     response = await caller.call(path)
     assert upstream.runs.total() > 0
     assert response.status == 502
+
+
+async def test_unreachable_upstream_costs_no_retry(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams cut for want of a budget that is not used."""
+    await served.add_upstream("e3", "engines")
+    caller = await served.add_router(retry_ratio=0.0, retry_allowance=2.0)
+    engines = [served.upstream_by_id[name] for name in ("e1", "e2", "e3")]
+    for engine in engines:
+        engine.faults.break_after_events = 2
+    connections = 0
+
+    async def async_connect_once(address: str) -> ClientConnection:
+        nonlocal connections
+        connections += 1
+        if connections == 2:
+            for engine in engines:
+                engine.faults.break_after_events = -1
+            raise ConnectionFailedError("refused")
+        return await async_connect(address)
+
+    monkeypatch.setattr(connection_pool, "async_connect", async_connect_once)
+    response = await caller.call("/stream/")
+    assert (response.status, response.is_complete) == (200, True)
+    assert sum(len(engine.received) for engine in engines) == 2
