--- a/tests/router/deployed/test_upstream_waits.py
+++ b/tests/router/deployed/test_upstream_waits.py
@@ -57,9 +57,9 @@
 
 
 @pytest.mark.parametrize(
-    ("routers", "used"), [(3, 1), (3, 3)], ids=["one", "all"]
+    ("routers", "used"), [(1, 1), (3, 1), (3, 3)], ids=["alone", "one", "all"]
 )
-@pytest.mark.parametrize("retry_after", ["1", "1.75"])
+@pytest.mark.parametrize("retry_after", ["2", "2.25"])
 @pytest.mark.parametrize("path", PATHS)
 async def test_upstream_that_asks_to_wait_is_left_alone(
     served: Deployment, path: str, retry_after: str, routers: int, used: int
