Refuse fewer requests of a stopping router

Cause: with the mean plus two deviations a stopping router refused many streams that would have ended in time; their callers came back to other routers of the data centre that were stopping too, and were refused again.

By Cantelli's inequality at most half of the run times of a route are longer, whatever their distribution.

--- a/packages/core/src/lacewingspar_core/run_time_estimates.py
+++ b/packages/core/src/lacewingspar_core/run_time_estimates.py
@@ -7,10 +7,10 @@
 NEWEST_WEIGHT = 1 / 16
 # Run times of a route that are needed for an estimate.
 MIN_RUN_TIMES = 5
-# Distance of the estimate from the mean, in standard deviations. At most one in
-# five run times is longer, whatever their distribution (Cantelli's inequality),
-# and one in 40 if it is normal.
-ESTIMATE_DEVIATIONS = 2.0
+# Distance of the estimate from the mean, in standard deviations. At most half
+# of the run times are longer, whatever their distribution (Cantelli's
+# inequality), so that most requests that are accepted can end.
+ESTIMATE_DEVIATIONS = 1.0
 # Routes with estimates; the one without a run time for longest is dropped.
 MAX_ROUTES = 1024
 
@@ -51,10 +51,10 @@
             del self._run_times_by_route[next(iter(self._run_times_by_route))]
 
     def upper_estimate(self, route: str) -> float | None:
-        """Return the time in seconds that few requests of a route exceed.
+        """Return the time in seconds that most requests of a route take.
 
         Returns:
-            The mean plus two standard deviations, or None if too few requests
+            The mean plus one standard deviation, or None if too few requests
             have finished.
         """
         run_times = self._run_times_by_route.get(route)
