--- a/tests/router/deployed/test_failure_after_run.py
+++ b/tests/router/deployed/test_failure_after_run.py
@@ -2,6 +2,7 @@
 
 import pytest
 from tests.router.deployed.conftest import Deployment, manifest
+from tests.router.deployed.test_forwarding import STREAM
 
 from lacewingspar_router.http1 import connection_pool
 from lacewingspar_router.http1.client import async_connect
@@ -54,3 +55,32 @@
     response = await caller.call("/stream/")
     assert (response.status, response.is_complete) == (200, True)
     assert sum(len(engine.received) for engine in engines) == 2
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 3; issue 29")
+@pytest.mark.parametrize("other", ["none", "unreachable"])
+async def test_stream_goes_on_at_an_upstream_that_broke_off_once(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch, other: str
+) -> None:
+    """Guards against streams cut while attempts and time are left."""
+    deployment.publish(manifest())
+    names = ["e1"] if other == "none" else ["e1", "e2"]
+    engines = [await deployment.add_upstream(n, "engines") for n in names]
+    caller = await deployment.add_router()
+    for engine in engines:
+        engine.faults.break_after_events = 2
+    addresses: list[str] = []
+
+    async def async_connect_once(address: str) -> ClientConnection:
+        addresses.append(address)
+        if len(addresses) > 1:
+            for engine in engines:
+                engine.faults.break_after_events = -1
+        if address != addresses[0]:
+            raise ConnectionFailedError("refused")
+        return await async_connect(address)
+
+    monkeypatch.setattr(connection_pool, "async_connect", async_connect_once)
+    response = await caller.call("/stream/")
+    assert (response.body, response.is_complete) == (STREAM, True)
+    assert sum(len(engine.received) for engine in engines) == 2
