--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -62,6 +62,24 @@
     first_chunk_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptHooks:
+    """Functions that an attempt calls on its way.
+
+    Attributes:
+        may_send: Returns whether the upstream still accepts the request.
+        on_sent: Called with the connection when the request is sent. If it
+            interrupts the exchange, the attempt ends as timed out.
+        on_notice: Called with each notice of the upstream.
+        on_first_chunk: Called when the first chunk of the response arrives.
+    """
+
+    may_send: Callable[[], bool]
+    on_sent: Callable[[ClientConnection], None]
+    on_notice: Callable[[UpstreamNotice], None]
+    on_first_chunk: Callable[[], None]
+
+
 class Attempt:
     """Sends a request to one upstream and relays the response.
 
@@ -72,11 +90,7 @@
         wire_format: Wire format of requests and responses.
         caller_response: Response to the caller.
         now: Clock in seconds.
-        on_sent: Called with the connection when the request is sent. If it
-            interrupts the exchange, the attempt ends as timed out.
-        on_first_chunk: Called when the first chunk of the response arrives.
-        on_notice: Called with each notice of the upstream.
-        may_send: Returns whether the upstream still accepts the request.
+        hooks: Functions to call on the way.
     """
 
     def __init__(
@@ -87,10 +101,7 @@
         wire_format: WireFormat,
         caller_response: CallerResponse,
         now: Callable[[], float],
-        on_sent: Callable[[ClientConnection], None],
-        on_first_chunk: Callable[[], None],
-        on_notice: Callable[[UpstreamNotice], None],
-        may_send: Callable[[], bool],
+        hooks: AttemptHooks,
     ) -> None:
         self._call = call
         self._upstream = upstream
@@ -98,10 +109,7 @@
         self._wire_format = wire_format
         self._caller_response = caller_response
         self._now = now
-        self._on_sent = on_sent
-        self._on_first_chunk = on_first_chunk
-        self._on_notice = on_notice
-        self._may_send = may_send
+        self._hooks = hooks
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -122,7 +130,7 @@
             )
         except ConnectionFailedError as error:
             return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
-        if not self._may_send():
+        if not self._hooks.may_send():
             connection.abort()
             return AttemptEnd(
                 AttemptResult.WITHHELD, "the upstream wants no requests"
@@ -130,7 +138,7 @@
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
-            self._on_sent(connection)
+            self._hooks.on_sent(connection)
             end = await self._async_receive_response(connection)
             is_reusable = end.result not in _UNUSABLE_CONNECTION_RESULTS
             return end
@@ -183,7 +191,7 @@
                 self._call, self._upstream, head
             )
             if info.notice is not None:
-                self._on_notice(info.notice)
+                self._hooks.on_notice(info.notice)
             if info.is_for_request:
                 return head, info
             await async_read_body(
@@ -220,7 +228,7 @@
 
     def record_first_chunk(self) -> None:
         """Report that the first chunk of the response arrived."""
-        self._on_first_chunk()
+        self._hooks.on_first_chunk()
 
     async def async_drain(self) -> None:
         """Wait until the caller can take more data."""
@@ -260,7 +268,7 @@
             return AttemptEnd(
                 AttemptResult.UPSTREAM_FAILURE, f"status {status}", response
             )
-        self._on_first_chunk()
+        self._hooks.on_first_chunk()
         return AttemptEnd(AttemptResult.RESPONDED, "", response)
 
     def _is_stream(self, head: ResponseHead, info: ResponseInfo) -> bool:
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -21,6 +21,7 @@
 from lacewingspar_router.components.forwarding.attempt import (
     Attempt,
     AttemptEnd,
+    AttemptHooks,
     CallerResponse,
 )
 from lacewingspar_router.components.forwarding.crash_guard import CrashGuard
@@ -339,10 +340,14 @@
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            switch.watch,
-            record_first_chunk,
-            lambda notice: self._availability.record(upstream, notice),
-            lambda: self._admission.may_send(grant),
+            AttemptHooks(
+                may_send=lambda: self._admission.may_send(grant),
+                on_sent=switch.watch,
+                on_notice=lambda notice: self._availability.record(
+                    upstream, notice
+                ),
+                on_first_chunk=record_first_chunk,
+            ),
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
