Keep the limit of a router without room at zero in its test

Traced: the test sets the limit to 0, and the load monitor raises a limit that is used to half, which 0 of 0 is, by MIN_INCREASE_REQUESTS after its first 0.1 s. With a pause of 0.3 s before the call it failed each time, so the test was wrong: it passed when the call came sooner. It also sets that constant to 0 now; its assertions are as before. With the pause it passes, and 6 of 6 times without.

--- a/tests/router/deployed/test_forwarding.py
+++ b/tests/router/deployed/test_forwarding.py
@@ -414,6 +414,7 @@
     """Guards against expensive refusals by an overloaded router."""
     monkeypatch.setattr(router_concurrency_limit, "MIN_LIMIT", 0)
     monkeypatch.setattr(router_concurrency_limit, "REQUESTS_PER_PROCESSOR", 0)
+    monkeypatch.setattr(router_concurrency_limit, "MIN_INCREASE_REQUESTS", 0)
     caller = await served.add_router()
     response = await caller.call("/stream/1", key=key, x_attempt_id="id-1")
     assert response.status == status
