Return to a silent upstream if the one that took over refuses

Change: if the one that took over did not run the request and no attempt is left, the request goes back to the upstream that it came from, and to no third one, so that it is sent to no more upstreams than its route allows. It goes on behind the last event.

Left: it costs a second retry of the budget, and the upstream may be blocked by then; keeping the first connection until the second responds would cost neither.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -84,6 +84,9 @@
         unreachable: Number of attempts that ended before the request was sent.
         may_have_run: Whether any upstream may have run the request.
         tried: Ids of the upstreams that were tried.
+        return_to: Upstream that was left while it was silent and may be sent
+            the request again, because the one that took over refused it and no
+            attempt is left for a third; or "".
     """
 
     may_run_again: bool
@@ -92,6 +95,8 @@
     unreachable: int = 0
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
+    return_to: str = ""
+    _left_silent: str = ""
 
     def record(self, result: AttemptResult, upstream_id: str) -> None:
         """Record the result of an attempt."""
@@ -100,6 +105,11 @@
         self.unreachable += not rule.was_sent
         self.may_have_run |= rule.may_have_run
         self.tried |= {upstream_id}
+        left, self._left_silent, self.return_to = self._left_silent, "", ""
+        if result is AttemptResult.TIMED_OUT:
+            self._left_silent = upstream_id
+        elif not rule.may_have_run and self.sent >= self.max_sent:
+            self.return_to = left
 
     @property
     def may_replace(self) -> bool:
@@ -118,6 +128,6 @@
         return (
             RULE_BY_RESULT[result].may_send_again
             and (self.may_run_again or not self.may_have_run)
-            and self.sent < max(1, self.max_sent)
+            and (self.sent < max(1, self.max_sent) or bool(self.return_to))
             and self.unreachable < MAX_UNREACHABLE_ATTEMPTS
         )
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -119,13 +119,22 @@
             if grant is not None:
                 return grant
             return await self._admission.async_acquire(
-                self._requirements(), history.tried
+                self._requirements(), self._excluded()
             )
         except RequestRefusedError as error:
             if history.tried:
                 self._progress.no_replacement = error.code
             raise
 
+    def _excluded(self) -> frozenset[str]:
+        """Return the upstreams that the next attempt must not use."""
+        history = self._progress.history
+        if not history.return_to:
+            return history.tried
+        service = self._progress.call.service
+        others = self._routing.directory.ready_upstreams(service).keys()
+        return (history.tried | others) - {history.return_to}
+
     def watch(self, connection: ClientConnection) -> None:
         """Watch the upstream of an attempt that was just sent."""
         route = self._progress.call.route
--- a/tests/core/test_attempt_rules.py
+++ b/tests/core/test_attempt_rules.py
@@ -25,6 +25,9 @@
         ([Result.UPSTREAM_FAILURE], True, 2, True, True),
         ([Result.UPSTREAM_FAILURE], False, 2, False, True),
         ([Result.BROKEN, Result.NOT_RUN], True, 2, False, True),
+        ([Result.TIMED_OUT, Result.NOT_RUN], True, 2, True, True),
+        ([Result.TIMED_OUT, Result.BROKEN], True, 2, False, True),
+        ([Result.TIMED_OUT, *[Result.NOT_RUN] * 2], True, 2, False, True),
     ],
 )
 def test_whether_another_attempt_is_allowed(
--- a/tests/router/deployed/test_failure_after_run.py
+++ b/tests/router/deployed/test_failure_after_run.py
@@ -57,7 +57,7 @@
     assert sum(len(engine.received) for engine in engines) == 2
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 3; issue 29")
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 3; issue 9")
 @pytest.mark.parametrize("other", ["none", "unreachable"])
 async def test_stream_goes_on_at_an_upstream_that_broke_off_once(
     deployment: Deployment, monkeypatch: pytest.MonkeyPatch, other: str
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -325,3 +325,20 @@
     response = await call
     assert (response.body, response.is_complete) == (STREAM, True)
     assert first.runs.total() == 2
+
+
+async def test_stream_is_whole_if_its_replacement_refuses(
+    deployment: Deployment,
+) -> None:
+    """Guards against a sound upstream that is left for one that refuses."""
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.pause_after_events = 3
+        engine.faults.pause_seconds = 1.6
+    caller = await deployment.add_router()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    other = next(engine for engine in engines if not engine.running)
+    other.faults.refuse = True
+    response = await call
+    assert (response.body, response.is_complete) == (STREAM, True)
