Keep the other upstream busy in the test of grants given back

Traced: the test needs the pool to grant the upstream that leaves. The other one answered in 20 ms, less than the leaving one was seen to take on a busy machine, so that it got every call. It takes 0.2 s now; the assertions are as before.

--- a/tests/router/deployed/test_upstream_notices.py
+++ b/tests/router/deployed/test_upstream_notices.py
@@ -187,7 +187,7 @@
     """
     caller = await served.add_router(retry_ratio=0.0, retry_allowance=0.0)
     leaving, other = both(served, path)
-    other.response_delay_seconds = 0.02
+    other.response_delay_seconds = 0.2
     await async_reach(caller, path, leaving)
     monkeypatch.setattr(PoolAdmission, "set_upstreams", lambda *_: [])
     monkeypatch.setattr(SendCheck, "excluded", lambda _: frozenset())
