--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -130,18 +130,9 @@
             outcome: `REPLACED`, or the reason why no upstream replaces it.
         """
         is_replaced = outcome == REPLACED
-        self._telemetry.count(
-            "silent_upstreams_total",
-            service=progress.call.service,
-            outcome=outcome,
-        )
         _LOGGER.warning(
             "upstream silent",
-            request_id=progress.call.metadata.request_id,
-            upstream=progress.upstream_id,
-            service=progress.call.service,
-            silent_ms=_milliseconds(silent_seconds),
-            last_event_id=progress.caller_response.events.last_id,
+            **self._count_silence(progress, silent_seconds, outcome),
             decision=REPLACED if is_replaced else "no replacement",
             reason="" if is_replaced else outcome,
         )
@@ -150,19 +141,26 @@
         self, progress: CallProgress, silent_seconds: float
     ) -> None:
         """Record that a silent upstream has sent more of its response."""
-        self._telemetry.count(
-            "silent_upstreams_total",
-            service=progress.call.service,
-            outcome=WENT_ON,
-        )
         _LOGGER.info(
             "upstream went on",
-            request_id=progress.call.metadata.request_id,
-            upstream=progress.upstream_id,
-            service=progress.call.service,
-            silent_ms=_milliseconds(silent_seconds),
-            last_event_id=progress.caller_response.events.last_id,
+            **self._count_silence(progress, silent_seconds, WENT_ON),
+        )
+
+    def _count_silence(
+        self, progress: CallProgress, silent_seconds: float, outcome: str
+    ) -> dict[str, str | int | None]:
+        """Count an outcome of a silence and return the fields of its line."""
+        service = progress.call.service
+        self._telemetry.count(
+            "silent_upstreams_total", service=service, outcome=outcome
         )
+        return {
+            "request_id": progress.call.metadata.request_id,
+            "upstream": progress.upstream_id,
+            "service": service,
+            "silent_ms": _milliseconds(silent_seconds),
+            "last_event_id": progress.caller_response.events.last_id,
+        }
 
     def record_end(self, progress: CallProgress, outcome: str) -> None:
         """Record the end of an accepted request."""
