Log which requests of a crashed upstream had no output yet

Cause: "upstream crashed" had only the number of requests in flight, so the log could not tell whether crashes have a request or a part of a prompt in common (hypotheses 1 and 2 of docs/incidents/prompt-part-that-crashes-upstreams.md). Change: the line names the requests without output and the shared parts of their prompts, 16 of each at most. A run is an object of its own, so that it can be marked. The key of a prompt part is the caller's own id of that part, not a hash of it and the parts before it, as its comment said: the wire format passes the id on. Evidence: test_crash_is_logged_with_the_requests_that_had_not_begun failed before; the other tests of forwarding pass.

--- a/packages/core/src/lacewingspar_core/prefix_cache.py
+++ b/packages/core/src/lacewingspar_core/prefix_cache.py
@@ -11,13 +11,18 @@
     """A part of a prompt that other prompts may share.
 
     Attributes:
-        key: Hash of this part and all parts before it.
+        key: Identifier of the part, wherever it stands in a prompt.
         tokens: Length in tokens.
     """
 
     key: int
     tokens: int
 
+    @property
+    def name(self) -> str:
+        """Return the identifier as callers write it, in hexadecimal."""
+        return f"{self.key:08x}"
+
 
 class PrefixCache:
     """LRU model of the prompt parts in the KV cache of an engine.
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -62,4 +62,7 @@
 CRASH_CHECK_DELAY_SECONDS = 0.02
 # Time for which a broken run remains a suspect for a crash of its upstream.
 CRASH_SUSPECT_RETENTION_SECONDS = 0.5
+# Requests and prompt parts in the log line of a crash. Most crashes leave fewer
+# requests without output; more would only lengthen the line.
+MAX_LOGGED_SUSPECTS = 16
 STALE_CONNECTION_CHECK_INTERVAL_SECONDS = 1.0
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -1,7 +1,6 @@
 """Quarantine of requests that crash upstreams."""
 
 import asyncio
-from collections import Counter
 from dataclasses import dataclass
 
 import structlog
@@ -19,22 +18,28 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class GuardedRun:
     """A run of a request at an upstream, as a possible cause of a crash.
 
     Attributes:
         service: Service of the upstream.
         upstream_id: ID of the upstream.
+        request_id: ID of the request.
         fingerprint: Fingerprint of the request.
+        prompt_parts: Parts of its prompt that other requests may share.
         epoch: Number of known crashes of the upstream when the request was
             sent.
+        has_output: Whether the upstream has begun to write its response.
     """
 
     service: str
     upstream_id: str
+    request_id: str
     fingerprint: str
+    prompt_parts: tuple[str, ...]
     epoch: int
+    has_output: bool = False
 
 
 class CrashGuard:
@@ -53,7 +58,7 @@
         self._app = app
         self._telemetry = app.get(TELEMETRY)
         self._exchange = CrashExchange(app)
-        self._runs_by_upstream: dict[str, Counter[GuardedRun]] = {}
+        self._runs_by_upstream: dict[str, set[GuardedRun]] = {}
         self._upstreams_being_checked: set[str] = set()
 
     def fingerprint_of(self, call: Call) -> str:
@@ -87,8 +92,16 @@
         """Record the start of a run."""
         state = self._exchange.find_state(call.service)
         epoch = 0 if state is None else state.epoch(upstream_id)
-        run = GuardedRun(call.service, upstream_id, request_fingerprint, epoch)
-        self._runs_by_upstream.setdefault(upstream_id, Counter())[run] += 1
+        metadata = call.metadata
+        run = GuardedRun(
+            call.service,
+            upstream_id,
+            metadata.request_id,
+            request_fingerprint,
+            tuple(part.name for part in metadata.shared_parts),
+            epoch,
+        )
+        self._runs_by_upstream.setdefault(upstream_id, set()).add(run)
         return run
 
     def end(
@@ -123,9 +136,7 @@
         runs = self._runs_by_upstream.get(run.upstream_id)
         if runs is None:
             return
-        runs[run] -= 1
-        if runs[run] <= 0:
-            del runs[run]
+        runs.discard(run)
         if not runs:
             del self._runs_by_upstream[run.upstream_id]
 
@@ -152,19 +163,24 @@
             self._upstreams_being_checked.discard(run.upstream_id)
 
     def _record_crash(self, run: GuardedRun) -> None:
-        runs = self._runs_by_upstream.get(run.upstream_id, Counter())
-        fingerprints = {suspect.fingerprint for suspect in runs} | {
-            run.fingerprint
-        }
-        epoch = max([suspect.epoch for suspect in runs] + [run.epoch])
+        runs = self._runs_by_upstream.get(run.upstream_id, set()) | {run}
+        fingerprints = {suspect.fingerprint for suspect in runs}
+        epoch = max(suspect.epoch for suspect in runs)
         state = self._exchange.state(run.service)
         state.record_crash(
             run.upstream_id, epoch, fingerprints, self._app.now()
         )
+        waiting = [suspect for suspect in runs if not suspect.has_output]
         _LOGGER.warning(
             "upstream crashed",
             upstream=run.upstream_id,
             service=run.service,
             suspects=len(fingerprints),
+            without_output=[suspect.request_id for suspect in waiting][
+                : const.MAX_LOGGED_SUSPECTS
+            ],
+            their_prompt_parts=sorted(
+                {part for suspect in waiting for part in suspect.prompt_parts}
+            )[: const.MAX_LOGGED_SUSPECTS],
         )
         self._exchange.publish(state)
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -328,8 +328,12 @@
     ) -> AttemptEnd:
         """Send a request to an upstream and relay the response."""
         call = progress.call
+        run = self._crash_guard.begin(
+            call, request_fingerprint, upstream.upstream_id
+        )
 
         def record_first_chunk() -> None:
+            run.has_output = True
             switch.record_first_chunk()
             self._admission.record_first_chunk(grant)
 
@@ -351,9 +355,6 @@
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
-        run = self._crash_guard.begin(
-            call, request_fingerprint, upstream.upstream_id
-        )
         is_broken = False
         try:
             end = await attempt.async_run(
--- a/tests/router/deployed/test_crash_guard.py
+++ b/tests/router/deployed/test_crash_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import structlog
 from tests.router.deployed.conftest import Deployment, manifest, until
 
 from lacewingspar_router.components.peers.models import PEERS
@@ -58,6 +59,27 @@
     assert total_crashes(deployment) <= 3
 
 
+async def test_crash_is_logged_with_the_requests_that_had_not_begun(
+    deployment: Deployment,
+) -> None:
+    """Guards against crashes whose cause cannot be found in the logs."""
+    await add_crashing_upstreams(deployment, 2)
+    caller = await deployment.add_router()
+    with structlog.testing.capture_logs() as logs:
+        await caller.call(
+            "/write/",
+            body=CRASHING_BODY,
+            x_attempt_id="culprit",
+            x_prompt_prefix="0a1:10,b2:20,c3:30",
+        )
+        await until(
+            lambda: any(line["event"] == "upstream crashed" for line in logs)
+        )
+    (crash,) = [line for line in logs if line["event"] == "upstream crashed"]
+    assert crash["without_output"] == ["culprit"]
+    assert crash["their_prompt_parts"] == ["000000a1", "000000b2"]
+
+
 async def test_reset_without_a_crash_is_no_crash(served: Deployment) -> None:
     """Guards against the quarantine of requests whose response was lost."""
     caller = await served.add_router()
