Add a failing test of a prompt part that crashes each upstream

What callers saw: requests of which no two are alike, but with one part of the prompt in common, end one engine after the other; sound requests beside them fail. The stand-in of an upstream learns to crash on a part, by resets or clean closes, and to stream without a length or chunks. The bound is the stated one: five crashes and three requests more.

--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -51,6 +51,8 @@
 # Ends an endless part, so that a router that reads all of it fails the test
 # instead of exhausting the memory of the machine.
 MAX_ENDLESS_BYTES = 48 * 1024 * 1024
+# Time from the head of a response until a prompt part crashes the upstream.
+PART_CRASH_DELAY_SECONDS = 0.03
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 _STATUS_UNAVAILABLE = 503
@@ -72,7 +74,7 @@
         extra_answer: Send a second response after each complete one.
         stray_id: Send a response with the id of another request first.
         unframed: Send responses that end with the connection, without a
-            length or chunks.
+            length or chunks, also streams.
         reset_unframed: Reset the connection of an unframed response instead
             of closing it.
         encoding: Value of `Content-Encoding`, or "" for none.
@@ -82,6 +84,11 @@
             `ENDLESS_PARTS`, or "" for none.
         crash_marker: Text in a request body that makes the upstream stop
             listening and reset all its connections.
+        crash_part: Part of a prompt, other than the last, that makes the
+            upstream stop listening and end all its connections when it begins
+            to write a streamed response; or "" for none.
+        crash_cleanly: Close the connections at the crash, instead of
+            resetting them.
         pause_after_events: Number of events of a run after which it pauses
             once and then goes on; 0 pauses before the response head, also of
             plain calls, and -1 never.
@@ -106,6 +113,8 @@
     no_seal: bool = False
     endless: str = ""
     crash_marker: str = ""
+    crash_part: str = ""
+    crash_cleanly: bool = False
     pause_after_events: int = -1
     pause_seconds: float = 0.0
     leaving: bool = False
@@ -134,6 +143,12 @@
     value_by_header: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
 
+    @property
+    def shared_prompt_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts of its prompt, without the last."""
+        items = self.value_by_header.get("x-prompt-prefix", "").split(",")
+        return tuple(item.partition(":")[0].strip() for item in items[:-1])
+
 
 class Upstream:
     """An upstream that streams events on paths that contain `stream`.
@@ -191,7 +206,10 @@
             self._server.close()
             self._server = None
         for connection in list(self.open_connections):
-            connection.reset()
+            if self.faults.crash_cleanly:
+                connection.close()
+            else:
+                connection.reset()
 
     async def async_stop(self) -> None:
         """Stop listening."""
@@ -324,15 +342,14 @@
     async def _async_respond_stream(self, request: ReceivedRequest) -> None:
         faults = self._upstream.faults
         first = int(request.value_by_header.get("last-event-id", "0")) + 1
-        self._write_head(
-            request,
-            200,
-            [
-                f"X-Server-Seal: {SEAL}",
-                "Content-Type: text/event-stream",
-                "Transfer-Encoding: chunked",
-            ],
-        )
+        headers = [f"X-Server-Seal: {SEAL}", "Content-Type: text/event-stream"]
+        if not faults.unframed:
+            headers.append("Transfer-Encoding: chunked")
+        self._write_head(request, 200, headers)
+        if faults.crash_part in request.shared_prompt_parts:
+            await asyncio.sleep(PART_CRASH_DELAY_SECONDS)
+            self._upstream.crash()
+            return
         for sent, number in enumerate(range(first, self._upstream.events + 1)):
             data = b"id: %d\ndata: event %d\n\n" % (number, number)
             if sent == faults.break_after_events:
@@ -344,7 +361,10 @@
             self._write_chunk(data)
             await asyncio.sleep(self._upstream.response_delay_seconds)
             await self._async_pause_after(sent + 1)
-        self._transport.write(b"0\r\n\r\n")
+        if faults.unframed:
+            self._transport.close()
+        else:
+            self._transport.write(b"0\r\n\r\n")
 
     async def _async_pause_after(self, events: int) -> None:
         """Pause if the run pauses after this number of events."""
@@ -352,6 +372,10 @@
         if events == faults.pause_after_events:
             await asyncio.sleep(faults.pause_seconds)
 
+    def close(self) -> None:
+        """Close the connection after what has been written."""
+        self._transport.close()
+
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
         sock = self._transport.get_extra_info("socket")
@@ -359,7 +383,10 @@
         self._transport.abort()
 
     def _write_chunk(self, data: bytes) -> None:
-        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self._upstream.faults.unframed:
+            self._transport.write(data)
+        else:
+            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def _write_response(
         self,
--- /dev/null
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -0,0 +1,76 @@
+"""Tests of prompt parts that crash each upstream that runs them."""
+
+import asyncio
+
+import pytest
+from tests.router.deployed.conftest import (
+    Caller,
+    Deployment,
+    manifest,
+    until,
+)
+
+from lacewingspar_router.components.peers.models import PEERS
+
+CRASHING = "c0ffee01"
+# Requests may reach upstreams so often after the fifth crash.
+MAX_CRASHES = 5 + 3
+ROUTERS = ("r1", "r2", "r3")
+UPSTREAMS = 12
+PROMPTS = {
+    "second part": "aaaa0001:50,c0ffee01:40,{n}:30",
+    "first part": "c0ffee01:50,bbbb0001:40,{n}:30",
+    "only shared part": "c0ffee01:50,{n}:30",
+    "behind a part of its own": "{n}:50,c0ffee01:40,{n}f:30",
+}
+
+
+async def start(deployment: Deployment) -> list[Caller]:
+    """Start upstreams that crash on a part, and routers that know each other."""
+    deployment.publish(manifest())
+    for number in range(UPSTREAMS):
+        upstream = await deployment.add_upstream(f"e{number}", "engines")
+        upstream.faults.crash_part = CRASHING
+    callers = [await deployment.add_router(ROUTERS[0])]
+    seed = deployment.apps[0].settings.peer_address
+    callers += [
+        await deployment.add_router(name, seed_hosts=[seed])
+        for name in ROUTERS[1:]
+    ]
+    await until(
+        lambda: all(
+            len(app.get(PEERS).alive_by_router_id) == len(ROUTERS)
+            for app in deployment.apps
+        )
+    )
+    return callers
+
+
+def total_crashes(deployment: Deployment) -> int:
+    return sum(item.crashes for item in deployment.upstream_by_id.values())
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt 4")
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+@pytest.mark.parametrize("prompt", PROMPTS.values(), ids=PROMPTS.keys())
+async def test_requests_with_a_crashing_part_stop_reaching_upstreams(
+    deployment: Deployment, prompt: str, path: str
+) -> None:
+    """Guards against a part that crashes upstream after upstream.
+
+    No two requests are alike. Sound ones with all other parts are served.
+    """
+    callers = await start(deployment)
+    for number in range(3 * MAX_CRASHES):
+        caller = callers[number % len(callers)]
+        crashing = await caller.call(
+            path, x_prompt_prefix=prompt.format(n=f"{number:08x}")
+        )
+        await asyncio.sleep(0.05)
+        sound = prompt.replace(CRASHING, "dddd0001")
+        response = await caller.call(
+            path, x_prompt_prefix=sound.format(n=f"{number:08x}")
+        )
+        assert response.status == 200
+    assert total_crashes(deployment) <= MAX_CRASHES
+    assert crashing.status == 503
