--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -165,6 +165,21 @@
         self.register(upstream_id, service, data_centre=data_centre)
         return upstream
 
+    async def restart_crashed(self, service: str) -> None:
+        """Start a successor, with a new id, at the address of each crash."""
+        for upstream_id, crashed in list(self.upstream_by_id.items()):
+            successor_id = f"{upstream_id}+"
+            if not crashed.crashes or successor_id in self.upstream_by_id:
+                continue
+            self.store.topic("keyed.servers").append(upstream_id, b"")
+            successor = Upstream(successor_id, crashed.events)
+            successor.faults = crashed.faults
+            _, _, port = crashed.address.rpartition(":")
+            await successor.async_start(port=int(port))
+            self._stack.push_async_callback(successor.async_stop)
+            self.upstream_by_id[successor_id] = successor
+            self.register(successor_id, service)
+
     def register(
         self,
         upstream_id: str,
--- a/tests/router/deployed/test_crashing_prompt_part.py
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -26,7 +26,7 @@
 
 
 async def start(deployment: Deployment) -> list[Caller]:
-    """Start upstreams that crash on a part, and routers that know each other."""
+    """Start upstreams that crash on a part, and routers."""
     deployment.publish(manifest())
     for number in range(UPSTREAMS):
         upstream = await deployment.add_upstream(f"e{number}", "engines")
@@ -63,13 +63,19 @@
     callers = await start(deployment)
     for number in range(3 * MAX_CRASHES):
         caller = callers[number % len(callers)]
+        own_part = f"{number:08x}"
         crashing = await caller.call(
-            path, x_prompt_prefix=prompt.format(n=f"{number:08x}")
+            path,
+            body=f"crashing {number}".encode(),
+            x_prompt_prefix=prompt.format(n=own_part),
         )
         await asyncio.sleep(0.05)
+        await deployment.restart_crashed("engines")
         sound = prompt.replace(CRASHING, "dddd0001")
         response = await caller.call(
-            path, x_prompt_prefix=sound.format(n=f"{number:08x}")
+            path,
+            body=f"sound {number}".encode(),
+            x_prompt_prefix=sound.format(n=own_part),
         )
         assert response.status == 200
     assert total_crashes(deployment) <= MAX_CRASHES
