Do not take the end of a crashed upstream for the end of a stream

What callers saw: a stream without a length or chunks whose upstream crashes between two events is delivered as complete; one that crashes after the head reaches its caller as an empty 200, which also clears the request of any suspicion. Cause: such a stream ends with its connection, whatever the reason. Change: one that ends before its first event has been broken off. After others the upstream is asked for a new connection, as at a broken one; if its address refuses, the stream has been broken off and is resumed or visibly cut. The connection is kept for the next request, also that of the check for a crash, which closed it before. Ruled out: the same for plain responses, where an upstream may well leave after its last answer; a whole answer would become a failure.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -1,6 +1,6 @@
 """A single attempt to serve a request at one upstream."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from lacewingspar_core.attempt_rules import AttemptResult
@@ -72,12 +72,14 @@
             interrupts the exchange, the attempt ends as timed out.
         on_notice: Called with each notice of the upstream.
         on_first_chunk: Called when the first chunk of the response arrives.
+        async_has_crashed: Returns whether the upstream has just crashed.
     """
 
     may_send: Callable[[], bool]
     on_sent: Callable[[ClientConnection], None]
     on_notice: Callable[[UpstreamNotice], None]
     on_first_chunk: Callable[[], None]
+    async_has_crashed: Callable[[], Awaitable[bool]]
 
 
 class Attempt:
@@ -204,12 +206,24 @@
     ) -> AttemptEnd:
         """Relay events as they arrive."""
         caller_response = self._caller_response
+        events = caller_response.events
+        events_before = events.forwarded
         sink = _EventSink(self, head)
         await connection.async_stream_body(sink)
-        if caller_response.events.has_partial_event:
+        if events.has_partial_event:
             return AttemptEnd(
                 AttemptResult.BROKEN, "stream ended inside an event"
             )
+        if head.ends_with_connection:
+            # The end of the stream looks like the death of the upstream.
+            if events.forwarded == events_before:
+                return AttemptEnd(
+                    AttemptResult.BROKEN, "stream ended without an event"
+                )
+            if await self._hooks.async_has_crashed():
+                return AttemptEnd(
+                    AttemptResult.BROKEN, "stream ended in a crash"
+                )
         self._start_response(head)
         caller_response.exchange.finish()
         return AttemptEnd(AttemptResult.RESPONDED)
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -5,7 +5,6 @@
 
 import structlog
 
-from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.prompt_quarantine import (
     PartRefusal,
     Prompt,
@@ -20,6 +19,7 @@
 from lacewingspar_router.crash_exchange import CrashExchange
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.client import async_connect
+from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import ConnectionFailedError
 
 _LOGGER = structlog.get_logger(__name__)
@@ -142,13 +142,13 @@
         run.prompt_run.first_output_at = self._app.now()
 
     def end(
-        self, run: GuardedRun, upstream: UpstreamEntry, *, is_broken: bool
+        self, run: GuardedRun, pool: ConnectionPool, *, is_broken: bool
     ) -> None:
         """Record the end of a run, and check for a crash if it broke.
 
         Args:
             run: The run.
-            upstream: Upstream of the run.
+            pool: Connections to its upstream.
             is_broken: Whether the connection broke.
         """
         if is_broken:
@@ -159,7 +159,7 @@
             loop.call_later(
                 const.CRASH_SUSPECT_RETENTION_SECONDS, self._discard_run, run
             )
-            self._check_crash(run, upstream)
+            self._check_crash(run, pool)
             return
         self._discard_run(run)
 
@@ -207,25 +207,20 @@
         if not runs:
             del self._runs_by_upstream[run.upstream_id]
 
-    def _check_crash(self, run: GuardedRun, upstream: UpstreamEntry) -> None:
+    def _check_crash(self, run: GuardedRun, pool: ConnectionPool) -> None:
         if run.upstream_id in self._upstreams_being_checked:
             return
         self._upstreams_being_checked.add(run.upstream_id)
         self._app.create_task(
-            self._async_check_crash(run, upstream), "check for a crash"
+            self._async_check_crash(run, pool), "check for a crash"
         )
 
     async def _async_check_crash(
-        self, run: GuardedRun, upstream: UpstreamEntry
+        self, run: GuardedRun, pool: ConnectionPool
     ) -> None:
         try:
-            await asyncio.sleep(const.CRASH_CHECK_DELAY_SECONDS)
-            connection = await async_connect(upstream.address)
-        except ConnectionFailedError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
+            if await async_has_crashed(pool):
                 self._record_crash(run)
-        else:
-            connection.abort()
         finally:
             self._upstreams_being_checked.discard(run.upstream_id)
 
@@ -263,3 +258,18 @@
             )[: const.MAX_LOGGED_SUSPECTS],
         )
         self._exchange.publish(state)
+
+
+async def async_has_crashed(pool: ConnectionPool) -> bool:
+    """Return whether an upstream that has closed a connection has crashed.
+
+    Its address then refuses the next connection. If that is accepted, it is
+    kept for the next request.
+    """
+    await asyncio.sleep(const.CRASH_CHECK_DELAY_SECONDS)
+    try:
+        connection = await async_connect(pool.address)
+    except ConnectionFailedError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    pool.release(connection)
+    return False
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -27,6 +27,7 @@
 from lacewingspar_router.components.forwarding.crash_guard import (
     CrashGuard,
     GuardedRequest,
+    async_has_crashed,
 )
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
@@ -328,6 +329,7 @@
     ) -> AttemptEnd:
         """Send a request to an upstream and relay the response."""
         call = progress.call
+        pool = self._connection_pool(upstream.address)
         run = self._crash_guard.begin(guarded, upstream.upstream_id)
 
         def record_sent(connection: ClientConnection) -> None:
@@ -342,7 +344,7 @@
         attempt = Attempt(
             call,
             upstream,
-            self._connection_pool(upstream.address),
+            pool,
             self._wire_format,
             progress.caller_response,
             self._app.now,
@@ -356,6 +358,7 @@
                     upstream, notice
                 ),
                 on_first_chunk=record_first_chunk,
+                async_has_crashed=lambda: async_has_crashed(pool),
             ),
         )
         entries = self._routing.directory.entry_by_id
@@ -367,7 +370,7 @@
             )
             is_broken = end.result is AttemptResult.BROKEN
         finally:
-            self._crash_guard.end(run, upstream, is_broken=is_broken)
+            self._crash_guard.end(run, pool, is_broken=is_broken)
         if end.result is AttemptResult.RESPONDED:
             self._crash_guard.record_success(run)
         return end
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -136,15 +136,13 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
-        names = {name for name, _ in self._headers}
+        head = ResponseHead(status, self._headers)
         self._is_close_delimited = (
-            b"content-length" not in names
-            and b"transfer-encoding" not in names
-            and status not in _STATUSES_WITHOUT_BODY
+            head.ends_with_connection and status not in _STATUSES_WITHOUT_BODY
         )
         self._has_progressed = True
         self._last_progress_at = time.monotonic()
-        self._push_event(ResponseHead(status, self._headers))
+        self._push_event(head)
 
     def on_body(self, body: bytes) -> None:
         """Pass body data to the sink, or queue it if there is none."""
--- a/packages/router/src/lacewingspar_router/http1/messages.py
+++ b/packages/router/src/lacewingspar_router/http1/messages.py
@@ -51,6 +51,12 @@
     status: int
     headers: RawHeaders
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether a body would have neither a length nor chunks."""
+        names = {name for name, _ in self.headers}
+        return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseEnd:
--- a/tests/router/deployed/test_crashing_prompt_part.py
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -9,6 +9,7 @@
     manifest,
     until,
 )
+from tests.router.deployed.test_forwarding import STREAM
 
 from lacewingspar_router.components.peers.models import PEERS
 
@@ -25,12 +26,22 @@
 }
 
 
-async def start(deployment: Deployment) -> list[Caller]:
+# How the connections of a crashed upstream end.
+CRASHES: list[dict[str, bool]] = [
+    {},
+    {"crash_cleanly": True},
+    {"crash_cleanly": True, "unframed": True},
+]
+
+
+async def start(deployment: Deployment, **faults: bool) -> list[Caller]:
     """Start upstreams that crash on a part, and routers."""
     deployment.publish(manifest())
     for number in range(UPSTREAMS):
         upstream = await deployment.add_upstream(f"e{number}", "engines")
         upstream.faults.crash_part = CRASHING
+        for name, value in faults.items():
+            setattr(upstream.faults, name, value)
     callers = [await deployment.add_router(ROUTERS[0])]
     seed = deployment.apps[0].settings.peer_address
     callers += [
@@ -59,7 +70,25 @@
 
     No two requests are alike. Sound ones with all other parts are served.
     """
-    callers = await start(deployment)
+    await check_that_crashes_end(deployment, prompt, path)
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+@pytest.mark.parametrize("faults", CRASHES, ids=["reset", "close", "unframed"])
+async def test_crashes_are_recognised_by_the_end_of_the_connection(
+    deployment: Deployment, faults: dict[str, bool], path: str
+) -> None:
+    """Guards against a crash that is taken for a complete, empty response."""
+    await check_that_crashes_end(
+        deployment, PROMPTS["second part"], path, **faults
+    )
+
+
+async def check_that_crashes_end(
+    deployment: Deployment, prompt: str, path: str, **faults: bool
+) -> None:
+    """Send crashing and sound requests in turn, no two of them alike."""
+    callers = await start(deployment, **faults)
     for number in range(3 * MAX_CRASHES):
         caller = callers[number % len(callers)]
         own_part = f"{number:08x}"
@@ -76,6 +105,7 @@
             body=f"sound {number}".encode(),
             x_prompt_prefix=sound.format(n=own_part),
         )
-        assert response.status == 200
+        assert (response.status, response.is_complete) == (200, True)
+        assert response.body == STREAM
     assert total_crashes(deployment) <= MAX_CRASHES
     assert crashing.status == 503
