Wait for the verdict on a crash before a request that had not begun is repeated

What callers saw: an upstream ends, the request that ended it goes to the next one within milliseconds, faster than the crash is recorded, and meets there the streams that continue. Cause: the retry did not wait for the check for a crash (0.02 s and a connection), so the part was neither known nor refused; affinity sends all with the same first part to one upstream. Change: a request without a response waits for the check of its upstream. If a part of it is a suspect, its retry ignores affinity and avoids upstreams that continue streams of this router, while others are left. Streams under way are resumed at once, as before. No retry at all for suspects: an ordinary crash makes each rare part one.

--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -52,6 +52,7 @@
         epoch: Number of known crashes of the upstream when the request was
             sent.
         prompt_run: Progress of the run.
+        is_continuation: Whether it continues a stream.
         broken_at: Time at which the connection broke, or infinity.
     """
 
@@ -59,6 +60,7 @@
     upstream_id: str
     epoch: int
     prompt_run: PromptRun
+    is_continuation: bool
     broken_at: float = float("inf")
 
 
@@ -79,7 +81,7 @@
         self._telemetry = app.get(TELEMETRY)
         self._exchange = CrashExchange(app)
         self._runs_by_upstream: dict[str, set[GuardedRun]] = {}
-        self._upstreams_being_checked: set[str] = set()
+        self._check_by_upstream: dict[str, asyncio.Task[None]] = {}
 
     def request_of(self, call: Call) -> GuardedRequest:
         """Return what a request may crash upstreams with."""
@@ -125,11 +127,55 @@
             return False
         return True
 
-    def begin(self, request: GuardedRequest, upstream_id: str) -> GuardedRun:
-        """Record a run that is about to start."""
+    async def async_wait_for_check(self, upstream_id: str) -> None:
+        """Wait for the check whether an upstream has crashed, if it runs."""
+        check = self._check_by_upstream.get(upstream_id)
+        if check is not None:
+            await asyncio.wait({check})
+
+    def upstreams_to_spare(
+        self, request: GuardedRequest
+    ) -> frozenset[str] | None:
+        """Return the upstreams that a request should not endanger.
+
+        They continue streams of upstreams that have broken off.
+
+        Returns:
+            IDs of the upstreams, or None if the request is not suspected of a
+            crash.
+        """
+        state = self._exchange.find_state(request.service)
+        if state is None or not state.prompts.has_suspect(request.prompt):
+            return None
+        return frozenset(
+            upstream_id
+            for upstream_id, runs in self._runs_by_upstream.items()
+            if any(run.is_continuation for run in runs)
+        )
+
+    def begin(
+        self,
+        request: GuardedRequest,
+        upstream_id: str,
+        *,
+        is_continuation: bool,
+    ) -> GuardedRun:
+        """Record a run that is about to start.
+
+        Args:
+            request: The request.
+            upstream_id: ID of the upstream.
+            is_continuation: Whether it continues a stream.
+        """
         state = self._exchange.find_state(request.service)
         epoch = 0 if state is None else state.epoch(upstream_id)
-        run = GuardedRun(request, upstream_id, epoch, PromptRun(request.prompt))
+        run = GuardedRun(
+            request,
+            upstream_id,
+            epoch,
+            PromptRun(request.prompt),
+            is_continuation,
+        )
         self._runs_by_upstream.setdefault(upstream_id, set()).add(run)
         return run
 
@@ -208,10 +254,9 @@
             del self._runs_by_upstream[run.upstream_id]
 
     def _check_crash(self, run: GuardedRun, pool: ConnectionPool) -> None:
-        if run.upstream_id in self._upstreams_being_checked:
+        if run.upstream_id in self._check_by_upstream:
             return
-        self._upstreams_being_checked.add(run.upstream_id)
-        self._app.create_task(
+        self._check_by_upstream[run.upstream_id] = self._app.create_task(
             self._async_check_crash(run, pool), "check for a crash"
         )
 
@@ -222,7 +267,7 @@
             if await async_has_crashed(pool):
                 self._record_crash(run)
         finally:
-            self._upstreams_being_checked.discard(run.upstream_id)
+            del self._check_by_upstream[run.upstream_id]
 
     def _record_crash(self, run: GuardedRun) -> None:
         runs = self._runs_by_upstream.get(run.upstream_id, set()) | {run}
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -210,24 +210,28 @@
             ) from error
 
     async def _async_try_upstreams(self, progress: CallProgress) -> str:
+        guarded = self._crash_guard.request_of(progress.call)
         switch = UpstreamSwitch(
             self._app,
             self._retry_budgets,
             self._recorder,
             progress,
             self._connection_pool,
+            lambda: self._crash_guard.upstreams_to_spare(guarded),
         )
         try:
-            return await self._async_try_in_turn(progress, switch)
+            return await self._async_try_in_turn(progress, guarded, switch)
         finally:
             switch.close()
 
     async def _async_try_in_turn(
-        self, progress: CallProgress, switch: UpstreamSwitch
+        self,
+        progress: CallProgress,
+        guarded: GuardedRequest,
+        switch: UpstreamSwitch,
     ) -> str:
-        call, history = progress.call, progress.history
+        history = progress.history
         exchange = progress.caller_response.exchange
-        guarded = self._crash_guard.request_of(call)
         while True:
             grant = await self._async_next_grant(progress, guarded, switch)
             end = await self._async_attempt(progress, grant, guarded, switch)
@@ -237,6 +241,11 @@
                 return "answered"
             if self._may_try_again(progress, end):
                 progress.caller_response.events.drop_partial_event()
+                if not exchange.is_started:
+                    # It may be what has crashed the upstream.
+                    await self._crash_guard.async_wait_for_check(
+                        progress.upstream_id
+                    )
                 continue
             if exchange.is_started:
                 return "broken_off"
@@ -330,7 +339,11 @@
         """Send a request to an upstream and relay the response."""
         call = progress.call
         pool = self._connection_pool(upstream.address)
-        run = self._crash_guard.begin(guarded, upstream.upstream_id)
+        run = self._crash_guard.begin(
+            guarded,
+            upstream.upstream_id,
+            is_continuation=progress.caller_response.exchange.is_started,
+        )
 
         def record_sent(connection: ClientConnection) -> None:
             self._crash_guard.record_sent(run)
--- a/packages/router/src/lacewingspar_router/components/forwarding/requirements.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/requirements.py
@@ -39,3 +39,19 @@
         arrived_at=now,
         latency_target_at=now + call.route.latency_target_seconds,
     )
+
+
+def without_shared_parts(
+    requirements: RequestRequirements,
+) -> RequestRequirements:
+    """Return the requirements of a request that may crash its upstream.
+
+    Requests with the same shared parts go to one upstream. The streams of the
+    last one that continue there must not meet it again.
+    """
+    shared_tokens = sum(part.tokens for part in requirements.shared_parts)
+    return replace(
+        requirements,
+        shared_parts=(),
+        own_tokens=requirements.own_tokens + shared_tokens,
+    )
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -28,6 +28,7 @@
 from lacewingspar_router.components.forwarding.requirements import (
     requirements_of,
     resumed,
+    without_shared_parts,
 )
 from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
 from lacewingspar_router.components.forwarding.silence import (
@@ -74,6 +75,8 @@
         recorder: Records the decisions.
         progress: The request and its state.
         connection_pool: Returns the pool of connections to an address.
+        upstreams_to_spare: Returns the upstreams to spare if the request may
+            have crashed an upstream, otherwise None.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         recorder: RequestRecorder,
         progress: CallProgress,
         connection_pool: Callable[[str], ConnectionPool],
+        upstreams_to_spare: Callable[[], frozenset[str] | None],
     ) -> None:
         self._app = app
         self._admission = app.get(ADMISSION)
@@ -91,6 +95,7 @@
         self._recorder = recorder
         self._progress = progress
         self._connection_pool = connection_pool
+        self._upstreams_to_spare = upstreams_to_spare
         self._initial_requirements = requirements_of(progress.call)
         self._watched: _WatchedAttempt | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -118,6 +123,12 @@
             grant, self._reserved = self._reserved, None
             if grant is not None:
                 return grant
+            spared = self._spared()
+            if spared is not None:
+                return await self._admission.async_acquire(
+                    without_shared_parts(self._initial_requirements),
+                    self._without(spared),
+                )
             return await self._admission.async_acquire(
                 self._requirements(), self._excluded()
             )
@@ -126,6 +137,22 @@
                 self._progress.no_replacement = error.code
             raise
 
+    def _spared(self) -> frozenset[str] | None:
+        """Return the upstreams to spare by a retry that may crash its own."""
+        if (
+            self._progress.caller_response.exchange.is_started
+            or not self._progress.history.tried
+        ):
+            return None
+        return self._upstreams_to_spare()
+
+    def _without(self, spared: frozenset[str]) -> frozenset[str]:
+        """Return the excluded upstreams, with those to spare if any is left."""
+        excluded = self._excluded()
+        service = self._progress.call.service
+        ready = self._routing.directory.ready_upstreams(service).keys()
+        return excluded | spared if ready - excluded - spared else excluded
+
     def _excluded(self) -> frozenset[str]:
         """Return the upstreams that the next attempt must not use."""
         history = self._progress.history
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -68,6 +68,7 @@
             self.recorder,
             self.progress,
             mock.Mock(return_value=self.pool),
+            mock.Mock(return_value=None),
         )
         self.switch.watch(self.connection)
 
--- a/tests/router/deployed/test_crashing_prompt_part.py
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -11,6 +11,7 @@
 )
 from tests.router.deployed.test_forwarding import STREAM
 
+from lacewingspar_core.prompt_quarantine import CRASHES_UNTIL_REFUSED
 from lacewingspar_router.components.peers.models import PEERS
 
 CRASHING = "c0ffee01"
@@ -84,6 +85,50 @@
     )
 
 
+async def test_crashing_request_is_not_repeated_once_its_part_is_known(
+    deployment: Deployment,
+) -> None:
+    """Guards against a retry that is faster than the verdict on its request."""
+    callers = await start(deployment)
+    for number in range(4):
+        await callers[0].call(
+            "/stream/",
+            body=f"{number}".encode(),
+            x_prompt_prefix=PROMPTS["only shared part"].format(n=number),
+        )
+    assert total_crashes(deployment) <= CRASHES_UNTIL_REFUSED
+
+
+async def test_interrupted_stream_does_not_meet_its_crashing_request_again(
+    deployment: Deployment,
+) -> None:
+    """Guards against sound streams that lose two upstreams to one request."""
+    deployment.publish(manifest())
+    for number in range(4):
+        upstream = await deployment.add_upstream(
+            f"e{number}", "engines", events=30, response_delay_seconds=0.02
+        )
+        upstream.faults.crash_part = CRASHING
+    caller = await deployment.add_router()
+    engines = deployment.upstream_by_id.values()
+    for number in range(6):
+        prompt = PROMPTS["second part"].format(n=number)
+        sound = prompt.replace(CRASHING, "dddd0001")
+        stream = asyncio.create_task(
+            Caller(caller.address).call(
+                "/stream/", body=b"%d" % number, x_prompt_prefix=sound
+            )
+        )
+        await until(lambda: any(engine.running for engine in engines))
+        await asyncio.sleep(0.3)
+        await caller.call(
+            "/stream/", body=b"c%d" % number, x_prompt_prefix=prompt
+        )
+        response = await stream
+        assert (response.status, response.is_complete) == (200, True)
+        await deployment.restart_crashed("engines")
+
+
 async def check_that_crashes_end(
     deployment: Deployment, prompt: str, path: str, **faults: bool
 ) -> None:
