Quarantine messages of the own interface that crash upstreams

Requests that share a message and nothing else end engine after engine; in the test with real processes all four were lost and a sound caller's request ran into its time limit of 60 s. Cause: the registry of the own interface counts by whole request too. Change: all messages of a prompt but the last are its parts, by a hash of their bytes; both registries now decide by core/prompt_quarantine and exchange by the same messages. Such requests are refused with 422 "prompt_quarantined" and what part it is, at their arrival, while they wait for a slot and just before they are sent. A response with an error status no longer proves a prompt on either interface: the upstream may not have run it.

--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from lacewingspar_core.messages import SlotOutcome
 from lacewingspar_router.application import Application
@@ -101,7 +102,10 @@
             RequestRefusedError: The request is refused.
         """
         identity = RequestIdentity(
-            request.document.service, request.target, request.body
+            request.document.service,
+            request.target,
+            request.body,
+            request.workspace.name,
         )
         self._slots.check(identity)
         attempts = self.retries.begin(request)
@@ -266,15 +270,19 @@
         self, call: Call, use: SlotUse, response: UpstreamResponse
     ) -> None:
         """Forward a response, release the slot and record the outcome."""
+
+        def record_start() -> None:
+            self._in_flight.apply_event(call.track, "answer_started")
+            if use.run is not None:
+                use.run.prompt_run.first_output_at = self._now()
+
         transfer = ResponseTransfer(
-            call.request,
-            call.exchange,
-            response,
-            lambda: self._in_flight.apply_event(call.track, "answer_started"),
+            call.request, call.exchange, response, record_start
         )
         await transfer.async_run()
         if use.run is not None:
             use.run.is_complete = True
+            use.run.proves_prompt = response.status < HTTPStatus.BAD_REQUEST
         use.release(SlotOutcome.COMPLETED, transfer.tokens)
         call.track.run = RunState.RAN
         if call.claim is not None:
--- a/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
@@ -1,6 +1,7 @@
 """Refusals of requests, by the error that caused them."""
 
 from lacewingspar_core.messages import SlotOutcome
+from lacewingspar_core.prompt_quarantine import PartRefusal
 from lacewingspar_router.components.caller_api.const import (
     RETRY_AFTER_CLAIM_SECONDS,
     RETRY_AFTER_STATE_SECONDS,
@@ -71,6 +72,16 @@
     )
 
 
+def prompt_quarantined(refusal: PartRefusal) -> RequestRefusedError:
+    """Return the refusal of a prompt with a message that crashes upstreams."""
+    return RequestRefusedError(
+        422,
+        "prompt_quarantined",
+        f"message {refusal.part} of the prompt has crashed upstreams",
+        retry_after_seconds=refusal.seconds,
+    )
+
+
 def suspect_deadline_passed() -> RequestRefusedError:
     """Return the refusal of a suspect request that found no free upstream."""
     return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/components/caller_api/slot_acquirer.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/slot_acquirer.py
@@ -7,6 +7,7 @@
     SUSPECT_RECHECK_SECONDS,
 )
 from lacewingspar_router.components.caller_api.refusals import (
+    prompt_quarantined,
     quarantined,
     suspect_deadline_passed,
 )
@@ -54,6 +55,9 @@
         seconds = self._quarantine.remaining_quarantine_seconds(identity)
         if seconds > 0:
             raise quarantined(seconds)
+        refusal = self._quarantine.prompt_refusal(identity)
+        if refusal is not None:
+            raise prompt_quarantined(refusal)
 
     async def async_acquire(
         self,
@@ -140,6 +144,7 @@
         for identity, limit in self._limit_by_identity.items():
             is_refused = (
                 self._quarantine.remaining_quarantine_seconds(identity) > 0
+                or self._quarantine.prompt_refusal(identity) is not None
             )
             # An expired timeout cannot be rescheduled.
             if is_refused and not limit.expired():
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import structlog
 
@@ -209,14 +210,19 @@
             return
         self._discard_run(run)
 
-    def record_success(self, run: GuardedRun) -> None:
-        """Record that a request got its complete response."""
+    def record_response(self, run: GuardedRun, status: int) -> None:
+        """Record that a request got its complete response.
+
+        Args:
+            run: The run.
+            status: Status of the response. An error does not prove the prompt,
+                as the upstream may not have run it.
+        """
         request = run.request
         state = self._exchange.find_state(request.service)
         if state is not None:
-            state.record_success(
-                request.fingerprint, self._app.now(), request.prompt
-            )
+            prompt = request.prompt if status < HTTPStatus.BAD_REQUEST else None
+            state.record_success(request.fingerprint, self._app.now(), prompt)
             self._exchange.publish_soon(state)
 
     def _find_refusal(
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,6 +1,7 @@
 """Handling of callers' requests, from the headers to the response."""
 
 import asyncio
+from http import HTTPStatus
 
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import (
@@ -385,7 +386,8 @@
         finally:
             self._crash_guard.end(run, pool, is_broken=is_broken)
         if end.result is AttemptResult.RESPONDED:
-            self._crash_guard.record_success(run)
+            status = HTTPStatus.OK if not end.response else end.response.status
+            self._crash_guard.record_response(run, status)
         return end
 
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
--- a/packages/router/src/lacewingspar_router/components/quarantine/models.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/models.py
@@ -6,8 +6,17 @@
 from typing import Protocol
 
 from lacewingspar_core.messages import SuspectRun
+from lacewingspar_core.prompt_quarantine import (
+    PartRefusal,
+    Prompt,
+    PromptRun,
+    prompt_of,
+)
 from lacewingspar_core.quarantine import fingerprint
 from lacewingspar_router.application import ComponentKey
+from lacewingspar_router.components.quarantine.message_parts import (
+    message_parts,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -18,12 +27,15 @@
         service: Name of the service.
         path: Path at the upstream, including the query string.
         body: Request body.
+        workspace: Workspace of the caller.
     """
 
     service: str
     path: str
     body: bytes
+    workspace: str = ""
     _fingerprint: str = ""
+    _prompt: Prompt | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -32,6 +44,13 @@
             self._fingerprint = fingerprint(self.service, self.path, self.body)
         return self._fingerprint
 
+    @property
+    def prompt(self) -> Prompt:
+        """Return the prompt, parsed on first use."""
+        if self._prompt is None:
+            self._prompt = prompt_of(self.workspace, message_parts(self.body))
+        return self._prompt
+
 
 @dataclass(slots=True, eq=False)
 class UpstreamRun:
@@ -43,15 +62,19 @@
         epoch: Number of known crashes of the upstream when the request was
             sent.
         reservation: Reservation of the upstream if the request is a suspect.
+        prompt_run: Progress of the run.
         is_complete: Whether the whole response has arrived.
+        proves_prompt: Whether the response is one to its prompt, not an error.
         confirmation: Check whether the upstream has crashed, once started.
     """
 
     identity: RequestIdentity
     upstream_id: str
     epoch: int
+    prompt_run: PromptRun
     reservation: SuspectRun | None = None
     is_complete: bool = False
+    proves_prompt: bool = False
     confirmation: asyncio.Task[None] | None = None
 
 
@@ -64,6 +87,9 @@
     def remaining_quarantine_seconds(self, identity: RequestIdentity) -> float:
         """Return the remaining quarantine of a request in seconds, or 0."""
 
+    def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
+        """Return why the prompt of a request is in quarantine, or None."""
+
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether a request must not run beside other suspects."""
 
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -6,6 +6,8 @@
 import structlog
 
 from lacewingspar_core.messages import SuspectRun
+from lacewingspar_core.prompt_quarantine import PartRefusal, PromptRun
+from lacewingspar_core.quarantine import QuarantineState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.quarantine.const import (
     ABANDONED_RUN_SECONDS,
@@ -59,6 +61,18 @@
         now = self._app.now()
         return max(0.0, state.refused_until(identity.fingerprint, now) - now)
 
+    def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
+        """Return why the prompt of a request is in quarantine, or None."""
+        state = self._exchange.find_state(identity.service)
+        if state is None:
+            return None
+        refusal = self._exchange.find_refusal(identity.service, identity.prompt)
+        if refusal is None:
+            return None
+        # A response under way may show that the part does no harm.
+        self._record_begun(state)
+        return self._exchange.find_refusal(identity.service, identity.prompt)
+
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether a request must not run beside other suspects."""
         state = self._exchange.find_state(identity.service)
@@ -113,7 +127,13 @@
                 return None
         state = self._exchange.find_state(identity.service)
         epoch = state.epoch(upstream_id) if state else 0
-        run = UpstreamRun(identity, upstream_id, epoch, reservation)
+        run = UpstreamRun(
+            identity,
+            upstream_id,
+            epoch,
+            PromptRun(identity.prompt, self._app.now()),
+            reservation,
+        )
         key = (identity.service, upstream_id)
         self._runs_by_upstream.setdefault(key, set()).add(run)
         return run
@@ -129,7 +149,7 @@
         key = (run.identity.service, run.upstream_id)
         runs = frozenset(self._runs_by_upstream.get(key, ())) | {run}
         check = self._app.create_task(
-            self._async_confirm(key, runs), "confirm crash"
+            self._async_confirm(key, runs, self._app.now()), "confirm crash"
         )
         for other in runs:
             other.confirmation = other.confirmation or check
@@ -142,7 +162,7 @@
     def end(self, run: UpstreamRun, *, has_caller_left: bool) -> None:
         """Record the end of a run."""
         if run.is_complete:
-            self._record_success(run.identity)
+            self._record_success(run)
         if has_caller_left and not run.is_complete:
             asyncio.get_running_loop().call_later(
                 ABANDONED_RUN_SECONDS, self._end_abandoned, run
@@ -169,14 +189,31 @@
             self._gate.release(run.identity.service, run.reservation)
             run.reservation = None
 
-    def _record_success(self, identity: RequestIdentity) -> None:
+    def _record_success(self, run: UpstreamRun) -> None:
+        identity = run.identity
         state = self._exchange.find_state(identity.service)
         if state is not None:
-            state.record_success(identity.fingerprint, self._app.now())
+            prompt = identity.prompt if run.proves_prompt else None
+            state.record_success(identity.fingerprint, self._app.now(), prompt)
             self._exchange.publish(state)
 
+    def _record_begun(self, state: QuarantineState) -> None:
+        """Record which prompt parts are proven by responses under way."""
+        state.prompts.record_begun(
+            (
+                run.prompt_run
+                for (service, _), runs in self._runs_by_upstream.items()
+                for run in runs
+                if service == state.service
+            ),
+            self._app.now(),
+        )
+
     async def _async_confirm(
-        self, key: tuple[str, str], runs: frozenset[UpstreamRun]
+        self,
+        key: tuple[str, str],
+        runs: frozenset[UpstreamRun],
+        broken_at: float,
     ) -> None:
         """Record a crash unless the upstream still responds.
 
@@ -208,8 +245,16 @@
             METRIC_CRASHES, service=service, upstream=upstream_id
         )
         state = self._exchange.state(service)
+        self._record_begun(state)
         epoch = max(run.epoch for run in runs)
-        state.record_crash(upstream_id, epoch, suspects, self._app.now())
+        state.record_crash(
+            upstream_id,
+            epoch,
+            suspects,
+            self._app.now(),
+            [run.prompt_run for run in runs if not run.is_complete],
+            broken_at,
+        )
         self._exchange.publish(state)
         self._notify()
 
--- a/tests/router/components/test_quarantine.py
+++ b/tests/router/components/test_quarantine.py
@@ -5,9 +5,11 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from lacewingspar_core.messages import Quarantine
+from lacewingspar_core.prompt_quarantine import CRASHES_UNTIL_REFUSED
 from lacewingspar_router.components import quarantine
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.quarantine import models, registry
@@ -55,6 +57,11 @@
     return start_router
 
 
+def chat(*messages: str) -> models.RequestIdentity:
+    body = {"messages": [{"role": "user", "content": m} for m in messages]}
+    return models.RequestIdentity("s", "/p", msgspec.json.encode(body), "alpha")
+
+
 async def crash(router: Any, upstream_id: str, *names: str) -> None:
     """Crash an upstream that runs the named requests."""
     runs = [
@@ -152,3 +159,54 @@
     router.pool.status_by_upstream["s", "u1"] = status
     await until(lambda: router.crashes.is_suspect(identity("x")))
     assert router.crashes._runs_by_upstream == {}
+
+
+@pytest.mark.parametrize(
+    ("crashing", "sound"),
+    [
+        (("system", "{n}"), ("other", "{n}")),
+        (("shared", "example", "{n}"), ("shared", "{n}")),
+        (("{n}", "example", "{n}"), ("{n}", "other", "{n}")),
+    ],
+)
+async def test_message_that_crashes_upstreams_is_refused_on_all_routers(
+    start, crashing: tuple[str, ...], sound: tuple[str, ...]
+) -> None:
+    """Guards against a message that crashes upstream after upstream.
+
+    No two requests are alike. Sound ones run elsewhere at the same time.
+    """
+    routers = [await start("r1"), await start("r2")]
+    refused = 0
+    for number in range(8):
+        router = routers[number % 2]
+        request = chat(*(text.format(n=number) for text in crashing))
+        fine = chat(*(text.format(n=number) for text in sound))
+        assert router.crashes.prompt_refusal(fine) is None
+        if router.crashes.prompt_refusal(request) is not None:
+            refused += 1
+            continue
+        run = await router.crashes.async_begin(request, f"u{number % 4}")
+        await router.crashes.start_crash_check(run)
+        router.crashes.end(run, has_caller_left=False)
+        run = await router.crashes.async_begin(fine, "u3")
+        run.is_complete = run.proves_prompt = True
+        router.crashes.end(run, has_caller_left=False)
+        await asyncio.sleep(0.08)
+    assert refused == 8 - CRASHES_UNTIL_REFUSED
+
+
+@pytest.mark.parametrize(
+    ("body", "parts"),
+    [
+        (b"", 0),
+        (b"[1]", 0),
+        (b'{"messages": []}', 0),
+        (b'{"messages": "none"}', 0),
+        (b'{"messages": [{"content": "own"}]}', 0),
+        (b'{"messages": [{"content": "a"}, "b", {"content": "own"}]}', 2),
+    ],
+)
+def test_all_messages_but_the_last_are_parts(body: bytes, parts: int) -> None:
+    """Guards against bodies that are not read, and a part of one request."""
+    assert len(models.RequestIdentity("s", "/p", body).prompt.parts) == parts
