Let the soak crash upstreams by a part of the prompt

Streams of the soak carry prompts with shared parts. While the new fault is active, one stream in ten has a part that ends each engine that begins it; the engines are back after 0.2 to 2 s. The address of a crashed upstream refuses connections now: the link before it went on accepting, so that no router of the soak had ever recorded a crash. The new check reports more than three requests with the part from 3 s after the fifth crash.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -147,7 +147,7 @@
             plan.router_id: plan.caller_address
             for plan in fleet.plan_by_id.values()
         }
-        callers = SoakCallers(addresses, seed)
+        callers = SoakCallers(addresses, seed, lambda: fleet.crashing_part)
         is_planned_only = generator.random() < PLANNED_ONLY_FRACTION
         profile = _PLANNED if is_planned_only else _MIXED
         faults_end_at = await _async_run_rounds(
@@ -168,6 +168,7 @@
             events=EVENTS,
             grace_seconds=STOP_GRACE_SECONDS,
             leaving=soak.leaving,
+            crashing_parts=soak.crashing_parts,
             sender_by_id=_read_senders(processes.folder),
         )
         return SoakResult(
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lacewingspar_router.http1.client import async_connect
@@ -36,6 +37,10 @@
 PIPELINED_FRACTION = 0.1
 # Paths whose requests must not run twice.
 SINGLE_RUN_PATHS = frozenset({"/stream-once/", "/write/"})
+# Number of shared first and second parts in the prompts of streams.
+SHARED_PARTS = 3
+# Fraction of the streams with the part that crashes engines, if there is one.
+CRASHING_FRACTION = 0.1
 # Fraction of the requests whose caller disconnects before the response.
 DISCONNECT_FRACTION = 0.06
 # Upper limits of the time between two requests of a caller. Callers with a long
@@ -56,6 +61,7 @@
         path: Path of the request.
         key: API key of the request.
         router_id: Router that it was sent to.
+        parts: Parts of its prompt, if it has one.
         sent_at: Time of sending in seconds of the event loop.
         deadline_seconds: Deadline of the request, relative to `sent_at`.
         ended_at: Time at which the exchange ended, or infinity.
@@ -80,6 +86,7 @@
     body: bytes = b""
     is_complete: bool = False
     previous: "ObservedCall | None" = None
+    parts: tuple[str, ...] = ()
 
     @property
     def is_closed_early(self) -> bool:
@@ -103,11 +110,19 @@
     Args:
         address_by_router_id: Caller addresses of the routers.
         seed: Seed of the load.
+        crashing_part: Returns the prompt part that crashes engines, or "".
     """
 
-    def __init__(self, address_by_router_id: dict[str, str], seed: int) -> None:
+    def __init__(
+        self,
+        address_by_router_id: dict[str, str],
+        seed: int,
+        crashing_part: Callable[[], str],
+    ) -> None:
         self._address_by_router_id = address_by_router_id
         self._seed = seed
+        self._crashing_part = crashing_part
+        self._prompt_generator = random.Random(seed)
         self._numbers = itertools.count(1)
         self.calls: list[ObservedCall] = []
 
@@ -206,12 +221,28 @@
             sent_at=asyncio.get_running_loop().time(),
             deadline_seconds=deadline_seconds,
         )
+        if "stream" in call.path:
+            call.parts = self._new_prompt(len(self.calls))
         self.calls.append(call)
         return call
 
+    def _new_prompt(self, number: int) -> tuple[str, ...]:
+        """Return the parts of a prompt, of which the last is its own."""
+        generator = self._prompt_generator
+        first, second = (
+            f"{kind}{generator.randrange(SHARED_PARTS)}" for kind in "ab"
+        )
+        if generator.random() < CRASHING_FRACTION and self._crashing_part():
+            second = self._crashing_part()
+        return (first, second, f"{number:08x}")
+
 
 def _encode(call: ObservedCall, *, is_last: bool = False) -> bytes:
     headers = {"Connection": "close"} if is_last else {}
+    if call.parts:
+        headers["X-Prompt-Prefix"] = ",".join(
+            f"{part}:50" for part in call.parts
+        )
     return request_bytes(
         call.path,
         call.request_id,
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -15,6 +15,7 @@
 from lacewingspar_standins.bench.soak_upstream_checks import (
     sent_after_leave,
     sent_before_wait_end,
+    sent_with_crashing_part,
 )
 from lacewingspar_standins.deployed.documents import KEY
 from lacewingspar_standins.deployed.upstream import SEAL
@@ -53,6 +54,7 @@
         "lost": _lost_requests(observations),
         "failed without a fault": _failed_requests(observations),
         "recovery": _recovery(observations),
+        "sent with a crashing part": sent_with_crashing_part(observations),
         "sent after an announced leave": sent_after_leave(observations),
         "sent before the time to wait": sent_before_wait_end(observations),
     }
@@ -274,6 +276,7 @@
         and call.key == KEY
         and call.disconnected_at == math.inf
         and call.ended_at < math.inf
+        and not set(call.parts) & set(observations.crashing_parts)
     ]
     served = sum(call.status == 200 and call.is_complete for call in calls)
     if calls and served >= MIN_SERVED_FRACTION * len(calls):
--- a/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults of the soak and the parts that each can affect."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Collection, Coroutine, Iterator
 from contextlib import contextmanager
@@ -121,6 +122,37 @@
     await soak.fleet.async_crash_upstream(name, generator.uniform(0.2, 3.0))
 
 
+def _prompts(fleet: SoakFleet) -> Collection[str]:
+    del fleet
+    return ("prompts",)
+
+
+async def _async_crash_by_part(
+    soak: Soak, _name: str, _fault: Fault, generator: random.Random
+) -> None:
+    """Let a prompt part crash engines, which are back after some time."""
+    fleet = soak.fleet
+    fleet.crash_on(f"{generator.getrandbits(32):08x}")
+    soak.crashing_parts.append(fleet.crashing_part)
+    ends_at = soak.now + generator.uniform(*_PART_CRASH_SECONDS)
+    async with asyncio.TaskGroup() as group:
+        while soak.now < ends_at:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ends_at - soak.now):
+                    name = await fleet.crashed_by_part.get()
+                    group.create_task(
+                        _async_restart(soak, name, generator.uniform(0.2, 2.0))
+                    )
+        fleet.crash_on("")
+
+
+async def _async_restart(soak: Soak, name: str, seconds: float) -> None:
+    with soak.affecting(name, "crash"):
+        await soak.fleet.async_restart_upstream(name, seconds)
+
+
+# A part crashes engines for a time in this range.
+_PART_CRASH_SECONDS = (6.0, 10.0)
 _DROPPED_HISTORY: Fault = ("history", None)
 _LINK_FAULTS: tuple[Fault, ...] = (
     ("cut", True),
@@ -156,6 +188,9 @@
     ): 2,
     FaultScenario("crash", _upstreams, _async_crash): 2,
     FaultScenario("", _upstreams, _async_upstream, _UPSTREAM_FAULTS): 3,
+    FaultScenario(
+        "crashing part", _prompts, _async_crash_by_part, min_free=1
+    ): 2,
 }
 
 
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 from contextlib import AsyncExitStack
+from functools import partial
 
 import msgspec
 
@@ -61,6 +62,8 @@
         router_by_id: The latest process of each router.
         starting: Routers that start and are not ready yet.
         draining: Upstreams that announce the state `draining`.
+        crashing_part: Prompt part that crashes engines, or "".
+        crashed_by_part: Upstreams that the part has crashed.
 
     Args:
         fleet: Owner of the processes.
@@ -84,6 +87,8 @@
         self.router_by_id: dict[str, RouterProcess] = {}
         self.draining: set[str] = set()
         self.starting: set[str] = set()
+        self.crashing_part = ""
+        self.crashed_by_part: asyncio.Queue[str] = asyncio.Queue()
         self._address_by_link: dict[str, str] = {}
         self._started_ms_by_upstream: dict[str, int] = {}
         self._down: set[str] = set()
@@ -114,6 +119,8 @@
         upstream = self.upstream_by_id[name] = Upstream(
             name, EVENTS, EVENT_SECONDS
         )
+        upstream.faults.crash_part = self.crashing_part
+        upstream.on_crash = partial(self._record_crash, name)
         self.service_by_upstream[name] = service
         self.present.add(name)
         await upstream.async_start()
@@ -220,20 +227,41 @@
 
     async def async_crash_upstream(self, name: str, seconds: float) -> None:
         """Crash an upstream and restart it."""
-        upstream = self.upstream_by_id[name]
-        _, _, port = upstream.address.rpartition(":")
-        self._down.add(name)
-        upstream.crash()
+        self.upstream_by_id[name].crash()
+        await self.async_restart_upstream(name, seconds)
+
+    async def async_restart_upstream(self, name: str, seconds: float) -> None:
+        """Restart an upstream that has crashed, after a time."""
         if seconds > EXPIRY_SECONDS:
             await asyncio.sleep(EXPIRY_SECONDS)
             self.remove_entry(name)
             seconds -= EXPIRY_SECONDS
         await asyncio.sleep(seconds)
-        await upstream.async_start(port=int(port))
+        upstream = self.upstream_by_id[name]
+        await upstream.async_start(port=_port(upstream.address))
+        link_name = f"upstream/{name}"
+        await self.link_by_name[link_name].async_listen(
+            "127.0.0.1", _port(self._address_by_link[link_name])
+        )
         self._started_ms_by_upstream[name] = int(time.time() * 1000)
         self._down.discard(name)
         self.write_entry(name)
 
+    def crash_on(self, part: str) -> None:
+        """Let a prompt part crash all upstreams, or none."""
+        self.crashing_part = part
+        for upstream in self.upstream_by_id.values():
+            upstream.faults.crash_part = part
+
+    def _record_crash(self, name: str, by_part: bool) -> None:
+        """Refuse connections, as a crashed upstream does not listen."""
+        self._down.add(name)
+        link = self.link_by_name.get(f"upstream/{name}")
+        if link is not None:
+            link.stop_listening()
+        if by_part:
+            self.crashed_by_part.put_nowait(name)
+
     def publish(self, configuration: SoakConfiguration) -> None:
         """Publish a configuration."""
         self.configuration = configuration
@@ -246,3 +274,7 @@
         self._address_by_link[name] = await self._stack.enter_async_context(
             link.listening("127.0.0.1", 0)
         )
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -73,6 +73,7 @@
         grace_seconds: Time between the signal to stop and the kill.
         leaving: Upstreams that announced in their responses that they leave,
             and since when.
+        crashing_parts: Prompt parts that have crashed engines.
         sender_by_id: Router that sent a request to its upstream, by the id of
             the request, if another router had accepted it.
     """
@@ -87,6 +88,7 @@
     events: int
     grace_seconds: float
     leaving: list[tuple[str, float]] = field(default_factory=list)
+    crashing_parts: list[str] = field(default_factory=list)
     sender_by_id: Mapping[str, str] = field(default_factory=dict)
 
     @cached_property
--- a/packages/standins/src/lacewingspar_standins/bench/soak_state.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_state.py
@@ -21,6 +21,7 @@
         drains: Drained upstreams with the start and end of each drain.
         leaving: Upstreams that announce in their responses that they leave,
             and since when.
+        crashing_parts: Prompt parts that have crashed engines.
     """
 
     def __init__(self, fleet: SoakFleet) -> None:
@@ -29,6 +30,7 @@
         self.publications = [Publication(self.now, fleet.configuration)]
         self.drains: list[tuple[str, float, float]] = []
         self.leaving: list[tuple[str, float]] = []
+        self.crashing_parts: list[str] = []
         self._affected: set[str] = set()
 
     @property
--- a/packages/standins/src/lacewingspar_standins/bench/soak_upstream_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_upstream_checks.py
@@ -14,6 +14,11 @@
 # the router may send the upstream this many requests.
 MAX_WAIT_DELAY_SECONDS = 0.5
 MAX_REQUESTS_WHILE_WAITING = 2
+# From this long after this many crashes under a prompt part, upstreams may get
+# this many requests with it.
+CRASHES_UNTIL_KNOWN = 5
+MAX_CRASH_DELAY_SECONDS = 3.0
+MAX_REQUESTS_AFTER_CRASHES = 3
 
 
 def sent_after_leave(observations: SoakObservations) -> list[str]:
@@ -69,6 +74,37 @@
     ]
 
 
+def sent_with_crashing_part(observations: SoakObservations) -> list[str]:
+    """Describe requests with a part that is known to crash upstreams."""
+    crash_times = defaultdict(list)
+    for upstream in observations.upstream_by_id.values():
+        for part, at in upstream.part_crashes:
+            crash_times[part].append(at)
+    found = []
+    for part, times in crash_times.items():
+        if len(times) < CRASHES_UNTIL_KNOWN:
+            continue
+        known_at = sorted(times)[CRASHES_UNTIL_KNOWN - 1]
+        late = [
+            f"{call.request_id}: at {upstream_id} from {sender}, "
+            f"{received.at - known_at:.2f} s after"
+            for upstream_id in observations.upstream_by_id
+            for call, received, sender in _arrivals(observations, upstream_id)
+            if part in call.parts
+            and received.at > known_at + MAX_CRASH_DELAY_SECONDS
+            and not _is_disturbed(
+                observations,
+                received.at - MAX_CRASH_DELAY_SECONDS,
+                received.at,
+                sender,
+                "link",
+            )
+        ]
+        if len(late) > MAX_REQUESTS_AFTER_CRASHES:
+            found += late
+    return found
+
+
 def _arrivals(
     observations: SoakObservations, upstream_id: str
 ) -> Iterator[tuple[ObservedCall, ReceivedRequest, str]]:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -161,6 +162,9 @@
         endless_bytes: Bytes written of endless parts of responses.
         cancelled: Number of requests whose connection closed before they
             ended.
+        part_crashes: Prompt parts that have crashed it, and when.
+        on_crash: Called at each crash with whether a prompt part caused it, or
+            None.
 
     Args:
         upstream_id: Id of the upstream.
@@ -185,6 +189,8 @@
         self.cancelled = 0
         self.connections = 0
         self.crashes = 0
+        self.part_crashes: list[tuple[str, float]] = []
+        self.on_crash: Callable[[bool], None] | None = None
         self.endless_bytes = 0
         self.open_connections: set[_Connection] = set()
         self.address = ""
@@ -199,12 +205,17 @@
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
-    def crash(self) -> None:
-        """Stop listening and reset all connections."""
+    def crash(self, *, by_part: bool = False) -> None:
+        """Stop listening and end all connections."""
         self.crashes += 1
+        if by_part:
+            now = asyncio.get_running_loop().time()
+            self.part_crashes.append((self.faults.crash_part, now))
         if self._server is not None:
             self._server.close()
             self._server = None
+        if self.on_crash is not None:
+            self.on_crash(by_part)
         for connection in list(self.open_connections):
             if self.faults.crash_cleanly:
                 connection.close()
@@ -348,7 +359,7 @@
         self._write_head(request, 200, headers)
         if faults.crash_part in request.shared_prompt_parts:
             await asyncio.sleep(PART_CRASH_DELAY_SECONDS)
-            self._upstream.crash()
+            self._upstream.crash(by_part=True)
             return
         for sent, number in enumerate(range(first, self._upstream.events + 1)):
             data = b"id: %d\ndata: event %d\n\n" % (number, number)
--- a/packages/standins/src/lacewingspar_standins/link.py
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -101,6 +101,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
 
     @contextlib.asynccontextmanager
     async def listening(self, host: str, port: int) -> AsyncIterator[str]:
@@ -109,14 +110,25 @@
         Yields:
             The address as `host:port`.
         """
-        bound = bind(host, port)
-        server = await asyncio.start_server(self._relay, sock=bound)
+        address = await self.async_listen(host, port)
         try:
-            yield address_of(bound)
+            yield address
         finally:
-            server.close()
+            self.stop_listening()
             self._abort_all()
 
+    async def async_listen(self, host: str, port: int) -> str:
+        """Accept connections and return the address as `host:port`."""
+        bound = bind(host, port)
+        self._server = await asyncio.start_server(self._relay, sock=bound)
+        return address_of(bound)
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, as the address of a crashed target does."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     def faults_changed(self) -> None:
         """Apply the faults to the existing connections."""
         self.apply_faults()
--- a/tests/standins/test_soak_upstream_checks.py
+++ b/tests/standins/test_soak_upstream_checks.py
@@ -1,6 +1,6 @@
 """Test the checks of the fault soak for what upstreams say in responses."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -14,6 +14,7 @@
 from lacewingspar_standins.bench.soak_upstream_checks import (
     sent_after_leave,
     sent_before_wait_end,
+    sent_with_crashing_part,
 )
 from lacewingspar_standins.deployed.documents import KEY
 from lacewingspar_standins.deployed.upstream import ReceivedRequest, Upstream
@@ -107,3 +108,26 @@
 )
 def test_requests_before_the_end_of_a_wait_are_reported(case: Case) -> None:
     assert bool(sent_before_wait_end(observations(case, "3"))) == case.is_found
+
+
+@pytest.mark.parametrize(
+    ("crashes", "late", "spans", "is_found"),
+    [
+        (5, 4, (), True),
+        (5, 3, (), False),
+        (4, 4, (), False),
+        (5, 4, (Span("r0", "terminate", 7.0, 9.0),), False),
+    ],
+)
+def test_requests_with_a_part_that_crashes_upstreams_are_reported(
+    crashes: int, late: int, spans: tuple[Span, ...], is_found: bool
+) -> None:
+    """Guards against a soak that does not see requests it must not see."""
+    case = Case(tuple(8.5 + 0.01 * number for number in range(late)), False)
+    seen = replace(observations(case, ""), spans=list(spans))
+    for call in seen.calls:
+        call.parts = ("a", "crashing", "own")
+    seen.upstream_by_id["u1"].part_crashes = [
+        ("crashing", float(number)) for number in range(crashes)
+    ]
+    assert bool(sent_with_crashing_part(seen)) is is_found
