--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -90,6 +90,7 @@
             workspace=workspace,
             status=error.status,
             code=error.code,
+            reason=error.message,
             run=error.run,
             retry_after_seconds=error.retry_after_seconds,
             sent=0 if progress is None else progress.history.sent,
--- a/tests/e2e/test_soak.py
+++ b/tests/e2e/test_soak.py
@@ -8,9 +8,9 @@
 ROUNDS = 2
 
 
-# One seed with planned work alone and one with faults. Add seeds that have
-# failed, each with its cause.
-@pytest.mark.parametrize("seed", [1, 2])
+# One seed with planned work alone, one with faults and one with a prompt part
+# that crashes upstreams. Add seeds that have failed, each with its cause.
+@pytest.mark.parametrize("seed", [1, 2, 52])
 async def test_soak_violates_no_guarantee(seed: int) -> None:
     result = await async_soak(seed, ROUNDS, ROUTERS)
     assert not result.breaches
