Let operators see and release prompt parts in quarantine

lacewingsparctl quarantine shows the parts with their crashes and workspaces, release SERVICE PART ends a verdict on all routers: a proof at this time, which is gossiped like any other. Parts are written without leading zeros, since the number identifies them; a padded id must not pass for another part. Evidence: tests of the administration API and of the command line; neither existed before.

--- a/packages/core/src/lacewingspar_core/prefix_cache.py
+++ b/packages/core/src/lacewingspar_core/prefix_cache.py
@@ -20,8 +20,8 @@
 
     @property
     def name(self) -> str:
-        """Return the identifier as callers write it, in hexadecimal."""
-        return f"{self.key:08x}"
+        """Return the identifier in hexadecimal, without leading zeros."""
+        return f"{self.key:x}"
 
 
 class PrefixCache:
--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -139,7 +139,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartReleased:
-    """A part is no longer refused, because a response to it has begun."""
+    """A part is no longer refused: it was proven, or an operator says so."""
 
     part: str
 
@@ -347,11 +347,13 @@
         """End the quarantine of a part on an operator's request.
 
         Returns:
-            Whether the part was a suspect.
+            Whether the part was in quarantine.
         """
-        is_suspect = part in self._suspect_by_part
+        suspect = self._suspect_by_part.get(part)
+        if suspect is None or not suspect.is_quarantined:
+            return False
         self._prove(part, now)
-        return is_suspect
+        return True
 
     def merge(self, records: Iterable[PartRecord], now: float) -> None:
         """Merge the records of another router.
--- a/packages/ctl/src/lacewingspar_ctl/client.py
+++ b/packages/ctl/src/lacewingspar_ctl/client.py
@@ -110,6 +110,17 @@
         """Return what the router knows about a request."""
         return self._read(f"/v1/requests/{quote(request_id, safe='')}", Any)
 
+    def quarantine(self) -> Any:
+        """Return the prompt parts in quarantine."""
+        return self._read("/v1/quarantine", Any)
+
+    def release(self, service: str, part: str) -> Any:
+        """End the quarantine of a prompt part on all routers."""
+        path = f"/v1/quarantine/{quote(service, safe='')}"
+        return _decode_change(
+            self._send("DELETE", f"{path}/{quote(part, safe='')}")
+        )
+
     def drain(self) -> Any:
         """Start a graceful shutdown of the router."""
         return _decode_change(self._send("POST", "/v1/drain"))
--- a/packages/ctl/src/lacewingspar_ctl/commands/fleet.py
+++ b/packages/ctl/src/lacewingspar_ctl/commands/fleet.py
@@ -1,4 +1,4 @@
-"""Commands that show and drain a router."""
+"""Commands that show a router, drain it or release prompts on all."""
 
 from typing import Annotated
 
@@ -44,3 +44,23 @@
         session.output.value(
             f"Request {request_id}", client.request(request_id)
         )
+
+
+def quarantine(context: typer.Context) -> None:
+    """Show the prompt parts that have crashed upstreams."""
+    session = session_of(context)
+    with session.client() as client:
+        session.output.value("Quarantine", client.quarantine())
+
+
+def release(
+    context: typer.Context,
+    service: Annotated[str, typer.Argument(metavar="SERVICE")],
+    part: Annotated[
+        str, typer.Argument(metavar="PART", help="ID of the prompt part.")
+    ],
+) -> None:
+    """Send requests with a prompt part again, on all routers."""
+    session = session_of(context)
+    with session.client() as client:
+        session.output.value("Released", client.release(service, part))
--- a/packages/ctl/src/lacewingspar_ctl/main.py
+++ b/packages/ctl/src/lacewingspar_ctl/main.py
@@ -74,6 +74,8 @@
     fleet.accounts,
     fleet.drain,
     fleet.requests,
+    fleet.quarantine,
+    fleet.release,
     story,
 ):
     app.command()(command)
--- a/packages/router/src/lacewingspar_router/components/admin_api/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/admin_api/__init__.py
@@ -18,6 +18,9 @@
     MAX_BODY_BYTES,
 )
 from lacewingspar_router.components.admin_api.errors import AdminRequestError
+from lacewingspar_router.components.admin_api.quarantine import (
+    quarantine_handlers,
+)
 from lacewingspar_router.components.admin_api.services import (
     publish_handler,
     service_handlers,
@@ -49,6 +52,7 @@
             *state_handlers(application),
             *status_handlers(application),
             *service_handlers(application),
+            *quarantine_handlers(application),
             publish_handler(application),
         ],
         guards=[token_guard(application.settings.admin_token_sha256)],
--- a/packages/router/src/lacewingspar_router/components/quarantine/models.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/models.py
@@ -7,6 +7,7 @@
 
 from lacewingspar_core.messages import SuspectRun
 from lacewingspar_core.prompt_quarantine import (
+    PartQuarantined,
     PartRefusal,
     Prompt,
     PromptRun,
@@ -90,6 +91,12 @@
     def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
         """Return why the prompt of a request is in quarantine, or None."""
 
+    def quarantined_parts(self) -> dict[str, list[PartQuarantined]]:
+        """Return the prompt parts in quarantine by service."""
+
+    def release_part(self, service: str, part: str) -> bool:
+        """End the quarantine of a prompt part; return whether it was in it."""
+
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether a request must not run beside other suspects."""
 
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -6,7 +6,11 @@
 import structlog
 
 from lacewingspar_core.messages import SuspectRun
-from lacewingspar_core.prompt_quarantine import PartRefusal, PromptRun
+from lacewingspar_core.prompt_quarantine import (
+    PartQuarantined,
+    PartRefusal,
+    PromptRun,
+)
 from lacewingspar_core.quarantine import QuarantineState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.quarantine.const import (
@@ -73,6 +77,14 @@
         self._record_begun(state)
         return self._exchange.find_refusal(identity.service, identity.prompt)
 
+    def quarantined_parts(self) -> dict[str, list[PartQuarantined]]:
+        """Return the prompt parts in quarantine by service."""
+        return self._exchange.quarantined_parts()
+
+    def release_part(self, service: str, part: str) -> bool:
+        """End the quarantine of a prompt part; return whether it was in it."""
+        return self._exchange.release_part(service, part)
+
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether a request must not run beside other suspects."""
         state = self._exchange.find_state(identity.service)
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -75,6 +75,26 @@
             prompt, self._app.now(), lambda: self._may_probe(service)
         )
 
+    def quarantined_parts(self) -> dict[str, list[PartQuarantined]]:
+        """Return the prompt parts in quarantine by service."""
+        return {
+            service: parts
+            for service, state in self._state_by_service.items()
+            if (parts := state.prompts.quarantined())
+        }
+
+    def release_part(self, service: str, part: str) -> bool:
+        """End the quarantine of a prompt part on all routers.
+
+        Returns:
+            Whether the part was in quarantine.
+        """
+        state = self._state_by_service.get(service)
+        if state is None or not state.prompts.release(part, self._app.now()):
+            return False
+        self.publish(state)
+        return True
+
     def report(self, state: QuarantineState) -> None:
         """Log and count the prompt parts that were quarantined or released."""
         for event in state.prompts.take_events():
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -96,6 +96,8 @@
         ("status", "GET /v1/status", "serving"),
         ("accounts", "GET /v1/accounts", "served"),
         ("requests a/b?", "GET /v1/requests/a%2Fb%3F", "1.5"),
+        ("quarantine", "GET /v1/quarantine", "served"),
+        ("release chat a/b", "DELETE /v1/quarantine/chat/a%2Fb", "served"),
         ("drain", "POST /v1/drain", "drain started"),
     ],
 )
--- a/tests/router/test_admin_api.py
+++ b/tests/router/test_admin_api.py
@@ -11,6 +11,11 @@
 
 from lacewingspar_core.documents import dump_document
 from lacewingspar_core.messages import MemberRecord, RouterState
+from lacewingspar_core.prompt_quarantine import (
+    CRASHES_UNTIL_REFUSED,
+    PromptRun,
+    prompt_of,
+)
 from lacewingspar_router.application import LifeCycle
 from lacewingspar_router.components.admin_api import admin_app
 from lacewingspar_router.components.caller_api.models import CALLER_API
@@ -21,6 +26,7 @@
     PublishUnknown,
 )
 from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.quarantine.models import QUARANTINE
 from lacewingspar_router.shutdown import SHUTDOWN, Shutdown
 
 ADMIN = {"authorization": "Bearer admin"}
@@ -103,6 +109,8 @@
         ("GET", "/v1/status"),
         ("GET", "/schema/openapi.json"),
         ("POST", "/v1/drain"),
+        ("GET", "/v1/quarantine"),
+        ("DELETE", "/v1/quarantine/chat/part"),
     ],
 )
 @pytest.mark.parametrize("authorization", ["", "Bearer other", "Basic admin"])
@@ -125,6 +133,25 @@
     assert status["versions"] == {"chat": 1, "swap": 2}
 
 
+async def test_prompt_part_in_quarantine_is_shown_and_released(
+    admin: Admin,
+) -> None:
+    """Guards against a wrong verdict that an operator cannot end."""
+    registry: Any = admin.router.application.get(QUARANTINE)
+    state = registry._exchange.state("chat")
+    prompt = prompt_of("alpha", ["shared"])
+    for number in range(CRASHES_UNTIL_REFUSED):
+        at = admin.router.application.now() - 10.0 + number
+        run = PromptRun(prompt, at - 0.1)
+        state.record_crash(f"u{number}", 0, (), at, [run])
+    shown = (await admin.client.get("/v1/quarantine")).json()["parts"]
+    assert [item["part"] for item in shown["chat"]] == ["shared"]
+    path = "/v1/quarantine/chat/shared"
+    assert (await admin.client.delete(path)).status_code == 200
+    assert (await admin.client.get("/v1/quarantine")).json() == {"parts": {}}
+    assert (await admin.client.delete(path)).status_code == 404
+
+
 async def test_schema_and_metrics_are_served(admin: Admin) -> None:
     schema = (await admin.client.get("/schema/openapi.json")).json()
     assert "/v1/services/{name}" in schema["paths"]
