--- a/tests/router/deployed/test_crashing_prompt_part.py
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -99,6 +99,34 @@
     assert total_crashes(deployment) <= CRASHES_UNTIL_REFUSED
 
 
+async def test_new_router_refuses_a_part_that_the_others_know(
+    deployment: Deployment,
+) -> None:
+    """Guards against a verdict that a router forgets when it restarts."""
+    callers = await start(deployment)
+    prompt = PROMPTS["only shared part"]
+    for number in range(4):
+        await callers[0].call(
+            "/stream/",
+            body=f"{number}".encode(),
+            x_prompt_prefix=prompt.format(n=number),
+        )
+    crashes = total_crashes(deployment)
+    seed = deployment.apps[0].settings.peer_address
+    caller = await deployment.add_router("r4", seed_hosts=[seed])
+    await until(
+        lambda: all(
+            len(app.get(PEERS).alive_by_router_id) == len(ROUTERS) + 1
+            for app in deployment.apps
+        )
+    )
+    await asyncio.sleep(0.2)
+    response = await caller.call(
+        "/stream/", body=b"new", x_prompt_prefix=prompt.format(n="9")
+    )
+    assert (response.status, total_crashes(deployment)) == (503, crashes)
+
+
 async def test_interrupted_stream_does_not_meet_its_crashing_request_again(
     deployment: Deployment,
 ) -> None:
