Restart an upstream of the soak once if two requests crash it at a time

A crash by a part has no effect on an upstream that has crashed. Evidence: test_upstream_crashes_once_under_several_requests counts 2 without the change.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -255,11 +255,12 @@
 
     def _record_crash(self, name: str, by_part: bool) -> None:
         """Refuse connections, as a crashed upstream does not listen."""
+        was_down = name in self._down
         self._down.add(name)
         link = self.link_by_name.get(f"upstream/{name}")
         if link is not None:
             link.stop_listening()
-        if by_part:
+        if by_part and not was_down:
             self.crashed_by_part.put_nowait(name)
 
     def publish(self, configuration: SoakConfiguration) -> None:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -206,7 +206,14 @@
         self.address = f"{name[0]}:{name[1]}"
 
     def crash(self, *, by_part: bool = False) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and end all connections.
+
+        Args:
+            by_part: Whether a prompt part is the cause. Another request with it
+                has no effect on an upstream that has crashed.
+        """
+        if by_part and self._server is None:
+            return
         self.crashes += 1
         if by_part:
             now = asyncio.get_running_loop().time()
--- a/tests/standins/test_soak_upstream_checks.py
+++ b/tests/standins/test_soak_upstream_checks.py
@@ -131,3 +131,12 @@
         ("crashing", float(number)) for number in range(crashes)
     ]
     assert bool(sent_with_crashing_part(seen)) is is_found
+
+
+async def test_upstream_crashes_once_under_several_requests() -> None:
+    """Guards against an upstream that is restarted twice (soak, seed 211)."""
+    upstream = Upstream("u1")
+    await upstream.async_start()
+    upstream.crash(by_part=True)
+    upstream.crash(by_part=True)
+    assert (upstream.crashes, len(upstream.part_crashes)) == (1, 1)
