Separate the crashes of a prompt part from their quarantine

The prompt, its runs and the crashes that are counted for one part move to prompt_suspects.py with their constants; no change of behaviour. Tests of core, components, crash guard and administration pass; formatter, linter and types are clean.

--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -12,7 +12,7 @@
 if the request with the part was sent after that one.
 
 After `CRASHES_UNTIL_REFUSED` such crashes the part is refused for
-`FIRST_REFUSAL_SECONDS`, then one request probes it. Each crash of a probe
+`FIRST_REFUSAL_SECONDS`, then one request probes it. A crash under a probe
 multiplies the time by `REFUSAL_FACTOR`, and a proof ends the quarantine. Parts
 that have taken part in the same crashes are refused only together until a
 request with one of them has crashed or proven it.
@@ -28,81 +28,34 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from itertools import islice
+from dataclasses import dataclass
 from typing import TypeAlias
 
 from lacewingspar_core.messages import PartCrash, PartRecord
+from lacewingspar_core.prompt_suspects import (
+    CRASH_WINDOW_SECONDS,
+    MAXIMUM_CRASHES_PER_PART,
+    CrashId,
+    Prompt,
+    PromptRun,
+    Suspect,
+    SuspectedCrash,
+)
 
-CRASHES_UNTIL_REFUSED = 3
-FIRST_REFUSAL_SECONDS = 30.0
-REFUSAL_FACTOR = 6.0
 # Time for which an unfinished probe keeps other requests with the part waiting.
 PROBE_SECONDS = 5.0
-# A response has begun once its output has gone on for this long. Upstreams that
-# crash on a prompt do so with the first tokens, in less than 0.1 s.
-BEGUN_SECONDS = 0.25
 # A part that was proven so shortly before a crash is no suspect of it. Popular
 # parts are proven all the time, and would otherwise fill the messages.
 RECENT_PROOF_SECONDS = 1.0
-# Crashes further apart than this do not count against the same part, unless it
-# is in quarantine.
-CRASH_WINDOW_SECONDS = 600.0
-# These limits bound the memory and the messages. Prompts have a few shared
-# parts, and a crash leaves some tens of requests that had not begun.
-MAXIMUM_PARTS_PER_PROMPT = 64
+# These limits bound the memory and the messages. A crash leaves some tens of
+# requests that had not begun.
 MAXIMUM_PROMPTS_PER_CRASH = 64
-MAXIMUM_CRASHES_PER_PART = 12
 MAXIMUM_SUSPECTS = 2048
 MAXIMUM_PROVEN_PARTS = 8192
 # Fraction of the suspects that are removed at once at the limit.
 _EVICTED_FRACTION = 1 / 8
 _EXPIRY_INTERVAL_SECONDS = 1.0
 
-CrashId: TypeAlias = tuple[str, int]
-
-
-@dataclass(frozen=True, slots=True, eq=False)
-class Prompt:
-    """The prompt of one request, which may be sent several times.
-
-    Attributes:
-        workspace: Workspace of the caller, or "".
-        parts: Parts that other requests may share.
-    """
-
-    workspace: str
-    parts: tuple[str, ...]
-
-
-def prompt_of(workspace: str, parts: Iterable[str]) -> Prompt:
-    """Return a prompt with as many parts as are counted."""
-    return Prompt(workspace, tuple(islice(parts, MAXIMUM_PARTS_PER_PROMPT)))
-
-
-@dataclass(slots=True, eq=False)
-class PromptRun:
-    """A request in flight at an upstream.
-
-    Times are in seconds on one router's clock.
-
-    Attributes:
-        prompt: Prompt of the request.
-        sent_at: Time at which it was sent, or infinity before that.
-        first_output_at: Time at which its response began to arrive, or None.
-    """
-
-    prompt: Prompt
-    sent_at: float = float("inf")
-    first_output_at: float | None = None
-
-    def begun_at(self, now: float) -> float | None:
-        """Return the time at which the response had begun, or None."""
-        if self.first_output_at is None:
-            return None
-        begun_at = self.first_output_at + BEGUN_SECONDS
-        return begun_at if begun_at <= now else None
-
 
 @dataclass(frozen=True, slots=True)
 class PartRefusal:
@@ -147,104 +100,11 @@
 PartEvent: TypeAlias = PartQuarantined | PartReleased
 
 
-@dataclass(frozen=True, slots=True)
-class _Crash:
-    """A crash of an upstream that ran requests with the part."""
-
-    upstream_id: str
-    sent_at: float
-    happened_at: float
-    workspaces: frozenset[str]
-
-    def union(self, other: "_Crash") -> "_Crash":
-        """Return the crash as two routers have seen it."""
-        return _Crash(
-            self.upstream_id,
-            max(self.sent_at, other.sent_at),
-            min(self.happened_at, other.happened_at),
-            self.workspaces | other.workspaces,
-        )
-
-
-@dataclass(slots=True)
-class _Suspect:
-    """Crashes of a part since it was last proven.
-
-    Attributes:
-        crash_by_id: The crashes.
-        counted: Those that count, oldest first.
-    """
-
-    crash_by_id: dict[CrashId, _Crash] = field(default_factory=dict)
-    counted: list[_Crash] = field(default_factory=list)
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Return whether the crashes suffice to refuse the part."""
-        return len(self.counted) >= CRASHES_UNTIL_REFUSED
-
-    @property
-    def refusal_seconds(self) -> float:
-        """Return the time from the last crash to the first probe."""
-        probes = len(self.counted) - CRASHES_UNTIL_REFUSED
-        return FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**probes
-
-    @property
-    def probe_at(self) -> float:
-        """Return the time from which the part may be probed."""
-        return self.counted[-1].happened_at + self.refusal_seconds
-
-    @property
-    def workspaces(self) -> frozenset[str]:
-        """Return the workspaces whose requests took part in the crashes."""
-        return frozenset().union(*(crash.workspaces for crash in self.counted))
-
-    @property
-    def last_crash_at(self) -> float:
-        """Return the time of the latest crash."""
-        return max(crash.happened_at for crash in self.crash_by_id.values())
-
-    def count(self) -> None:
-        """Choose the crashes that count, as many as possible."""
-        counted: list[_Crash] = []
-        for crash in self._by_time():
-            if not counted:
-                counted = [crash]
-                continue
-            last = counted[-1]
-            gap = crash.happened_at - last.happened_at
-            if (
-                gap > CRASH_WINDOW_SECONDS
-                and len(counted) < CRASHES_UNTIL_REFUSED
-            ):
-                counted = [crash]
-            elif crash.sent_at >= last.happened_at:
-                counted.append(crash)
-        self.counted = counted
-
-    def most_telling_crashes(self) -> set[CrashId]:
-        """Return as many crashes as are kept, first those that count."""
-        counted = set(self.counted)
-        ids = sorted(
-            self.crash_by_id,
-            key=lambda crash_id: (
-                self.crash_by_id[crash_id] in counted,
-                self.crash_by_id[crash_id].happened_at,
-            ),
-        )
-        return set(ids[-MAXIMUM_CRASHES_PER_PART:])
-
-    def _by_time(self) -> list[_Crash]:
-        return sorted(
-            self.crash_by_id.values(), key=lambda crash: crash.happened_at
-        )
-
-
 class PromptQuarantine:
     """Prompt parts suspected of crashing the upstreams of one service."""
 
     def __init__(self) -> None:
-        self._suspect_by_part: dict[str, _Suspect] = {}
+        self._suspect_by_part: dict[str, Suspect] = {}
         self._parts_by_crash_id: dict[CrashId, set[str]] = {}
         self._proven_at_by_part: OrderedDict[str, float] = OrderedDict()
         # Request that probes a part, and the time until which it may.
@@ -318,7 +178,7 @@
         ]
         waiting.sort(key=lambda run: run.sent_at, reverse=True)
         for run in waiting[:MAXIMUM_PROMPTS_PER_CRASH]:
-            crash = _Crash(
+            crash = SuspectedCrash(
                 crash_id[0],
                 run.sent_at,
                 happened_at,
@@ -373,7 +233,7 @@
                 self._add(
                     record.part,
                     (crash.upstream_id, crash.epoch),
-                    _Crash(
+                    SuspectedCrash(
                         crash.upstream_id,
                         now - crash.sent_age_seconds,
                         now - crash.age_seconds,
@@ -413,7 +273,7 @@
         ]
 
     def _seconds_until_sent(
-        self, part: str, suspect: _Suspect, prompt: Prompt, now: float
+        self, part: str, suspect: Suspect, prompt: Prompt, now: float
     ) -> float:
         """Return the time until a request may probe a part."""
         probe, probe_until = self._probe_by_part.get(part, (prompt, now))
@@ -421,7 +281,7 @@
             return max(suspect.probe_at, probe_until) - now
         return suspect.probe_at - now
 
-    def _companions(self, part: str, suspect: _Suspect) -> set[str]:
+    def _companions(self, part: str, suspect: Suspect) -> set[str]:
         """Return the other parts that took part in all crashes of a part."""
         companions = set.intersection(
             *(
@@ -431,7 +291,7 @@
         )
         return companions - {part}
 
-    def _describe(self, part: str, suspect: _Suspect) -> PartQuarantined:
+    def _describe(self, part: str, suspect: Suspect) -> PartQuarantined:
         return PartQuarantined(
             part,
             tuple(crash.upstream_id for crash in suspect.counted),
@@ -443,11 +303,11 @@
     def _proven_at(self, part: str) -> float:
         return self._proven_at_by_part.get(part, float("-inf"))
 
-    def _add(self, part: str, crash_id: CrashId, crash: _Crash) -> None:
+    def _add(self, part: str, crash_id: CrashId, crash: SuspectedCrash) -> None:
         """Add a crash, unless a later response has proven the part."""
         if crash.happened_at <= self._proven_at(part):
             return
-        suspect = self._suspect_by_part.setdefault(part, _Suspect())
+        suspect = self._suspect_by_part.setdefault(part, Suspect())
         counted_before = len(suspect.counted)
         known = suspect.crash_by_id.get(crash_id)
         suspect.crash_by_id[crash_id] = known.union(crash) if known else crash
@@ -482,7 +342,7 @@
             self._released.append(PartReleased(part))
 
     def _keep_crashes(
-        self, part: str, suspect: _Suspect, kept: set[CrashId]
+        self, part: str, suspect: Suspect, kept: set[CrashId]
     ) -> None:
         """Remove the other crashes of a part, and the part without any."""
         for crash_id in suspect.crash_by_id.keys() - kept:
@@ -518,7 +378,7 @@
             self._remove(part)
 
     def _record_of(self, part: str, now: float) -> PartRecord:
-        suspect = self._suspect_by_part.get(part, _Suspect())
+        suspect = self._suspect_by_part.get(part, Suspect())
         proven_at = self._proven_at_by_part.get(part)
         return PartRecord(
             part,
@@ -535,7 +395,7 @@
         )
 
 
-def _applies(suspect: _Suspect, workspace: str) -> bool:
+def _applies(suspect: Suspect, workspace: str) -> bool:
     """Return whether a part is refused to a workspace."""
     if not suspect.is_quarantined:
         return False
--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -25,8 +25,10 @@
 
 from lacewingspar_core.messages import CrashRecord, Quarantine
 from lacewingspar_core.prompt_quarantine import (
-    Prompt,
     PromptQuarantine,
+)
+from lacewingspar_core.prompt_suspects import (
+    Prompt,
     PromptRun,
 )
 
--- a/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/refusals.py
@@ -1,7 +1,9 @@
 """Refusals of requests, by the error that caused them."""
 
 from lacewingspar_core.messages import SlotOutcome
-from lacewingspar_core.prompt_quarantine import PartRefusal
+from lacewingspar_core.prompt_quarantine import (
+    PartRefusal,
+)
 from lacewingspar_router.components.caller_api.const import (
     RETRY_AFTER_CLAIM_SECONDS,
     RETRY_AFTER_STATE_SECONDS,
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -8,6 +8,8 @@
 
 from lacewingspar_core.prompt_quarantine import (
     PartRefusal,
+)
+from lacewingspar_core.prompt_suspects import (
     Prompt,
     PromptRun,
     prompt_of,
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -3,7 +3,9 @@
 from http import HTTPStatus
 
 from lacewingspar_core.pool_admission import REASON_OVERLOADED
-from lacewingspar_core.prompt_quarantine import PartRefusal
+from lacewingspar_core.prompt_quarantine import (
+    PartRefusal,
+)
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.errors import RequestRefusedError, RunState
 
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -9,6 +9,8 @@
 from lacewingspar_core.prompt_quarantine import (
     PartQuarantined,
     PartRefusal,
+)
+from lacewingspar_core.prompt_suspects import (
     PromptRun,
 )
 from lacewingspar_core.quarantine import QuarantineState
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -12,6 +12,8 @@
     PartQuarantined,
     PartRefusal,
     PartReleased,
+)
+from lacewingspar_core.prompt_suspects import (
     Prompt,
 )
 from lacewingspar_core.quarantine import QuarantineState
--- a/tests/core/test_prompt_quarantine.py
+++ b/tests/core/test_prompt_quarantine.py
@@ -7,15 +7,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lacewingspar_core import prompt_quarantine
+from lacewingspar_core import prompt_quarantine, prompt_suspects
 from lacewingspar_core.prompt_quarantine import (
-    FIRST_REFUSAL_SECONDS,
     PROBE_SECONDS,
-    REFUSAL_FACTOR,
     PartQuarantined,
     PartReleased,
-    Prompt,
     PromptQuarantine,
+)
+from lacewingspar_core.prompt_suspects import (
+    FIRST_REFUSAL_SECONDS,
+    REFUSAL_FACTOR,
+    Prompt,
     PromptRun,
     prompt_of,
 )
@@ -209,7 +211,7 @@
 def test_old_crashes_are_forgotten() -> None:
     state = PromptQuarantine()
     for number in range(4):
-        now = number * (prompt_quarantine.CRASH_WINDOW_SECONDS + 1.0)
+        now = number * (prompt_suspects.CRASH_WINDOW_SECONDS + 1.0)
         record(state, f"u{number}", [prompt("p")], now)
         assert not is_refused(state, "p", now)
 
@@ -229,7 +231,7 @@
     for number in range(100):
         record(state, f"w{number}", [prompt("p")], 300.0 + number)
     (item,) = (r for r in state.publish(400.0, full=True) if r.part == "p")
-    assert len(item.crashes) <= prompt_quarantine.MAXIMUM_CRASHES_PER_PART
+    assert len(item.crashes) <= prompt_suspects.MAXIMUM_CRASHES_PER_PART
 
 
 @given(
--- a/tests/router/components/test_quarantine.py
+++ b/tests/router/components/test_quarantine.py
@@ -9,7 +9,9 @@
 import pytest
 
 from lacewingspar_core.messages import Quarantine
-from lacewingspar_core.prompt_quarantine import CRASHES_UNTIL_REFUSED
+from lacewingspar_core.prompt_suspects import (
+    CRASHES_UNTIL_REFUSED,
+)
 from lacewingspar_router.components import quarantine
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.quarantine import models, registry
--- a/tests/router/deployed/test_crashing_prompt_part.py
+++ b/tests/router/deployed/test_crashing_prompt_part.py
@@ -11,7 +11,9 @@
 )
 from tests.router.deployed.test_forwarding import STREAM
 
-from lacewingspar_core.prompt_quarantine import CRASHES_UNTIL_REFUSED
+from lacewingspar_core.prompt_suspects import (
+    CRASHES_UNTIL_REFUSED,
+)
 from lacewingspar_router.components.peers.models import PEERS
 
 CRASHING = "c0ffee01"
--- a/tests/router/test_admin_api.py
+++ b/tests/router/test_admin_api.py
@@ -11,7 +11,7 @@
 
 from lacewingspar_core.documents import dump_document
 from lacewingspar_core.messages import MemberRecord, RouterState
-from lacewingspar_core.prompt_quarantine import (
+from lacewingspar_core.prompt_suspects import (
     CRASHES_UNTIL_REFUSED,
     PromptRun,
     prompt_of,
