Tell other routers that a response under way has released a prompt part

A router that refused a part looked at its own responses first, but told the others only with its next success, and both registries did so in their own code. The exchange of crash records does it for both now and sends the proof within 0.05 s.

--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -1,20 +1,18 @@
 """Quarantine of requests that crash upstreams."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 
 import structlog
 
-from lacewingspar_core.prompt_quarantine import (
-    PartRefusal,
-)
 from lacewingspar_core.prompt_suspects import (
     Prompt,
     PromptRun,
     prompt_of,
 )
-from lacewingspar_core.quarantine import QuarantineState, fingerprint
+from lacewingspar_core.quarantine import fingerprint
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const, refusals
 from lacewingspar_router.components.forwarding.models import Call
@@ -117,7 +115,9 @@
         if seconds > 0:
             self._telemetry.count("quarantined_total", service=service)
             raise refusals.quarantined(seconds)
-        refusal = self._find_refusal(state, request)
+        refusal = self._exchange.find_refusal(
+            service, request.prompt, lambda: self._prompt_runs(service)
+        )
         if refusal is not None:
             self._telemetry.count("quarantined_prompts_total", service=service)
             raise refusals.prompt_quarantined(refusal)
@@ -227,30 +227,13 @@
             state.record_success(request.fingerprint, self._app.now(), prompt)
             self._exchange.publish_soon(state)
 
-    def _find_refusal(
-        self, state: QuarantineState, request: GuardedRequest
-    ) -> PartRefusal | None:
-        """Return why a prompt is refused, or None.
-
-        A part is released first if one of this router's responses shows that it
-        does no harm.
-        """
-        refusal = self._exchange.find_refusal(state.service, request.prompt)
-        if refusal is None:
-            return None
-        self._record_begun(state)
-        return self._exchange.find_refusal(state.service, request.prompt)
-
-    def _record_begun(self, state: QuarantineState) -> None:
-        """Record which prompt parts are proven by responses under way."""
-        state.prompts.record_begun(
-            (
-                run.prompt_run
-                for runs in self._runs_by_upstream.values()
-                for run in runs
-                if run.request.service == state.service
-            ),
-            self._app.now(),
+    def _prompt_runs(self, service: str) -> Iterator[PromptRun]:
+        """Return the runs of a service that are in flight."""
+        return (
+            run.prompt_run
+            for runs in self._runs_by_upstream.values()
+            for run in runs
+            if run.request.service == service
         )
 
     def _discard_run(self, run: GuardedRun) -> None:
@@ -284,7 +267,7 @@
         broken_at = min(suspect.broken_at for suspect in runs)
         service = run.request.service
         state = self._exchange.state(service)
-        self._record_begun(state)
+        state.prompts.record_begun(self._prompt_runs(service), self._app.now())
         state.record_crash(
             run.upstream_id,
             epoch,
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -1,7 +1,7 @@
 """Crash records of all services and the runs that they result from."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 import structlog
 
@@ -13,7 +13,6 @@
 from lacewingspar_core.prompt_suspects import (
     PromptRun,
 )
-from lacewingspar_core.quarantine import QuarantineState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.quarantine.const import (
     ABANDONED_RUN_SECONDS,
@@ -69,15 +68,12 @@
 
     def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
         """Return why the prompt of a request is in quarantine, or None."""
-        state = self._exchange.find_state(identity.service)
-        if state is None:
-            return None
-        refusal = self._exchange.find_refusal(identity.service, identity.prompt)
-        if refusal is None:
+        service = identity.service
+        if self._exchange.find_state(service) is None:
             return None
-        # A response under way may show that the part does no harm.
-        self._record_begun(state)
-        return self._exchange.find_refusal(identity.service, identity.prompt)
+        return self._exchange.find_refusal(
+            service, identity.prompt, lambda: self._prompt_runs(service)
+        )
 
     def quarantined_parts(self) -> dict[str, list[PartQuarantined]]:
         """Return the prompt parts in quarantine by service."""
@@ -211,16 +207,13 @@
             state.record_success(identity.fingerprint, self._app.now(), prompt)
             self._exchange.publish(state)
 
-    def _record_begun(self, state: QuarantineState) -> None:
-        """Record which prompt parts are proven by responses under way."""
-        state.prompts.record_begun(
-            (
-                run.prompt_run
-                for (service, _), runs in self._runs_by_upstream.items()
-                for run in runs
-                if service == state.service
-            ),
-            self._app.now(),
+    def _prompt_runs(self, service: str) -> Iterator[PromptRun]:
+        """Return the runs of a service that are in flight."""
+        return (
+            run.prompt_run
+            for (name, _), runs in self._runs_by_upstream.items()
+            for run in runs
+            if name == service
         )
 
     async def _async_confirm(
@@ -259,7 +252,7 @@
             METRIC_CRASHES, service=service, upstream=upstream_id
         )
         state = self._exchange.state(service)
-        self._record_begun(state)
+        state.prompts.record_begun(self._prompt_runs(service), self._app.now())
         epoch = max(run.epoch for run in runs)
         state.record_crash(
             upstream_id,
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -1,7 +1,7 @@
 """Exchange of crash records with the other routers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -13,9 +13,7 @@
     PartRefusal,
     PartReleased,
 )
-from lacewingspar_core.prompt_suspects import (
-    Prompt,
-)
+from lacewingspar_core.prompt_suspects import Prompt, PromptRun
 from lacewingspar_core.quarantine import QuarantineState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
@@ -68,14 +66,28 @@
             state = self._state_by_service[service] = QuarantineState(service)
         return state
 
-    def find_refusal(self, service: str, prompt: Prompt) -> PartRefusal | None:
-        """Return why a prompt must not be sent to a service, or None."""
+    def find_refusal(
+        self,
+        service: str,
+        prompt: Prompt,
+        runs: Callable[[], Iterable[PromptRun]],
+    ) -> PartRefusal | None:
+        """Return why a prompt must not be sent to a service, or None.
+
+        Before a prompt is refused, the responses under way may prove its parts.
+
+        Args:
+            service: Name of the service.
+            prompt: The prompt.
+            runs: Returns the requests that this router has sent to the service.
+        """
         state = self._state_by_service.get(service)
-        if state is None:
+        if state is None or not self._refusal(state, prompt):
             return None
-        return state.prompts.refusal(
-            prompt, self._app.now(), lambda: self._may_probe(service)
-        )
+        state.prompts.record_begun(runs(), self._app.now())
+        if state.prompts.has_changed:
+            self.publish_soon(state)
+        return self._refusal(state, prompt)
 
     def quarantined_parts(self) -> dict[str, list[PartQuarantined]]:
         """Return the prompt parts in quarantine by service."""
@@ -169,6 +181,13 @@
         for listener in self._listeners:
             listener()
 
+    def _refusal(
+        self, state: QuarantineState, prompt: Prompt
+    ) -> PartRefusal | None:
+        return state.prompts.refusal(
+            prompt, self._app.now(), lambda: self._may_probe(state.service)
+        )
+
     def _may_probe(self, service: str) -> bool:
         """Return whether this router sends the probes of a service."""
         serving = [
--- a/tests/router/test_crash_exchange.py
+++ b/tests/router/test_crash_exchange.py
@@ -8,6 +8,11 @@
 
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import Quarantine
+from lacewingspar_core.prompt_suspects import (
+    CRASHES_UNTIL_REFUSED,
+    PromptRun,
+    prompt_of,
+)
 from lacewingspar_router import crash_exchange
 from lacewingspar_router.crash_exchange import CrashExchange
 
@@ -64,3 +69,27 @@
         exchange.publish_soon(state)
         await asyncio.sleep(0.03)
     assert app.get.return_value.send.call_count == 3 * (ROUTERS - 1)
+
+
+async def test_response_under_way_releases_its_prompt_on_all_routers(
+    app: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a part that each router has to prove by itself."""
+    monkeypatch.setattr(crash_exchange, "PROOF_DELAY_SECONDS", 0.01)
+    exchange = CrashExchange(app)
+    state = exchange.state("models")
+    prompt = prompt_of("alpha", ["shared"])
+    for number in range(CRASHES_UNTIL_REFUSED):
+        run = PromptRun(prompt, number - 0.1)
+        state.record_crash(f"e{number}", 0, (), float(number), [run])
+    app.now.return_value = 5.0
+    exchange.publish(state)
+    assert exchange.find_refusal("models", prompt, lambda: []) is not None
+    send = app.get.return_value.send
+    send.reset_mock()
+    begun = PromptRun(prompt, 4.0, 4.1)
+    assert exchange.find_refusal("models", prompt, lambda: [begun]) is None
+    await asyncio.sleep(0.05)
+    assert send.call_count == ROUTERS - 1
+    (record,) = send.call_args.args[1].parts
+    assert (record.part, record.crashes) == ("shared", ())
