--- a/tests/router/test_crash_exchange.py
+++ b/tests/router/test_crash_exchange.py
@@ -84,7 +84,7 @@
         state.record_crash(f"e{number}", 0, (), float(number), [run])
     app.now.return_value = 5.0
     exchange.publish(state)
-    assert exchange.find_refusal("models", prompt, lambda: []) is not None
+    assert exchange.find_refusal("models", prompt, list) is not None
     send = app.get.return_value.send
     send.reset_mock()
     begun = PromptRun(prompt, 4.0, 4.1)
