Do not blame a repeated request for crashes under a part that it does not have

What callers saw: a sound request that was repeated is refused for 600 s as "quarantined". Cause: two crashes under different requests with one part have only one whole request in common, one that met both. Before parts were counted nobody else could be the cause; now the part is a common suspect too. Change: crashes do not count against a whole request if all of them may be due to one part that it does not have. The same rule that keeps two parts apart.

--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -157,6 +157,15 @@
             part in self._suspect_by_part for part in prompt.parts
         )
 
+    def common_parts(self, crash_ids: Iterable[CrashId]) -> set[str]:
+        """Return the suspects that some crashes have in common."""
+        return set.intersection(
+            *(
+                self._parts_by_crash_id.get(crash_id, set())
+                for crash_id in crash_ids
+            )
+        )
+
     def record_crash(
         self,
         crash_id: CrashId,
@@ -283,13 +292,7 @@
 
     def _companions(self, part: str, suspect: Suspect) -> set[str]:
         """Return the other parts that took part in all crashes of a part."""
-        companions = set.intersection(
-            *(
-                self._parts_by_crash_id[crash_id]
-                for crash_id in suspect.crash_by_id
-            )
-        )
-        return companions - {part}
+        return self.common_parts(suspect.crash_by_id) - {part}
 
     def _describe(self, part: str, suspect: Suspect) -> PartQuarantined:
         return PartQuarantined(
--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -18,7 +18,7 @@
 `prompt_quarantine`.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -54,6 +54,7 @@
 class _Crash:
     """Merged records of one crash."""
 
+    crash_id: CrashId
     happened_at: float
     suspects: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
@@ -113,14 +114,23 @@
         """Return whether a request is in quarantine."""
         return now < self.refused_until(fingerprint, now)
 
-    def refused_until(self, fingerprint: str, now: float) -> float:
-        """Return the time at which a request's quarantine ends, or 0."""
+    def refused_until(
+        self, fingerprint: str, now: float, parts: Collection[str] = ()
+    ) -> float:
+        """Return the time at which a request's quarantine ends, or 0.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            now: Time in seconds.
+            parts: Parts of its prompt. Crashes do not count against a request
+                if all of them may be due to a part that it does not have.
+        """
         crashes = self._crashes_possibly_caused_by(
             fingerprint, now - RETENTION_SECONDS
         )
         for position in range(len(crashes) - 1, 0, -1):
             last = crashes[position]
-            if _justifies_refusal(crashes[:position], last):
+            if self._justifies_refusal(crashes[:position], last, parts):
                 return last.happened_at + QUARANTINE_SECONDS
         return 0.0
 
@@ -219,12 +229,37 @@
         ]
         return sorted(crashes, key=lambda crash: crash.happened_at)
 
+    def _justifies_refusal(
+        self, earlier: list[_Crash], last: _Crash, parts: Collection[str]
+    ) -> bool:
+        """Return whether these crashes suffice to refuse a common suspect."""
+        near = [
+            crash
+            for crash in earlier
+            if last.happened_at - crash.happened_at <= CRASH_WINDOW_SECONDS
+        ]
+        if len(near) >= CRASHES_UNTIL_REFUSED - 1:
+            return not self._is_due_to_other_part([*near, last], parts)
+        suspects = last.possible_causes()
+        return any(
+            len(crash.possible_causes() & suspects) == 1
+            and not self._is_due_to_other_part([crash, last], parts)
+            for crash in near
+        )
+
+    def _is_due_to_other_part(
+        self, crashes: list[_Crash], parts: Collection[str]
+    ) -> bool:
+        """Return whether another part is a suspect of all these crashes."""
+        common = self.prompts.common_parts(crash.crash_id for crash in crashes)
+        return not common.issubset(parts)
+
     def _merge_record(self, record: CrashRecord, now: float) -> None:
         crash_id = (record.upstream_id, record.epoch)
         happened_at = now - record.age_seconds
         crash = self._crash_by_id.get(crash_id)
         if crash is None:
-            crash = self._crash_by_id[crash_id] = _Crash(happened_at)
+            crash = self._crash_by_id[crash_id] = _Crash(crash_id, happened_at)
             self._update_epoch(record)
         suspects = _limit_suspects(crash.suspects.union(record.suspects))
         cleared = suspects.intersection(crash.cleared.union(record.cleared))
@@ -279,19 +314,6 @@
         )
 
 
-def _justifies_refusal(earlier: list[_Crash], last: _Crash) -> bool:
-    """Return whether these crashes suffice to refuse a common suspect."""
-    near = [
-        crash
-        for crash in earlier
-        if last.happened_at - crash.happened_at <= CRASH_WINDOW_SECONDS
-    ]
-    if len(near) >= CRASHES_UNTIL_REFUSED - 1:
-        return True
-    suspects = last.possible_causes()
-    return any(len(crash.possible_causes() & suspects) == 1 for crash in near)
-
-
 def _limit_suspects(suspects: set[str]) -> set[str]:
     """Return the lowest suspects, independent of the order of merging."""
     if len(suspects) <= MAXIMUM_SUSPECTS:
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -111,7 +111,10 @@
         if state is None:
             return
         now = self._app.now()
-        seconds = state.refused_until(request.fingerprint, now) - now
+        until = state.refused_until(
+            request.fingerprint, now, request.prompt.parts
+        )
+        seconds = until - now
         if seconds > 0:
             self._telemetry.count("quarantined_total", service=service)
             raise refusals.quarantined(seconds)
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -64,7 +64,10 @@
         if state is None:
             return 0.0
         now = self._app.now()
-        return max(0.0, state.refused_until(identity.fingerprint, now) - now)
+        until = state.refused_until(
+            identity.fingerprint, now, identity.prompt.parts
+        )
+        return max(0.0, until - now)
 
     def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
         """Return why the prompt of a request is in quarantine, or None."""
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -6,6 +6,7 @@
 
 from lacewingspar_core import messages, quarantine
 from lacewingspar_core.messages import CrashRecord, Quarantine
+from lacewingspar_core.prompt_suspects import PromptRun, prompt_of
 from lacewingspar_core.quarantine import QuarantineState
 
 LAST_EXPIRY_SECONDS = 1.0 + quarantine.RETENTION_SECONDS
@@ -56,6 +57,37 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("parts", "is_refused"),
+    [
+        (["shared crashing", "shared crashing", ""], False),
+        (["shared crashing", "shared crashing", "crashing"], False),
+        (["shared crashing", "shared other", ""], True),
+        (["shared own", "shared own", ""], True),
+        (["", "", ""], True),
+    ],
+)
+def test_repeated_request_is_not_blamed_for_a_part_that_it_does_not_have(
+    parts: list[str], is_refused: bool
+) -> None:
+    """Guards against refusing the one request that met two crashing ones.
+
+    The requests with the part differ, so it is the only common fingerprint.
+    Its own prompt has the parts `shared` and `own`.
+    """
+    state = QuarantineState("s")
+    for number, names in enumerate(parts):
+        now = 10.0 + number
+        run = PromptRun(prompt_of("alpha", names.split()), now - 0.1)
+        fingerprints = {"repeated"} if number < 2 else set()
+        state.record_crash(
+            f"u{number}", 0, {*fingerprints, f"c{number}"}, now, [run]
+        )
+        state.prompts.record_proof(prompt_of("alpha", ["shared"]), now + 0.5)
+    until = state.refused_until("repeated", 13.0, ("shared", "own"))
+    assert (until > 13.0) is is_refused
+
+
 def test_quarantine_ends_and_records_expire() -> None:
     """Guards against quarantines and records that never expire."""
     state = _state("x", "x")
