--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -28,6 +28,7 @@
 from lacewingspar_router.components.forwarding.crash_guard import (
     CrashGuard,
     GuardedRequest,
+    GuardedRun,
     async_has_crashed,
 )
 from lacewingspar_router.components.forwarding.hand_over import HandOver
@@ -338,42 +339,20 @@
         switch: UpstreamSwitch,
     ) -> AttemptEnd:
         """Send a request to an upstream and relay the response."""
-        call = progress.call
         pool = self._connection_pool(upstream.address)
         run = self._crash_guard.begin(
             guarded,
             upstream.upstream_id,
             is_continuation=progress.caller_response.exchange.is_started,
         )
-
-        def record_sent(connection: ClientConnection) -> None:
-            self._crash_guard.record_sent(run)
-            switch.watch(connection)
-
-        def record_first_chunk() -> None:
-            self._crash_guard.record_output(run)
-            switch.record_first_chunk()
-            self._admission.record_first_chunk(grant)
-
         attempt = Attempt(
-            call,
+            progress.call,
             upstream,
             pool,
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            AttemptHooks(
-                may_send=lambda: (
-                    self._admission.may_send(grant)
-                    and self._crash_guard.may_send(guarded)
-                ),
-                on_sent=record_sent,
-                on_notice=lambda notice: self._availability.record(
-                    upstream, notice
-                ),
-                on_first_chunk=record_first_chunk,
-                async_has_crashed=lambda: async_has_crashed(pool),
-            ),
+            self._attempt_hooks(grant, upstream, pool, run, switch),
         )
         entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
@@ -390,6 +369,40 @@
             self._crash_guard.record_response(run, status)
         return end
 
+    def _attempt_hooks(
+        self,
+        grant: Grant,
+        upstream: UpstreamEntry,
+        pool: ConnectionPool,
+        run: GuardedRun,
+        switch: UpstreamSwitch,
+    ) -> AttemptHooks:
+        """Return the functions that one attempt calls on its way."""
+
+        def may_send() -> bool:
+            return self._admission.may_send(
+                grant
+            ) and self._crash_guard.may_send(run.request)
+
+        def record_sent(connection: ClientConnection) -> None:
+            self._crash_guard.record_sent(run)
+            switch.watch(connection)
+
+        def record_first_chunk() -> None:
+            self._crash_guard.record_output(run)
+            switch.record_first_chunk()
+            self._admission.record_first_chunk(grant)
+
+        return AttemptHooks(
+            may_send=may_send,
+            on_sent=record_sent,
+            on_notice=lambda notice: self._availability.record(
+                upstream, notice
+            ),
+            on_first_chunk=record_first_chunk,
+            async_has_crashed=lambda: async_has_crashed(pool),
+        )
+
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
         if end.result is AttemptResult.TIMED_OUT:
