Crash no upstream of the soak after its fault has ended

A request that was under way as the fault ended could crash an engine that nobody would have restarted.

--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -366,7 +366,8 @@
         self._write_head(request, 200, headers)
         if faults.crash_part in request.shared_prompt_parts:
             await asyncio.sleep(PART_CRASH_DELAY_SECONDS)
-            self._upstream.crash(by_part=True)
+            if faults.crash_part:
+                self._upstream.crash(by_part=True)
             return
         for sent, number in enumerate(range(first, self._upstream.events + 1)):
             data = b"id: %d\ndata: event %d\n\n" % (number, number)
