--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -368,7 +368,7 @@
             await asyncio.sleep(PART_CRASH_DELAY_SECONDS)
             if faults.crash_part:
                 self._upstream.crash(by_part=True)
-            return
+                return
         for sent, number in enumerate(range(first, self._upstream.events + 1)):
             data = b"id: %d\ndata: event %d\n\n" % (number, number)
             if sent == faults.break_after_events:
