Answer what is unanswered on a connection before it ends

Callers saw connections that end with neither an answer nor a refusal: with reads pending in the socket of a router whose event loop is late, with requests on the wire while an idle connection is closed, with connections in the listen queue of a router that stops, and with requests queued behind an announced end. No line of a log and no counter showed any of them.

Cause: six places closed a caller's connection (idle timeout, room, drain, last response, rejected input, end of the server), each after its own look at what the connection was doing, and none looked at the socket. The class: whoever ends a connection does not know what is unanswered on it.

One function ends connections. It asks what is unanswered, keeps an idle connection with unread input open, refuses what no handler has begun, and sends 408 on an idle one, so that a request which crosses the end has an answer. The socket is read until the caller ends its side, so a reset no longer destroys responses. A listener accepts its queue before it closes, and a closing server polls its sockets three times, however late it is.

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -6,6 +6,9 @@
 
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import const, refusals
+from lacewingspar_router.components.forwarding.connection_ends import (
+    ConnectionEndRecorder,
+)
 from lacewingspar_router.components.forwarding.handler import CallHandler
 from lacewingspar_router.components.forwarding.load_monitor import LoadMonitor
 from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
@@ -30,7 +33,10 @@
     wire_format = app.get(WIRE_FORMAT)
     handler = CallHandler(app)
     callers = Http1Server(
-        handler.async_handle, app.now, handler.load_shedder.refuse_early
+        handler.async_handle,
+        app.now,
+        handler.load_shedder.refuse_early,
+        ConnectionEndRecorder(app),
     )
     callers.max_connections = round(
         const.CALLER_DESCRIPTOR_FRACTION * settings.platform.descriptor_limit
--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -3,10 +3,19 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import structlog
 
+from lacewingspar_router.http1.connection_end import (
+    LINGER_SECONDS,
+    RULE_BY_REASON,
+    CallerTransport,
+    ConnectionEnded,
+    EndReason,
+    ResponseState,
+    Unanswered,
+)
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import (
     HttpRequest,
@@ -30,11 +39,11 @@
 MAX_PIPELINED_REQUESTS = 8
 # Unsent response data above which the handler waits for a slow caller.
 WRITE_BUFFER_HIGH_WATER_BYTES = 256 * 1024
-# Delay before a connection is closed that the caller may be sending on, so that
-# it reads the response before it sees the reset, or gets another response.
-LINGER_SECONDS = 0.5
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Sent on a connection that ends without a request; it says that a request that
+# is on its way will not run.
+_NO_REQUEST = Response(408, [], b"")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,20 +63,21 @@
     """Connection of a caller; requests are handled in order.
 
     Whatever follows a request on the connection does not affect its response.
+    The connection ends only in `end`, which responds to what is unanswered.
     """
 
     def __init__(self, server: "Http1Server") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
+        self._transport: CallerTransport | None = None
         self._reader = RequestReader(self, lambda: server.limits)
         self._queued_requests: deque[_QueuedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self._is_closing = False
+        self._exchange: ServerExchange | None = None
+        self._end_reason: EndReason | None = None
         self._error_status_at_end: int | None = None
-        self._is_paused = False
         self._closes_after_response = False
         self._last_active_at = self._loop.time()
         self._received_at = 0.0
@@ -75,17 +85,23 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being received or handled."""
-        return self._task is None and not self._reader.is_reading
-
-    @property
-    def has_unsent_data(self) -> bool:
-        """Return whether the write buffer holds data."""
+        """Return whether the connection is open and unused."""
         return (
-            self._transport is not None
-            and self._transport.get_write_buffer_size() > 0
+            self._end_reason is None
+            and self._task is None
+            and not self._reader.is_reading
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in flight.
+
+        It is in flight until its response was sent completely.
+        """
+        if self._transport is not None and self._transport.unsent_bytes > 0:
+            return True
+        return self._end_reason is None and not self.is_idle
+
     @property
     def last_active_at(self) -> float:
         """Return the loop time at which a request last made progress."""
@@ -95,18 +111,15 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its timeout."""
-        # The transports of uvloop do not inherit from those of asyncio.
-        self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(
-            high=WRITE_BUFFER_HIGH_WATER_BYTES
-        )
+        self._transport = CallerTransport(transport)
+        self._transport.set_write_limit(WRITE_BUFFER_HIGH_WATER_BYTES)
         self._server.add(self)
         self._schedule_timeout_check()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         reader = self._reader
-        if self._is_closing or reader.is_ended:
+        if reader.is_ended:
             return
         was_reading = reader.is_reading
         if not was_reading:
@@ -116,23 +129,38 @@
         try:
             reader.feed(data)
         except InputRejectedError as error:
-            self._reject_input(error.status)
+            if self._end_reason is None:
+                self._reject_input(error.status)
+            else:
+                _LOGGER.debug("input ignored after the end", error=str(error))
             return
         if reader.is_reading and not was_reading:
             self._schedule_timeout_check()
 
     def eof_received(self) -> None:
-        """Let the transport close, because the caller disconnected."""
+        """Let the transport close, because the caller disconnected.
+
+        A caller that only ends its side of the connection looks the same.
+        """
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight."""
-        del exc
-        self._is_closing = True
+        if self._end_reason is None:
+            self._end_reason = EndReason.CALLER_LEFT
+            self._server.observer.record_end(
+                ConnectionEnded(
+                    self._end_reason,
+                    self._unanswered(),
+                    error="" if exc is None else str(exc),
+                )
+            )
         self._server.connections.discard(self)
         self._queued_requests.clear()
         self._can_write.set()
         if self._timer is not None:
             self._timer.cancel()
+        if self._transport is not None:
+            self._transport.release()
         if self._task is not None:
             self._task.cancel()
         self._reader.close()
@@ -154,6 +182,9 @@
         closes = self._reader.is_ended
         request = HttpRequest(method, target, headers, body, self._received_at)
         self._received_at = self._server.now()
+        if self._end_reason is not None:
+            self._server.observer.record_crossing(request, self._end_reason)
+            return
         if self._task is None:
             self._closes_after_response = closes
             early_response = self._server.early_responder(request)
@@ -163,8 +194,11 @@
         self._queued_requests.append(_QueuedRequest(request, closes))
         if self._task is None:
             self._start_next_request()
-        elif len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
+        elif (
+            len(self._queued_requests) >= MAX_PIPELINED_REQUESTS
+            and self._transport is not None
+        ):
+            self._transport.pause_reading()
 
     def send_continue(self) -> None:
         """Tell the caller to send a body, unless a response is in flight."""
@@ -186,8 +220,8 @@
         return self._closes_after_response
 
     def write(self, data: bytes) -> None:
-        """Send data, unless the connection is closing."""
-        if self._transport is not None and not self._transport.is_closing():
+        """Send data, unless the connection has ended."""
+        if self._transport is not None:
             self._transport.write(data)
 
     @property
@@ -199,25 +233,66 @@
         """Wait until the write buffer has room."""
         await self._can_write.wait()
 
-    def close(self) -> None:
-        """Close the connection after the buffered data was sent."""
-        self._is_closing = True
-        if self._transport is not None:
-            self._transport.close()
+    # End of the connection
 
-    def _close_if_idle(self) -> None:
-        if self.is_idle:
-            self.close()
+    def end(self, reason: EndReason) -> bool:
+        """End the connection, after responses to what is unanswered.
 
-    def _pause_reading(self) -> None:
-        if not self._is_paused and self._transport is not None:
-            self._transport.pause_reading()
-            self._is_paused = True
+        Returns:
+            Whether it has ended. One with unread input may have to stay open.
+        """
+        if self._end_reason is not None or self._transport is None:
+            return True
+        rule = RULE_BY_REASON[reason]
+        unanswered = self._unanswered()
+        if rule.waits_for_input and unanswered.unread_bytes:
+            return False
+        refused = unanswered.closing_responses(rule)
+        if unanswered.response is ResponseState.PENDING:
+            self._write_response(Response(500, [], b""), closes=not refused)
+        response = _NO_REQUEST
+        if unanswered.not_begun:
+            response = self._server.closing_response
+        for number in range(refused):
+            self._write_response(response, closes=number == refused - 1)
+        self._end_reason = reason
+        self._transport.end(drops_output=rule.drops_output)
+        self._server.observer.record_end(
+            ConnectionEnded(reason, unanswered, refused)
+        )
+        return True
 
-    def _resume_reading(self) -> None:
-        if self._is_paused and self._transport is not None:
-            self._transport.resume_reading()
-            self._is_paused = False
+    def end_if_idle(self, reason: EndReason) -> bool:
+        """End the connection unless it is in use; return whether it ended."""
+        return self.is_idle and self.end(reason)
+
+    def _unanswered(self) -> Unanswered:
+        response = ResponseState.NONE
+        if self._exchange is not None and not self._exchange.is_finished:
+            response = (
+                ResponseState.BEGUN
+                if self._exchange.is_started
+                else ResponseState.PENDING
+            )
+        unread_bytes = 0
+        if self._transport is not None and not self._reader.is_ended:
+            unread_bytes = self._transport.unread_bytes
+        return Unanswered(
+            response,
+            len(self._queued_requests),
+            self._reader.is_reading,
+            unread_bytes,
+        )
+
+    def _write_response(self, response: Response, *, closes: bool) -> None:
+        headers = [
+            *response.headers,
+            (b"content-length", b"%d" % len(response.body)),
+        ]
+        if closes:
+            headers.append((b"connection", b"close"))
+        head = encode_head(status_line(response.status), headers)
+        self.write(head + response.body)
 
     def _send_early_response(
         self, request: HttpRequest, early_response: Response
@@ -227,23 +302,24 @@
             early_response.status, early_response.headers, early_response.body
         )
         if self._closes_after_response:
-            self.close()
+            self.end(EndReason.ANNOUNCED)
 
     def _start_next_request(self) -> None:
-        if self._is_closing:
+        if self._end_reason is not None:
             return
         if not self._queued_requests:
             if self._error_status_at_end is not None:
-                self._send_error_and_close(
-                    Response(self._error_status_at_end, [], b"")
-                )
+                self._refuse_input(Response(self._error_status_at_end, [], b""))
             self.send_continue()
             return
         queued = self._queued_requests.popleft()
         self._closes_after_response = queued.closes
-        if len(self._queued_requests) < MAX_PIPELINED_REQUESTS:
-            self._resume_reading()
-        exchange = ServerExchange(self, queued.request)
+        if (
+            len(self._queued_requests) < MAX_PIPELINED_REQUESTS
+            and self._transport is not None
+        ):
+            self._transport.resume_reading()
+        exchange = self._exchange = ServerExchange(self, queued.request)
         self._task = self._loop.create_task(
             self._async_handle_request(exchange)
         )
@@ -252,27 +328,29 @@
         try:
             await self._server.handler(exchange)
         except asyncio.CancelledError:
-            if not self._is_closing:
-                self._end_cancelled(exchange)
+            self._end_cancelled(exchange)
             raise
         except Exception:
             _LOGGER.exception("request handler failed")
             if not exchange.is_started:
                 exchange.send_response(500, [], b"")
         finally:
-            self._task = None
-        if self._is_closing:
+            self._task = self._exchange = None
+        if self._end_reason is not None:
             return
         if not exchange.is_finished:
-            self._break_off()
+            self._exchange = exchange
+            self.end(EndReason.BROKEN_OFF)
         elif self._closes_after_response:
-            self.close()
+            self.end(EndReason.ANNOUNCED)
         else:
             self._last_active_at = self._loop.time()
             if self._server.is_closing_connections:
                 # The response started before and announced no close, so that
                 # the caller may already be sending its next request.
-                self._loop.call_later(LINGER_SECONDS, self._close_if_idle)
+                self._loop.call_later(
+                    LINGER_SECONDS, self.end_if_idle, EndReason.DRAIN
+                )
             self._start_next_request()
 
     def refuse_partial_request(self, refusal: Response) -> bool:
@@ -285,36 +363,26 @@
             Whether there was such a request.
         """
         if (
-            self._is_closing
+            self._end_reason is not None
             or self._task is not None
             or not self._reader.is_reading
         ):
             return False
-        self._send_error_and_close(refusal)
+        self._refuse_input(refusal)
         return True
 
     def _end_cancelled(self, exchange: ServerExchange) -> None:
         """End the response of a cancelled handler."""
-        if exchange.is_started and not exchange.is_finished:
-            self._break_off()
+        if self._end_reason is not None:
             return
         if not exchange.is_started:
+            self._closes_after_response = True
             exchange.send_response(500, [], b"")
-        self.close()
-
-    def _break_off(self) -> None:
-        """Close the connection, so that the response is seen as incomplete.
-
-        A chunked response lacks its end. A server that closes its connections
-        still sends the data that is buffered.
-        """
-        self._is_closing = True
-        if self._transport is None:
-            return
-        if self._server.is_closing_connections:
-            self._transport.close()
-        else:
-            self._transport.abort()
+        self.end(
+            EndReason.ANNOUNCED
+            if exchange.is_finished
+            else EndReason.BROKEN_OFF
+        )
 
     def _reject_input(self, status: int) -> None:
         """Respond with an error after the responses to earlier requests."""
@@ -326,21 +394,15 @@
         )
         self._reader.end()
         if self._task is None:
-            self._send_error_and_close(Response(status, [], b""))
+            self._refuse_input(Response(status, [], b""))
         else:
             self._error_status_at_end = status
 
-    def _send_error_and_close(self, response: Response) -> None:
-        """Respond with an error, and close the connection after a delay."""
-        self._is_closing = True
-        headers = [
-            *response.headers,
-            (b"content-length", b"%d" % len(response.body)),
-            (b"connection", b"close"),
-        ]
-        head = encode_head(status_line(response.status), headers)
-        self.write(head + response.body)
-        self._loop.call_later(LINGER_SECONDS, self.close)
+    def _refuse_input(self, response: Response) -> None:
+        """Respond to input that will not be handled, and end the connection."""
+        self._reader.end()
+        self._write_response(response, closes=True)
+        self.end(EndReason.REJECTED)
 
     def _schedule_timeout_check(self) -> None:
         if self._timer is not None:
@@ -356,7 +418,7 @@
         return limits.idle_timeout_seconds
 
     def _check_timeout(self) -> None:
-        if self._is_closing:
+        if self._end_reason is not None:
             return
         if self._task is not None:
             self._last_active_at = self._loop.time()
@@ -365,7 +427,8 @@
         ):
             if self._reader.is_reading:
                 self._reject_input(408)
-            else:
-                self.close()
-            return
+                return
+            if self.end(EndReason.IDLE_TIMEOUT):
+                return
+            self._last_active_at = self._loop.time()
         self._schedule_timeout_check()
--- a/packages/router/src/lacewingspar_router/http1/listener.py
+++ b/packages/router/src/lacewingspar_router/http1/listener.py
@@ -71,6 +71,7 @@
     ) -> None:
         self.accepted_count = 0
         self._is_open = True
+        self._backlog = backlog
         self._socket = bound
         self._factory = factory
         self._loop = asyncio.get_running_loop()
@@ -86,9 +87,16 @@
         return int(self._socket.getsockname()[1])
 
     def close(self) -> None:
-        """Stop accepting connections; open connections stay open."""
+        """Stop accepting connections; open connections stay open.
+
+        Connections in the listen queue are accepted, as closing the socket
+        would reset them together with the requests that were sent on them.
+        """
         if not self._is_open:
             return
+        for _ in range(1 + self._backlog // ACCEPT_BATCH_SIZE):
+            if not self._accept():
+                break
         self._is_open = False
         if self._retry_timer is not None:
             self._retry_timer.cancel()
@@ -99,23 +107,25 @@
         self._retry_timer = None
         self._loop.add_reader(self._socket, self._accept)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Accept a batch; return whether more connections may be queued."""
         for _ in range(ACCEPT_BATCH_SIZE):
             try:
                 connection, _address = self._socket.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except ConnectionError:
                 # The caller disconnected while its connection was queued.
                 continue
             except OSError as error:
                 self._handle_accept_failure(error)
-                return
+                return False
             self.accepted_count += 1
             connection.setblocking(False)
             task = self._loop.create_task(self._async_open(connection))
             self._opening_tasks.add(task)
             task.add_done_callback(self._opening_tasks.discard)
+        return True
 
     def _handle_accept_failure(self, error: OSError) -> None:
         """Stop accepting for a while.
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -7,6 +7,11 @@
 import structlog
 
 from lacewingspar_router.http1.caller_connection import CallerConnection
+from lacewingspar_router.http1.connection_end import (
+    EndLog,
+    EndObserver,
+    EndReason,
+)
 from lacewingspar_router.http1.exchange import ConnectionLimits, ServerExchange
 from lacewingspar_router.http1.listener import Listener, bind_address
 from lacewingspar_router.http1.messages import HttpRequest, Response
@@ -29,6 +34,11 @@
 # half of the time between the end of the drain and the kill of the process.
 CLOSE_SEND_SECONDS = 0.15
 CLOSE_POLL_SECONDS = 0.01
+# Times that a closing server lets its event loop read input, however late the
+# loop is. Input that waits is read in one, and its response sent in the next.
+MIN_CLOSE_POLLS = 3
+# Response to requests that no handler has begun when their connection ends.
+_CLOSING_RESPONSE = Response(408, [], b"")
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
@@ -49,6 +59,9 @@
             or None.
         limits: Limits of each connection; may be replaced at any time.
         connections: Open connections.
+        observer: Records the ends of connections.
+        closing_response: Response to requests that no handler has begun when
+            their connection ends.
         is_closing_connections: Whether connections close after a response.
         max_connections: Number of open connections above which idle ones are
             closed.
@@ -58,6 +71,7 @@
         now: Clock for the arrival times of requests, in seconds.
         early_responder: Returns a response to send without calling the handler,
             or None.
+        observer: Records the ends of connections, or None to log them.
     """
 
     def __init__(
@@ -65,12 +79,15 @@
         handler: Handler,
         now: Callable[[], float],
         early_responder: EarlyResponder = _no_early_response,
+        observer: EndObserver | None = None,
     ) -> None:
         self.handler = handler
         self.early_responder = early_responder
         self.now = now
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
+        self.observer = observer or EndLog()
+        self.closing_response = _CLOSING_RESPONSE
         self.is_closing_connections = False
         self.max_connections = DEFAULT_MAX_CONNECTIONS
         self._listener: Listener | None = None
@@ -100,14 +117,8 @@
 
     @property
     def busy_connection_count(self) -> int:
-        """Return the number of connections with a request in flight.
-
-        A request is in flight until its response was sent completely.
-        """
-        return sum(
-            not item.is_idle or item.has_unsent_data
-            for item in self.connections
-        )
+        """Return the number of connections with a request in flight."""
+        return sum(item.is_busy for item in self.connections)
 
     def add(self, connection: CallerConnection) -> None:
         """Register a new connection; close idle ones above the limit."""
@@ -120,15 +131,16 @@
         longest_idle = heapq.nsmallest(
             IDLE_CLOSE_BATCH_SIZE, idle, key=lambda item: item.last_active_at
         )
-        if not longest_idle:
+        ended = [
+            item for item in longest_idle if item.end_if_idle(EndReason.ROOM)
+        ]
+        if not ended:
             return
-        for connection in longest_idle:
-            # `connection_lost` is called only in a later loop iteration.
-            self.connections.discard(connection)
-            connection.close()
+        # `connection_lost` is called only in a later loop iteration.
+        self.connections.difference_update(ended)
         _LOGGER.info(
             "idle connections closed to make room",
-            closed=len(longest_idle),
+            closed=len(ended),
             idle=len(idle),
             connections=len(self.connections),
             most_connections=self.max_connections,
@@ -142,8 +154,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.end_if_idle(EndReason.DRAIN)
 
     async def async_close(self, refusal: Response) -> None:
         """Close all connections after their last responses.
@@ -154,6 +165,7 @@
             refusal: Response to requests that are not received completely.
         """
         self.is_closing_connections = True
+        self.closing_response = refusal
         self.stop_listening()
         await self._async_wait_closed(CLOSE_RECEIVE_SECONDS)
         refused = sum(
@@ -161,25 +173,31 @@
         )
         self.close_idle()
         await self._async_wait_closed(CLOSE_SEND_SECONDS)
-        if refused or self.connections:
+        unfinished = self.busy_connection_count
+        if refused or unfinished:
             _LOGGER.warning(
                 "connections closed early",
                 partial_requests=refused,
-                unfinished=len(self.connections),
+                unfinished=unfinished,
             )
         self.close()
+        await self._async_wait_closed(0)
 
     async def _async_wait_closed(self, seconds: float) -> None:
         """Wait until all connections are closed, at most this long."""
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
+        polls = 0
         # The first wait also registers connections that were just accepted.
-        await asyncio.sleep(CLOSE_POLL_SECONDS)
-        while self.connections and loop.time() < ends_at:  # noqa: ASYNC110
+        while not polls or (
+            self.connections
+            and (loop.time() < ends_at or polls < MIN_CLOSE_POLLS)
+        ):
             await asyncio.sleep(CLOSE_POLL_SECONDS)
+            polls += 1
 
     def close(self) -> None:
         """Close the listener and all connections."""
         self.stop_listening()
         for connection in list(self.connections):
-            connection.close()
+            connection.end(EndReason.STOP)
