Refuse the requests that were read together with an early refusal

Cause: an early refusal that announced the end closed the connection while the parser was still in the middle of the received input. Ruled out: the handler, which none of them reached. The input is now parsed to its end first, and what follows the refusal gets the closing response.

test_requests_read_with_an_early_refusal_are_refused failed before.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -79,6 +79,7 @@
         self._end_reason: EndReason | None = None
         self._error_status_at_end: int | None = None
         self._closes_after_response = False
+        self._has_announced_end = False
         self._last_active_at = self._loop.time()
         self._received_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -129,10 +130,13 @@
         try:
             reader.feed(data)
         except InputRejectedError as error:
-            if self._end_reason is None:
+            if self._end_reason is None and not self._has_announced_end:
                 self._reject_input(error.status)
             else:
                 _LOGGER.debug("input ignored after the end", error=str(error))
+        if self._has_announced_end:
+            self.end(EndReason.ANNOUNCED)
+        if self._end_reason is not None:
             return
         if reader.is_reading and not was_reading:
             self._schedule_timeout_check()
@@ -185,13 +189,15 @@
         if self._end_reason is not None:
             self._server.observer.record_crossing(request, self._end_reason)
             return
-        if self._task is None:
+        if self._task is None and not self._has_announced_end:
             self._closes_after_response = closes
             early_response = self._server.early_responder(request)
             if early_response is not None:
                 self._send_early_response(request, early_response)
                 return
         self._queued_requests.append(_QueuedRequest(request, closes))
+        if self._has_announced_end:
+            return
         if self._task is None:
             self._start_next_request()
         elif (
@@ -297,12 +303,14 @@
     def _send_early_response(
         self, request: HttpRequest, early_response: Response
     ) -> None:
-        """Send an early response without starting a task."""
+        """Send an early response without starting a task.
+
+        If it announces the end, the rest of the input is parsed first.
+        """
         ServerExchange(self, request).send_response(
             early_response.status, early_response.headers, early_response.body
         )
-        if self._closes_after_response:
-            self.end(EndReason.ANNOUNCED)
+        self._has_announced_end = self._closes_after_response
 
     def _start_next_request(self) -> None:
         if self._end_reason is not None:
--- a/tests/router/test_connection_end.py
+++ b/tests/router/test_connection_end.py
@@ -246,6 +246,22 @@
     ]
 
 
+async def test_requests_read_with_an_early_refusal_are_refused() -> None:
+    """Guards against an end in the middle of the received input."""
+    async with serving() as (server, recorder):
+        (caller,) = await async_connect_idle(server, 1, is_used=False)
+        server.is_closing_connections = True
+        server.early_responder = lambda _: REFUSAL
+        caller.sendall(b"".join(request(f"/{number}") for number in range(3)))
+        received = await async_read_all(caller)
+        caller.close()
+    statuses = [part[:4] for part in received.split(b"HTTP/1.1")[1:]]
+    assert statuses == [b" 503", b" 408", b" 408"]
+    assert recorder.ends == [
+        ConnectionEnded(EndReason.ANNOUNCED, Unanswered(queued=2), refused=2)
+    ]
+
+
 async def test_input_behind_the_last_request_does_not_reset_its_response() -> (
     None
 ):
