Do not count the requests in front of a head as a part of it

Cause: the reader added all bytes of a read to the size of the head that was incomplete at its end, also those of the requests in front of it. Two heads of 14 KB and a part of a third exceed the limit of 16 KB so. Data with the end of another request no longer counts; headers that are parsed still do.

The case "part of a head behind large heads" failed before, on both loops.

--- a/packages/router/src/lacewingspar_router/http1/request_reader.py
+++ b/packages/router/src/lacewingspar_router/http1/request_reader.py
@@ -63,6 +63,7 @@
         self.is_ended = False
         self._receiver = receiver
         self._limits = limits
+        self._is_behind_another = False
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -71,6 +72,7 @@
         Raises:
             InputRejectedError: The bytes cannot be accepted.
         """
+        self._is_behind_another = False
         if not self.is_reading:
             self._received_head_bytes = 0
         try:
@@ -150,6 +152,8 @@
                 raise InputRejectedError(400)
             return
         self.is_reading = self.is_continue_due = False
+        self._is_behind_another = True
+        self._received_head_bytes = 0
         self.is_ended = not self._parser.should_keep_alive()
         headers, body = self._headers, b"".join(self._body)
         # An idle connection must not keep its last request in memory.
@@ -179,7 +183,12 @@
                 if data and not self.is_ended:
                     continue
             break
-        if self.is_reading and not self.is_head_complete:
+        # Data with the end of another request says nothing of this one's size.
+        if (
+            self.is_reading
+            and not self.is_head_complete
+            and not self._is_behind_another
+        ):
             self._received_head_bytes += len(data)
             if self._received_head_bytes > self._limits().header_bytes:
                 self._reject(431)
--- a/tests/router/test_caller_connection.py
+++ b/tests/router/test_caller_connection.py
@@ -39,6 +39,9 @@
 
 
 _PAIR = (request(0), request(1, LAST))
+_LARGE_HEADS = b"".join(
+    request(number, "x: " + "a" * 14_000 + "\r\n") for number in range(3)
+)
 _MANY = 3 * MAX_PIPELINED_REQUESTS
 CASE_BY_NAME = {
     "last request at once": Case((b"".join(_PAIR),), 0.0, (200, 200)),
@@ -55,6 +58,9 @@
         0.05,
         (200, 431),
     ),
+    "part of a head behind large heads": Case(
+        (_LARGE_HEADS[:-20], _LARGE_HEADS[-20:]), 0.05, (200, 200, 200)
+    ),
     "more than the queue holds at once": Case(
         (b"".join(request(number) for number in range(_MANY)),),
         0.0,
