Do not send on a kept connection whose end was not read yet

What callers saw: a request that must not run twice gets 502 though no upstream has received it. A late event loop has not read the end of a kept connection that the upstream has closed, so the pool hands it out; the request is sent into the closed connection and then counts as one that may have run. A repeatable request costs a retry of the budget in the same case.

Cause: `is_reusable` knows only what the event loop has read, while `async_acquire` runs before the loop reads again.

Fix: the pool polls the socket (no wait) before it hands out a kept connection. An end, a reset and data of no request make the socket readable on asyncio and on uvloop.

Ruled out: `connection_lost` between acquire and send, as these run in one turn of the loop; closes that arrive after the poll stay "may have run".

--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -1,6 +1,7 @@
 """Client side of a connection to an upstream or another server."""
 
 import asyncio
+import select
 import socket
 import time
 from collections import deque
@@ -352,6 +353,20 @@
             and time.monotonic() - self._idle_since <= limit
         )
 
+    def has_unread_input(self) -> bool:
+        """Return whether the socket holds data or an end that was not read.
+
+        An event loop that is late has not reported it yet. Only valid for an
+        open connection.
+        """
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _push_event(self, event: _Event) -> None:
         self._events.append(event)
         is_full = (
--- a/packages/router/src/lacewingspar_router/http1/connection_pool.py
+++ b/packages/router/src/lacewingspar_router/http1/connection_pool.py
@@ -34,7 +34,10 @@
         """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable(idle_seconds):
+            if (
+                connection.is_reusable(idle_seconds)
+                and not connection.has_unread_input()
+            ):
                 return connection
             connection.abort()
         return await async_connect(self.address)
