Do not count a request as run if its new connection ended before the send

What callers saw: 502 for a request that must not run twice, though nothing of it was sent: an upstream that accepts a new connection and closes or resets it at once (as beyond its limit of connections) gets the request written into the closed connection, if the loop is late between the connect and the send.

Cause: the pool returned each new connection as usable, and a request sent on it ends as BROKEN, which counts as one that may have run.

Fix: the check for an unread end applies to new connections too.

One that must not run twice gets 502 and runs once at most; a repeatable one is repeated and gets 200. What is received before the end of a request is still "may have run", also if the upstream had not read all of it.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -15,6 +15,8 @@
     UPSTREAM_FAILURE = "upstream_failure"
     # No connection could be opened, so nothing was sent.
     UNREACHABLE = "unreachable"
+    # The upstream closed the new connection before the request was sent.
+    UNSENT = "unsent"
     # The response says that the upstream did not run the request.
     NOT_RUN = "not_run"
     # Another upstream uses the address now; the request did not run.
@@ -57,6 +59,7 @@
     AttemptResult.UNREACHABLE: ResultRule(
         RunOutcome.NOT_RUN, False, False, True
     ),
+    AttemptResult.UNSENT: ResultRule(RunOutcome.NOT_RUN, False, False, True),
     AttemptResult.WITHHELD: ResultRule(
         RunOutcome.CANCELLED, False, False, True
     ),
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -19,6 +19,7 @@
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
+    ConnectionEndedEarlyError,
     ConnectionFailedError,
     ExchangeInterruptedError,
     InvalidResponseError,
@@ -130,6 +131,8 @@
             connection = await self._connection_pool.async_acquire(
                 max_idle_seconds
             )
+        except ConnectionEndedEarlyError as error:
+            return AttemptEnd(AttemptResult.UNSENT, str(error))
         except ConnectionFailedError as error:
             return AttemptEnd(AttemptResult.UNREACHABLE, str(error))
         if not self._hooks.may_send():
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -353,13 +353,15 @@
             and time.monotonic() - self._idle_since <= limit
         )
 
-    def has_unread_input(self) -> bool:
-        """Return whether the socket holds data or an end that was not read.
+    @property
+    def has_ended(self) -> bool:
+        """Return whether a connection without a request can carry none.
 
-        An event loop that is late has not reported it yet. Only valid for an
-        open connection.
+        The socket holds an end, or data that belongs to no request, which an
+        event loop that is late has not read yet.
         """
-        assert self._transport is not None
+        if self._is_closing or self._transport is None:
+            return True
         sock = self._transport.get_extra_info("socket")
         if sock is None:
             return False
--- a/packages/router/src/lacewingspar_router/http1/connection_pool.py
+++ b/packages/router/src/lacewingspar_router/http1/connection_pool.py
@@ -2,6 +2,7 @@
 
 from lacewingspar_router.http1.client import async_connect
 from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.errors import ConnectionEndedEarlyError
 
 
 class ConnectionPool:
@@ -30,17 +31,24 @@
                 to the idle timeout of the peer.
 
         Raises:
+            ConnectionEndedEarlyError: The peer closed the new connection.
             ConnectionFailedError: No connection could be opened.
         """
         while self._idle:
             connection = self._idle.pop()
             if (
                 connection.is_reusable(idle_seconds)
-                and not connection.has_unread_input()
+                and not connection.has_ended
             ):
                 return connection
             connection.abort()
-        return await async_connect(self.address)
+        connection = await async_connect(self.address)
+        if connection.has_ended:
+            connection.abort()
+            raise ConnectionEndedEarlyError(
+                f"{self.address}: closed before a request was sent"
+            )
+        return connection
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
--- a/packages/router/src/lacewingspar_router/http1/errors.py
+++ b/packages/router/src/lacewingspar_router/http1/errors.py
@@ -7,6 +7,10 @@
     """A connection could not be opened; nothing was sent."""
 
 
+class ConnectionEndedEarlyError(ConnectionFailedError):
+    """The peer closed a new connection before anything was sent."""
+
+
 class ConnectionBrokenError(RouterError):
     """A connection ended before its response was complete."""
 
