Keep the loops of a router going after an exception in one step

What callers would see: after one exception in a handler of messages between routers, the router hears nobody any more (requests to pools of others time out); after one in a listener to the configuration or the upstreams, it keeps the old ones for good and answers 404 and 401 for what is allowed, or sends to upstreams that have left. The only trace is one line "task failed".

Cause: one task per loop, without a guard; the first exception ends the task, and nothing starts it again. One such exception is real: a RunEnded message with an outcome that only a newer version knows (ValueError in `_on_ended`), as in a rolling update.

Fix: `LoopGuard` around each step: handlers and listeners one by one, so that the others are still called; the reception, heartbeats, expiry, the tick and the reports of admission, requests for shared state, the load monitor. What was read from the log but could not be applied is listed again. Exceptions are counted (`loop_errors_total` by source) and logged at most once a second for each loop, as a handler may fail for each message.

Not guarded: "drop stale connections" in forwarding/__init__.py (reported).

Evidence: tests/router/deployed/test_loop_errors.py, 9 cases. Without the counter in their conditions, 8 fail before by what they guard against (no message, no heartbeat, no new configuration, task failed); the ninth, the report of runs, needs the counter to wait for its interval. None fails after.

--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -12,6 +12,7 @@
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.server import Http1Server
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -38,6 +39,7 @@
     ) -> None:
         self._hand_over = hand_over
         self._now = app.now
+        self._guard = LoopGuard(app, "load monitor")
         self._telemetry = app.get(TELEMETRY)
         self._callers = callers
         self._load_shedder = load_shedder
@@ -53,12 +55,13 @@
         while True:
             due_at = self._now() + const.LOOP_DELAY_SAMPLE_INTERVAL_SECONDS
             await asyncio.sleep(const.LOOP_DELAY_SAMPLE_INTERVAL_SECONDS)
-            self._record_delay(max(0.0, self._now() - due_at))
-            if (
-                self._now()
-                >= self._reported_at + const.LOAD_LOG_INTERVAL_SECONDS
-            ):
-                self._log_load()
+            with self._guard:
+                self._measure(max(0.0, self._now() - due_at))
+
+    def _measure(self, loop_delay_seconds: float) -> None:
+        self._record_delay(loop_delay_seconds)
+        if self._now() >= self._reported_at + const.LOAD_LOG_INTERVAL_SECONDS:
+            self._log_load()
 
     def _record_delay(self, seconds: float) -> None:
         self._largest_delay_seconds = max(self._largest_delay_seconds, seconds)
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -30,6 +30,7 @@
 from lacewingspar_router.components.peers.models import ReceivedMessage
 from lacewingspar_router.components.peers.traffic import PeerTraffic
 from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -75,6 +76,10 @@
         )
         self._envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
         self._telemetry = app.get(TELEMETRY)
+        self._handler_guard = LoopGuard(app, "handler of peer messages")
+        self._receive_guard = LoopGuard(app, "reception of peer messages")
+        self._listener_guard = LoopGuard(app, "listener to peers")
+        self._heartbeat_guard = LoopGuard(app, "heartbeats")
         self._sent_traffic = PeerTraffic()
         self._received_traffic = PeerTraffic()
         self._heartbeats_until_traffic_line = const.HEARTBEATS_PER_TRAFFIC_LINE
@@ -170,12 +175,14 @@
         assert self._receiver is not None
         while True:
             frames = await self._receiver.recv_multipart()
-            self._receive(frames)
+            with self._receive_guard:
+                self._receive(frames)
 
     async def async_send_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            self.send_heartbeat()
+            with self._heartbeat_guard:
+                self.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
     def send_heartbeat(self) -> None:
@@ -265,7 +272,8 @@
 
     def _deliver(self, received: ReceivedMessage) -> None:
         for handler in self._handlers_by_type.get(type(received.message), ()):
-            handler(received)
+            with self._handler_guard:
+                handler(received)
 
     def _deliver_to_self(self, message: AnyPeerMessage) -> None:
         received = ReceivedMessage(
@@ -283,7 +291,8 @@
             return
         self._notified_by_router_id = current_by_router_id
         for listener in self._listeners:
-            listener()
+            with self._listener_guard:
+                listener()
 
     def _socket(self, address: str) -> "zmq.Socket[bytes]":
         socket = self._socket_by_address.get(address)
--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -26,6 +26,7 @@
 from lacewingspar_router.components.routing.upstream_availability import (
     KnownUpstreamAvailability,
 )
+from lacewingspar_router.loop_guard import LoopGuard
 
 
 async def async_setup(app: Application) -> None:
@@ -64,7 +65,7 @@
     app.create_task(
         synchronizer.async_fetch_while_unavailable(), "fetch shared state"
     )
-    app.create_task(_async_expire(state), "expire upstreams")
+    app.create_task(_async_expire(app, state), "expire upstreams")
 
 
 def _configuration_follower(
@@ -96,6 +97,7 @@
         const.CONFIGURATION_READ_PAUSE_SECONDS,
         role,
         app.random,
+        LoopGuard(app, "configuration records"),
     )
 
 
@@ -136,11 +138,14 @@
         const.UPSTREAM_READ_PAUSE_SECONDS,
         role,
         app.random,
+        LoopGuard(app, "upstream records"),
         lambda: state.directory_offset,
     )
 
 
-async def _async_expire(state: RoutingState) -> None:
+async def _async_expire(app: Application, state: RoutingState) -> None:
+    guard = LoopGuard(app, "expiry of upstreams")
     while True:
         await asyncio.sleep(const.EXPIRY_CHECK_INTERVAL_SECONDS)
-        state.expire()
+        with guard:
+            state.expire()
--- a/packages/router/src/lacewingspar_router/components/routing/follower.py
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -17,6 +17,7 @@
     TopicRecords,
 )
 from lacewingspar_router.components.routing.reader_role import LogReaderRole
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -38,6 +39,7 @@
         read_delay_seconds: Delay between reads.
         role: Decides when this router has to read the log.
         generator: Random generator for the jitter of retries.
+        guard: Guards the application of what was read.
         known_offset: Returns the offset up to which other routers have
             supplied the topic.
     """
@@ -52,6 +54,7 @@
         read_delay_seconds: float,
         role: LogReaderRole,
         generator: random.Random,
+        guard: LoopGuard,
         known_offset: Callable[[], int] = lambda: 0,
     ) -> None:
         self._topic = topic
@@ -63,6 +66,7 @@
         self._wait_seconds = wait_seconds
         self._read_delay_seconds = read_delay_seconds
         self._random = generator
+        self._guard = guard
         self._offset: int | None = None
         self.is_available = True
 
@@ -90,6 +94,12 @@
                 )
             else:
                 self._set_available(is_available=True, reason="")
+                if self._guard.has_failed:
+                    # What was read may be applied in part.
+                    self._offset = None
+                    await self._async_sleep_with_jitter(
+                        const.READ_RETRY_DELAY_SECONDS
+                    )
                 await asyncio.sleep(self._read_delay_seconds)
 
     async def _async_read_once(self) -> None:
@@ -97,12 +107,14 @@
         if self._offset is None:
             listing = await self._topic.async_read_newest()
             self._offset = listing.end_offset
-            self._on_listing(listing)
+            with self._guard:
+                self._on_listing(listing)
             return
         self._offset = max(self._offset, self._known_offset())
         records = await self._topic.async_read(self._offset, self._wait_seconds)
         self._offset = records.next_offset
-        self._on_records(records)
+        with self._guard:
+            self._on_records(records)
 
     async def _async_sleep_with_jitter(self, seconds: float) -> None:
         await asyncio.sleep(seconds * self._random.uniform(0.5, 1.0))
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -22,6 +22,7 @@
     TopicListing,
 )
 from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -63,6 +64,7 @@
         self._is_unavailable = False
         self._recovered_at = float("-inf")
         self._listeners: list[Callable[[], None]] = []
+        self._listener_guard = LoopGuard(app, "listener to routing")
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
@@ -362,7 +364,8 @@
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
-            listener()
+            with self._listener_guard:
+                listener()
 
 
 _CHANGE_TEXT = {
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -20,6 +20,7 @@
 )
 from lacewingspar_router.components.routing.reader_role import LogReaderRole
 from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_router.loop_guard import LoopGuard
 
 
 class StateSynchronizer:
@@ -55,9 +56,11 @@
 
     async def async_fetch_while_unavailable(self) -> None:
         """Request newer state from peers while the log is unreachable."""
+        guard = LoopGuard(self._app, "requests for shared state")
         while True:
             await self._is_log_unreachable.wait()
-            self._request_state(self._choose_peer())
+            with guard:
+                self._request_state(self._choose_peer())
             await asyncio.sleep(const.OUTAGE_REQUEST_INTERVAL_SECONDS)
 
     def request_missing_state(self, router_ids: Iterable[str]) -> None:
