Repeat a broken hand-over only within the retry limits

What happened: when a neighbour breaks off before its response, this router forwarded each repeatable request once more without asking the retry budget or the number of attempts of the route. The neighbour has mostly sent it to an upstream already, so the loss of one router gave its upstreams a second load, and a route with one attempt was sent twice.

Cause: only the branch for a started stream recorded the broken hand-over as an attempt and asked `_may_try_again`; the other one returned to the usual path with an empty history.

Fix: both take the same path. A broken hand-over counts as one attempt that was sent and may have run, and the next one is paid for. If the limits say no, the caller gets 502 "hand_over_broken", as a request that must not run twice does. A neighbour that accepted no connection, or refused as not taken, costs nothing, as before. The neighbour may have made more than one attempt; how many is not known, so one is counted.

Evidence: test_broken_hand_over_is_repeated_within_the_retry_limits: before, 2 of 3 cases fail (200 and a second arrival at the upstreams for want of a budget and with one attempt); after, none. Tests of hand-over, stop, cut requests and forwarding pass.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -128,13 +128,13 @@
             neighbour: Router to hand the request over to.
 
         Returns:
-            Whether the caller got a response. If not, the request did not run
-            or may run again, or its stream can be resumed, so this router can
-            forward it.
+            Whether the response has ended. If not, the neighbour did not take
+            the request, may have run it before it broke off, or broke off a
+            stream that can be resumed.
 
         Raises:
-            RequestRefusedError: The response did not arrive, and the request
-                may have run.
+            RequestRefusedError: The deadline passed before the response
+                started, and the request may have run.
         """
         exchange, call, events = request.exchange, request.call, request.events
         outcome = HandOverOutcome.CANCELLED
@@ -165,11 +165,7 @@
                 return not call.route.is_resumable
             case HandOverOutcome.BROKEN:
                 request.may_have_run_elsewhere = True
-                if call.route.may_run_again:
-                    return False
-                raise refusals.attempts_failed(
-                    "hand_over_broken", may_have_run=True
-                )
+                return False
             case _:
                 return True
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -116,13 +116,19 @@
         neighbour = self.hand_over.choose(request.call)
         if neighbour is None:
             return False
-        is_answered = await self.hand_over.async_run(request, neighbour)
-        if is_answered or not request.exchange.is_started:
-            return is_answered
+        if await self.hand_over.async_run(request, neighbour):
+            return True
+        is_started = request.exchange.is_started
+        if not is_started and not request.may_have_run_elsewhere:
+            return False
         progress = self._begin_progress(request)
-        end = AttemptEnd(AttemptResult.BROKEN, "neighbour broke off the stream")
+        end = AttemptEnd(AttemptResult.BROKEN, "neighbour broke off")
         progress.history.record(end.result, "")
-        return not self._may_try_again(progress, end)
+        if self._may_try_again(progress, end):
+            return False
+        if is_started:
+            return True
+        raise refusals.attempts_failed("hand_over_broken", may_have_run=True)
 
     def _begin_progress(self, request: InFlightRequest) -> CallProgress:
         call = request.call
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -8,6 +8,7 @@
 from tests.router.deployed.conftest import Caller, Deployment, until
 
 from lacewingspar_router.components.forwarding import hand_over
+from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.errors import ConnectionBrokenError
@@ -125,6 +126,46 @@
     assert response.status == 502
 
 
+@pytest.mark.parametrize(
+    ("limits", "status", "runs"),
+    [({}, 200, 2), ({"retry": False}, 502, 1), ({"maxAttempts": 1}, 502, 1)],
+    ids=["allowed", "no retry budget", "one attempt"],
+)
+async def test_broken_hand_over_is_repeated_within_the_retry_limits(
+    served: Deployment,
+    overloaded_caller: Caller,
+    monkeypatch: pytest.MonkeyPatch,
+    limits: dict[str, int],
+    status: int,
+    runs: int,
+) -> None:
+    """Guards against a load of repeats after the loss of a router."""
+    changed = route(
+        "/read/",
+        "idempotent",
+        "plain",
+        maxAttempts=limits.get("maxAttempts", 2),
+    )
+    served.publish(manifest(2, routes=[changed]))
+    for app in served.apps:
+        routing = app.get(ROUTING)
+        await until(lambda view=routing: view.configuration.version == 2)
+    if "retry" in limits:
+        monkeypatch.setattr(RetryBudgets, "try_spend", lambda *_: False)
+    upstreams = [served.upstream_by_id[name] for name in ("p1", "p2")]
+    for upstream in upstreams:
+        upstream.response_delay_seconds = 0.1
+
+    async def async_lose_connection(_: ClientConnection) -> ResponseHead:
+        await until(lambda: any(item.running for item in upstreams))
+        raise ConnectionBrokenError("connection closed")
+
+    monkeypatch.setattr(hand_over, "async_read_head", async_lose_connection)
+    response = await overloaded_caller.call("/read/x")
+    assert (response.status, response.is_complete) == (status, True)
+    assert sum(len(upstream.received) for upstream in upstreams) == runs
+
+
 async def test_deadline_counts_from_the_first_arrival(
     served: Deployment,
 ) -> None:
