Keep a neighbour for hand-over if an upstream breaks off its response

Cause: a router closes the connection of a response that its upstream breaks off and that cannot go on. The router that handed the request over took this for the loss of the neighbour and left it out for a second.

A neighbour is left out if it accepts no connection, refuses, or ends the connection before its response; no longer once the response has begun. A lost router is noticed by the next request, which it accepts no connection for, and which is then forwarded here. The log line now says what is known: the response broke off.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -223,14 +223,7 @@
             InvalidResponseError,
             EventSizeError,
         ) as error:
-            self._neighbour_loads.exclude(neighbour.router_id, self._app.now())
-            _LOGGER.warning(
-                "router failed after a request was handed over to it",
-                request_id=call.metadata.request_id,
-                neighbour=neighbour.router_id,
-                is_started=exchange.is_started,
-                reason=str(error),
-            )
+            self._record_broken(call, neighbour, exchange, error)
             return HandOverOutcome.BROKEN
         finally:
             if is_reusable:
@@ -242,6 +235,28 @@
             return HandOverOutcome.NOT_TAKEN
         return HandOverOutcome.RESPONDED
 
+    def _record_broken(
+        self,
+        call: Call,
+        neighbour: Neighbour,
+        exchange: ServerExchange,
+        error: Exception,
+    ) -> None:
+        """Log a broken exchange, and exclude a router that did not respond.
+
+        A router also closes the connection of a response that its upstream
+        breaks off. If the router itself is lost, the next request notices.
+        """
+        _LOGGER.warning(
+            "response of a request that was handed over broke off",
+            request_id=call.metadata.request_id,
+            neighbour=neighbour.router_id,
+            is_started=exchange.is_started,
+            reason=str(error),
+        )
+        if not exchange.is_started:
+            self._neighbour_loads.exclude(neighbour.router_id, self._app.now())
+
     async def _async_relay_response(
         self,
         exchange: ServerExchange,
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -137,6 +137,25 @@
     assert response.status == 502 or not response.is_complete
 
 
+async def test_neighbour_whose_upstream_broke_off_gets_further_requests(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    """Guards against neighbours that are all left out when upstreams crash."""
+    engines = [served.upstream_by_id[name] for name in ("e1", "e2")]
+    for engine in engines:
+        engine.faults.break_after_events = 2
+    response = await overloaded_caller.call("/stream-once/x")
+    assert response.status == 200
+    assert not response.is_complete
+    for engine in engines:
+        engine.faults.break_after_events = -1
+    with structlog.testing.capture_logs() as lines:
+        response = await overloaded_caller.call("/write/x")
+    assert response.status == 200
+    (line,) = [item for item in lines if item["event"] == "request handed over"]
+    assert line["neighbour"] == "r2"
+
+
 async def test_request_that_a_lost_neighbour_has_run_is_not_refused_as_not_run(
     served: Deployment,
     overloaded_caller: Caller,
