Announce the end of a connection only in the last response

Cause: an early refusal was sent while the requests behind it were still being parsed, and the announcement looked at queued requests only, not at one that is received in part nor at input that waits in the socket. Early refusals are now sent after the parse, and no response announces the end in front of more input.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -59,6 +59,21 @@
     closes: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _EarlyResponse:
+    """A response that needs no handler.
+
+    Attributes:
+        request: The request.
+        response: The response to it.
+        closes: Whether the caller asks to close the connection afterwards.
+    """
+
+    request: HttpRequest
+    response: Response
+    closes: bool
+
+
 class CallerConnection(asyncio.Protocol):
     """Connection of a caller; requests are handled in order.
 
@@ -72,6 +87,7 @@
         self._transport: CallerTransport | None = None
         self._reader = RequestReader(self, lambda: server.limits)
         self._queued_requests: deque[_QueuedRequest] = deque()
+        self._early_responses: deque[_EarlyResponse] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -79,7 +95,6 @@
         self._end_reason: EndReason | None = None
         self._error_status_at_end: int | None = None
         self._closes_after_response = False
-        self._has_announced_end = False
         self._last_active_at = self._loop.time()
         self._received_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -130,12 +145,13 @@
         try:
             reader.feed(data)
         except InputRejectedError as error:
-            if self._end_reason is None and not self._has_announced_end:
+            self._send_early_responses()
+            if self._end_reason is None:
                 self._reject_input(error.status)
             else:
                 _LOGGER.debug("input ignored after the end", error=str(error))
-        if self._has_announced_end:
-            self.end(EndReason.ANNOUNCED)
+            return
+        self._send_early_responses()
         if self._end_reason is not None:
             return
         if reader.is_reading and not was_reading:
@@ -189,14 +205,15 @@
         if self._end_reason is not None:
             self._server.observer.record_crossing(request, self._end_reason)
             return
-        if self._task is None and not self._has_announced_end:
-            self._closes_after_response = closes
-            early_response = self._server.early_responder(request)
-            if early_response is not None:
-                self._send_early_response(request, early_response)
+        if self._task is None and not self._queued_requests:
+            response = self._server.early_responder(request)
+            if response is not None:
+                self._early_responses.append(
+                    _EarlyResponse(request, response, closes)
+                )
                 return
         self._queued_requests.append(_QueuedRequest(request, closes))
-        if self._has_announced_end:
+        if self._early_responses:
             return
         if self._task is None:
             self._start_next_request()
@@ -221,10 +238,22 @@
         that it has already received.
         """
         self._closes_after_response = self._closes_after_response or (
-            self._server.is_closing_connections and not self._queued_requests
+            self._server.is_closing_connections and not self._has_more_input
         )
         return self._closes_after_response
 
+    @property
+    def _has_more_input(self) -> bool:
+        """Return whether requests follow the current one."""
+        return (
+            bool(self._queued_requests)
+            or bool(self._early_responses)
+            or self._reader.is_reading
+            or (
+                self._transport is not None and self._transport.unread_bytes > 0
+            )
+        )
+
     def write(self, data: bytes) -> None:
         """Send data, unless the connection has ended."""
         if self._transport is not None:
@@ -300,17 +329,25 @@
         head = encode_head(status_line(response.status), headers)
         self.write(head + response.body)
 
-    def _send_early_response(
-        self, request: HttpRequest, early_response: Response
-    ) -> None:
-        """Send an early response without starting a task.
+    def _send_early_responses(self) -> None:
+        """Send early responses to requests that were read, without a task.
 
-        If it announces the end, the rest of the input is parsed first.
+        All input has been parsed, so that only the last one announces an end.
         """
-        ServerExchange(self, request).send_response(
-            early_response.status, early_response.headers, early_response.body
-        )
-        self._has_announced_end = self._closes_after_response
+        if not self._early_responses:
+            return
+        while self._early_responses:
+            early = self._early_responses.popleft()
+            self._closes_after_response = early.closes
+            ServerExchange(self, early.request).send_response(
+                early.response.status,
+                early.response.headers,
+                early.response.body,
+            )
+        if self._closes_after_response:
+            self.end(EndReason.ANNOUNCED)
+        else:
+            self._start_next_request()
 
     def _start_next_request(self) -> None:
         if self._end_reason is not None:
