Tell crossed requests in the soak apart by the state of the socket

The soak could not report most of them: each request sent less than 0.2 s before its connection closed was excused as perhaps unread, also if it had reached the router and waited unread in its receive buffer.

A request now counts as crossing the end of its connection only if the caller's socket has the end before the request is written, or while the caller writes it and for 0.2 ms of loopback after that. The caller reads the TCP state of its socket for this, before and after the write, so that a late event loop of the soak hides nothing. Its own delay between write and last check is measured for each request, and excuses at most 2 ms. Crossings are counted and printed.

Equally strict elsewhere: a request that reached an upstream or whose response had started still never counts as crossing. Stricter: 0.3 ms to 0.2 s after the write are no excuse any more. The case 'closed before it was read' of the table, 0.1 s after sending, therefore is 'lost' now; crossings have cases of their own.

Ruled out as marks of a crossing: the reset of the connection (a request that arrives at a closed socket is reset as well, behind the end of the stream) and the time at which the event loop reports the end (it may be late).

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -24,7 +24,7 @@
 import typer
 
 from lacewingspar_standins.bench.soak_callers import SoakCallers
-from lacewingspar_standins.bench.soak_checks import breaches
+from lacewingspar_standins.bench.soak_checks import breaches, count_crossings
 from lacewingspar_standins.bench.soak_faults import (
     WEIGHT_BY_FAULT_SCENARIO,
     async_inject,
@@ -73,11 +73,14 @@
     Attributes:
         work: Faults and planned work in the order in which they ended.
         calls_by_status: Requests by status, 0 without a response.
+        crossings: Requests sent after the end of their connection had arrived,
+            which do not count as lost.
         breaches: Descriptions of violations by check.
     """
 
     work: list[str]
     calls_by_status: dict[int, int]
+    crossings: int
     breaches: dict[str, list[str]]
 
 
@@ -118,7 +121,8 @@
         result = asyncio.run(async_soak(number, rounds, routers, folder))
         is_clean = is_clean and not result.breaches
         typer.echo(
-            f"seed {number}: {dict(sorted(result.calls_by_status.items()))}"
+            f"seed {number}: {dict(sorted(result.calls_by_status.items()))}, "
+            f"{result.crossings} crossings"
         )
         for name, items in result.breaches.items():
             for item in items:
@@ -174,6 +178,7 @@
         return SoakResult(
             [f"{span.kind} {span.subject}" for span in soak.spans],
             Counter(call.status for call in callers.calls),
+            count_crossings(observations),
             breaches(observations),
         )
 
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -6,11 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lacewingspar_router.http1.client import async_connect
-from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
-    ConnectionFailedError,
     InvalidResponseError,
 )
 from lacewingspar_router.http1.messages import ResponseEnd, ResponseHead
@@ -20,6 +17,10 @@
     FLIP_PATHS,
     SERVICES_BY_MOVING_PATH,
 )
+from lacewingspar_standins.bench.soak_connections import (
+    ObservedConnection,
+    async_connect_observed,
+)
 from lacewingspar_standins.deployed.documents import KEY, request_bytes
 
 WEIGHT_BY_PATH = {
@@ -49,7 +50,11 @@
 DEADLINES_SECONDS = (1.0, 2.0, 4.0, 8.0)
 # Callers wait this long after the deadline of their request.
 DEADLINE_GRACE_SECONDS = 2.0
-CONNECT_TIMEOUT_SECONDS = 1.0
+# A caller that could not connect tries again after this long.
+RECONNECT_SECONDS = 0.05
+# A request crosses the end of its connection only if the end is there within
+# this time. It bounds the caller's own delay between sending and checking.
+MAX_CROSSING_SECONDS = 0.002
 
 
 @dataclass(slots=True)
@@ -62,7 +67,8 @@
         key: API key of the request.
         router_id: Router that it was sent to.
         parts: Parts of its prompt, if it has one.
-        sent_at: Time of sending in seconds of the event loop.
+        sent_at: Time at which it had been written, in seconds of the event
+            loop.
         deadline_seconds: Deadline of the request, relative to `sent_at`.
         ended_at: Time at which the exchange ended, or infinity.
         disconnected_at: Time at which the caller disconnected, or infinity.
@@ -71,6 +77,10 @@
         body: Body received so far.
         is_complete: Whether the end of the response was received.
         previous: Request in front of it that was sent with it, or None.
+        settled_at: Time until which an end that it crossed must be seen.
+        closed_at: Time at which the caller's socket had the end of the
+            connection, or infinity.
+        end_reason: Description of the end of the connection, or "".
     """
 
     request_id: str
@@ -87,6 +97,17 @@
     is_complete: bool = False
     previous: "ObservedCall | None" = None
     parts: tuple[str, ...] = ()
+    settled_at: float = 0.0
+    closed_at: float = float("inf")
+    end_reason: str = ""
+
+    @property
+    def is_crossing(self) -> bool:
+        """Return whether the connection had ended as the request was sent."""
+        return self.closed_at <= min(
+            max(self.sent_at, self.settled_at),
+            self.sent_at + MAX_CROSSING_SECONDS,
+        )
 
     @property
     def is_closed_early(self) -> bool:
@@ -140,30 +161,29 @@
         ]
         while True:
             router_id = generator.choice(router_ids)
-            connection = await self._async_connect(router_id)
+            connection = await self.async_connect(router_id)
             if connection is None:
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(RECONNECT_SECONDS)
                 continue
             try:
-                while await self._async_call(connection, router_id, generator):
+                while not connection.has_ended and await self._async_call(
+                    connection, router_id, generator
+                ):
                     request_gap = generator.uniform(0, max_gap)
                     await asyncio.sleep(request_gap)
             finally:
                 connection.abort()
             await asyncio.sleep(generator.uniform(0, max_gap))
 
-    async def _async_connect(self, router_id: str) -> ClientConnection | None:
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                return await async_connect(
-                    self._address_by_router_id[router_id]
-                )
-        except (ConnectionFailedError, TimeoutError):
-            return None
+    async def async_connect(self, router_id: str) -> ObservedConnection | None:
+        """Open a connection to a router, or return None if it fails."""
+        return await async_connect_observed(
+            self._address_by_router_id[router_id]
+        )
 
     async def _async_call(
         self,
-        connection: ClientConnection,
+        connection: ObservedConnection,
         router_id: str,
         generator: random.Random,
     ) -> bool:
@@ -172,48 +192,36 @@
         timeout_seconds = deadline_seconds + DEADLINE_GRACE_SECONDS
         if generator.random() < DISCONNECT_FRACTION:
             timeout_seconds = generator.uniform(0.0, 0.05)
-        call = self._new_call(router_id, deadline_seconds, generator)
-        data = _encode(call)
+        call = self.new_call(router_id, deadline_seconds, generator)
+        data = encode(call)
         calls = [call]
         is_last = False
         if generator.random() < PIPELINED_FRACTION:
             is_last = generator.random() < 0.5
-            second = self._new_call(router_id, deadline_seconds, generator)
+            second = self.new_call(router_id, deadline_seconds, generator)
             second.previous = call
-            data += _encode(second, is_last=is_last)
+            data += encode(second, is_last=is_last)
             calls.append(second)
         connection.send(data)
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                for call in calls:
-                    await _async_read(connection, call)
-                    call.ended_at = loop.time()
-        except TimeoutError:
-            for call in calls:
-                if not call.is_complete:
-                    call.disconnected_at = loop.time()
-        except (ConnectionBrokenError, InvalidResponseError):
-            for call in calls:
-                if not call.is_complete:
-                    call.ended_at = loop.time()
-        return (
-            all(call.is_complete for call in calls)
-            and not is_last
-            and calls[-1].headers.get("connection") != "close"
-            and connection.complete_exchange()
+        connection.settle()
+        is_reusable = await async_read_responses(
+            connection, calls, timeout_seconds
         )
+        return is_reusable and not is_last
 
-    def _new_call(
+    def new_call(
         self,
         router_id: str,
         deadline_seconds: float,
         generator: random.Random,
+        path: str = "",
     ) -> ObservedCall:
+        """Return a new request, with a random path unless one is given."""
         is_changing = generator.random() < CHANGING_KEY_FRACTION
         call = ObservedCall(
             request_id=f"s{self._seed}-{next(self._numbers)}",
-            path=generator.choices(
+            path=path
+            or generator.choices(
                 list(WEIGHT_BY_PATH), list(WEIGHT_BY_PATH.values())
             )[0],
             key=CHANGING_KEY if is_changing else KEY,
@@ -237,7 +245,54 @@
         return (first, second, f"{number:08x}")
 
 
-def _encode(call: ObservedCall, *, is_last: bool = False) -> bytes:
+async def async_read_responses(
+    connection: ObservedConnection,
+    calls: list[ObservedCall],
+    timeout_seconds: float,
+) -> bool:
+    """Read the responses to requests that were sent together.
+
+    Args:
+        connection: Connection of the requests.
+        calls: The requests in order, which receive what was observed.
+        timeout_seconds: Time after which the caller disconnects.
+
+    Returns:
+        Whether the connection is reusable.
+    """
+    loop = asyncio.get_running_loop()
+    for call in calls:
+        call.sent_at = connection.sent_at
+        call.settled_at = connection.settled_at
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            for call in calls:
+                await _async_read(connection, call)
+                call.ended_at = loop.time()
+    except TimeoutError:
+        for call in calls:
+            if not call.is_complete:
+                call.disconnected_at = loop.time()
+    except (ConnectionBrokenError, InvalidResponseError):
+        for call in calls:
+            if not call.is_complete:
+                call.ended_at = loop.time()
+                call.closed_at = connection.closed_at
+                call.end_reason = connection.end_reason
+    return (
+        all(call.is_complete for call in calls)
+        and calls[-1].headers.get("connection") != "close"
+        and connection.complete_exchange()
+    )
+
+
+def encode(call: ObservedCall, *, is_last: bool = False) -> bytes:
+    """Return the bytes of a request.
+
+    Args:
+        call: The request.
+        is_last: Whether it asks to close the connection.
+    """
     headers = {"Connection": "close"} if is_last else {}
     if call.parts:
         headers["X-Prompt-Prefix"] = ",".join(
@@ -253,7 +308,9 @@
     )
 
 
-async def _async_read(connection: ClientConnection, call: ObservedCall) -> None:
+async def _async_read(
+    connection: ObservedConnection, call: ObservedCall
+) -> None:
     while True:
         match await connection.async_next_event():
             case ResponseHead(status, pairs):
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -32,8 +32,6 @@
 _DENIED_STATUSES = frozenset({401, 403, 404})
 # Maximum time for which a draining upstream still receives requests.
 MAX_DRAIN_DELAY_SECONDS = 2.0
-# A request sent less than this before its connection closed may be unread.
-CLOSE_RACE_SECONDS = 0.2
 # Minimum fraction of the requests that are served after the last fault.
 MIN_SERVED_FRACTION = 0.95
 MAX_SHOWN = 5
@@ -212,19 +210,34 @@
 def _lost_requests(observations: SoakObservations) -> list[str]:
     """Describe requests whose connection ended without a whole response.
 
-    A request sent while the router closed the connection may not have been read
-    and does not count; its caller can retry it.
+    A request sent after the end of the connection had reached its caller does
+    not count, unless it was read; its caller can retry it.
     """
-    found = []
-    for call in observations.calls:
-        seconds = call.ended_at - call.sent_at
-        was_read = (
-            call.request_id in observations.arrivals_by_id
-            or seconds > CLOSE_RACE_SECONDS
-        )
-        if call.is_closed_early and was_read and _is_due(observations, call):
-            found.append(_describe(observations, call))
-    return found
+    return [
+        f"{_describe(observations, call)}, connection ended "
+        f"{(call.closed_at - call.sent_at) * 1000:.2f} ms after sending: "
+        f"{call.end_reason}"
+        for call in observations.calls
+        if call.is_closed_early
+        and not _has_crossed(observations, call)
+        and _is_due(observations, call)
+    ]
+
+
+def count_crossings(observations: SoakObservations) -> int:
+    """Return how many requests crossed the end of their connection."""
+    return sum(
+        call.is_closed_early and _has_crossed(observations, call)
+        for call in observations.calls
+    )
+
+
+def _has_crossed(observations: SoakObservations, call: ObservedCall) -> bool:
+    return (
+        call.is_crossing
+        and not call.status
+        and call.request_id not in observations.arrivals_by_id
+    )
 
 
 def _failed_requests(observations: SoakObservations) -> list[str]:
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -33,7 +33,15 @@
     path: str = "/read/", seconds: float = 0.5, **changes: object
 ) -> ObservedCall:
     observed = ObservedCall(
-        ID, path, KEY, "r0", SENT_AT, 4.0, ended_at=SENT_AT + seconds
+        ID,
+        path,
+        KEY,
+        "r0",
+        SENT_AT,
+        4.0,
+        ended_at=SENT_AT + seconds,
+        settled_at=SENT_AT + 0.0003,
+        closed_at=SENT_AT + seconds,
     )
     for name, value in changes.items():
         setattr(observed, name, value)
@@ -78,6 +86,11 @@
     return call(path, status=200, **answer, **changes)
 
 
+def closed(after_seconds: float, **changes: object) -> ObservedCall:
+    """Return a request whose connection had ended at this time after it."""
+    return call(**({"closed_at": SENT_AT + after_seconds} | changes))
+
+
 def denied(status: int, path: str = "/read/", **changes: object) -> Case:
     observed = call(path, status=status, is_complete=True, **changes)
     return Case(observed, ("old configuration",))
@@ -99,8 +112,30 @@
     ),
     "cut at the deadline": Case(call(seconds=4.0)),
     "cut behind another cut": Case(CUT_BEHIND_CUT),
-    "closed before it was read": Case(call(seconds=0.1)),
-    "sent and closed": Case(call(seconds=0.1), ("lost",), service="plain"),
+    "closed 0.1 s after sending": Case(call(seconds=0.1), ("lost",)),
+    "closed 1 ms after sending": Case(call(seconds=0.001), ("lost",)),
+    "closed before sending": Case(closed(-0.1)),
+    "closed before sending, the end reported late": Case(
+        closed(-0.00001, seconds=0.4)
+    ),
+    "closed as it was sent": Case(closed(0.0)),
+    "closed until the caller's check": Case(closed(0.0003)),
+    "closed after the caller's check": Case(closed(0.0004), ("lost",)),
+    "closed until a caller's check that was late": Case(
+        closed(0.0019, settled_at=SENT_AT + 0.3)
+    ),
+    "closed before a caller's check that was too late": Case(
+        closed(0.0021, settled_at=SENT_AT + 0.3), ("lost",)
+    ),
+    "closed before sending, but sent to an upstream": Case(
+        closed(-0.1), ("lost",), service="plain"
+    ),
+    "closed before sending, but responded": Case(
+        closed(-0.1, status=200), ("answers", "lost")
+    ),
+    "closed behind a response": Case(
+        call(seconds=0.001, previous=answered("/read/")), ("lost",)
+    ),
     "cut while its upstream worked at the end of the grace": Case(
         call(seconds=2.5), (), (STOP,), "plain", worked_seconds=2.4
     ),
