Let groups of callers send at one moment in the soak

The soak's callers had one request each and no idle connections to speak of, so that no close met unread requests and hardly any loop was late.

Each router now has three groups of callers that keep 8, 30 and 60 connections and send on all of them at one moment, at once or in up to 12 parts: with a signal, a new configuration or new settings, during the drain, as the idle timeout passes, or at random. Connections that have ended are opened again at once. Some bursts carry requests with headers of 14 KB, four behind each other on a connection: that delays the event loop of the router by its public surface. Idle timeouts of 1 to 2.5 s are drawn so that callers meet them.

The callers send no invalid input, so that a 400, 408, 413 or 431 is a breach.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Coroutine, Mapping
@@ -20,10 +21,12 @@
 from types import MappingProxyType
 from typing import Annotated, Any
 
-import msgspec
 import typer
 
-from lacewingspar_standins.bench.soak_callers import SoakCallers
+from lacewingspar_standins.bench.soak_bursts import SoakBursts
+from lacewingspar_standins.bench.soak_callers import (
+    SoakCallers,
+)
 from lacewingspar_standins.bench.soak_checks import breaches, count_crossings
 from lacewingspar_standins.bench.soak_faults import (
     WEIGHT_BY_FAULT_SCENARIO,
@@ -39,6 +42,7 @@
     WEIGHT_BY_PLANNED_WORK,
     PlannedWork,
 )
+from lacewingspar_standins.bench.soak_records import read_senders, write_calls
 from lacewingspar_standins.bench.soak_state import Soak
 from lacewingspar_standins.fleet import Fleet
 
@@ -157,6 +161,7 @@
         faults_end_at = await _async_run_rounds(
             soak,
             callers,
+            SoakBursts(callers, fleet, seed),
             generator,
             [profile] * rounds,
             CALLERS_PER_ROUTER * routers,
@@ -173,8 +178,10 @@
             grace_seconds=STOP_GRACE_SECONDS,
             leaving=soak.leaving,
             crashing_parts=soak.crashing_parts,
-            sender_by_id=_read_senders(processes.folder),
+            sender_by_id=read_senders(processes.folder),
         )
+        if folder is not None:
+            write_calls(folder, callers.calls)
         return SoakResult(
             [f"{span.kind} {span.subject}" for span in soak.spans],
             Counter(call.status for call in callers.calls),
@@ -183,27 +190,10 @@
         )
 
 
-def _read_senders(folder: Path) -> dict[str, str]:
-    """Return the routers that others handed requests over to.
-
-    Read from their logs, because upstreams can't tell routers apart. A request
-    that was not answered there may have been sent by either and maps to "".
-    """
-    sender_by_id: dict[str, str] = {}
-    for file in sorted(folder.glob("*.log")):
-        for line in file.read_bytes().splitlines():
-            if b'"request handed over"' in line:
-                entry = msgspec.json.decode(line)
-                is_sure = entry["outcome"] == "answered"
-                sender_by_id[entry["request_id"]] = (
-                    entry["neighbour"] if is_sure else ""
-                )
-    return sender_by_id
-
-
 async def _async_run_rounds(
     soak: Soak,
     callers: SoakCallers,
+    bursts: SoakBursts,
     generator: random.Random,
     rounds: list[Profile],
     count: int,
@@ -213,6 +203,7 @@
     Args:
         soak: The soak.
         callers: The callers.
+        bursts: Groups of callers, until the last round has ended.
         generator: Random generator of the faults.
         rounds: What is done in each round.
         count: Number of callers.
@@ -224,11 +215,15 @@
         asyncio.create_task(soak.fleet.async_renew_entries()),
         asyncio.create_task(callers.async_run(count)),
     ]
+    burst_task = asyncio.create_task(bursts.async_run())
     await asyncio.sleep(WARM_UP_SECONDS)
     async with asyncio.TaskGroup() as group:
         for profile in rounds:
             _begin_round(soak, profile, generator, group)
             await asyncio.sleep(ROUND_SECONDS)
+    burst_task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await burst_task
     await asyncio.sleep(RECOVERY_SECONDS)
     faults_end_at = soak.now
     await asyncio.sleep(RECOVERY_CHECK_SECONDS)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from lacewingspar_router.http1.errors import (
@@ -23,7 +23,7 @@
 )
 from lacewingspar_standins.deployed.documents import KEY, request_bytes
 
-WEIGHT_BY_PATH = {
+WEIGHT_BY_PATH: Mapping[str, int] = {
     "/stream/": 4,
     "/stream-once/": 2,
     "/read/": 4,
@@ -214,15 +214,14 @@
         router_id: str,
         deadline_seconds: float,
         generator: random.Random,
-        path: str = "",
+        weight_by_path: Mapping[str, int] = WEIGHT_BY_PATH,
     ) -> ObservedCall:
-        """Return a new request, with a random path unless one is given."""
+        """Return a new request to a random path."""
         is_changing = generator.random() < CHANGING_KEY_FRACTION
         call = ObservedCall(
             request_id=f"s{self._seed}-{next(self._numbers)}",
-            path=path
-            or generator.choices(
-                list(WEIGHT_BY_PATH), list(WEIGHT_BY_PATH.values())
+            path=generator.choices(
+                list(weight_by_path), list(weight_by_path.values())
             )[0],
             key=CHANGING_KEY if is_changing else KEY,
             router_id=router_id,
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -28,6 +28,8 @@
 MAX_DISCONNECT_DELAY_SECONDS = 0.6
 # Failures that a router reports when it has not received a response.
 FAILURE_STATUSES = frozenset({500, 502, 504})
+# Rejections of input, of which the callers send none that is invalid.
+REJECTION_STATUSES = frozenset({400, 408, 413, 431})
 # Statuses that a request gets because of the configuration.
 _DENIED_STATUSES = frozenset({401, 403, 404})
 # Maximum time for which a draining upstream still receives requests.
@@ -45,6 +47,7 @@
         "answers": _wrong_responses(observations),
         "repeated runs": _repeated_runs(observations),
         "false refusals": _false_refusals(observations),
+        "rejected input": _rejected_input(observations),
         "late answers": _late_responses(observations),
         "sent after the caller left": _sent_after_disconnect(observations),
         "old configuration": _wrong_configuration(observations),
@@ -109,6 +112,14 @@
     ]
 
 
+def _rejected_input(observations: SoakObservations) -> list[str]:
+    return [
+        _describe(observations, call)
+        for call in observations.calls
+        if call.status in REJECTION_STATUSES
+    ]
+
+
 def _late_responses(observations: SoakObservations) -> list[str]:
     found = []
     for call in observations.calls:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_configuration.py
@@ -38,6 +38,8 @@
 ENGINE_SLOTS = 4
 # At least as long as any caller waits, or shorter than some callers wait.
 _TIMEOUTS_MS = (8000, 3000)
+# Most are so short that callers find connections that have just timed out.
+_IDLE_TIMEOUTS_MS = (1000, 1500, 2500, 15_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +60,12 @@
         default_factory=lambda: MappingProxyType({})
     )
 
+    @property
+    def idle_timeout_seconds(self) -> float:
+        """Return the time after which routers close idle connections."""
+        default_ms = int(LIMITS["idleTimeoutMs"])
+        return self.limits.get("idleTimeoutMs", default_ms) / 1000
+
     def document(self, version: int) -> dict[str, Any]:
         """Return the document to publish."""
         default = manifest()
@@ -124,7 +132,7 @@
             return replace(
                 current,
                 timeout_ms=generator.choice(_TIMEOUTS_MS),
-                limits={"idleTimeoutMs": generator.choice((10_000, 15_000))},
+                limits={"idleTimeoutMs": generator.choice(_IDLE_TIMEOUTS_MS)},
             )
         case "grow":
             if EXTRA_PATHS[0] in service_by_path:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -1,6 +1,7 @@
 """Deployment of the fault soak: router processes behind faulty links."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 from contextlib import AsyncExitStack
@@ -48,6 +49,24 @@
 LEAVE_CHECKS = 1000
 
 
+class Changes:
+    """Wakes those that wait for the next change of the deployment."""
+
+    def __init__(self) -> None:
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all that wait now."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def async_wait(self, limit_seconds: float) -> None:
+        """Wait for the next change, at most this long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_seconds):
+                await self._changed.wait()
+
+
 class SoakFleet:
     """Store, upstreams and routers, with a link in front of each.
 
@@ -64,6 +83,7 @@
         draining: Upstreams that announce the state `draining`.
         crashing_part: Prompt part that crashes engines, or "".
         crashed_by_part: Upstreams that the part has crashed.
+        changes: Signals, configurations and settings that reach routers.
 
     Args:
         fleet: Owner of the processes.
@@ -89,6 +109,7 @@
         self.starting: set[str] = set()
         self.crashing_part = ""
         self.crashed_by_part: asyncio.Queue[str] = asyncio.Queue()
+        self.changes = Changes()
         self._address_by_link: dict[str, str] = {}
         self._started_ms_by_upstream: dict[str, int] = {}
         self._down: set[str] = set()
@@ -154,6 +175,12 @@
             msgspec.json.encode(settings | {"log_level": log_level})
         )
         self.router_by_id[router_id].hang_up()
+        self.changes.notify()
+
+    async def async_stop_router(self, router_id: str) -> None:
+        """Signal a router to stop and kill it after the grace."""
+        self.changes.notify()
+        await self.router_by_id[router_id].end(STOP_GRACE_SECONDS)
 
     async def async_start_router(self, router_id: str) -> None:
         """Start a router, or restart it after it has ended."""
@@ -268,6 +295,7 @@
         self.configuration = configuration
         data = msgspec.json.encode(configuration.document(next(self._version)))
         self.store.topic("keyed.op").append("config", data)
+        self.changes.notify()
 
     async def _async_link(self, name: str, target: str) -> None:
         link = Link(target, LinkFaults())
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -17,7 +17,6 @@
 from lacewingspar_standins.bench.soak_fleet import (
     EVENT_SECONDS,
     EVENTS,
-    STOP_GRACE_SECONDS,
 )
 from lacewingspar_standins.bench.soak_state import Soak
 
@@ -78,7 +77,7 @@
 
 async def _async_stop_and_restart(soak: Soak, router_id: str) -> None:
     with soak.affecting(router_id, "terminate"):
-        await soak.fleet.router_by_id[router_id].end(STOP_GRACE_SECONDS)
+        await soak.fleet.async_stop_router(router_id)
         await soak.fleet.async_restart_router(router_id)
 
 
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -151,6 +151,9 @@
     ),
     "failed": Case(FAILED, ("failed without a fault",)),
     "failed beside a fault": Case(FAILED, (), (crash(0.0),)),
+    "rejected as invalid": Case(
+        call(status=431, is_complete=True), ("rejected input",)
+    ),
     "known route denied": denied(404),
     "known key denied": denied(401),
     "unknown route denied": replace(denied(404, "/flip-1/"), found=()),
