Load routers of the soak with heavy bursts beside their stops

Closes that come while a router's event loop is late were rare in the soak: with bursts at random moments, a loop was 0.1 s late in few seconds of a run, and seldom as its connections were closed.

Half of the stops, and a planned work of its own, now load a router: its three groups of callers send requests with headers of 14 KB in a row, four to a connection on 16 connections each. Each load is recorded as 'late loop' and is no reason to lose a request. It excuses late answers of this router alone.

Requests behind one whose response announces the end of the connection are reported under a check of their own, as strictly. The delay of the callers' own event loop is measured and printed.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -24,10 +24,9 @@
 import typer
 
 from lacewingspar_standins.bench.soak_bursts import SoakBursts
-from lacewingspar_standins.bench.soak_callers import (
-    SoakCallers,
-)
+from lacewingspar_standins.bench.soak_callers import SoakCallers
 from lacewingspar_standins.bench.soak_checks import breaches, count_crossings
+from lacewingspar_standins.bench.soak_connections import LoopDelay
 from lacewingspar_standins.bench.soak_faults import (
     WEIGHT_BY_FAULT_SCENARIO,
     async_inject,
@@ -77,6 +76,7 @@
     Attributes:
         work: Faults and planned work in the order in which they ended.
         calls_by_status: Requests by status, 0 without a response.
+        max_loop_delay_seconds: Longest delay of the event loop of the callers.
         crossings: Requests sent after the end of their connection had arrived,
             which do not count as lost.
         breaches: Descriptions of violations by check.
@@ -84,6 +84,7 @@
 
     work: list[str]
     calls_by_status: dict[int, int]
+    max_loop_delay_seconds: float
     crossings: int
     breaches: dict[str, list[str]]
 
@@ -126,7 +127,8 @@
         is_clean = is_clean and not result.breaches
         typer.echo(
             f"seed {number}: {dict(sorted(result.calls_by_status.items()))}, "
-            f"{result.crossings} crossings"
+            f"{result.crossings} crossings, own loop late by up to "
+            f"{result.max_loop_delay_seconds * 1000:.0f} ms"
         )
         for name, items in result.breaches.items():
             for item in items:
@@ -158,10 +160,12 @@
         callers = SoakCallers(addresses, seed, lambda: fleet.crashing_part)
         is_planned_only = generator.random() < PLANNED_ONLY_FRACTION
         profile = _PLANNED if is_planned_only else _MIXED
+        loop_delay = LoopDelay()
         faults_end_at = await _async_run_rounds(
             soak,
             callers,
             SoakBursts(callers, fleet, seed),
+            loop_delay,
             generator,
             [profile] * rounds,
             CALLERS_PER_ROUTER * routers,
@@ -185,6 +189,7 @@
         return SoakResult(
             [f"{span.kind} {span.subject}" for span in soak.spans],
             Counter(call.status for call in callers.calls),
+            loop_delay.max_seconds,
             count_crossings(observations),
             breaches(observations),
         )
@@ -194,6 +199,7 @@
     soak: Soak,
     callers: SoakCallers,
     bursts: SoakBursts,
+    loop_delay: LoopDelay,
     generator: random.Random,
     rounds: list[Profile],
     count: int,
@@ -204,6 +210,7 @@
         soak: The soak.
         callers: The callers.
         bursts: Groups of callers, until the last round has ended.
+        loop_delay: Delay of this event loop.
         generator: Random generator of the faults.
         rounds: What is done in each round.
         count: Number of callers.
@@ -214,6 +221,7 @@
     tasks = [
         asyncio.create_task(soak.fleet.async_renew_entries()),
         asyncio.create_task(callers.async_run(count)),
+        asyncio.create_task(loop_delay.async_measure()),
     ]
     burst_task = asyncio.create_task(bursts.async_run())
     await asyncio.sleep(WARM_UP_SECONDS)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
@@ -43,13 +43,19 @@
 # Longest time without a change of the deployment after which a group sends.
 MAX_CHANGE_WAIT_SECONDS = 5.0
 MAX_PAUSE_SECONDS = 2.0
+# Longest time between two bursts that load a router.
+MAX_LOAD_GAP_SECONDS = 0.4
 # Groups wait for idle timeouts up to this one, and send this close to it.
 MAX_IDLE_TIMEOUT_SECONDS = 3.0
 IDLE_TIMEOUT_FRACTIONS = (0.97, 1.01)
-# Fraction of the parts that send heavy requests, of which several follow each
-# other on a connection. Their headers take most of what a router accepts.
-HEAVY_FRACTION = 0.2
+# Fraction of the parts that send heavy requests to a router that is not loaded.
+# Several of these follow each other on a connection. Their headers take most of
+# what a router accepts.
+HEAVY_FRACTION = 0.1
 HEAVY_PIPELINE = 4
+# Connections of a part that carry heavy requests. All groups of a router
+# together delay its event loop by a few tenths of a second.
+HEAVY_CONNECTIONS = 16
 HEAVY_HEADERS = b"".join(b"\r\nX-%04x: 0" % number for number in range(1300))
 
 
@@ -92,7 +98,7 @@
         try:
             while True:
                 await self._async_fill(connections, router_id, size)
-                await self._async_wait(generator)
+                await self._async_wait(router_id, generator)
                 await self._async_burst(connections, router_id, generator)
         finally:
             for connection in connections:
@@ -112,8 +118,13 @@
         if not connections:
             await asyncio.sleep(RECONNECT_SECONDS)
 
-    async def _async_wait(self, generator: random.Random) -> None:
+    async def _async_wait(
+        self, router_id: str, generator: random.Random
+    ) -> None:
         """Wait for the moment of the next burst."""
+        if self._fleet.loaded[router_id]:
+            await asyncio.sleep(generator.uniform(0.0, MAX_LOAD_GAP_SECONDS))
+            return
         idle_seconds = self._fleet.configuration.idle_timeout_seconds
         match generator.choice(("change", "drain", "idle", "pause")):
             case "change":
@@ -158,22 +169,26 @@
         generator: random.Random,
     ) -> list[_Sent]:
         """Send requests on the open ones of some connections."""
-        is_heavy = generator.random() < HEAVY_FRACTION
+        is_heavy = (
+            self._fleet.loaded[router_id] > 0
+            or generator.random() < HEAVY_FRACTION
+        )
         deadline_seconds = generator.choice(DEADLINES_SECONDS)
         batch: list[_Sent] = []
         data: list[bytes] = []
-        for connection in connections:
+        for number, connection in enumerate(connections):
             if connection.has_ended:
                 continue
+            is_loading = is_heavy and number < HEAVY_CONNECTIONS
             calls = [
                 self._callers.new_call(
                     router_id, deadline_seconds, generator, WEIGHT_BY_BURST_PATH
                 )
-                for _ in range(HEAVY_PIPELINE if is_heavy else 1)
+                for _ in range(HEAVY_PIPELINE if is_loading else 1)
             ]
             for previous, call in itertools.pairwise(calls):
                 call.previous = previous
-            encode_call = _encode_heavy if is_heavy else encode
+            encode_call = _encode_heavy if is_loading else encode
             data.append(b"".join(encode_call(call) for call in calls))
             batch.append(_Sent(connection, calls))
         for sent, item in zip(batch, data, strict=True):
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -53,6 +53,7 @@
         "old configuration": _wrong_configuration(observations),
         "sent to a leaving upstream": _sent_while_draining(observations),
         "lost": _lost_requests(observations),
+        "lost behind an announced close": _lost_behind_close(observations),
         "failed without a fault": _failed_requests(observations),
         "recovery": _recovery(observations),
         "sent with a crashing part": sent_with_crashing_part(observations),
@@ -225,14 +226,37 @@
     not count, unless it was read; its caller can retry it.
     """
     return [
-        f"{_describe(observations, call)}, connection ended "
-        f"{(call.closed_at - call.sent_at) * 1000:.2f} ms after sending: "
-        f"{call.end_reason}"
+        _describe_end(observations, call)
+        for call in observations.calls
+        if _is_lost(observations, call) and not _is_behind_close(call)
+    ]
+
+
+def _lost_behind_close(observations: SoakObservations) -> list[str]:
+    """Describe lost requests whose predecessor's response announced the end.
+
+    Both were sent before the announcement.
+    """
+    return [
+        _describe_end(observations, call)
         for call in observations.calls
-        if call.is_closed_early
+        if _is_lost(observations, call) and _is_behind_close(call)
+    ]
+
+
+def _is_lost(observations: SoakObservations, call: ObservedCall) -> bool:
+    return (
+        call.is_closed_early
         and not _has_crossed(observations, call)
         and _is_due(observations, call)
-    ]
+    )
+
+
+def _is_behind_close(call: ObservedCall) -> bool:
+    previous = call.previous
+    return (
+        previous is not None and previous.headers.get("connection") == "close"
+    )
 
 
 def count_crossings(observations: SoakObservations) -> int:
@@ -290,6 +314,14 @@
     )
 
 
+def _describe_end(observations: SoakObservations, call: ObservedCall) -> str:
+    return (
+        f"{_describe(observations, call)}, connection ended "
+        f"{(call.closed_at - call.sent_at) * 1000:.2f} ms after sending: "
+        f"{call.end_reason}"
+    )
+
+
 def _recovery(observations: SoakObservations) -> list[str]:
     always_allowed = observations.publications[-1].configuration.service_by_path
     calls = [
--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -8,6 +8,7 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Time for which the end of a connection may travel over loopback.
 LOOPBACK_SECONDS = 0.0002
+LOOP_DELAY_INTERVAL_SECONDS = 0.01
 # State of an open connection in the first byte of `tcp_info` of Linux.
 _TCP_ESTABLISHED = 1
 
@@ -81,6 +82,25 @@
             self.closed_at = self._loop.time()
 
 
+class LoopDelay:
+    """Measures the delay of the event loop.
+
+    Attributes:
+        max_seconds: Longest delay so far.
+    """
+
+    def __init__(self) -> None:
+        self.max_seconds = 0.0
+
+    async def async_measure(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + LOOP_DELAY_INTERVAL_SECONDS
+            await asyncio.sleep(LOOP_DELAY_INTERVAL_SECONDS)
+            self.max_seconds = max(self.max_seconds, loop.time() - due_at)
+
+
 async def async_connect_observed(address: str) -> ObservedConnection | None:
     """Open a connection to `host:port`, or return None if it fails."""
     host, _, port = address.rpartition(":")
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import time
+from collections import Counter
 from contextlib import AsyncExitStack
 from functools import partial
 
@@ -83,6 +84,7 @@
         draining: Upstreams that announce the state `draining`.
         crashing_part: Prompt part that crashes engines, or "".
         crashed_by_part: Upstreams that the part has crashed.
+        loaded: Number of reasons to send heavy bursts to a router, by its id.
         changes: Signals, configurations and settings that reach routers.
 
     Args:
@@ -109,6 +111,7 @@
         self.starting: set[str] = set()
         self.crashing_part = ""
         self.crashed_by_part: asyncio.Queue[str] = asyncio.Queue()
+        self.loaded: Counter[str] = Counter()
         self.changes = Changes()
         self._address_by_link: dict[str, str] = {}
         self._started_ms_by_upstream: dict[str, int] = {}
--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -19,10 +19,18 @@
 # last part of the grace, unless it was sent later than this after the signal.
 LAST_GRACE_FRACTION = 1 / 6
 MAX_SENT_AFTER_SIGNAL_SECONDS = 3.0
-# Planned work and sound upstreams that fall silent, slow down or refuse,
-# which are no reason to lose a request.
+# Planned work, event loops that are late under load, and sound upstreams that
+# fall silent, slow down or refuse: no reasons to lose a request.
 PLANNED_KINDS = frozenset(
-    {"terminate", "drain", "replace", "silence", "slow", "not now"}
+    {
+        "terminate",
+        "drain",
+        "replace",
+        "late loop",
+        "silence",
+        "slow",
+        "not now",
+    }
 )
 # Maximum time until routers apply a new configuration.
 MAX_APPLY_SECONDS = 2.0
--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -22,6 +22,10 @@
 
 PlannedWork = Callable[[Soak, random.Random], Coroutine[Any, Any, None]]
 
+# Fraction of the stops beside heavy bursts, and the longest time for which
+# these are sent before the signal.
+LATE_STOP_FRACTION = 0.5
+MAX_LOAD_LEAD_SECONDS = 1.0
 # Time that an upstream serves after it has announced that it leaves.
 MIN_LEAVE_SECONDS = 2.0
 # Fraction of the replaced upstreams that announce in their responses that they
@@ -59,7 +63,8 @@
 async def _async_stop_one(soak: Soak, generator: random.Random) -> None:
     free = soak.unaffected(soak.fleet.plan_by_id)
     if len(free) > 1:
-        await _async_stop_and_restart(soak, generator.choice(free))
+        router_id = generator.choice(free)
+        await _async_stop_and_restart(soak, router_id, generator)
 
 
 async def _async_stop_in_turn(soak: Soak, generator: random.Random) -> None:
@@ -71,16 +76,31 @@
         for router_id in order:
             free = soak.unaffected(order)
             if len(free) > 1 and router_id in free:
-                group.create_task(_async_stop_and_restart(soak, router_id))
+                group.create_task(
+                    _async_stop_and_restart(soak, router_id, generator)
+                )
             await asyncio.sleep(pause_seconds)
 
 
-async def _async_stop_and_restart(soak: Soak, router_id: str) -> None:
-    with soak.affecting(router_id, "terminate"):
+async def _async_stop_and_restart(
+    soak: Soak, router_id: str, generator: random.Random
+) -> None:
+    """Stop a router, in some cases while its event loop is late."""
+    with soak.affecting(router_id, "terminate"), ExitStack() as stack:
+        if generator.random() < LATE_STOP_FRACTION:
+            stack.enter_context(soak.loading(router_id))
+            await asyncio.sleep(generator.uniform(0.0, MAX_LOAD_LEAD_SECONDS))
         await soak.fleet.async_stop_router(router_id)
+        stack.close()
         await soak.fleet.async_restart_router(router_id)
 
 
+async def _async_delay_loop(soak: Soak, generator: random.Random) -> None:
+    router_id = generator.choice(sorted(soak.fleet.plan_by_id))
+    with soak.loading(router_id):
+        await asyncio.sleep(generator.uniform(0.5, 3.0))
+
+
 async def _async_drain_upstream(soak: Soak, generator: random.Random) -> None:
     """Let an upstream announce that it leaves, and change its mind."""
     free = soak.unaffected(soak.fleet.present)
@@ -212,6 +232,7 @@
     _async_reload_settings: 2,
     _async_stop_one: 2,
     _async_stop_in_turn: 2,
+    _async_delay_loop: 2,
     _async_drain_upstream: 2,
     _async_replace_upstreams: 3,
     _async_silence: 4,
--- a/packages/standins/src/lacewingspar_standins/bench/soak_state.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_state.py
@@ -62,6 +62,19 @@
             self._affected.discard(name)
             self.spans.append(Span(subject or name, kind, start, self.now))
 
+    @contextmanager
+    def loading(self, router_id: str) -> Iterator[None]:
+        """Delay the event loop of a router by heavy bursts."""
+        start = self.now
+        self.fleet.loaded[router_id] += 1
+        self.fleet.changes.notify()
+        typer.echo(f"  late loop {router_id}", err=True)
+        try:
+            yield
+        finally:
+            self.fleet.loaded[router_id] -= 1
+            self.spans.append(Span(router_id, "late loop", start, self.now))
+
     def publish(self, configuration: SoakConfiguration) -> None:
         """Publish a configuration."""
         self.fleet.publish(configuration)
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -151,6 +151,10 @@
     ),
     "failed": Case(FAILED, ("failed without a fault",)),
     "failed beside a fault": Case(FAILED, (), (crash(0.0),)),
+    "closed behind a response that announces it": Case(
+        call(previous=call(is_complete=True, headers={"connection": "close"})),
+        ("lost behind an announced close",),
+    ),
     "rejected as invalid": Case(
         call(status=431, is_complete=True), ("rejected input",)
     ),
