Let load excuse only what is late in the soak

A load of a router ('late loop') counted for all checks that look at faults of this router. It now excuses only late answers and requests sent to upstreams after their caller left: the end of a connection waits in the socket like the request. Loads are the only source of heavy requests, so that each one is known.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
@@ -48,10 +48,8 @@
 # Groups wait for idle timeouts up to this one, and send this close to it.
 MAX_IDLE_TIMEOUT_SECONDS = 3.0
 IDLE_TIMEOUT_FRACTIONS = (0.97, 1.01)
-# Fraction of the parts that send heavy requests to a router that is not loaded.
-# Several of these follow each other on a connection. Their headers take most of
-# what a router accepts.
-HEAVY_FRACTION = 0.1
+# Heavy requests that follow each other on a connection to a router that is to
+# be loaded. Their headers take most of what a router accepts.
 HEAVY_PIPELINE = 4
 # Connections of a part that carry heavy requests. All groups of a router
 # together delay its event loop by a few tenths of a second.
@@ -169,10 +167,7 @@
         generator: random.Random,
     ) -> list[_Sent]:
         """Send requests on the open ones of some connections."""
-        is_heavy = (
-            self._fleet.loaded[router_id] > 0
-            or generator.random() < HEAVY_FRACTION
-        )
+        is_heavy = self._fleet.loaded[router_id] > 0
         deadline_seconds = generator.choice(DEADLINES_SECONDS)
         batch: list[_Sent] = []
         data: list[bytes] = []
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -133,7 +133,9 @@
         )
         if has_disconnected or seen_at == math.inf or seen_at <= due_at:
             continue
-        if observations.is_fault_free(call.sent_at, due_at, call.router_id):
+        if observations.is_fault_free(
+            call.sent_at, due_at, call.router_id
+        ) and not observations.is_loaded(call.sent_at, due_at, call.router_id):
             found.append(
                 f"{call.request_id}: {call.status} at {call.router_id} after "
                 f"{seen_at - call.sent_at:.2f} s of {call.deadline_seconds} s"
@@ -155,6 +157,8 @@
                 continue
             if observations.is_fault_free(
                 call.sent_at, received.at, call.router_id, "link"
+            ) and not observations.is_loaded(
+                call.sent_at, received.at, call.router_id
             ):
                 found.append(
                     f"{request_id}: "
--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -19,6 +19,10 @@
 # last part of the grace, unless it was sent later than this after the signal.
 LAST_GRACE_FRACTION = 1 / 6
 MAX_SENT_AFTER_SIGNAL_SECONDS = 3.0
+# Load that delays the event loop of a router, and the time until the router has
+# handled what was sent before its end. It excuses only what is late.
+LOAD_KIND = "late loop"
+LOAD_TAIL_SECONDS = 1.0
 # Planned work, event loops that are late under load, and sound upstreams that
 # fall silent, slow down or refuse: no reasons to lose a request.
 PLANNED_KINDS = frozenset(
@@ -26,7 +30,7 @@
         "terminate",
         "drain",
         "replace",
-        "late loop",
+        LOAD_KIND,
         "silence",
         "slow",
         "not now",
@@ -124,10 +128,20 @@
         """
         return not any(
             span.subject in subjects
+            and span.kind != LOAD_KIND
             and span.overlaps(start - DETECTION_SECONDS, end)
             for span in self.spans
         )
 
+    def is_loaded(self, start: float, end: float, router_id: str) -> bool:
+        """Return whether a router's event loop was delayed in a period."""
+        return any(
+            span.kind == LOAD_KIND
+            and span.subject == router_id
+            and span.overlaps(start - LOAD_TAIL_SECONDS, end)
+            for span in self.spans
+        )
+
     def is_calm(self, call: ObservedCall) -> bool:
         """Return whether there was only planned work around a request."""
         return not any(
--- a/packages/standins/src/lacewingspar_standins/bench/soak_state.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_state.py
@@ -8,7 +8,11 @@
 
 from lacewingspar_standins.bench.soak_configuration import SoakConfiguration
 from lacewingspar_standins.bench.soak_fleet import SoakFleet
-from lacewingspar_standins.bench.soak_observations import Publication, Span
+from lacewingspar_standins.bench.soak_observations import (
+    LOAD_KIND,
+    Publication,
+    Span,
+)
 
 
 class Soak:
@@ -68,12 +72,12 @@
         start = self.now
         self.fleet.loaded[router_id] += 1
         self.fleet.changes.notify()
-        typer.echo(f"  late loop {router_id}", err=True)
+        typer.echo(f"  {LOAD_KIND} {router_id}", err=True)
         try:
             yield
         finally:
             self.fleet.loaded[router_id] -= 1
-            self.spans.append(Span(router_id, "late loop", start, self.now))
+            self.spans.append(Span(router_id, LOAD_KIND, start, self.now))
 
     def publish(self, configuration: SoakConfiguration) -> None:
         """Publish a configuration."""
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -75,6 +75,10 @@
     changes: dict[float, SoakConfiguration] = field(default_factory=dict)
 
 
+def load(router_id: str) -> Span:
+    return Span(router_id, "late loop", SENT_AT - 1.0, SENT_AT + 1.0)
+
+
 def crash(ended_before: float) -> Span:
     return Span("e1", "crash", SENT_AT - 20.0, SENT_AT - ended_before)
 
@@ -98,6 +102,7 @@
 
 CUT_BEHIND_CUT = call(previous=call())
 FAILED = call(status=502, is_complete=True)
+LATE = call(seconds=4.6, status=503, is_complete=True)
 CASE_BY_NAME = {
     "cut": Case(call(), ("lost",)),
     "cut beside a stop": Case(call(), ("lost",), (STOP,)),
@@ -155,6 +160,13 @@
         call(previous=call(is_complete=True, headers={"connection": "close"})),
         ("lost behind an announced close",),
     ),
+    "cut beside load": Case(call(), ("lost",), (load("r0"),)),
+    "late": Case(LATE, ("late answers",)),
+    "late beside load": Case(LATE, (), (load("r0"),)),
+    "late beside load of another router": Case(
+        LATE, ("late answers",), (load("r1"),)
+    ),
+    "denied beside load": replace(denied(404), spans=(load("r0"),)),
     "rejected as invalid": Case(
         call(status=431, is_complete=True), ("rejected input",)
     ),
