Begin the span of a stop in the soak with its signal

The span of a stop beside a load began up to a second before the signal, so that the check of requests cut at the end of the grace took a wrong end.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_planned.py
@@ -18,6 +18,7 @@
     EVENT_SECONDS,
     EVENTS,
 )
+from lacewingspar_standins.bench.soak_observations import LOAD_KIND
 from lacewingspar_standins.bench.soak_state import Soak
 
 PlannedWork = Callable[[Soak, random.Random], Coroutine[Any, Any, None]]
@@ -86,13 +87,16 @@
     soak: Soak, router_id: str, generator: random.Random
 ) -> None:
     """Stop a router, in some cases while its event loop is late."""
-    with soak.affecting(router_id, "terminate"), ExitStack() as stack:
+    with ExitStack() as load:
         if generator.random() < LATE_STOP_FRACTION:
-            stack.enter_context(soak.loading(router_id))
-            await asyncio.sleep(generator.uniform(0.0, MAX_LOAD_LEAD_SECONDS))
-        await soak.fleet.async_stop_router(router_id)
-        stack.close()
-        await soak.fleet.async_restart_router(router_id)
+            with soak.affecting(router_id, LOAD_KIND):
+                load.enter_context(soak.loading(router_id))
+                lead_seconds = generator.uniform(0.0, MAX_LOAD_LEAD_SECONDS)
+                await asyncio.sleep(lead_seconds)
+        with soak.affecting(router_id, "terminate"):
+            await soak.fleet.async_stop_router(router_id)
+            load.close()
+            await soak.fleet.async_restart_router(router_id)
 
 
 async def _async_delay_loop(soak: Soak, generator: random.Random) -> None:
