Accept the closing response to a request that crossed the end in the soak

Routers now send 408 on an idle connection before its end, which answers a request that crosses it. The check of rejected input accepts a 408 only for requests that crossed the end of their connection, and counts these as such.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -276,8 +276,9 @@
         for call in calls:
             if not call.is_complete:
                 call.ended_at = loop.time()
-                call.closed_at = connection.closed_at
-                call.end_reason = connection.end_reason
+    for call in calls:
+        call.closed_at = connection.closed_at
+        call.end_reason = connection.end_reason
     return (
         all(call.is_complete for call in calls)
         and calls[-1].headers.get("connection") != "close"
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -167,6 +167,15 @@
         LATE, ("late answers",), (load("r1"),)
     ),
     "denied beside load": replace(denied(404), spans=(load("r0"),)),
+    "closing response to a request that crossed the end": Case(
+        closed(-0.01, status=408, is_complete=True)
+    ),
+    "closing response before the end": Case(
+        closed(0.01, status=408, is_complete=True), ("rejected input",)
+    ),
+    "rejected as invalid though it crossed the end": Case(
+        closed(-0.01, status=431, is_complete=True), ("rejected input",)
+    ),
     "rejected as invalid": Case(
         call(status=431, is_complete=True), ("rejected input",)
     ),
