Do not read certificates in the event loop of a soak for each router that starts

Change: the client has a context without authorities (0.3 ms); the routers are reached without TLS. Evidence: test_wait_for_a_router_reads_no_certificates fails before.

--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import ssl
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -15,6 +16,9 @@
 ANNOUNCE_TIMEOUT_SECONDS = 30.0
 REQUEST_TIMEOUT_SECONDS = 10.0
 LOG_TAIL_BYTES = 2000
+# Processes are reached without TLS. The default context of a client would read
+# all certificate authorities, which holds up the event loop of the caller.
+_NO_AUTHORITIES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
 
 class FleetError(Exception):
@@ -185,7 +189,9 @@
         try:
             async with (
                 asyncio.timeout(seconds),
-                httpx.AsyncClient(trust_env=False) as client,
+                httpx.AsyncClient(
+                    trust_env=False, verify=_NO_AUTHORITIES
+                ) as client,
             ):
                 while self.is_running:
                     with contextlib.suppress(httpx.TransportError):
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of the fleet harness."""
 
 import os
+import ssl
 from pathlib import Path
+from typing import Any
 
 import httpx
 import msgspec
@@ -10,7 +12,7 @@
 from lacewingspar_router.settings import load_settings
 from lacewingspar_standins.fleet import Fleet
 from lacewingspar_standins.fleet_settings import RouterPlan, router_settings
-from lacewingspar_standins.process import FleetError
+from lacewingspar_standins.process import FleetError, RouterProcess, spawn
 
 
 async def test_all_processes_end_with_the_fleet(tmp_path: Path) -> None:
@@ -74,3 +76,22 @@
     settings = load_settings(settings_file)
     assert [peer.router_id for peer in settings.peers] == ["r2", "r3"]
     assert settings.log_level == "debug"
+
+
+async def test_wait_for_a_router_reads_no_certificates(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against responses that a soak sees late beside a start."""
+    created: list[None] = []
+    create = ssl.create_default_context
+
+    def record(*args: Any, **options: Any) -> ssl.SSLContext:
+        created.append(None)
+        return create(*args, **options)
+
+    monkeypatch.setattr(ssl, "create_default_context", record)
+    process = await spawn(tmp_path / "log", ["-c", ""], reads_output=False)
+    router = RouterProcess("r1", process, tmp_path / "log")
+    with pytest.raises(FleetError):
+        await router.wait_ready("127.0.0.1:1", 5.0)
+    assert not created
