Start the processes of a fleet beside the event loop

Cause: the soak, not the router. asyncio starts a process in the event loop, and the kernel suspends the caller until the child runs its program, which takes long beside load. The soak stamps the responses of its callers in the same loop. Change: processes are started in another thread; a cancelled start ends its process.

--- a/packages/standins/src/lacewingspar_standins/process.py
+++ b/packages/standins/src/lacewingspar_standins/process.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import ssl
+import subprocess
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -16,6 +17,8 @@
 ANNOUNCE_TIMEOUT_SECONDS = 30.0
 REQUEST_TIMEOUT_SECONDS = 10.0
 LOG_TAIL_BYTES = 2000
+# Interval at which a process is checked for its end.
+END_CHECK_SECONDS = 0.02
 # Processes are reached without TLS. The default context of a client would read
 # all certificate authorities, which holds up the event loop of the caller.
 _NO_AUTHORITIES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -25,6 +28,41 @@
     """A process of the fleet failed to start, respond or accept a request."""
 
 
+class StartedProcess:
+    """A child process.
+
+    It replaces the one of asyncio, which is started in the event loop and holds
+    it up until the kernel has run the child for the first time.
+
+    Args:
+        process: The process.
+    """
+
+    def __init__(self, process: "subprocess.Popen[bytes]") -> None:
+        self._process = process
+        self.pid = process.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """Return the exit status, or None if the process runs."""
+        return self._process.poll()
+
+    async def wait(self) -> int:
+        """Wait until the process ends and return its exit status."""
+        while (status := self.returncode) is None:  # noqa: ASYNC110
+            await asyncio.sleep(END_CHECK_SECONDS)
+        return status
+
+    async def read_line(self) -> bytes:
+        """Return the next line of the output, or b"" at its end."""
+        assert self._process.stdout is not None
+        return await asyncio.to_thread(self._process.stdout.readline)
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self._process.kill()
+
+
 class ManagedProcess:
     """A process started by the harness.
 
@@ -34,7 +72,7 @@
     """
 
     def __init__(
-        self, name: str, process: asyncio.subprocess.Process, log_file: Path
+        self, name: str, process: StartedProcess, log_file: Path
     ) -> None:
         self.name = name
         self.log_file = log_file
@@ -118,10 +156,9 @@
         Raises:
             FleetError: The process ended or exceeded the timeout.
         """
-        assert self.process.stdout is not None
         try:
             async with asyncio.timeout(ANNOUNCE_TIMEOUT_SECONDS):
-                line = await self.process.stdout.readline()
+                line = await self.process.read_line()
         except TimeoutError:
             line = b""
         if not line:
@@ -209,7 +246,7 @@
 
 async def spawn(
     log_file: Path, arguments: list[str], *, reads_output: bool
-) -> asyncio.subprocess.Process:
+) -> StartedProcess:
     """Start a Python interpreter with its output appended to a file.
 
     Args:
@@ -218,11 +255,28 @@
         arguments: Arguments of the interpreter.
         reads_output: Whether the caller reads the standard output.
     """
+    start = asyncio.create_task(
+        asyncio.to_thread(
+            _start, log_file, arguments, reads_output=reads_output
+        )
+    )
+    try:
+        return await asyncio.shield(start)
+    except asyncio.CancelledError:
+        # Nobody else knows the process.
+        (await start).kill()
+        raise
+
+
+def _start(
+    log_file: Path, arguments: list[str], *, reads_output: bool
+) -> StartedProcess:
     with log_file.open("ab") as log:
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            *arguments,
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE if reads_output else log,
-            stderr=log,
+        return StartedProcess(
+            subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE if reads_output else log,
+                stderr=log,
+            )
         )
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,7 +1,10 @@
 """Tests of the fleet harness."""
 
+import asyncio
 import os
 import ssl
+import subprocess
+import threading
 from pathlib import Path
 from typing import Any
 
@@ -78,6 +81,50 @@
     assert settings.log_level == "debug"
 
 
+async def test_event_loop_runs_while_a_process_starts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against responses that a soak sees late beside a start."""
+    has_run = threading.Event()
+    seen: list[bool] = []
+
+    class SlowStart(subprocess.Popen[bytes]):
+        def __init__(self, *args: Any, **options: Any) -> None:
+            seen.append(has_run.wait(2.0))
+            super().__init__(*args, **options)
+
+    monkeypatch.setattr(subprocess, "Popen", SlowStart)
+    asyncio.get_running_loop().call_later(0.05, has_run.set)
+    process = await spawn(tmp_path / "log", ["-c", ""], reads_output=False)
+    assert await process.wait() == 0
+    assert seen == [True]
+
+
+async def test_process_of_a_cancelled_start_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    started: list[subprocess.Popen[bytes]] = []
+    is_cancelled = threading.Event()
+
+    class SlowStart(subprocess.Popen[bytes]):
+        def __init__(self, *args: Any, **options: Any) -> None:
+            is_cancelled.wait(2.0)
+            super().__init__(*args, **options)
+            started.append(self)
+
+    monkeypatch.setattr(subprocess, "Popen", SlowStart)
+    arguments = ["-c", "import time; time.sleep(60)"]
+    start = asyncio.create_task(
+        spawn(tmp_path / "log", arguments, reads_output=False)
+    )
+    await asyncio.sleep(0.05)
+    start.cancel()
+    is_cancelled.set()
+    with pytest.raises(asyncio.CancelledError):
+        await start
+    assert started[0].wait(5.0) == -9
+
+
 async def test_wait_for_a_router_reads_no_certificates(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
