Count a closing response that waits in the socket as the end in the soak

Cause: the soak. The router had sent its closing response before the request was written; the end of the stream followed in the next iteration of its event loop. The soak knew only the state of the TCP connection before it writes. It now also looks for input that no request has asked for. A response that arrives after the write began is no reason, as before.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -1,7 +1,9 @@
 """Connections of the fault soak's callers, which see how each one ends."""
 
 import asyncio
+import fcntl
 import socket
+import termios
 
 from lacewingspar_router.http1.client_connection import ClientConnection
 
@@ -24,7 +26,8 @@
             the event loop.
         settled_at: Time of the last check whether the request crossed the end
             of the connection.
-        closed_at: Time at which the end was first seen, or infinity.
+        closed_at: Time at which the end, or a response in front of it that no
+            request has asked for, was first seen, or infinity.
         end_reason: Description of the end, or "".
     """
 
@@ -38,7 +41,7 @@
 
     def send(self, data: bytes) -> None:
         """Send encoded requests at once."""
-        self._check_end()
+        self._check_end(includes_input=True)
         super().send(data)
         self.sent_at = self._loop.time()
         self._check_end()
@@ -73,12 +76,16 @@
         self.closed_at = min(self.closed_at, self._loop.time())
         self.end_reason = self.end_reason or reason
 
-    def _check_end(self) -> None:
+    def _check_end(self, *, includes_input: bool = False) -> None:
         if self.closed_at < float("inf") or self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        if state != _TCP_ESTABLISHED:
+        is_ended = state != _TCP_ESTABLISHED
+        if includes_input and not is_ended:
+            size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+            is_ended = any(size)
+        if is_ended:
             self.closed_at = self._loop.time()
 
 
--- a/tests/standins/test_soak_connections.py
+++ b/tests/standins/test_soak_connections.py
@@ -13,6 +13,7 @@
 )
 
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
+CLOSING_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\n\r\n"
 END_SECONDS = 5.0
 
 
@@ -51,6 +52,22 @@
     await _async_wait_end(connection)
 
 
+@pytest.mark.parametrize("is_before", [False, True])
+async def test_closing_response_before_a_request_is_its_end(
+    listener: socket.socket, *, is_before: bool
+) -> None:
+    connection, accepted = await _async_open(listener)
+    if is_before:
+        accepted.sendall(CLOSING_RESPONSE)
+    connection.send(REQUEST)
+    connection.settle()
+    if not is_before:
+        accepted.sendall(CLOSING_RESPONSE)
+    assert (connection.closed_at <= connection.sent_at) is is_before
+    connection.abort()
+    accepted.close()
+
+
 @pytest.mark.parametrize("is_read", [False, True])
 async def test_end_behind_a_request_is_no_crossing(
     listener: socket.socket, is_read: bool
