Separate the sending of an attempt from the handling of requests

No behaviour changes: tests/router/components/forwarding, test_crash_guard.py and test_forwarding.py pass (83 cases).

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -1,7 +1,6 @@
 """Handling of callers' requests, from the headers to the response."""
 
 import asyncio
-from http import HTTPStatus
 
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import (
@@ -9,7 +8,6 @@
     AttemptHistory,
     AttemptResult,
 )
-from lacewingspar_core.directory import UpstreamEntry, UpstreamState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
     ADMISSION,
@@ -20,16 +18,12 @@
     RequestAcceptor,
 )
 from lacewingspar_router.components.forwarding.attempt import (
-    Attempt,
     AttemptEnd,
-    AttemptHooks,
     CallerResponse,
 )
 from lacewingspar_router.components.forwarding.crash_guard import (
     CrashGuard,
     GuardedRequest,
-    GuardedRun,
-    async_has_crashed,
 )
 from lacewingspar_router.components.forwarding.hand_over import HandOver
 from lacewingspar_router.components.forwarding.load_shedding import LoadShedder
@@ -42,6 +36,7 @@
     RequestRecorder,
 )
 from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
+from lacewingspar_router.components.forwarding.sending import UpstreamSender
 from lacewingspar_router.components.forwarding.stopping import (
     InFlightRequest,
     RequestsInFlight,
@@ -51,11 +46,8 @@
 )
 from lacewingspar_router.components.routing.models import (
     ROUTING,
-    UPSTREAM_AVAILABILITY,
 )
 from lacewingspar_router.errors import RequestRefusedError
-from lacewingspar_router.http1.client_connection import ClientConnection
-from lacewingspar_router.http1.connection_pool import ConnectionPool
 from lacewingspar_router.http1.exchange import ServerExchange
 from lacewingspar_router.http1.messages import Response
 from lacewingspar_router.http_headers import RawHeaders
@@ -72,11 +64,10 @@
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
-        self._availability = app.get(UPSTREAM_AVAILABILITY)
         self._wire_format = app.get(WIRE_FORMAT)
-        self._pool_by_address: dict[str, ConnectionPool] = {}
         self._retry_budgets = RetryBudgets(app)
         self._crash_guard = CrashGuard(app)
+        self._sender = UpstreamSender(app, self._crash_guard)
         self._recorder = RequestRecorder(app)
         self.acceptor = RequestAcceptor(app)
         self.in_flight = RequestsInFlight(app)
@@ -173,25 +164,12 @@
     def close_stale_connections(self) -> None:
         """Close stale connections and those to upstreams that leave."""
         self.hand_over.close_stale_connections()
-        entries = self._routing.directory.entry_by_id.values()
-        addresses = {entry.address for entry in entries}
-        addresses_in_use = {
-            entry.address
-            for entry in entries
-            if entry.state is UpstreamState.READY
-        }
-        for address, pool in list(self._pool_by_address.items()):
-            pool.close_expired()
-            if address not in addresses_in_use:
-                pool.close()
-            if address not in addresses:
-                del self._pool_by_address[address]
+        self._sender.close_stale_connections()
 
     def close(self) -> None:
         """Close all idle connections to upstreams and other routers."""
         self.hand_over.close()
-        for pool in self._pool_by_address.values():
-            pool.close()
+        self._sender.close()
 
     async def _async_forward(self, progress: CallProgress) -> str:
         """Forward a request until an upstream responds or the deadline passes.
@@ -224,7 +202,7 @@
             self._retry_budgets,
             self._recorder,
             progress,
-            self._connection_pool,
+            self._sender.connection_pool,
             lambda: self._crash_guard.upstreams_to_spare(guarded),
         )
         try:
@@ -316,7 +294,7 @@
                     "upstream was removed from the directory",
                 )
             else:
-                end = await self._async_send(
+                end = await self._sender.async_send(
                     progress, grant, upstream, guarded, switch
                 )
             history.may_have_run = previously_may_have_run
@@ -336,79 +314,6 @@
             self._recorder.record_failed_attempt(progress, end)
         return end
 
-    async def _async_send(
-        self,
-        progress: CallProgress,
-        grant: Grant,
-        upstream: UpstreamEntry,
-        guarded: GuardedRequest,
-        switch: UpstreamSwitch,
-    ) -> AttemptEnd:
-        """Send a request to an upstream and relay the response."""
-        pool = self._connection_pool(upstream.address)
-        run = self._crash_guard.begin(
-            guarded,
-            upstream.upstream_id,
-            is_continuation=progress.caller_response.exchange.is_started,
-        )
-        attempt = Attempt(
-            progress.call,
-            upstream,
-            pool,
-            self._wire_format,
-            progress.caller_response,
-            self._app.now,
-            self._attempt_hooks(grant, upstream, pool, run, switch),
-        )
-        entries = self._routing.directory.entry_by_id
-        source = entries.get(grant.fetch_from)
-        is_broken = False
-        try:
-            end = await attempt.async_run(
-                "" if source is None else source.address
-            )
-            is_broken = end.result is AttemptResult.BROKEN
-        finally:
-            self._crash_guard.end(run, pool, is_broken=is_broken)
-        if end.result is AttemptResult.RESPONDED:
-            status = HTTPStatus.OK if not end.response else end.response.status
-            self._crash_guard.record_response(run, status)
-        return end
-
-    def _attempt_hooks(
-        self,
-        grant: Grant,
-        upstream: UpstreamEntry,
-        pool: ConnectionPool,
-        run: GuardedRun,
-        switch: UpstreamSwitch,
-    ) -> AttemptHooks:
-        """Return the functions that one attempt calls on its way."""
-
-        def may_send() -> bool:
-            return self._admission.may_send(
-                grant
-            ) and self._crash_guard.may_send(run.request)
-
-        def record_sent(connection: ClientConnection) -> None:
-            self._crash_guard.record_sent(run)
-            switch.watch(connection)
-
-        def record_first_chunk() -> None:
-            self._crash_guard.record_output(run)
-            switch.record_first_chunk()
-            self._admission.record_first_chunk(grant)
-
-        return AttemptHooks(
-            may_send=may_send,
-            on_sent=record_sent,
-            on_notice=lambda notice: self._availability.record(
-                upstream, notice
-            ),
-            on_first_chunk=record_first_chunk,
-            async_has_crashed=lambda: async_has_crashed(pool),
-        )
-
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
         if end.result is AttemptResult.TIMED_OUT:
@@ -453,9 +358,3 @@
             exchange.send_response(
                 response.status, response.headers, response.body
             )
-
-    def _connection_pool(self, address: str) -> ConnectionPool:
-        pool = self._pool_by_address.get(address)
-        if pool is None:
-            pool = self._pool_by_address[address] = ConnectionPool(address)
-        return pool
--- /dev/null
+++ b/packages/router/src/lacewingspar_router/components/forwarding/sending.py
@@ -0,0 +1,151 @@
+"""Sending of requests to upstreams."""
+
+from http import HTTPStatus
+
+from lacewingspar_core.attempt_rules import AttemptResult
+from lacewingspar_core.directory import UpstreamEntry, UpstreamState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.admission.models import ADMISSION, Grant
+from lacewingspar_router.components.forwarding.attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptHooks,
+)
+from lacewingspar_router.components.forwarding.crash_guard import (
+    CrashGuard,
+    GuardedRequest,
+    GuardedRun,
+    async_has_crashed,
+)
+from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
+from lacewingspar_router.components.forwarding.request_recorder import (
+    CallProgress,
+)
+from lacewingspar_router.components.forwarding.upstream_switch import (
+    UpstreamSwitch,
+)
+from lacewingspar_router.components.routing.models import (
+    ROUTING,
+    UPSTREAM_AVAILABILITY,
+)
+from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_router.http1.connection_pool import ConnectionPool
+
+
+class UpstreamSender:
+    """Sends requests to upstreams and keeps the connections to them.
+
+    Args:
+        app: The application.
+        crash_guard: Learns which requests run where.
+    """
+
+    def __init__(self, app: Application, crash_guard: CrashGuard) -> None:
+        self._app = app
+        self._routing = app.get(ROUTING)
+        self._admission = app.get(ADMISSION)
+        self._availability = app.get(UPSTREAM_AVAILABILITY)
+        self._wire_format = app.get(WIRE_FORMAT)
+        self._crash_guard = crash_guard
+        self._pool_by_address: dict[str, ConnectionPool] = {}
+
+    def connection_pool(self, address: str) -> ConnectionPool:
+        """Return the pool of connections to an address."""
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = self._pool_by_address[address] = ConnectionPool(address)
+        return pool
+
+    def close_stale_connections(self) -> None:
+        """Close stale connections and those to upstreams that leave."""
+        entries = self._routing.directory.entry_by_id.values()
+        addresses = {entry.address for entry in entries}
+        addresses_in_use = {
+            entry.address
+            for entry in entries
+            if entry.state is UpstreamState.READY
+        }
+        for address, pool in list(self._pool_by_address.items()):
+            pool.close_expired()
+            if address not in addresses_in_use:
+                pool.close()
+            if address not in addresses:
+                del self._pool_by_address[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pool_by_address.values():
+            pool.close()
+
+    async def async_send(
+        self,
+        progress: CallProgress,
+        grant: Grant,
+        upstream: UpstreamEntry,
+        guarded: GuardedRequest,
+        switch: UpstreamSwitch,
+    ) -> AttemptEnd:
+        """Send a request to an upstream and relay the response."""
+        pool = self.connection_pool(upstream.address)
+        run = self._crash_guard.begin(
+            guarded,
+            upstream.upstream_id,
+            is_continuation=progress.caller_response.exchange.is_started,
+        )
+        attempt = Attempt(
+            progress.call,
+            upstream,
+            pool,
+            self._wire_format,
+            progress.caller_response,
+            self._app.now,
+            self._attempt_hooks(grant, upstream, pool, run, switch),
+        )
+        entries = self._routing.directory.entry_by_id
+        source = entries.get(grant.fetch_from)
+        is_broken = False
+        try:
+            end = await attempt.async_run(
+                "" if source is None else source.address
+            )
+            is_broken = end.result is AttemptResult.BROKEN
+        finally:
+            self._crash_guard.end(run, pool, is_broken=is_broken)
+        if end.result is AttemptResult.RESPONDED:
+            status = HTTPStatus.OK if not end.response else end.response.status
+            self._crash_guard.record_response(run, status)
+        return end
+
+    def _attempt_hooks(
+        self,
+        grant: Grant,
+        upstream: UpstreamEntry,
+        pool: ConnectionPool,
+        run: GuardedRun,
+        switch: UpstreamSwitch,
+    ) -> AttemptHooks:
+        """Return the functions that one attempt calls on its way."""
+
+        def may_send() -> bool:
+            return self._admission.may_send(
+                grant
+            ) and self._crash_guard.may_send(run.request)
+
+        def record_sent(connection: ClientConnection) -> None:
+            self._crash_guard.record_sent(run)
+            switch.watch(connection)
+
+        def record_first_chunk() -> None:
+            self._crash_guard.record_output(run)
+            switch.record_first_chunk()
+            self._admission.record_first_chunk(grant)
+
+        return AttemptHooks(
+            may_send=may_send,
+            on_sent=record_sent,
+            on_notice=lambda notice: self._availability.record(
+                upstream, notice
+            ),
+            on_first_chunk=record_first_chunk,
+            async_has_crashed=lambda: async_has_crashed(pool),
+        )
