Keep a silent upstream until the one that replaces it has responded

Cause: the run at the silent upstream was ended as soon as another upstream was granted, connected and paid for. That one may still refuse. Going back to the first then took a new grant, a second retry of the budget and a second run: the pool declined it (deadline_unreachable), or the budget did.

Two designs were weighed: - Interrupt the first attempt, keep its connection, and resume it after a refusal. The attempt would have to be resumable at each point of reading a head, a body or an event, and its part of an event kept beside that of the other run. - Leave the first attempt reading, and send the request to the other one beside it. Its response is held back; a refusal or any other failure ends only the second attempt. This is what was built: the first attempt is not touched, so going back costs no grant, no retry and no second run.

If the first breaks, the request goes on with the other one without a second payment.

Ruled out: the pool's rule for the deadline (MIN_RUN_SECONDS). It is right for a new run, and the run at e1 was not new.

On the code before, test_silent_upstream_is_kept_if_its_replacement_refuses fails in 9 of 9 cases (502 or a cut stream with a budget of one retry or a pool that declines, a second run without either) and test_upstream_that_goes_on_beside_its_replacement_is_kept in 2 of 2. In test_upstream_switch.py the two tests of the interruption now wait for the response of the replacement; nothing else in them changed.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -30,6 +30,8 @@
     WITHHELD = "withheld"
     # The upstream was silent and another one takes over.
     TIMED_OUT = "silent"
+    # The upstream that it was to replace went on.
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
     AttemptResult.BROKEN: ResultRule(RunOutcome.BROKEN, True, True, True),
     AttemptResult.INVALID: ResultRule(RunOutcome.FAILED, True, True, True),
     AttemptResult.TIMED_OUT: ResultRule(RunOutcome.FAILED, True, True, True),
+    AttemptResult.WITHDRAWN: ResultRule(RunOutcome.CANCELLED, True, True, True),
 }
 # Attempts that end before the request is sent do not count as sent, but each
 # takes time.
@@ -85,7 +88,8 @@
         max_sent: Maximum number of times that the request may be sent.
         sent: Number of times that the request was sent.
         unreachable: Number of attempts that ended before the request was sent.
-        may_have_run: Whether any upstream may have run the request.
+        has_run: Whether an attempt that has ended may have run the request.
+        is_in_flight: Whether an attempt has not ended yet.
         tried: Ids of the upstreams that were tried.
         return_to: Upstream that was left while it was silent and may be sent
             the request again, because the one that took over refused it and no
@@ -96,7 +100,8 @@
     max_sent: int
     sent: int = 0
     unreachable: int = 0
-    may_have_run: bool = False
+    has_run: bool = False
+    is_in_flight: bool = False
     tried: frozenset[str] = frozenset()
     return_to: str = ""
     _left_silent: str = ""
@@ -106,7 +111,7 @@
         rule = RULE_BY_RESULT[result]
         self.sent += rule.was_sent
         self.unreachable += not rule.was_sent
-        self.may_have_run |= rule.may_have_run
+        self.has_run |= rule.may_have_run
         self.tried |= {upstream_id}
         left, self._left_silent, self.return_to = self._left_silent, "", ""
         if result is AttemptResult.TIMED_OUT:
@@ -114,6 +119,11 @@
         elif not rule.may_have_run and self.sent >= self.max_sent:
             self.return_to = left
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any upstream may have run the request."""
+        return self.has_run or self.is_in_flight
+
     @property
     def may_replace(self) -> bool:
         """Return whether another attempt may replace the one in flight."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -73,6 +73,7 @@
             interrupts the exchange, the attempt ends as timed out.
         on_notice: Called with each notice of the upstream.
         on_first_chunk: Called when the first chunk of the response arrives.
+        async_before_relay: Waits until a stream may be relayed.
         async_has_crashed: Returns whether the upstream has just crashed.
     """
 
@@ -80,6 +81,7 @@
     on_sent: Callable[[ClientConnection], None]
     on_notice: Callable[[UpstreamNotice], None]
     on_first_chunk: Callable[[], None]
+    async_before_relay: Callable[[], Awaitable[None]]
     async_has_crashed: Callable[[], Awaitable[bool]]
 
 
@@ -169,6 +171,7 @@
         try:
             head, info = await self._async_read_matching_head(connection)
             if self._is_stream(head, info):
+                await self._hooks.async_before_relay()
                 return await self._async_relay_stream(connection, head)
             response = await async_read_body(
                 connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -29,6 +29,10 @@
 # Time after the start of a silence check in which the event loop reads data
 # that arrived while it was held up.
 SILENCE_CONFIRM_SECONDS = 0.01
+# Time for which a silent upstream is kept beside the one that is to replace it,
+# unless that one responds before. The platform lets two upstreams work on one
+# request for 0.4 s; the rest is left for delays of the event loop and network.
+REPLACEMENT_RESPONSE_SECONDS = 0.2
 # A request is retried only if at least this much time remains.
 MIN_RETRY_TIME_LEFT_SECONDS = 0.1
 # Retry-After of refusals that have no better estimate, such as "not_ready".
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -129,7 +129,7 @@
             AttemptHistory(
                 call.route.may_run_again,
                 call.route.attempt_limit,
-                may_have_run=request.may_have_run_elsewhere,
+                has_run=request.may_have_run_elsewhere,
             ),
         )
         return request.progress
@@ -204,6 +204,9 @@
             progress,
             self._sender.connection_pool,
             lambda: self._crash_guard.upstreams_to_spare(guarded),
+            lambda grant, observer: self._sender.async_send(
+                progress, grant, guarded, observer
+            ),
         )
         try:
             return await self._async_try_in_turn(progress, guarded, switch)
@@ -220,11 +223,14 @@
         exchange = progress.caller_response.exchange
         while True:
             grant = await self._async_next_grant(progress, guarded, switch)
-            end = await self._async_attempt(progress, grant, guarded, switch)
+            end = await self._async_attempt(progress, grant, switch)
             if end.result is AttemptResult.RESPONDED:
                 if end.response is not None:
                     self._send_response(exchange, end.response)
                 return "answered"
+            if switch.has_replacement:
+                progress.caller_response.events.drop_partial_event()
+                continue
             if self._may_try_again(progress, end):
                 progress.caller_response.events.drop_partial_event()
                 if not exchange.is_started:
@@ -262,46 +268,29 @@
             raise
 
     async def _async_attempt(
-        self,
-        progress: CallProgress,
-        grant: Grant,
-        guarded: GuardedRequest,
-        switch: UpstreamSwitch,
+        self, progress: CallProgress, grant: Grant, switch: UpstreamSwitch
     ) -> AttemptEnd:
         """Run one attempt and report its end to admission.
 
         Args:
             progress: The request and its state.
             grant: Grant for the upstream to use.
-            guarded: The request, as a possible cause of a crash.
-            switch: Watches the upstream.
+            switch: Sends the request, and watches the upstream.
         """
         history = progress.history
-        entries = self._routing.directory.entry_by_id
-        upstream = entries.get(grant.upstream_id)
         progress.upstream_id = grant.upstream_id
         outcome = RunOutcome.CANCELLED
         is_unreachable = False
-        # If the attempt is cancelled, the request may have run.
-        previously_may_have_run, history.may_have_run = (
-            history.may_have_run,
-            True,
-        )
+        # It stays so if the attempt is cancelled: the request may have run.
+        history.is_in_flight = True
         try:
-            if upstream is None:
-                end = AttemptEnd(
-                    AttemptResult.UNREACHABLE,
-                    "upstream was removed from the directory",
-                )
-            else:
-                end = await self._sender.async_send(
-                    progress, grant, upstream, guarded, switch
-                )
-            history.may_have_run = previously_may_have_run
+            end = await switch.async_send(grant)
+            history.is_in_flight = False
             history.record(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
             is_unreachable = (
-                upstream is not None and end.result is AttemptResult.UNREACHABLE
+                end.result is AttemptResult.UNREACHABLE
+                and grant.upstream_id in self._routing.directory.entry_by_id
             )
         except asyncio.CancelledError:
             if switch.is_silent:
@@ -311,14 +300,13 @@
             switch.end_watch()
             self._admission.end(grant, outcome, is_unreachable=is_unreachable)
         if end.result is not AttemptResult.RESPONDED:
-            self._recorder.record_failed_attempt(progress, end)
+            self._recorder.record_failed_attempt(
+                progress, grant.upstream_id, end
+            )
         return end
 
     def _may_try_again(self, progress: CallProgress, end: AttemptEnd) -> bool:
         call, history = progress.call, progress.history
-        if end.result is AttemptResult.TIMED_OUT:
-            # The switch has a grant and has spent the retry budget.
-            return True
         if not history.may_try_again(end.result):
             if history.may_run_again:
                 progress.no_replacement = REASON_ATTEMPTS
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -20,7 +20,7 @@
 # Outcome of a silence after which the request continues at another upstream.
 REPLACED = "replaced"
 # Reasons why no upstream replaces one that is silent or has failed, besides
-# those for which a pool declines the request.
+# those for which a pool declines the request and the results of attempts.
 REASON_ATTEMPTS = "attempts"
 REASON_TIME = "time"
 REASON_BUDGET = "retry_budget"
@@ -102,7 +102,7 @@
             self._telemetry.count("requests_total", outcome=error.code)
 
     def record_failed_attempt(
-        self, progress: CallProgress, end: AttemptEnd
+        self, progress: CallProgress, upstream_id: str, end: AttemptEnd
     ) -> None:
         """Record an attempt that did not succeed."""
         self._telemetry.count(
@@ -113,7 +113,7 @@
         _LOGGER.warning(
             "attempt failed",
             request_id=progress.call.metadata.request_id,
-            upstream=progress.upstream_id,
+            upstream=upstream_id,
             result=end.result,
             reason=end.reason,
             sent=progress.history.sent,
--- a/packages/router/src/lacewingspar_router/components/forwarding/sending.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/sending.py
@@ -18,12 +18,12 @@
     async_has_crashed,
 )
 from lacewingspar_router.components.forwarding.models import WIRE_FORMAT
+from lacewingspar_router.components.forwarding.replacement import (
+    AttemptObserver,
+)
 from lacewingspar_router.components.forwarding.request_recorder import (
     CallProgress,
 )
-from lacewingspar_router.components.forwarding.upstream_switch import (
-    UpstreamSwitch,
-)
 from lacewingspar_router.components.routing.models import (
     ROUTING,
     UPSTREAM_AVAILABILITY,
@@ -81,11 +81,24 @@
         self,
         progress: CallProgress,
         grant: Grant,
-        upstream: UpstreamEntry,
         guarded: GuardedRequest,
-        switch: UpstreamSwitch,
+        observer: AttemptObserver,
     ) -> AttemptEnd:
-        """Send a request to an upstream and relay the response."""
+        """Send a request to an upstream and relay the response.
+
+        Args:
+            progress: The request and its state.
+            grant: Grant for the upstream to use.
+            guarded: The request, as a possible cause of a crash.
+            observer: Follows the attempt.
+        """
+        entries = self._routing.directory.entry_by_id
+        upstream = entries.get(grant.upstream_id)
+        if upstream is None:
+            return AttemptEnd(
+                AttemptResult.UNREACHABLE,
+                "upstream was removed from the directory",
+            )
         pool = self.connection_pool(upstream.address)
         run = self._crash_guard.begin(
             guarded,
@@ -99,9 +112,8 @@
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            self._attempt_hooks(grant, upstream, pool, run, switch),
+            self._attempt_hooks(grant, upstream, pool, run, observer),
         )
-        entries = self._routing.directory.entry_by_id
         source = entries.get(grant.fetch_from)
         is_broken = False
         try:
@@ -122,7 +134,7 @@
         upstream: UpstreamEntry,
         pool: ConnectionPool,
         run: GuardedRun,
-        switch: UpstreamSwitch,
+        observer: AttemptObserver,
     ) -> AttemptHooks:
         """Return the functions that one attempt calls on its way."""
 
@@ -133,11 +145,11 @@
 
         def record_sent(connection: ClientConnection) -> None:
             self._crash_guard.record_sent(run)
-            switch.watch(connection)
+            observer.watch(connection)
 
         def record_first_chunk() -> None:
             self._crash_guard.record_output(run)
-            switch.record_first_chunk()
+            observer.record_first_chunk()
             self._admission.record_first_chunk(grant)
 
         return AttemptHooks(
@@ -147,5 +159,6 @@
                 upstream, notice
             ),
             on_first_chunk=record_first_chunk,
+            async_before_relay=observer.async_before_relay,
             async_has_crashed=lambda: async_has_crashed(pool),
         )
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from lacewingspar_core.admission_events import RunOutcome
-from lacewingspar_core.attempt_rules import AttemptResult
+from lacewingspar_core.attempt_rules import RULE_BY_RESULT, AttemptResult
 from lacewingspar_core.routing import RouteKind
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import (
@@ -15,6 +15,11 @@
     RequestRequirements,
 )
 from lacewingspar_router.components.forwarding import const
+from lacewingspar_router.components.forwarding.attempt import AttemptEnd
+from lacewingspar_router.components.forwarding.replacement import (
+    Replacement,
+    SendFunction,
+)
 from lacewingspar_router.components.forwarding.request_recorder import (
     REASON_ATTEMPTS,
     REASON_BUDGET,
@@ -65,9 +70,10 @@
     """Finds the upstreams of one request, and replaces one that is silent.
 
     A silent upstream may go on, so its attempt continues while a replacement is
-    sought. The attempt is interrupted only if another upstream was granted and
-    accepts a connection, the retry budget allows it and the upstream is still
-    silent.
+    sought, and while the replacement may still refuse the request. The attempt
+    is interrupted only if another upstream was granted and accepts a
+    connection, the retry budget allows it, that upstream has responded or had
+    the time to refuse, and the first one is still silent.
 
     Args:
         app: The application.
@@ -77,6 +83,7 @@
         connection_pool: Returns the pool of connections to an address.
         upstreams_to_spare: Returns the upstreams to spare if the request may
             have crashed an upstream, otherwise None.
+        send: Sends the request.
     """
 
     def __init__(
@@ -87,6 +94,7 @@
         progress: CallProgress,
         connection_pool: Callable[[str], ConnectionPool],
         upstreams_to_spare: Callable[[], frozenset[str] | None],
+        send: SendFunction,
     ) -> None:
         self._app = app
         self._admission = app.get(ADMISSION)
@@ -96,11 +104,13 @@
         self._progress = progress
         self._connection_pool = connection_pool
         self._upstreams_to_spare = upstreams_to_spare
+        self._send = send
         self._initial_requirements = requirements_of(progress.call)
         self._watched: _WatchedAttempt | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._search: asyncio.Task[None] | None = None
         self._reserved: Grant | None = None
+        self._replacement: Replacement | None = None
         self._refusal: RequestRefusedError | None = None
 
     @property
@@ -108,6 +118,21 @@
         """Return whether the upstream in use is silent beyond the limit."""
         return self._watched is not None and _is_silent(self._watched)
 
+    @property
+    def has_replacement(self) -> bool:
+        """Return whether the next attempt has been sent and paid for."""
+        return self._replacement is not None
+
+    async def async_send(self, grant: Grant) -> AttemptEnd:
+        """Run the attempt of a grant, or go on with the one that was sent."""
+        replacement, self._replacement = self._replacement, None
+        if replacement is None:
+            return await self._send(grant, self)
+        return await replacement.async_take_over()
+
+    async def async_before_relay(self) -> None:
+        """Relay the stream of the upstream in use at once."""
+
     async def async_next_grant(self) -> Grant:
         """Return the grant for the next attempt.
 
@@ -115,6 +140,8 @@
             RequestRefusedError: No other upstream is granted.
         """
         history = self._progress.history
+        if self._replacement is not None:
+            return self._replacement.grant
         try:
             if self._search is not None:
                 await self._search
@@ -204,12 +231,24 @@
             self._search.cancel()
             self._search = None
         self._give_back_reserved()
+        self._withdraw_replacement()
 
     def _give_back_reserved(self) -> None:
         if self._reserved is not None:
             self._admission.end(self._reserved, RunOutcome.CANCELLED)
             self._reserved = None
 
+    def _withdraw_replacement(self) -> None:
+        replacement, self._replacement = self._replacement, None
+        if replacement is None:
+            return
+        replacement.cancel()
+        grant = replacement.grant
+        self._progress.history.record(
+            AttemptResult.WITHDRAWN, grant.upstream_id
+        )
+        self._admission.end(grant, RunOutcome.CANCELLED)
+
     def _check_after(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -272,7 +311,8 @@
             if self._watched is watched:
                 self._record_no_replacement(watched, REASON_UNREACHABLE)
         else:
-            self._use_reserved(watched)
+            if self._may_use_reserved(watched):
+                await self._async_replace(watched)
         finally:
             if self._search is asyncio.current_task():
                 self._search = None
@@ -296,17 +336,17 @@
         )
         self._admission.end(grant, RunOutcome.NOT_RUN, is_unreachable=True)
 
-    def _use_reserved(self, watched: _WatchedAttempt) -> None:
-        """Interrupt the attempt in favour of the reserved grant, if allowed.
+    def _may_use_reserved(self, watched: _WatchedAttempt) -> bool:
+        """Return whether to send the request to the reserved upstream.
 
-        An attempt that has failed needs no interruption: the next one takes the
-        grant.
+        If it is not used, the grant is given back. An attempt that has failed
+        leaves it to the next one.
         """
         if self._watched is not watched or watched.connection.has_failed:
-            return
+            return False
         if not _is_silent(watched):
             self._give_back_reserved()
-            return
+            return False
         obstacle = self._find_obstacle(self._reserved)
         if not obstacle and not self._retry_budgets.try_spend(
             self._progress.call
@@ -315,10 +355,56 @@
         if obstacle:
             self._give_back_reserved()
             self._record_no_replacement(watched, obstacle)
+        return not obstacle
+
+    async def _async_replace(self, watched: _WatchedAttempt) -> None:
+        """Send the request to the reserved upstream and leave the silent one.
+
+        The silent one is kept until the other one responds, as that may refuse.
+        """
+        grant, self._reserved = self._reserved, None
+        assert grant is not None
+        replacement = self._replacement = Replacement(grant, self)
+        replacement.start(
+            self._app.create_task(
+                self._send(grant, replacement),
+                "replacement of a silent upstream",
+            )
+        )
+        await replacement.async_wait_for_response(
+            const.REPLACEMENT_RESPONSE_SECONDS
+        )
+        if (
+            self._replacement is not replacement
+            or self._watched is not watched
+            or watched.connection.has_failed
+        ):
+            # The attempt ends, and the next one goes on with the replacement.
             return
-        self._progress.no_replacement = ""
-        self._record(watched, REPLACED)
-        watched.connection.interrupt()
+        if not _is_silent(watched):
+            self._withdraw_replacement()
+        elif replacement.failure is not None:
+            self._record_failed_replacement(watched, grant, replacement.failure)
+        else:
+            self._progress.no_replacement = ""
+            self._record(watched, REPLACED)
+            watched.connection.interrupt()
+
+    def _record_failed_replacement(
+        self, watched: _WatchedAttempt, grant: Grant, end: AttemptEnd
+    ) -> None:
+        """Record a replacement that has failed; the silent upstream is kept."""
+        self._replacement = None
+        self._progress.history.record(end.result, grant.upstream_id)
+        self._admission.end(
+            grant,
+            RULE_BY_RESULT[end.result].outcome,
+            is_unreachable=end.result is AttemptResult.UNREACHABLE,
+        )
+        self._recorder.record_failed_attempt(
+            self._progress, grant.upstream_id, end
+        )
+        self._record_no_replacement(watched, end.result)
 
     def _find_obstacle(self, grant: Grant | None = None) -> str:
         """Return why no upstream may replace the present one, or ""."""
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -64,6 +64,7 @@
 
     Attributes:
         refuse: Respond 503 and state that the request did not run.
+        refuse_after_seconds: Delay of a response of `refuse`.
         refuse_silently: Respond 503 without stating whether it ran.
         status: Status of the responses to plain calls.
         is_other_upstream: Respond 421, like a different upstream that has
@@ -71,7 +72,7 @@
         break_after_events: Number of events after which to reset the
             connection, or -1 for no reset.
         cut_event: Send half of the next event before the reset.
-        mute: Run requests and never respond.
+        mute: Run requests and do not respond until `Upstream.unmute`.
         extra_answer: Send a second response after each complete one.
         stray_id: Send a response with the id of another request first.
         unframed: Send responses that end with the connection, without a
@@ -100,6 +101,7 @@
     """
 
     refuse: bool = False
+    refuse_after_seconds: float = 0.0
     refuse_silently: bool = False
     status: int = 200
     is_other_upstream: bool = False
@@ -160,6 +162,7 @@
         runs: Number of runs by request id.
         running: Number of requests that run now.
         endless_bytes: Bytes written of endless parts of responses.
+        unmuted: Set once the fault `mute` has ended.
         cancelled: Number of requests whose connection closed before they
             ended.
         part_crashes: Prompt parts that have crashed it, and when.
@@ -192,6 +195,7 @@
         self.part_crashes: list[tuple[str, float]] = []
         self.on_crash: Callable[[bool], None] | None = None
         self.endless_bytes = 0
+        self.unmuted = asyncio.Event()
         self.open_connections: set[_Connection] = set()
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -205,6 +209,11 @@
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
+    def unmute(self) -> None:
+        """Go on with all requests, also those that wait for a response."""
+        self.faults.mute = False
+        self.unmuted.set()
+
     def crash(self, *, by_part: bool = False) -> None:
         """Stop listening and end all connections.
 
@@ -286,6 +295,8 @@
             await self._async_respond_endlessly(request)
             return
         if faults.refuse:
+            if faults.refuse_after_seconds:
+                await asyncio.sleep(faults.refuse_after_seconds)
             request.ended_at = asyncio.get_running_loop().time()
             request.retry_after = faults.retry_after
             self._write_response(request, 503, b"full", ["X-Not-Executed: 1"])
@@ -305,7 +316,7 @@
                 self._upstream.crash()
                 return
             if faults.mute:
-                await asyncio.Event().wait()
+                await self._upstream.unmuted.wait()
             await self._async_pause_after(0)
             if "stream" in request.target:
                 await self._async_respond_stream(request)
--- a/tests/core/test_attempt_rules.py
+++ b/tests/core/test_attempt_rules.py
@@ -22,6 +22,8 @@
         ([Result.BROKEN] * 2, True, 2, False, True),
         ([Result.INVALID], False, 3, False, True),
         ([Result.TIMED_OUT], True, 2, True, True),
+        ([Result.WITHDRAWN], True, 2, True, True),
+        ([Result.NOT_RUN, Result.TIMED_OUT], True, 2, False, True),
         ([Result.UPSTREAM_FAILURE], True, 2, True, True),
         ([Result.UPSTREAM_FAILURE], False, 2, False, True),
         ([Result.BROKEN, Result.NOT_RUN], True, 2, False, True),
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -11,6 +11,10 @@
 from lacewingspar_core.attempt_rules import AttemptHistory, AttemptResult
 from lacewingspar_router.components.admission.models import ADMISSION, Grant
 from lacewingspar_router.components.forwarding import const, upstream_switch
+from lacewingspar_router.components.forwarding.attempt import AttemptEnd
+from lacewingspar_router.components.forwarding.replacement import (
+    AttemptObserver,
+)
 from lacewingspar_router.components.forwarding.upstream_switch import (
     UpstreamSwitch,
 )
@@ -19,6 +23,7 @@
 
 GRANT = Grant(2, "u2", "", "r1")
 LIMIT_SECONDS = 0.05
+RESPONDED = AttemptEnd(AttemptResult.RESPONDED)
 
 
 class Harness:
@@ -62,6 +67,8 @@
         self.connection.interrupt.side_effect = lambda: setattr(
             self.connection, "has_failed", True
         )
+        self.sent: list[Grant] = []
+        self.answered: asyncio.Future[AttemptEnd | None] = asyncio.Future()
         self.switch = UpstreamSwitch(
             app,
             self.budgets,
@@ -69,6 +76,7 @@
             self.progress,
             mock.Mock(return_value=self.pool),
             mock.Mock(return_value=None),
+            self._async_send,
         )
         self.switch.watch(self.connection)
 
@@ -80,6 +88,23 @@
         # Shielded, so that a test can grant a search that was withdrawn.
         return await asyncio.shield(self.granted)
 
+    async def _async_send(
+        self, grant: Grant, observer: AttemptObserver
+    ) -> AttemptEnd:
+        """Wait for the answer; None is the head of a stream."""
+        self.sent.append(grant)
+        observer.watch(mock.Mock(last_progress_at=time.monotonic()))
+        end = await self.answered
+        if end is not None:
+            return end
+        await observer.async_before_relay()
+        return RESPONDED
+
+    async def async_answer(self, end: AttemptEnd | None) -> None:
+        self.answered.set_result(end)
+        for _ in range(5):
+            await asyncio.sleep(0)
+
     async def async_until_asked(self) -> None:
         async with asyncio.timeout(5.0):
             while not self.asked:  # noqa: ASYNC110
@@ -102,16 +127,92 @@
     return made
 
 
-async def test_replacement_interrupts_the_attempt(harness: Harness) -> None:
+@pytest.mark.parametrize("end", [None, RESPONDED])
+async def test_replacement_interrupts_the_attempt(
+    harness: Harness, end: AttemptEnd | None
+) -> None:
     assert harness.asked == [{"u1"}]
-    harness.connection.interrupt.assert_not_called()
     await harness.async_grant()
+    assert harness.sent == [GRANT]
+    harness.connection.interrupt.assert_not_called()
+    await harness.async_answer(end)
     harness.connection.interrupt.assert_called_once()
     harness.switch.end_watch()
     assert await harness.switch.async_next_grant() is GRANT
+    assert harness.switch.has_replacement
+    assert await harness.switch.async_send(GRANT) is RESPONDED
     harness.switch.close()
     assert harness.returned == []
-    assert len(harness.asked) == 1
+    assert len(harness.asked) == len(harness.sent) == 1
+    harness.budgets.try_spend.assert_called_once()
+
+
+async def test_replacement_that_does_not_respond_interrupts_the_attempt(
+    harness: Harness,
+) -> None:
+    """Guards against two upstreams that work on one request."""
+    await harness.async_grant()
+    await asyncio.sleep(const.REPLACEMENT_RESPONSE_SECONDS / 2)
+    harness.connection.interrupt.assert_not_called()
+    await asyncio.sleep(const.REPLACEMENT_RESPONSE_SECONDS)
+    harness.connection.interrupt.assert_called_once()
+
+
+@pytest.mark.parametrize(
+    ("result", "outcome"),
+    [
+        (AttemptResult.NOT_RUN, RunOutcome.NOT_RUN),
+        (AttemptResult.WRONG_UPSTREAM, RunOutcome.NOT_RUN),
+        (AttemptResult.WITHHELD, RunOutcome.CANCELLED),
+        (AttemptResult.UNREACHABLE, RunOutcome.NOT_RUN),
+        (AttemptResult.BROKEN, RunOutcome.BROKEN),
+        (AttemptResult.INVALID, RunOutcome.FAILED),
+        (AttemptResult.UPSTREAM_FAILURE, RunOutcome.FAILED),
+    ],
+)
+async def test_failed_replacement_leaves_the_attempt_alone(
+    harness: Harness, result: AttemptResult, outcome: RunOutcome
+) -> None:
+    """Guards against a silent upstream that is left for one that refuses."""
+    await harness.async_grant()
+    await harness.async_answer(AttemptEnd(result))
+    harness.connection.interrupt.assert_not_called()
+    assert harness.returned == [(GRANT, outcome)]
+    assert harness.progress.history.tried == {"u2"}
+    assert harness.progress.no_replacement == result
+    harness.switch.close()
+    assert len(harness.returned) == 1
+
+
+async def test_replacement_is_withdrawn_if_the_upstream_goes_on(
+    harness: Harness,
+) -> None:
+    """Guards against events of two runs in one stream."""
+    await harness.async_grant()
+    harness.connection.last_progress_at = time.monotonic() + 60
+    await harness.async_answer(None)
+    harness.connection.interrupt.assert_not_called()
+    assert harness.returned == [(GRANT, RunOutcome.CANCELLED)]
+    assert harness.progress.history.sent == 1
+    assert not harness.switch.has_replacement
+
+
+async def test_attempt_that_fails_beside_its_replacement_leaves_the_request(
+    harness: Harness,
+) -> None:
+    """Guards against a third send beside the one that was paid for."""
+    await harness.async_grant()
+    harness.connection.has_failed = True
+    harness.switch.end_watch()
+    assert harness.switch.has_replacement
+    assert await harness.switch.async_next_grant() is GRANT
+    following = asyncio.create_task(harness.switch.async_send(GRANT))
+    await harness.async_answer(None)
+    assert await following is RESPONDED
+    harness.connection.interrupt.assert_not_called()
+    harness.budgets.try_spend.assert_called_once()
+    assert harness.sent == [GRANT]
+    assert harness.returned == []
 
 
 async def test_interrupted_attempt_starts_no_further_search(
@@ -119,6 +220,7 @@
 ) -> None:
     """Guards against a second grant that replaces the reserved one."""
     await harness.async_grant()
+    await harness.async_answer(None)
     await asyncio.sleep(2 * const.SILENCE_CHECK_INTERVAL_SECONDS)
     harness.connection.interrupt.assert_called_once()
     harness.switch.end_watch()
@@ -254,6 +356,7 @@
     harness.asked.clear()
     await harness.async_until_asked()
     await harness.async_grant()
+    await harness.async_answer(None)
     harness.connection.interrupt.assert_called_once()
     outcomes = [
         call.args[2] for call in harness.recorder.record_silence.call_args_list
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -15,7 +15,9 @@
 
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_router.components.admission.models import ADMISSION
+from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_standins.deployed.documents import SLOTS
 from lacewingspar_standins.deployed.upstream import Upstream
 
@@ -44,6 +46,8 @@
     ),
     route("/write/", "non_idempotent", "engines", timeoutMs=9000),
 ]
+# Longest time for which two upstreams may work on one request.
+MAX_OVERLAP_SECONDS = 0.4
 # Settings of a router whose retry budget never allows a retry.
 NO_BUDGET = {"retry_ratio": 0.0, "retry_allowance": 0.0}
 
@@ -67,6 +71,17 @@
     return upstream_id in directory.entry_by_id
 
 
+def decline_all(deployment: Deployment) -> None:
+    """Let the pools decline every further request."""
+
+    async def async_decline(*args: Any) -> Any:
+        del args
+        raise RequestRefusedError(503, "deadline_unreachable", "declined")
+
+    admission = deployment.apps[0].get(ADMISSION)
+    setattr(admission, "async_acquire", async_decline)  # noqa: B010
+
+
 def events(lines: list[Any], event: str) -> list[Any]:
     return [line for line in lines if line["event"] == event]
 
@@ -163,7 +178,7 @@
     response = await call
     assert (response.body, response.is_complete) == (STREAM, True)
     assert (first.runs.total(), second.runs.total()) == (1, 1)
-    # The first run is cancelled before the second is sent.
+    # The first run is cancelled once the second one responds.
     assert first.cancelled + second.cancelled == 1
 
 
@@ -342,3 +357,120 @@
     other.faults.refuse = True
     response = await call
     assert (response.body, response.is_complete) == (STREAM, True)
+
+
+@pytest.mark.parametrize(
+    ("path", "after"), [("/stream/1", 0), ("/stream/1", 3), ("/read/", 0)]
+)
+@pytest.mark.parametrize("obstacle", ["none", "budget", "pool"])
+async def test_silent_upstream_is_kept_if_its_replacement_refuses(
+    deployment: Deployment, path: str, after: int, obstacle: str
+) -> None:
+    """Guards against a run that is given up and may not be started again."""
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.pause_after_events = after
+        engine.faults.pause_seconds = 1.6
+    # The budget allows one retry.
+    settings = {"retry_ratio": 0.0, "retry_allowance": 2.0}
+    caller = await deployment.add_router(
+        **settings if obstacle == "budget" else {}
+    )
+    call = asyncio.create_task(caller.call(path, budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    other = next(engine for engine in engines if not engine.running)
+    other.faults.refuse = True
+    other.faults.refuse_after_seconds = 0.05
+    await until(lambda: bool(other.received))
+    if obstacle == "pool":
+        decline_all(deployment)
+    response = await call
+    assert (response.status, response.is_complete) == (200, True)
+    if "stream" in path:
+        assert response.body == STREAM
+    assert sum(engine.runs.total() for engine in engines) == 1
+    assert sum(len(engine.received) for engine in engines) == 2
+
+
+async def test_stream_is_whole_if_its_replacement_refuses_late(
+    deployment: Deployment,
+) -> None:
+    """Guards against a stream that is cut once its upstream was left."""
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.pause_after_events = 3
+        engine.faults.pause_seconds = 1.6
+    caller = await deployment.add_router()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    other = next(engine for engine in engines if not engine.running)
+    other.faults.refuse = True
+    other.faults.refuse_after_seconds = 0.4
+    response = await call
+    assert (response.body, response.is_complete) == (STREAM, True)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/read/"])
+async def test_two_upstreams_hardly_work_on_one_request(
+    deployment: Deployment, path: str
+) -> None:
+    """Guards against a run that goes on beside the one that replaces it."""
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.mute = True
+    caller = await deployment.add_router()
+    call = asyncio.create_task(caller.call(path, budget_ms=3000))
+    await until(lambda: all(engine.received for engine in engines))
+    first, second = sorted(
+        (engine.received[0] for engine in engines), key=lambda item: item.at
+    )
+    await until(lambda: first.ended_at < float("inf"))
+    assert first.ended_at - second.at < MAX_OVERLAP_SECONDS
+    await call
+    await until(lambda: sum(item.cancelled for item in engines) == 2)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/read/"])
+async def test_upstream_that_goes_on_beside_its_replacement_is_kept(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against events of two runs, and a second run beside the first."""
+    monkeypatch.setattr(const, "REPLACEMENT_RESPONSE_SECONDS", 5.0)
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.mute = True
+    caller = await deployment.add_router()
+    call = asyncio.create_task(caller.call(path, budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    first = next(engine for engine in engines if engine.running)
+    other = next(engine for engine in engines if not engine.running)
+    await until(lambda: bool(other.running))
+    first.unmute()
+    response = await call
+    assert (response.status, response.is_complete) == (200, True)
+    await until(lambda: not other.running)
+    assert (first.cancelled, other.cancelled) == (0, 1)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/read/"])
+async def test_upstream_that_breaks_beside_its_replacement_costs_no_retry(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against a second send beside the one that was paid for."""
+    monkeypatch.setattr(const, "REPLACEMENT_RESPONSE_SECONDS", 5.0)
+    engines = await add_engines(deployment, 2)
+    for engine in engines:
+        engine.faults.mute = True
+    # Allows one retry.
+    caller = await deployment.add_router(retry_ratio=0.0, retry_allowance=2.0)
+    call = asyncio.create_task(caller.call(path, budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    first = next(engine for engine in engines if engine.running)
+    other = next(engine for engine in engines if not engine.running)
+    await until(lambda: bool(other.running))
+    for connection in list(first.open_connections):
+        connection.reset()
+    other.unmute()
+    response = await call
+    assert (response.status, response.is_complete) == (200, True)
+    assert (first.runs.total(), other.runs.total()) == (1, 1)
