Ask a pool again, at a bounded rate, to let a started stream go on

Cause: the one answer of the pool was final, and an upstream that has broken off was left out for good, also where it is the only one.

Weighed: - wait in the queue of the pool: a request without an upstream that it may use would take one of the three places that a grant examines for each workspace, and hold up the workspace behind it; - wait for the Retry-After of the decline: 0.15 to 0.3 of the time left, several seconds for long streams; callers abort a stream before; - chosen: ask again after 0.3 s, four times at most for one request, and all routers together 200 times a second for one service (each router its equal part, without coordination). A stream whose turn would come later than 1.2 s, or after its deadline, ends at once, as before. After the first decline, upstreams that broke off may be used again; those that refuse connections, are silent or send invalid data may not. Declines by deadline_unreachable, quarantine and the router itself stay final.

The state of a request at a stop (sent or waiting) is now read from the attempt in flight instead of the upstreams tried, as one may be used twice.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -91,6 +91,9 @@
         has_run: Whether an attempt that has ended may have run the request.
         is_in_flight: Whether an attempt has not ended yet.
         tried: Ids of the upstreams that were tried.
+        broken: Ids of the upstreams whose last attempt broke off. They may have
+            ended no more than a connection.
+        may_return: Whether these may be used again, as there is no other.
         return_to: Upstream that was left while it was silent and may be sent
             the request again, because the one that took over refused it and no
             attempt is left for a third; or "".
@@ -103,6 +106,8 @@
     has_run: bool = False
     is_in_flight: bool = False
     tried: frozenset[str] = frozenset()
+    broken: frozenset[str] = frozenset()
+    may_return: bool = False
     return_to: str = ""
     _left_silent: str = ""
 
@@ -113,6 +118,9 @@
         self.unreachable += not rule.was_sent
         self.has_run |= rule.may_have_run
         self.tried |= {upstream_id}
+        self.broken -= {upstream_id}
+        if result is AttemptResult.BROKEN:
+            self.broken |= {upstream_id}
         left, self._left_silent, self.return_to = self._left_silent, "", ""
         if result is AttemptResult.TIMED_OUT:
             self._left_silent = upstream_id
@@ -124,6 +132,11 @@
         """Return whether any upstream may have run the request."""
         return self.has_run or self.is_in_flight
 
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Return the upstreams that the next attempt must not use."""
+        return self.tried - self.broken if self.may_return else self.tried
+
     @property
     def may_replace(self) -> bool:
         """Return whether another attempt may replace the one in flight."""
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -21,6 +21,9 @@
     AttemptEnd,
     CallerResponse,
 )
+from lacewingspar_router.components.forwarding.continuations import (
+    Continuations,
+)
 from lacewingspar_router.components.forwarding.crash_guard import (
     CrashGuard,
     GuardedRequest,
@@ -68,6 +71,7 @@
         self._retry_budgets = RetryBudgets(app)
         self._crash_guard = CrashGuard(app)
         self._sender = UpstreamSender(app, self._crash_guard)
+        self._continuations = Continuations(app)
         self._recorder = RequestRecorder(app)
         self.acceptor = RequestAcceptor(app)
         self.in_flight = RequestsInFlight(app)
@@ -259,13 +263,20 @@
         Raises:
             RequestRefusedError: No upstream may be used.
         """
-        try:
-            self._crash_guard.check(guarded)
-            return await switch.async_next_grant()
-        except RequestRefusedError as error:
-            if progress.history.may_have_run:
-                raise refusals.repeat_refused(error) from error
-            raise
+        while True:
+            try:
+                self._crash_guard.check(guarded)
+                grant = await switch.async_next_grant()
+            except RequestRefusedError as error:
+                if await self._continuations.async_wait(progress, error):
+                    progress.history.may_return = True
+                    continue
+                if progress.history.may_have_run:
+                    raise refusals.repeat_refused(error) from error
+                raise
+            if progress.asked_again:
+                progress.no_replacement = ""
+            return grant
 
     async def _async_attempt(
         self, progress: CallProgress, grant: Grant, switch: UpstreamSwitch
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -40,6 +40,8 @@
         history: Attempts so far.
         upstream_id: Upstream of the last attempt, or "".
         no_replacement: Why no other upstream has replaced the last one, or "".
+        asked_again: Number of times that a pool was asked again for the rest of
+            the stream.
     """
 
     call: Call
@@ -47,13 +49,12 @@
     history: AttemptHistory
     upstream_id: str = ""
     no_replacement: str = ""
+    asked_again: int = 0
 
     @property
     def is_attempt_in_flight(self) -> bool:
         """Return whether the last attempt has not ended yet."""
-        return bool(self.upstream_id) and (
-            self.upstream_id not in self.history.tried
-        )
+        return self.history.is_in_flight
 
 
 class RequestRecorder:
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -145,8 +145,9 @@
         try:
             if self._search is not None:
                 await self._search
-            if self._refusal is not None:
-                raise self._refusal
+            refusal, self._refusal = self._refusal, None
+            if refusal is not None:
+                raise refusal
             grant, self._reserved = self._reserved, None
             if grant is not None:
                 return grant
@@ -184,7 +185,7 @@
         """Return the upstreams that the next attempt must not use."""
         history = self._progress.history
         if not history.return_to:
-            return history.tried
+            return history.excluded
         service = self._progress.call.service
         others = self._routing.directory.ready_upstreams(service).keys()
         return (history.tried | others) - {history.return_to}
--- a/tests/core/test_attempt_rules.py
+++ b/tests/core/test_attempt_rules.py
@@ -73,3 +73,25 @@
     for number, result in enumerate(results):
         history.record(result, f"u{number}")
     assert history.may_replace is expected
+
+
+@pytest.mark.parametrize(
+    ("attempts", "may_return", "excluded"),
+    [
+        ([("a", Result.BROKEN)], False, {"a"}),
+        ([("a", Result.BROKEN)], True, set()),
+        ([("a", Result.BROKEN), ("b", Result.UNREACHABLE)], True, {"b"}),
+        ([("a", Result.BROKEN), ("a", Result.UNREACHABLE)], True, {"a"}),
+        ([("a", Result.INVALID), ("b", Result.BROKEN)], True, {"a"}),
+        ([("a", Result.TIMED_OUT)], True, {"a"}),
+    ],
+)
+def test_upstreams_that_broke_off_may_be_used_again_without_others(
+    attempts: list[tuple[str, Result]], may_return: bool, excluded: set[str]
+) -> None:
+    """Guards against streams that are cut beside a sound upstream."""
+    history = AttemptHistory(may_run_again=True, max_sent=4)
+    history.may_return = may_return
+    for upstream_id, result in attempts:
+        history.record(result, upstream_id)
+    assert history.excluded == excluded
