Take the callers' own delay off the time of late answers in the soak

The soak now records when its own event loop was late, and dates what it sees in such a period, or 0.05 s after it, to its start. Delays of the router count as before: the cases of the table next to it show both sides.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -183,6 +183,7 @@
             leaving=soak.leaving,
             crashing_parts=soak.crashing_parts,
             sender_by_id=read_senders(processes.folder),
+            late_periods=loop_delay.periods,
         )
         if folder is not None:
             write_calls(folder, callers.calls)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -131,6 +131,7 @@
             call.sent_at + call.deadline_seconds + MAX_RESPONSE_DELAY_SECONDS
         )
         seen_at = min(call.ended_at, call.disconnected_at)
+        seen_at -= observations.own_delay_seconds(seen_at)
         has_disconnected = (
             call.disconnected_at < call.sent_at + call.deadline_seconds
         )
--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -11,6 +11,8 @@
 # Time for which the end of a connection may travel over loopback.
 LOOPBACK_SECONDS = 0.0002
 LOOP_DELAY_INTERVAL_SECONDS = 0.01
+# Delays of the event loop from which on they are recorded.
+MIN_LOOP_DELAY_SECONDS = 0.02
 # State of an open connection in the first byte of `tcp_info` of Linux.
 _TCP_ESTABLISHED = 1
 
@@ -93,11 +95,16 @@
     """Measures the delay of the event loop.
 
     Attributes:
-        max_seconds: Longest delay so far.
+        periods: Start and end of each period for which the loop was late.
     """
 
     def __init__(self) -> None:
-        self.max_seconds = 0.0
+        self.periods: list[tuple[float, float]] = []
+
+    @property
+    def max_seconds(self) -> float:
+        """Return the longest delay so far."""
+        return max((end - start for start, end in self.periods), default=0.0)
 
     async def async_measure(self) -> None:
         """Measure until cancelled."""
@@ -105,7 +112,9 @@
         while True:
             due_at = loop.time() + LOOP_DELAY_INTERVAL_SECONDS
             await asyncio.sleep(LOOP_DELAY_INTERVAL_SECONDS)
-            self.max_seconds = max(self.max_seconds, loop.time() - due_at)
+            now = loop.time()
+            if now > due_at + MIN_LOOP_DELAY_SECONDS:
+                self.periods.append((due_at, now))
 
 
 async def async_connect_observed(address: str) -> ObservedConnection | None:
--- a/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_observations.py
@@ -36,6 +36,8 @@
         "not now",
     }
 )
+# Time for which callers handle what arrived while their event loop was late.
+HANDLING_SECONDS = 0.05
 # Maximum time until routers apply a new configuration.
 MAX_APPLY_SECONDS = 2.0
 
@@ -88,6 +90,7 @@
         crashing_parts: Prompt parts that have crashed engines.
         sender_by_id: Router that sent a request to its upstream, by the id of
             the request, if another router had accepted it.
+        late_periods: Periods for which the event loop of the callers was late.
     """
 
     calls: list[ObservedCall]
@@ -102,6 +105,7 @@
     leaving: list[tuple[str, float]] = field(default_factory=list)
     crashing_parts: list[str] = field(default_factory=list)
     sender_by_id: Mapping[str, str] = field(default_factory=dict)
+    late_periods: list[tuple[float, float]] = field(default_factory=list)
 
     @cached_property
     def arrivals_by_id(self) -> dict[str, list[tuple[str, ReceivedRequest]]]:
@@ -142,6 +146,21 @@
             for span in self.spans
         )
 
+    def own_delay_seconds(self, at: float) -> float:
+        """Return how much earlier the callers may have received something.
+
+        Args:
+            at: Time at which their event loop saw it.
+        """
+        return max(
+            (
+                at - start
+                for start, end in self.late_periods
+                if start <= at <= end + HANDLING_SECONDS
+            ),
+            default=0.0,
+        )
+
     def is_calm(self, call: ObservedCall) -> bool:
         """Return whether there was only planned work around a request."""
         return not any(
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -65,6 +65,7 @@
         service: Service of the upstream that received the request, or "".
         worked_seconds: Time for which the upstream worked on it.
         changes: Later configurations by time of publication.
+        late_periods: Periods for which the callers' event loop was late.
     """
 
     call: ObservedCall
@@ -73,6 +74,7 @@
     service: str = ""
     worked_seconds: float = 0.1
     changes: dict[float, SoakConfiguration] = field(default_factory=dict)
+    late_periods: tuple[tuple[float, float], ...] = ()
 
 
 def load(router_id: str) -> Span:
@@ -166,6 +168,17 @@
     "late beside load of another router": Case(
         LATE, ("late answers",), (load("r1"),)
     ),
+    "seen late by the caller": Case(
+        LATE, late_periods=((SENT_AT + 4.4, SENT_AT + 4.59),)
+    ),
+    "late before the caller was late": Case(
+        LATE,
+        ("late answers",),
+        late_periods=((SENT_AT + 4.55, SENT_AT + 4.59),),
+    ),
+    "late after the caller was late": Case(
+        LATE, ("late answers",), late_periods=((SENT_AT + 4.0, SENT_AT + 4.5),)
+    ),
     "denied beside load": replace(denied(404), spans=(load("r0"),)),
     "closing response to a request that crossed the end": Case(
         closed(-0.01, status=408, is_complete=True)
@@ -232,6 +245,7 @@
         faults_end_at=SENT_AT + 100.0,
         events=8,
         grace_seconds=4.0,
+        late_periods=list(case.late_periods),
     )
 
 
