--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -166,6 +166,7 @@
         cancelled: Number of requests whose connection closed before they
             ended.
         part_crashes: Prompt parts that have crashed it, and when.
+        may_go_on: Ends all pauses, instead of `pause_seconds`, or None.
         on_crash: Called at each crash with whether a prompt part caused it, or
             None.
 
@@ -193,6 +194,7 @@
         self.connections = 0
         self.crashes = 0
         self.part_crashes: list[tuple[str, float]] = []
+        self.may_go_on: asyncio.Event | None = None
         self.on_crash: Callable[[bool], None] | None = None
         self.endless_bytes = 0
         self.unmuted = asyncio.Event()
@@ -399,8 +401,12 @@
     async def _async_pause_after(self, events: int) -> None:
         """Pause if the run pauses after this number of events."""
         faults = self._upstream.faults
-        if events == faults.pause_after_events:
+        if events != faults.pause_after_events:
+            return
+        if self._upstream.may_go_on is None:
             await asyncio.sleep(faults.pause_seconds)
+        else:
+            await self._upstream.may_go_on.wait()
 
     def close(self) -> None:
         """Close the connection after what has been written."""
