--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -274,11 +274,14 @@
         del seconds
 
 
-@pytest.fixture
-async def overloaded_caller(
-    served: Deployment, monkeypatch: pytest.MonkeyPatch
+async def async_add_overloaded_router(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> Caller:
-    """Provide a caller of an overloaded router with an idle neighbour."""
+    """Start an overloaded router and an idle neighbour.
+
+    Returns:
+        A caller of the overloaded router.
+    """
     callers: list[Caller] = []
     for name, share in (("r1", 1.0), ("r2", 0.0)):
         with monkeypatch.context() as patch:
@@ -287,8 +290,8 @@
                 "HandOverController",
                 partial(_FixedHandOverController, share),
             )
-            callers.append(await served.add_router(name))
-    first, second = served.apps
+            callers.append(await deployment.add_router(name))
+    first, second = deployment.apps
     peers = first.get(PEERS)
 
     def is_known() -> bool:
@@ -299,6 +302,14 @@
     return callers[0]
 
 
+@pytest.fixture
+async def overloaded_caller(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> Caller:
+    """Provide a caller of an overloaded router with an idle neighbour."""
+    return await async_add_overloaded_router(served, monkeypatch)
+
+
 async def until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
