Keep the delays of the test machine from the limits of routers under test

Seen beside load (25 to 33 on 8 cores): up to 8 of 64 cases of test_configuration_changes, 5 fixtures and 3 cases of test_upstream_notices, test_data_centres and test_reader_role fail in their set-up.

Cause: the machine holds up the process of the tests, the routers in it measure that as a delay of their event loop, call themselves busy and lower their limit of requests in flight ("router_overloaded", loop 1.3 s late), as they should.

The routers of the in-process deployment now measure no delay, as on a machine that is idle; tests of such delays set them. No bound or assertion changes.

The loop that closes stale connections is guarded like the others.

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -21,6 +21,7 @@
 )
 from lacewingspar_router.http1.exchange import ConnectionLimits
 from lacewingspar_router.http1.server import Http1Server
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -77,7 +78,7 @@
     app.on_drain("forwarding", lambda: _async_drain(app, callers, handler))
     app.on_unload("forwarding", async_unload)
     app.on_abort(async_end_requests)
-    app.create_task(_async_close_stale(handler), "drop stale connections")
+    app.create_task(_async_close_stale(app, handler), "drop stale connections")
     monitor = LoadMonitor(app, callers, handler.load_shedder, handler.hand_over)
     app.create_task(monitor.async_run(), "measure load")
     await callers.async_start(settings.caller_address)
@@ -121,7 +122,9 @@
         await asyncio.sleep(0.05)
 
 
-async def _async_close_stale(handler: CallHandler) -> None:
+async def _async_close_stale(app: Application, handler: CallHandler) -> None:
+    guard = LoopGuard(app, "stale connections")
     while True:
         await asyncio.sleep(const.STALE_CONNECTION_CHECK_INTERVAL_SECONDS)
-        handler.close_stale_connections()
+        with guard:
+            handler.close_stale_connections()
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -16,6 +16,7 @@
 from lacewingspar_core.messages import RouterState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.forwarding import hand_over
+from lacewingspar_router.components.forwarding.load_monitor import LoadMonitor
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.messages import (
@@ -245,7 +246,17 @@
 
 
 @pytest.fixture
-async def deployment() -> AsyncIterator[Deployment]:
+def undelayed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep the delays of the test machine from the limits of the routers."""
+    record_delay = LoadMonitor._record_delay
+    monkeypatch.setattr(
+        LoadMonitor, "_record_delay", lambda self, _: record_delay(self, 0.0)
+    )
+
+
+@pytest.fixture
+async def deployment(undelayed: None) -> AsyncIterator[Deployment]:
+    del undelayed
     async with AsyncExitStack() as stack:
         made = Deployment(stack)
         await made.async_start()
