Answer requests on connections that end in further states

The loop reads first now. - 100 Continue was sent in front of the early refusal of the request before. - The answer to rejected input followed a refusal that announced the end. - Behind a cancelled request, closing responses followed an announced end. - An exception of the early responder or of the observer left requests without an answer, and other connections open. It closes once, and connections that are only read until their callers end them are not waited for. - A connection with unsent data counted as idle for "room". - A caller that half-closes is recorded then, so that nothing is counted as refused on a connection that can send no more.

The closing response is 408 without a body in all cases, as the method of a request that was not read is unknown, and as a router that handed a request over takes it as not run. A refusal at the end of the process keeps its 503.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -41,9 +41,9 @@
 WRITE_BUFFER_HIGH_WATER_BYTES = 256 * 1024
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Sent on a connection that ends without a request; it says that a request that
-# is on its way will not run.
-_NO_REQUEST = Response(408, [], b"")
+# Response to requests that no handler has begun when their connection ends, and
+# to one that is on its way. It has no body, as the method may be unknown.
+_CLOSING_RESPONSE = Response(408, [], b"")
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +118,11 @@
             return True
         return self._end_reason is None and not self.is_idle
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection takes requests or sends responses."""
+        return self._end_reason is None or self.is_busy
+
     @property
     def last_active_at(self) -> float:
         """Return the loop time at which a request last made progress."""
@@ -145,13 +150,13 @@
         try:
             reader.feed(data)
         except InputRejectedError as error:
-            self._send_early_responses()
             if self._end_reason is None:
                 self._reject_input(error.status)
             else:
                 _LOGGER.debug("input ignored after the end", error=str(error))
             return
-        self._send_early_responses()
+        if self._early_responses:
+            self._send_early_responses()
         if self._end_reason is not None:
             return
         if reader.is_reading and not was_reading:
@@ -162,18 +167,11 @@
 
         A caller that only ends its side of the connection looks the same.
         """
+        self._record_caller_left(None)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight."""
-        if self._end_reason is None:
-            self._end_reason = EndReason.CALLER_LEFT
-            self._server.observer.record_end(
-                ConnectionEnded(
-                    self._end_reason,
-                    self._unanswered(),
-                    error="" if exc is None else str(exc),
-                )
-            )
+        self._record_caller_left(exc)
         self._server.connections.discard(self)
         self._queued_requests.clear()
         self._can_write.set()
@@ -206,7 +204,7 @@
             self._server.observer.record_crossing(request, self._end_reason)
             return
         if self._task is None and not self._queued_requests:
-            response = self._server.early_responder(request)
+            response = self._early_response(request)
             if response is not None:
                 self._early_responses.append(
                     _EarlyResponse(request, response, closes)
@@ -224,8 +222,13 @@
             self._transport.pause_reading()
 
     def send_continue(self) -> None:
-        """Tell the caller to send a body, unless a response is in flight."""
-        if self._task is None and self._reader.is_continue_due:
+        """Tell the caller to send a body, unless a response is due before."""
+        if (
+            self._task is None
+            and not self._early_responses
+            and not self._queued_requests
+            and self._reader.is_continue_due
+        ):
             self._reader.is_continue_due = False
             self.write(_CONTINUE)
 
@@ -249,6 +252,7 @@
             bool(self._queued_requests)
             or bool(self._early_responses)
             or self._reader.is_reading
+            or self._error_status_at_end is not None
             or (
                 self._transport is not None and self._transport.unread_bytes > 0
             )
@@ -270,9 +274,14 @@
 
     # End of the connection
 
-    def end(self, reason: EndReason) -> bool:
+    def end(self, reason: EndReason, refusal: Response | None = None) -> bool:
         """End the connection, after responses to what is unanswered.
 
+        Args:
+            reason: Reason of the end.
+            refusal: Response to the input that was received in part, or None
+                for the closing response.
+
         Returns:
             Whether it has ended. One with unread input may have to stay open.
         """
@@ -282,25 +291,41 @@
         unanswered = self._unanswered()
         if rule.waits_for_input and unanswered.unread_bytes:
             return False
-        refused = unanswered.closing_responses(rule)
+        responses = [_CLOSING_RESPONSE] * unanswered.closing_responses(rule)
+        if refusal is not None:
+            responses = [refusal]
+        refused = len(responses)
         if unanswered.response is ResponseState.PENDING:
-            self._write_response(Response(500, [], b""), closes=not refused)
-        response = _NO_REQUEST
-        if unanswered.not_begun:
-            response = self._server.closing_response
-        for number in range(refused):
-            self._write_response(response, closes=number == refused - 1)
+            responses.insert(0, Response(500, [], b""))
+        for number, response in enumerate(responses, 1):
+            self._write_response(response, closes=number == len(responses))
         self._end_reason = reason
         self._transport.end(drops_output=rule.drops_output)
-        self._server.observer.record_end(
-            ConnectionEnded(reason, unanswered, refused)
-        )
+        self._record_end(ConnectionEnded(reason, unanswered, refused))
         return True
 
     def end_if_idle(self, reason: EndReason) -> bool:
         """End the connection unless it is in use; return whether it ended."""
         return self.is_idle and self.end(reason)
 
+    def _record_caller_left(self, error: Exception | None) -> None:
+        if self._end_reason is not None:
+            return
+        self._end_reason = EndReason.CALLER_LEFT
+        self._record_end(
+            ConnectionEnded(
+                self._end_reason,
+                self._unanswered(),
+                error="" if error is None else str(error),
+            )
+        )
+
+    def _record_end(self, ended: ConnectionEnded) -> None:
+        try:
+            self._server.observer.record_end(ended)
+        except Exception:
+            _LOGGER.exception("end of a connection not recorded")
+
     def _unanswered(self) -> Unanswered:
         response = ResponseState.NONE
         if self._exchange is not None and not self._exchange.is_finished:
@@ -329,13 +354,18 @@
         head = encode_head(status_line(response.status), headers)
         self.write(head + response.body)
 
+    def _early_response(self, request: HttpRequest) -> Response | None:
+        try:
+            return self._server.early_responder(request)
+        except Exception:
+            _LOGGER.exception("early responder failed")
+            return None
+
     def _send_early_responses(self) -> None:
         """Send early responses to requests that were read, without a task.
 
         All input has been parsed, so that only the last one announces an end.
         """
-        if not self._early_responses:
-            return
         while self._early_responses:
             early = self._early_responses.popleft()
             self._closes_after_response = early.closes
@@ -413,16 +443,14 @@
             or not self._reader.is_reading
         ):
             return False
+        if self._transport is not None and self._transport.unread_bytes:
+            # The rest of the request may be there.
+            return False
         self._refuse_input(refusal)
         return True
 
     def _end_cancelled(self, exchange: ServerExchange) -> None:
         """End the response of a cancelled handler."""
-        if self._end_reason is not None:
-            return
-        if not exchange.is_started:
-            self._closes_after_response = True
-            exchange.send_response(500, [], b"")
         self.end(
             EndReason.ANNOUNCED
             if exchange.is_finished
@@ -438,16 +466,16 @@
             + (self._task is not None),
         )
         self._reader.end()
-        if self._task is None:
-            self._refuse_input(Response(status, [], b""))
-        else:
-            self._error_status_at_end = status
+        self._error_status_at_end = status
+        if self._early_responses:
+            self._send_early_responses()
+        elif self._task is None:
+            self._start_next_request()
 
     def _refuse_input(self, response: Response) -> None:
         """Respond to input that will not be handled, and end the connection."""
+        self.end(EndReason.REJECTED, response)
         self._reader.end()
-        self._write_response(response, closes=True)
-        self.end(EndReason.REJECTED)
 
     def _schedule_timeout_check(self) -> None:
         if self._timer is not None:
@@ -470,10 +498,12 @@
         elif (
             self._loop.time() >= self._last_active_at + self._timeout_seconds()
         ):
-            if self._reader.is_reading:
+            if self._transport is not None and self._transport.unread_bytes:
+                # A loop that is late has timers run before it reads.
+                self._timer = self._loop.call_later(0, self._check_timeout)
+            elif self._reader.is_reading:
                 self._reject_input(408)
-                return
-            if self.end(EndReason.IDLE_TIMEOUT):
-                return
-            self._last_active_at = self._loop.time()
+            else:
+                self.end(EndReason.IDLE_TIMEOUT)
+            return
         self._schedule_timeout_check()
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -37,8 +37,6 @@
 # Times that a closing server lets its event loop read input, however late the
 # loop is. Input that waits is read in one, and its response sent in the next.
 MIN_CLOSE_POLLS = 3
-# Response to requests that no handler has begun when their connection ends.
-_CLOSING_RESPONSE = Response(408, [], b"")
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
@@ -60,8 +58,6 @@
         limits: Limits of each connection; may be replaced at any time.
         connections: Open connections.
         observer: Records the ends of connections.
-        closing_response: Response to requests that no handler has begun when
-            their connection ends.
         is_closing_connections: Whether connections close after a response.
         max_connections: Number of open connections above which idle ones are
             closed.
@@ -87,7 +83,7 @@
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
         self.observer = observer or EndLog()
-        self.closing_response = _CLOSING_RESPONSE
+        self._is_closed = False
         self.is_closing_connections = False
         self.max_connections = DEFAULT_MAX_CONNECTIONS
         self._listener: Listener | None = None
@@ -127,7 +123,11 @@
             self._close_longest_idle()
 
     def _close_longest_idle(self) -> None:
-        idle = [item for item in self.connections if item.is_idle]
+        idle = [
+            item
+            for item in self.connections
+            if item.is_idle and not item.is_busy
+        ]
         longest_idle = heapq.nsmallest(
             IDLE_CLOSE_BATCH_SIZE, idle, key=lambda item: item.last_active_at
         )
@@ -157,15 +157,17 @@
             connection.end_if_idle(EndReason.DRAIN)
 
     async def async_close(self, refusal: Response) -> None:
-        """Close all connections after their last responses.
+        """Close all connections after their last responses, once.
 
         Handlers must end at once from now on.
 
         Args:
             refusal: Response to requests that are not received completely.
         """
+        if self._is_closed:
+            return
+        self._is_closed = True
         self.is_closing_connections = True
-        self.closing_response = refusal
         self.stop_listening()
         await self._async_wait_closed(CLOSE_RECEIVE_SECONDS)
         refused = sum(
@@ -184,13 +186,13 @@
         await self._async_wait_closed(0)
 
     async def _async_wait_closed(self, seconds: float) -> None:
-        """Wait until all connections are closed, at most this long."""
+        """Wait until all connections have ended, at most this long."""
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
         polls = 0
         # The first wait also registers connections that were just accepted.
         while not polls or (
-            self.connections
+            any(item.is_open for item in self.connections)
             and (loop.time() < ends_at or polls < MIN_CLOSE_POLLS)
         ):
             await asyncio.sleep(CLOSE_POLL_SECONDS)
--- a/tests/router/test_connection_end.py
+++ b/tests/router/test_connection_end.py
@@ -70,6 +70,12 @@
     return socket.create_connection(("127.0.0.1", server.port), timeout=5)
 
 
+async def async_until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
 async def async_read_all(caller: socket.socket) -> bytes:
     """Return what a caller receives until the end of its connection."""
     caller.setblocking(False)
@@ -85,8 +91,7 @@
     server: Http1Server, count: int, *, is_used: bool
 ) -> list[socket.socket]:
     callers = [connect(server) for _ in range(count)]
-    while len(server.connections) < count:  # noqa: ASYNC110
-        await asyncio.sleep(0.01)
+    await async_until(lambda: len(server.connections) >= count)
     for caller in callers if is_used else []:
         caller.sendall(request())
         await asyncio.sleep(0.01)
@@ -135,7 +140,7 @@
     is_used: bool,
 ) -> None:
     async def async_run() -> list[bytes]:
-        async with serving() as (server, _):
+        async with serving() as (server, recorder):
             callers = await async_connect_idle(server, count, is_used=is_used)
             for caller in callers:
                 caller.sendall(request())
@@ -144,6 +149,10 @@
             received = [await async_read_all(caller) for caller in callers]
             for caller in callers:
                 caller.close()
+            assert all(
+                (item.unanswered.unread_bytes > 0) is (close is close_at_once)
+                for item in recorder.ends
+            )
             return received
 
     with asyncio.Runner(loop_factory=LOOP_FACTORY_BY_NAME[loop]) as runner:
@@ -209,8 +218,7 @@
         caller.sendall(request("/crossing"))
         received = await async_read_all(caller)
         caller.close()
-        while not recorder.crossings:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
+        await async_until(lambda: bool(recorder.crossings))
     assert received.startswith(b"HTTP/1.1 408 ")
     assert b"connection: close\r\n" in received
     assert received.count(b"HTTP/1.1") == 1
@@ -289,6 +297,129 @@
     assert b"connection: close\r\n" in second
 
 
+@pytest.mark.parametrize("is_stopping", [False, True], ids=["", "stop"])
+@pytest.mark.parametrize("loop", LOOP_FACTORY_BY_NAME)
+def test_rest_of_a_request_that_a_late_loop_has_not_read_is_answered(
+    loop: str, *, is_stopping: bool
+) -> None:
+    """Guards against a refusal of what has arrived, and silence behind it."""
+
+    async def async_run() -> bytes:
+        async with serving() as (server, _):
+            server.limits = ConnectionLimits(header_timeout_seconds=0.2)
+            late, other = await async_connect_idle(server, 2, is_used=False)
+            late.sendall(request("/0")[:9])
+            await asyncio.sleep(0.05)
+
+            def block(blocking: HttpRequest) -> None:
+                if blocking.target == "/block":
+                    late.sendall(request("/0")[9:] + request("/1"))
+                    time.sleep(0.4)
+
+            server.early_responder = block
+            if is_stopping:
+                closing = asyncio.create_task(server.async_close(REFUSAL))
+                await asyncio.sleep(0.05)
+            other.sendall(request("/block"))
+            if not is_stopping:
+                await asyncio.sleep(0.05)
+                server.is_closing_connections = True
+            received = await async_read_all(late)
+            if is_stopping:
+                await closing
+            for caller in (late, other):
+                caller.close()
+            return received
+
+    with asyncio.Runner(loop_factory=LOOP_FACTORY_BY_NAME[loop]) as runner:
+        received = runner.run(async_run())
+    assert received.count(b"HTTP/1.1 200 ") == 2
+
+
+async def test_continue_is_sent_behind_an_early_refusal() -> None:
+    async with serving() as (server, _):
+        (caller,) = await async_connect_idle(server, 1, is_used=False)
+        server.early_responder = lambda item: (
+            REFUSAL if item.target == "/first" else None
+        )
+        caller.sendall(
+            request("/first")
+            + b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n"
+            b"expect: 100-continue\r\n\r\n"
+        )
+        await asyncio.sleep(0.05)
+        received = caller.recv(65536)
+        caller.close()
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert received.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+async def test_rejected_input_is_answered_behind_an_early_refusal() -> None:
+    async with serving() as (server, _):
+        (caller,) = await async_connect_idle(server, 1, is_used=False)
+        server.is_closing_connections = True
+        server.early_responder = lambda _: REFUSAL
+        caller.sendall(request() + b"\x00 no request\r\n\r\n")
+        received = await async_read_all(caller)
+        caller.close()
+    statuses = [part[:4] for part in received.split(b"HTTP/1.1")[1:]]
+    assert statuses == [b" 503", b" 400"]
+    assert received.count(b"connection: close\r\n") == 1
+
+
+async def test_requests_behind_a_cancelled_one_are_answered() -> None:
+    async def async_handle(_: ServerExchange) -> None:
+        raise asyncio.CancelledError
+
+    async with serving(async_handle) as (server, _):
+        (caller,) = await async_connect_idle(server, 1, is_used=False)
+        caller.sendall(request() + request())
+        received = await async_read_all(caller)
+        caller.close()
+    statuses = [part[:4] for part in received.split(b"HTTP/1.1")[1:]]
+    assert statuses == [b" 500", b" 408"]
+    assert received.count(b"connection: close\r\n") == 1
+
+
+async def test_errors_of_other_parts_leave_no_request_unanswered() -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError("failed")
+
+    async with serving() as (server, recorder):
+        callers = await async_connect_idle(server, 2, is_used=False)
+        server.early_responder = fail
+        recorder.record_end = fail  # type: ignore[method-assign]
+        for caller in callers:
+            caller.sendall(request())
+        await asyncio.sleep(0.05)
+        server.close_idle()
+        received = [await async_read_all(caller) for caller in callers]
+        for caller in callers:
+            caller.close()
+    assert all(data.startswith(b"HTTP/1.1 200 ") for data in received)
+    assert all(b"HTTP/1.1 408 " in data for data in received)
+
+
+async def test_server_closes_once_within_its_time() -> None:
+    async with serving() as (server, _):
+        callers = await async_connect_idle(server, 3, is_used=True)
+        await server.async_close(REFUSAL)
+        turns = 0
+
+        async def async_count() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        counting = asyncio.create_task(async_count())
+        await server.async_close(REFUSAL)
+        counting.cancel()
+        for caller in callers:
+            caller.close()
+    assert turns <= 1
+
+
 async def test_input_behind_the_last_request_does_not_reset_its_response() -> (
     None
 ):
@@ -360,8 +491,7 @@
         caller.sendall(request("/0") + request("/1") + b"GET /2 HT")
         await asyncio.sleep(0.05)
         caller.close()
-        while not recorder.ends:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
+        await async_until(lambda: bool(recorder.ends))
     assert recorder.ends == [
         ConnectionEnded(
             EndReason.CALLER_LEFT,
