--- a/tests/router/deployed/test_load_monitor.py
+++ b/tests/router/deployed/test_load_monitor.py
@@ -24,9 +24,7 @@
         connections = [
             await async_open_connection(caller.address) for _ in range(5)
         ]
-        await until(
-            lambda: sum(line.get("accepted", 0) for line in lines) == 5
-        )
+        await until(lambda: sum(line.get("accepted", 0) for line in lines) == 5)
     # An interval may end between two of the connections.
     line = [line for line in lines if line.get("accepted")][-1]
     assert line["event"] == "router load"
