--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -7,10 +7,12 @@
 
 import structlog
 
-from lacewingspar_router.http1.connection_end import (
+from lacewingspar_router.http1.caller_transport import (
     LINGER_SECONDS,
-    RULE_BY_REASON,
     CallerTransport,
+)
+from lacewingspar_router.http1.connection_end import (
+    RULE_BY_REASON,
     ConnectionEnded,
     EndReason,
     ResponseState,
--- a/packages/router/src/lacewingspar_router/http1/connection_end.py
+++ b/packages/router/src/lacewingspar_router/http1/connection_end.py
@@ -1,12 +1,8 @@
 """End of a caller's connection and the requests that are unanswered then."""
 
-import asyncio
-import fcntl
-import sys
-import termios
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol, cast
+from typing import Protocol
 
 import structlog
 
@@ -14,10 +10,6 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-# Time for which a connection is still read after its end was sent, so that
-# unread input does not reset it before the caller has read the last response.
-LINGER_SECONDS = 0.5
-
 
 class EndReason(StrEnum):
     """Reason for which a connection ends.
@@ -67,7 +59,7 @@
         is_notified: Whether the caller gets a closing response although it may
             have sent no request. It answers a request that crosses the end.
         drops_output: Whether output that the caller does not take is dropped
-            after `LINGER_SECONDS`.
+            after a delay.
     """
 
     waits_for_input: bool = False
@@ -184,97 +176,3 @@
             reason=reason,
             target=request.target,
         )
-
-
-class CallerTransport:
-    """Transport of a caller's connection; nothing else closes it.
-
-    The connection ends in three steps: the end is sent behind all output, then
-    input is read until the caller ends its side too or `LINGER_SECONDS` pass,
-    then the socket is closed.
-
-    Args:
-        transport: Transport of the event loop.
-    """
-
-    def __init__(self, transport: asyncio.BaseTransport) -> None:
-        # The transports of uvloop do not inherit from those of asyncio.
-        self._transport = cast(asyncio.Transport, transport)
-        self._loop = asyncio.get_running_loop()
-        self._is_ended = False
-        self._is_paused = False
-        self._timer: asyncio.TimerHandle | None = None
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the size of the write buffer."""
-        return self._transport.get_write_buffer_size()
-
-    @property
-    def unread_bytes(self) -> int:
-        """Return the size of the input that waits in the socket.
-
-        A late event loop has not read it yet.
-        """
-        file_descriptor = self._transport.get_extra_info("socket").fileno()
-        if file_descriptor < 0:
-            return 0
-        size = fcntl.ioctl(file_descriptor, termios.FIONREAD, bytes(4))
-        return int.from_bytes(size, sys.byteorder)
-
-    def set_write_limit(self, high: int) -> None:
-        """Set the size in bytes above which writing pauses."""
-        self._transport.set_write_buffer_limits(high=high)
-
-    def write(self, data: bytes) -> None:
-        """Send data, unless the connection has ended."""
-        if not self._is_ended and not self._transport.is_closing():
-            self._transport.write(data)
-
-    def pause_reading(self) -> None:
-        """Stop reading input."""
-        if not self._is_paused:
-            self._transport.pause_reading()
-            self._is_paused = True
-
-    def resume_reading(self) -> None:
-        """Read input again."""
-        if self._is_paused:
-            self._transport.resume_reading()
-            self._is_paused = False
-
-    def end(self, *, drops_output: bool) -> None:
-        """Send the end behind all output, then close.
-
-        Args:
-            drops_output: Whether output that the caller does not take is
-                dropped after `LINGER_SECONDS`.
-        """
-        if self._is_ended or self._transport.is_closing():
-            return
-        self._is_ended = True
-        self.resume_reading()
-        try:
-            self._transport.write_eof()
-        except OSError as error:
-            _LOGGER.debug("caller reset its connection", reason=str(error))
-            self._transport.abort()
-            return
-        self._schedule_close(drops_output=drops_output)
-
-    def release(self) -> None:
-        """Release the timer of a connection that was closed."""
-        self._is_ended = True
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _schedule_close(self, *, drops_output: bool) -> None:
-        def close() -> None:
-            if not self.unsent_bytes:
-                self._transport.close()
-            elif drops_output:
-                self._transport.abort()
-            else:
-                self._schedule_close(drops_output=False)
-
-        self._timer = self._loop.call_later(LINGER_SECONDS, close)
