Send the end of an idle connection without waiting for the event loop

Cause: uvloop sends what is written at the end of its iteration, and the end of the stream in the next one. Between the look at the socket and the send, a late loop may run for tenths of a second. Both are now sent at once, by a duplicate of the descriptor, unless output is unsent; without a descriptor the event loop sends them as before.

test_end_reaches_the_caller_before_a_late_loop_goes_on failed before on uvloop (asyncio sends at once).

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -299,10 +299,12 @@
         refused = len(responses)
         if unanswered.response is ResponseState.PENDING:
             responses.insert(0, Response(500, [], b""))
-        for number, response in enumerate(responses, 1):
-            self._write_response(response, closes=number == len(responses))
+        data = b"".join(
+            _encode_response(response, closes=number == len(responses))
+            for number, response in enumerate(responses, 1)
+        )
         self._end_reason = reason
-        self._transport.end(drops_output=rule.drops_output)
+        self._transport.end(data, drops_output=rule.drops_output)
         self._record_end(ConnectionEnded(reason, unanswered, refused))
         return True
 
@@ -346,16 +348,6 @@
             unread_bytes,
         )
 
-    def _write_response(self, response: Response, *, closes: bool) -> None:
-        headers = [
-            *response.headers,
-            (b"content-length", b"%d" % len(response.body)),
-        ]
-        if closes:
-            headers.append((b"connection", b"close"))
-        head = encode_head(status_line(response.status), headers)
-        self.write(head + response.body)
-
     def _early_response(self, request: HttpRequest) -> Response | None:
         try:
             return self._server.early_responder(request)
@@ -509,3 +501,13 @@
                 self.end(EndReason.IDLE_TIMEOUT)
             return
         self._schedule_timeout_check()
+
+
+def _encode_response(response: Response, *, closes: bool) -> bytes:
+    headers = [
+        *response.headers,
+        (b"content-length", b"%d" % len(response.body)),
+    ]
+    if closes:
+        headers.append((b"connection", b"close"))
+    return encode_head(status_line(response.status), headers) + response.body
--- a/packages/router/src/lacewingspar_router/http1/caller_transport.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_transport.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import fcntl
+import os
+import socket
 import sys
 import termios
 from typing import cast
@@ -72,10 +74,11 @@
             self._transport.resume_reading()
             self._is_paused = False
 
-    def end(self, *, drops_output: bool) -> None:
-        """Send the end behind all output, then close.
+    def end(self, data: bytes, *, drops_output: bool) -> None:
+        """Send the last data and the end behind all output, then close.
 
         Args:
+            data: Last data, or b"".
             drops_output: Whether output that the caller does not take is
                 dropped after `LINGER_SECONDS`.
         """
@@ -84,7 +87,9 @@
         self._is_ended = True
         self.resume_reading()
         try:
-            self._transport.write_eof()
+            if self.unsent_bytes or not self._send_at_once(data):
+                self._transport.write(data)
+                self._transport.write_eof()
         except OSError as error:
             _LOGGER.debug("caller reset its connection", reason=str(error))
             self._transport.abort()
@@ -97,6 +102,36 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _send_at_once(self, data: bytes) -> bool:
+        """Send the last data and the end in front of the event loop.
+
+        uvloop sends at the end of its iteration. A request that arrives until
+        then would meet a closing response that was decided without it.
+
+        Returns:
+            Whether they were sent; otherwise the event loop has to.
+
+        Raises:
+            OSError: The caller has reset the connection.
+        """
+        file_descriptor = self._transport.get_extra_info("socket").fileno()
+        try:
+            duplicate = os.dup(file_descriptor)
+        except OSError as error:
+            _LOGGER.debug("no descriptor to end with", reason=str(error))
+            return False
+        with socket.socket(fileno=duplicate) as connection:
+            try:
+                sent = connection.send(data) if data else 0
+            except BlockingIOError:
+                return False
+            if sent < len(data):
+                self._transport.write(data[sent:])
+                self._transport.write_eof()
+            else:
+                connection.shutdown(socket.SHUT_WR)
+        return True
+
     def _schedule_close(self, *, drops_output: bool) -> None:
         def close() -> None:
             if not self.unsent_bytes:
--- a/tests/router/test_connection_end.py
+++ b/tests/router/test_connection_end.py
@@ -199,6 +199,25 @@
     assert [data[:13] for data in received] == [b"HTTP/1.1 200 "] * 5
 
 
+@pytest.mark.parametrize("loop", LOOP_FACTORY_BY_NAME)
+def test_end_reaches_the_caller_before_a_late_loop_goes_on(loop: str) -> None:
+    """Guards against closing responses to requests that were sent before."""
+
+    async def async_run() -> bytes:
+        async with serving() as (server, _):
+            (caller,) = await async_connect_idle(server, 1, is_used=True)
+            server.close_idle()
+            # The event loop does not run until all was received.
+            received = b""
+            while part := caller.recv(65536):
+                received += part
+            caller.close()
+            return received
+
+    with asyncio.Runner(loop_factory=LOOP_FACTORY_BY_NAME[loop]) as runner:
+        assert runner.run(async_run()).startswith(b"HTTP/1.1 408 ")
+
+
 @pytest.mark.parametrize(
     ("close", "reason"),
     [
