Keep early responses in the queue of their connection

Requests with an early response had a queue, a data class and a loop of their own beside those of the other requests, and four places asked both queues. A queued request now carries its early response, and one loop works through the queue once the input was parsed.

--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -55,25 +55,12 @@
     Attributes:
         request: The request.
         closes: Whether the caller asks to close the connection afterwards.
+        early_response: Response that needs no handler, or None.
     """
 
     request: HttpRequest
     closes: bool
-
-
-@dataclass(frozen=True, slots=True)
-class _EarlyResponse:
-    """A response that needs no handler.
-
-    Attributes:
-        request: The request.
-        response: The response to it.
-        closes: Whether the caller asks to close the connection afterwards.
-    """
-
-    request: HttpRequest
-    response: Response
-    closes: bool
+    early_response: Response | None
 
 
 class CallerConnection(asyncio.Protocol):
@@ -89,7 +76,6 @@
         self._transport: CallerTransport | None = None
         self._reader = RequestReader(self, lambda: server.limits)
         self._queued_requests: deque[_QueuedRequest] = deque()
-        self._early_responses: deque[_EarlyResponse] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -157,10 +143,12 @@
             else:
                 _LOGGER.debug("input ignored after the end", error=str(error))
             return
-        if self._early_responses:
-            self._send_early_responses()
-        if self._end_reason is not None:
+        if self._task is None:
+            self._start_next_request()
+        if self._end_reason is not None or self._transport is None:
             return
+        if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+            self._transport.pause_reading()
         if reader.is_reading and not was_reading:
             self._schedule_timeout_check()
 
@@ -198,36 +186,30 @@
     def receive_request(
         self, method: str, target: str, headers: RawHeaders, body: bytes
     ) -> None:
-        """Handle a request, or queue it behind the one in flight."""
+        """Queue a request.
+
+        It is handled once the received input was parsed, as what follows it
+        decides whether its response announces the end.
+        """
         closes = self._reader.is_ended
         request = HttpRequest(method, target, headers, body, self._received_at)
         self._received_at = self._server.now()
         if self._end_reason is not None:
             self._server.observer.record_crossing(request, self._end_reason)
             return
-        if self._task is None and not self._queued_requests:
-            response = self._early_response(request)
-            if response is not None:
-                self._early_responses.append(
-                    _EarlyResponse(request, response, closes)
-                )
-                return
-        self._queued_requests.append(_QueuedRequest(request, closes))
-        if self._early_responses:
-            return
-        if self._task is None:
-            self._start_next_request()
-        elif (
-            len(self._queued_requests) >= MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
+        is_next = self._task is None and (
+            not self._queued_requests
+            or self._queued_requests[-1].early_response is not None
+        )
+        early_response = self._early_response(request) if is_next else None
+        self._queued_requests.append(
+            _QueuedRequest(request, closes, early_response)
+        )
 
     def send_continue(self) -> None:
         """Tell the caller to send a body, unless a response is due before."""
         if (
             self._task is None
-            and not self._early_responses
             and not self._queued_requests
             and self._reader.is_continue_due
         ):
@@ -252,7 +234,6 @@
         """Return whether requests follow the current one."""
         return (
             bool(self._queued_requests)
-            or bool(self._early_responses)
             or self._reader.is_reading
             or self._error_status_at_end is not None
             or (
@@ -355,40 +336,33 @@
             _LOGGER.exception("early responder failed")
             return None
 
-    def _send_early_responses(self) -> None:
-        """Send early responses to requests that were read, without a task.
-
-        All input has been parsed, so that only the last one announces an end.
-        """
-        while self._early_responses:
-            early = self._early_responses.popleft()
-            self._closes_after_response = early.closes
-            ServerExchange(self, early.request).send_response(
-                early.response.status,
-                early.response.headers,
-                early.response.body,
-            )
-        if self._closes_after_response:
-            self.end(EndReason.ANNOUNCED)
-        else:
-            self._start_next_request()
-
     def _start_next_request(self) -> None:
+        """Send early responses, and start the next request with a handler."""
         if self._end_reason is not None:
             return
-        if not self._queued_requests:
-            if self._error_status_at_end is not None:
-                self._refuse_input(Response(self._error_status_at_end, [], b""))
-            self.send_continue()
-            return
-        queued = self._queued_requests.popleft()
-        self._closes_after_response = queued.closes
+        while self._queued_requests:
+            queued = self._queued_requests.popleft()
+            self._closes_after_response = queued.closes
+            exchange = ServerExchange(self, queued.request)
+            early = queued.early_response
+            if early is None:
+                self._start_handler(exchange)
+                return
+            exchange.send_response(early.status, early.headers, early.body)
+            if self._closes_after_response:
+                self.end(EndReason.ANNOUNCED)
+                return
+        if self._error_status_at_end is not None:
+            self._refuse_input(Response(self._error_status_at_end, [], b""))
+        self.send_continue()
+
+    def _start_handler(self, exchange: ServerExchange) -> None:
         if (
             len(self._queued_requests) < MAX_PIPELINED_REQUESTS
             and self._transport is not None
         ):
             self._transport.resume_reading()
-        exchange = self._exchange = ServerExchange(self, queued.request)
+        self._exchange = exchange
         self._task = self._loop.create_task(
             self._async_handle_request(exchange)
         )
@@ -461,9 +435,7 @@
         )
         self._reader.end()
         self._error_status_at_end = status
-        if self._early_responses:
-            self._send_early_responses()
-        elif self._task is None:
+        if self._task is None:
             self._start_next_request()
 
     def _refuse_input(self, response: Response) -> None:
