Write the last data of a connection in one place

Two branches wrote the rest and the end through the event loop. The send past the loop now returns what is left for it. No behaviour changes.

--- a/packages/router/src/lacewingspar_router/http1/caller_transport.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_transport.py
@@ -47,11 +47,7 @@
 
         A late event loop has not read it yet.
         """
-        file_descriptor = self._transport.get_extra_info("socket").fileno()
-        if file_descriptor < 0:
-            return 0
-        size = fcntl.ioctl(file_descriptor, termios.FIONREAD, bytes(4))
-        return int.from_bytes(size, sys.byteorder)
+        return count_unread_bytes(self._transport)
 
     def set_write_limit(self, high: int) -> None:
         """Set the size in bytes above which writing pauses."""
@@ -87,8 +83,9 @@
         self._is_ended = True
         self.resume_reading()
         try:
-            if self.unsent_bytes or not self._send_at_once(data):
-                self._transport.write(data)
+            rest = data if self.unsent_bytes else self._send_at_once(data)
+            if rest is not None:
+                self._transport.write(rest)
                 self._transport.write_eof()
         except OSError as error:
             _LOGGER.debug("caller reset its connection", reason=str(error))
@@ -102,14 +99,15 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _send_at_once(self, data: bytes) -> bool:
+    def _send_at_once(self, data: bytes) -> bytes | None:
         """Send the last data and the end in front of the event loop.
 
         uvloop sends at the end of its iteration. A request that arrives until
         then would meet a closing response that was decided without it.
 
         Returns:
-            Whether they were sent; otherwise the event loop has to.
+            Data that the event loop has to send with the end, or None if the
+            end was sent.
 
         Raises:
             OSError: The caller has reset the connection.
@@ -119,18 +117,16 @@
             duplicate = os.dup(file_descriptor)
         except OSError as error:
             _LOGGER.debug("no descriptor to end with", reason=str(error))
-            return False
+            return data
         with socket.socket(fileno=duplicate) as connection:
             try:
                 sent = connection.send(data) if data else 0
             except BlockingIOError:
-                return False
+                return data
             if sent < len(data):
-                self._transport.write(data[sent:])
-                self._transport.write_eof()
-            else:
-                connection.shutdown(socket.SHUT_WR)
-        return True
+                return data[sent:]
+            connection.shutdown(socket.SHUT_WR)
+        return None
 
     def _schedule_close(self, *, drops_output: bool) -> None:
         def close() -> None:
@@ -142,3 +138,12 @@
                 self._schedule_close(drops_output=False)
 
         self._timer = self._loop.call_later(LINGER_SECONDS, close)
+
+
+def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the size of the input that waits in the socket of a transport."""
+    file_descriptor = transport.get_extra_info("socket").fileno()
+    if file_descriptor < 0:
+        return 0
+    size = fcntl.ioctl(file_descriptor, termios.FIONREAD, bytes(4))
+    return int.from_bytes(size, sys.byteorder)
