Use the router's look at unread input in the soak, and end a name clash

ObservedConnection redefined ClientConnection.has_ended, which came with the pool's look at the socket, with another meaning: whether the event loop has reported the end. No soak connection goes through a pool, so nothing went wrong; it is called is_end_reported now. The assertions are the same.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_bursts.py
@@ -188,7 +188,7 @@
         batch: list[_Sent] = []
         data: list[bytes] = []
         for number, connection in enumerate(connections):
-            if connection.has_ended:
+            if connection.is_end_reported:
                 continue
             is_loading = is_heavy and number < HEAVY_CONNECTIONS
             calls = [
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -166,7 +166,7 @@
                 await asyncio.sleep(RECONNECT_SECONDS)
                 continue
             try:
-                while not connection.has_ended and await self._async_call(
+                while not connection.is_end_reported and await self._async_call(
                     connection, router_id, generator
                 ):
                     request_gap = generator.uniform(0, max_gap)
--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -1,10 +1,9 @@
 """Connections of the fault soak's callers, which see how each one ends."""
 
 import asyncio
-import fcntl
 import socket
-import termios
 
+from lacewingspar_router.http1.caller_transport import count_unread_bytes
 from lacewingspar_router.http1.client_connection import ClientConnection
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -60,7 +59,7 @@
         self.settled_at = self._loop.time()
 
     @property
-    def has_ended(self) -> bool:
+    def is_end_reported(self) -> bool:
         """Return whether the event loop has reported the end."""
         return self.end_reason != ""
 
@@ -83,11 +82,9 @@
             return
         sock = self._transport.get_extra_info("socket")
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        is_ended = state != _TCP_ESTABLISHED
-        if includes_input and not is_ended:
-            size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
-            is_ended = any(size)
-        if is_ended:
+        if state != _TCP_ESTABLISHED or (
+            includes_input and count_unread_bytes(self._transport)
+        ):
             self.closed_at = self._loop.time()
 
 
--- a/tests/standins/test_soak_connections.py
+++ b/tests/standins/test_soak_connections.py
@@ -37,7 +37,7 @@
     async with asyncio.timeout(END_SECONDS):
         with pytest.raises(ConnectionBrokenError):
             await connection.async_next_event()
-    assert connection.has_ended
+    assert connection.is_end_reported
 
 
 async def test_end_is_seen_before_the_event_loop_reports_it(
@@ -45,7 +45,7 @@
 ) -> None:
     connection, accepted = await _async_open(listener)
     accepted.close()
-    assert not connection.has_ended
+    assert not connection.is_end_reported
     connection.send(REQUEST)
     connection.settle()
     assert connection.closed_at <= connection.sent_at
