--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -130,11 +130,7 @@
         request.progress = CallProgress(
             call,
             CallerResponse(request.exchange, request.events),
-            AttemptHistory(
-                call.route.may_run_again,
-                call.route.attempt_limit,
-                has_run=request.may_have_run_elsewhere,
-            ),
+            AttemptHistory(call.route.may_run_again, call.route.attempt_limit),
         )
         return request.progress
 
