Start the idle neighbour of tests without a controller of its own

Its controller with a fixed share kept the delays of the test machine away. No router under test measures these any more, so the special case had no effect.

--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Any
 
 import msgspec
@@ -274,12 +273,12 @@
     return deployment
 
 
-class _FixedHandOverController(HandOverController):
-    """Controller that the delays of the test machine do not change."""
+class _FullHandOverController(HandOverController):
+    """Controller of an overloaded router: hands over all requests."""
 
-    def __init__(self, share: float) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self.share = share
+        self.share = 1.0
 
     def record_loop_delay(self, seconds: float) -> None:
         del seconds
@@ -293,15 +292,10 @@
     Returns:
         A caller of the overloaded router.
     """
-    callers: list[Caller] = []
-    for name, share in (("r1", 1.0), ("r2", 0.0)):
-        with monkeypatch.context() as patch:
-            patch.setattr(
-                hand_over,
-                "HandOverController",
-                partial(_FixedHandOverController, share),
-            )
-            callers.append(await deployment.add_router(name))
+    with monkeypatch.context() as patch:
+        patch.setattr(hand_over, "HandOverController", _FullHandOverController)
+        caller = await deployment.add_router("r1")
+    await deployment.add_router("r2")
     first, second = deployment.apps
     peers = first.get(PEERS)
 
@@ -310,7 +304,7 @@
         return record is not None and record.state is RouterState.SERVING
 
     await until(is_known)
-    return callers[0]
+    return caller
 
 
 @pytest.fixture
