--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -7,7 +7,9 @@
 import pytest
 import structlog
 from tests.router.deployed.conftest import (
+    Caller,
     Deployment,
+    ReceivedResponse,
     manifest,
     route,
     until,
@@ -65,6 +67,20 @@
     ]
 
 
+async def async_start_call(
+    caller: Caller, path: str, engines: list[Upstream]
+) -> tuple["asyncio.Task[ReceivedResponse]", Upstream, Upstream]:
+    """Start a call that runs at one of two engines.
+
+    Returns:
+        The call, the engine that runs it and the other one.
+    """
+    call = asyncio.create_task(caller.call(path, budget_ms=9000))
+    await until(lambda: any(engine.running for engine in engines))
+    first, other = sorted(engines, key=lambda engine: not engine.running)
+    return call, first, other
+
+
 def knows(deployment: Deployment, upstream_id: str) -> bool:
     """Return whether the router may use an upstream."""
     directory = deployment.apps[0].get(ROUTING).directory
@@ -351,9 +367,7 @@
         engine.faults.pause_after_events = 3
         engine.faults.pause_seconds = 1.6
     caller = await deployment.add_router()
-    call = asyncio.create_task(caller.call("/stream/1", budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    other = next(engine for engine in engines if not engine.running)
+    call, _, other = await async_start_call(caller, "/stream/1", engines)
     other.faults.refuse = True
     response = await call
     assert (response.body, response.is_complete) == (STREAM, True)
@@ -376,9 +390,7 @@
     caller = await deployment.add_router(
         **settings if obstacle == "budget" else {}
     )
-    call = asyncio.create_task(caller.call(path, budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    other = next(engine for engine in engines if not engine.running)
+    call, _, other = await async_start_call(caller, path, engines)
     other.faults.refuse = True
     other.faults.refuse_after_seconds = 0.05
     await until(lambda: bool(other.received))
@@ -401,9 +413,7 @@
         engine.faults.pause_after_events = 3
         engine.faults.pause_seconds = 1.6
     caller = await deployment.add_router()
-    call = asyncio.create_task(caller.call("/stream/1", budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    other = next(engine for engine in engines if not engine.running)
+    call, _, other = await async_start_call(caller, "/stream/1", engines)
     other.faults.refuse = True
     other.faults.refuse_after_seconds = 0.4
     response = await call
@@ -440,10 +450,7 @@
     for engine in engines:
         engine.faults.mute = True
     caller = await deployment.add_router()
-    call = asyncio.create_task(caller.call(path, budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    first = next(engine for engine in engines if engine.running)
-    other = next(engine for engine in engines if not engine.running)
+    call, first, other = await async_start_call(caller, path, engines)
     await until(lambda: bool(other.running))
     first.unmute()
     response = await call
@@ -463,10 +470,7 @@
         engine.faults.mute = True
     # Allows one retry.
     caller = await deployment.add_router(retry_ratio=0.0, retry_allowance=2.0)
-    call = asyncio.create_task(caller.call(path, budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    first = next(engine for engine in engines if engine.running)
-    other = next(engine for engine in engines if not engine.running)
+    call, first, other = await async_start_call(caller, path, engines)
     await until(lambda: bool(other.running))
     for connection in list(first.open_connections):
         connection.reset()
