--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,10 +35,12 @@
 # that reach it once it is back.
 WAITING_STREAMS = 8
 SWAPS = 12
-SWAP_GAP_SECONDS = 0.02
-# The streams that keep the model runners busy end one after the other.
-FIRST_END_SECONDS = 0.7
-END_GAP_SECONDS = 0.07
+SWAP_GAP_SECONDS = 0.01
+# The streams that keep the model runners busy end one after the other, the
+# first when the router is back.
+UNDISTURBED_SECONDS = 0.7
+FIRST_END_SECONDS = 0.05
+END_GAP_SECONDS = 0.03
 
 
 class Workload:
@@ -167,9 +169,11 @@
         await asyncio.sleep(FIRST_END_SECONDS)
         await workload.async_let_go()
 
-    ends = asyncio.create_task(async_end_runs())
     if HAS_TROUBLE:
         await async_restart(site, victim)
+    else:
+        await asyncio.sleep(UNDISTURBED_SECONDS)
+    ends = asyncio.create_task(async_end_runs())
     swaps = []
     for _ in range(SWAPS):
         swaps.append(
