--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,7 +24,7 @@
 FAILED_STATUS = 400
 # A sound runner may fall silent for a second or so and go on.
 SILENT_SHARE = 0.25
-SILENT_SECONDS = 1.6
+SILENT_SECONDS = 1.4
 SILENT_AFTER = 5
 
 
