--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -963,12 +963,16 @@
     """
 
     async def async_run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         site = Site(folder)
         site.record.write(f"trouble: {'yes' if HAS_TROUBLE else 'no'}")
         try:
             async with asyncio.timeout(seconds):
                 broken = await case(site)
-        except (CaseError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             site.record.write(f"could not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
