--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,31 +16,27 @@
     run_case,
 )
 
-# Names of the routers in two zones. The router `OWNER` decides on the requests
-# to both services, and those of `VICTIMS` are killed in turn, one in a round.
+# Routers in two zones: seven and the spare ones. The router `OWNER` decides on
+# the requests to both services, and those of `VICTIMS` are killed in turn, one
+# in a round.
 ROUTERS = {
-    "front-749": "dc-a",
-    "front-750": "dc-a",
-    "front-751": "dc-b",
-    "front-752": "dc-b",
-    "front-753": "dc-b",
-    "front-754": "dc-b",
-    "front-755": "dc-b",
+    f"front-{number}": "dc-a" if number < 923 else "dc-b"
+    for number in range(920, 930)
 }
-OWNER = "front-752"
-VICTIMS = ("front-749", "front-750", "front-754", "front-753")
+OWNER = "front-928"
+VICTIMS = ("front-922", "front-920", "front-925", "front-927")
 MODEL_RUNNERS = 2
 SLOTS = 8
 # Streams that wait for a model runner when their router is killed, and swaps
 # that reach it once it is back.
-WAITING_STREAMS = 8
-SWAPS = 12
+WAITING_STREAMS = 14
+SWAPS = 16
 SWAP_GAP_SECONDS = 0.01
 # The streams that keep the model runners busy end one after the other, the
 # first when the router is back.
 UNDISTURBED_SECONDS = 0.7
 FIRST_END_SECONDS = 0.05
-END_GAP_SECONDS = 0.03
+END_GAP_SECONDS = 0.02
 
 
 class Workload:
