--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,112 +1,94 @@
-"""A late extra answer makes the system deny the run of another request."""
+"""One entry of another writer keeps every router from using the list."""
 
 import asyncio
-import random
-from collections import Counter
+import json
+import time
 from pathlib import Path
 
-from rig import (
-    HAS_TROUBLE,
-    Request,
-    Runner,
-    Site,
-    response,
-    run_case,
-)
+from rig import HAS_TROUBLE, CaseError, Site, run_case
 
-SECONDS = 70.0
-REQUESTS_PER_SECOND = 100.0
-RUNNERS = 3
-# Of the runners, one sheds part of its requests (srv_grey: a share of 0.15 and
-# x of 0.4 at most) and sends a second answer late beside a few of its answers
-# (garble: a share of 0.6 and x of 0.03 at most).
-SHED_SHARE = 0.4
-EXTRA_SHARE = 0.03
+DRAIN_SECONDS = 2.0
+RECOVER_SECONDS = 12.0
+DOWN_SECONDS = 1.3
+# Bytes that can't be read: more levels than the routers' decoder can follow.
+LEVELS = 1200
 
 
-class FaultyRunner:
-    """Answers of the runner in trouble."""
+def unreadable_entry() -> bytes:
+    """Return an entry of another writer, with 2.5 KB of open brackets."""
+    entry = {"service": "plain", "zone": "dc-a", "state": "ready"}
+    text = json.dumps(entry | {"labels": 0})
+    nested = "[" * LEVELS + "]" * LEVELS
+    return text.replace('"labels": 0', f'"labels": {nested}').encode()
 
-    def __init__(self) -> None:
-        self._random = random.Random(1)
-        self._extra_by_channel: dict[asyncio.StreamWriter, bytes] = {}
-        self.extras: list[str] = []
 
-    async def answer(
-        self, _: Runner, request: Request, writer: asyncio.StreamWriter
-    ) -> bool | None:
-        """Shed a request, or let the runner run it."""
-        extra = self._extra_by_channel.pop(writer, None)
-        if extra is not None:
-            self.extras.append(request.attempt)
-            writer.write(extra)
-        if self._random.random() >= SHED_SHARE:
-            return None
-        # As `fleetbench wire` shows it: a server sheds.
-        shed = response(503, {"X-Not-Executed": "1"}, b"")
-        writer.write(shed)
-        if self._random.random() < EXTRA_SHARE:
-            self._extra_by_channel[writer] = shed
-        return True
+async def async_count_served(site: Site, rounds: int) -> tuple[int, int]:
+    """Send requests to all routers; return how many are served, and sent."""
+    served = sent = 0
+    for _ in range(rounds):
+        for router in site.routers.values():
+            _, result = await site.async_call(router, "/read/x", 1000, "GET")
+            sent += 1
+            served += result.status == 200
+            await asyncio.sleep(0.02)
+    return served, sent
 
 
-async def async_case(site: Site) -> str:
-    """Record swaps and compare the answers with the runs."""
-    await site.async_start(routers=2, runners={"plain": RUNNERS, "models": 1})
-    for runner in site.runners.values():
-        runner.work_seconds = 0.09
-    faulty = FaultyRunner()
-    if HAS_TROUBLE:
-        site.runners["plain-0"].answer = faulty.answer
-        site.record.write("runner plain-0 sheds, and sends extra answers late")
-    routers = list(site.routers.values())
-    status_by_attempt: dict[str, int] = {}
+async def async_drain(site: Site, name: str) -> int:
+    """Let a runner leave; return the requests that reach it too late."""
+    runner = site.runners[name]
+    runner.state = "draining"
+    runner.register()
+    acked_at = time.monotonic()
+    site.record.write(f"the store has accepted that {name} is draining")
+    await asyncio.sleep(DRAIN_SECONDS + 0.5)
+    sent_after = time.monotonic()
+    await async_count_served(site, 10)
+    late = [item for at, item in runner.arrivals if at > sent_after]
+    for request in late:
+        site.record.write(f"{request.attempt} reaches {name} too late")
+    site.record.write(f"{name} exits {time.monotonic() - acked_at:.1f} s later")
+    await runner.async_end()
+    return len(late)
 
-    async def async_send(number: int) -> None:
-        attempt, result = await site.async_call(
-            routers[number % len(routers)], "/write/swap", 4000
-        )
-        status_by_attempt[attempt] = result.status
 
-    generator = random.Random(2)
-    tasks: list[asyncio.Task[None]] = []
-    for number in range(round(SECONDS * REQUESTS_PER_SECOND)):
-        tasks.append(asyncio.create_task(async_send(number)))
-        await asyncio.sleep(generator.expovariate(REQUESTS_PER_SECOND))
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(0.5)
-    served = sum(status == 200 for status in status_by_attempt.values())
-    site.record.write(
-        f"{len(status_by_attempt)} sent, {served} served,"
-        f" {len(faulty.extras)} late extra answers"
+async def async_case(site: Site) -> str:
+    """Write the entry, let a runner drain, then kill all routers."""
+    await site.async_start(routers=3, runners={"plain": 3, "models": 1})
+    served, sent = await async_count_served(site, 5)
+    if served < sent:
+        raise CaseError(f"{served} of {sent} served before the disruption")
+    if HAS_TROUBLE:
+        site.store.topic("keyed.servers").append("other", unreadable_entry())
+        site.record.write("another writer's entry: bytes that can't be read")
+    await asyncio.sleep(3.0)
+    used = max(
+        (item for item in site.runners.values() if item.service == "plain"),
+        key=lambda runner: len(runner.runs),
     )
-    return broken_rules(site, status_by_attempt)
-
-
-def broken_rules(site: Site, status_by_attempt: dict[str, int]) -> str:
-    """Compare the answers with the runs."""
-    runs = Counter(
-        request.attempt
-        for runner in site.runners.values()
-        for request in runner.runs
+    late = await async_drain(site, used.name)
+    served, sent = await async_count_served(site, 5)
+    site.record.write(f"before the final fault: {served} of {sent} served")
+    for router in site.routers.values():
+        router.kill()
+    site.record.write("all routers were killed")
+    await asyncio.sleep(DOWN_SECONDS)
+    for router in site.routers.values():
+        router.start()
+    site.record.write("all routers were started")
+    await asyncio.sleep(RECOVER_SECONDS + 3.0)
+    served_after, sent_after = await async_count_served(site, 10)
+    site.record.write(
+        f"{RECOVER_SECONDS:.0f} s after they are back:"
+        f" {served_after} of {sent_after} served"
     )
-    denied = [
-        attempt
-        for attempt, status in status_by_attempt.items()
-        if status in (408, 421, 429, 503) and runs[attempt]
-    ]
-    twice = [attempt for attempt, count in runs.items() if count > 1]
-    for attempt in denied:
-        site.record.write(
-            f"{attempt} was answered {status_by_attempt[attempt]} and has run"
-        )
-    for attempt in twice:
-        site.record.write(f"{attempt} has run {runs[attempt]} times")
-    if denied:
-        return f"REFUSED: {len(denied)} answered as not run have run"
-    if twice:
-        return f"TWICE: {len(twice)} have run more than once"
-    return ""
+    site.log_tail(1)
+    broken = []
+    if served_after < sent_after / 4 <= served:
+        broken.append(f"RECOVER: {served_after} of {sent_after} served")
+    if late:
+        broken.append(f"DRAIN: {late} requests reached the runner too late")
+    return "; ".join(broken)
 
 
 if __name__ == "__main__":
