Address decisions of pool owners to one process (ROUTE)

Cause: messages between routers go to an address. The envelope named the process that sent a message, but not the one it was for. A decision of a pool owner names a request by a number that each process counts from 1, so a decision on a request of the killed process acted on the request of the same number at its successor.

Ruled out: mixed pools at the owner, and a directory that names an engine under the plain service.

Change: PeerNetwork.send_to_instance names the receiving process in the envelope; any other process drops the message, counts it (foreign_peer_messages_total) and logs it. This holds for every message that is sent so, whatever it refers to.

--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -507,8 +507,8 @@
                 self._pool_selector.shares(pool.service).adopt(leaving_share)
             self._enqueue_decision(self._app.instance.router_id, decision)
             return
-        self._peers.send(
-            key.ingress_router.router_id,
+        self._peers.send_to_instance(
+            key.ingress_router,
             encode_decision(pool.service, decision, leaving_share),
         )
 
--- a/packages/router/src/lacewingspar_router/components/peers/const.py
+++ b/packages/router/src/lacewingspar_router/components/peers/const.py
@@ -16,3 +16,4 @@
 METRIC_SENT_BYTES = "peer_sent_bytes"
 METRIC_RECEIVED_BYTES = "peer_received_bytes"
 METRIC_SOCKETS = "peer_sockets"
+METRIC_FOREIGN_MESSAGES = "foreign_peer_messages_total"
--- a/packages/router/src/lacewingspar_router/components/peers/models.py
+++ b/packages/router/src/lacewingspar_router/components/peers/models.py
@@ -39,6 +39,17 @@
             Number of bytes sent over the network.
         """
 
+    def send_to_instance(
+        self, receiver: RouterInstance, message: AnyPeerMessage
+    ) -> int:
+        """Send a message that only one router instance may handle.
+
+        Another process at its address drops it.
+
+        Returns:
+            Number of bytes sent over the network.
+        """
+
     def add_seeds(self, seeds: Iterable[Seed]) -> None:
         """Add routers to contact and send heartbeats at once."""
 
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -45,10 +45,18 @@
 
 
 class _Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """First frame of a message, which identifies its sender."""
+    """First frame of a message.
+
+    Attributes:
+        sender: Router instance that sent the message.
+        data_centre: Data centre of the sender.
+        receiver: The only router instance that may handle the message, or None
+            if any process at the address may.
+    """
 
     sender: RouterInstance
     data_centre: str
+    receiver: RouterInstance | None = None
 
 
 class ZmqPeerNetwork:
@@ -140,18 +148,45 @@
         if router_id == self._app.instance.router_id:
             self._deliver_to_self(message)
             return 0
+        return self._send(router_id, self._envelope, message)
+
+    def send_to_instance(
+        self, receiver: RouterInstance, message: AnyPeerMessage
+    ) -> int:
+        """Send a message that only one router instance may handle.
+
+        Another process at its address, such as its successor after a crash,
+        drops the message. Replies must be sent in this way if they refer to
+        state of the process that has asked, such as a request number.
+
+        Returns:
+            Number of bytes sent over the network.
+        """
+        if receiver == self._app.instance:
+            self._deliver_to_self(message)
+            return 0
+        envelope = _Envelope(
+            self._app.instance, self._app.settings.data_centre, receiver
+        )
+        return self._send(
+            receiver.router_id, msgspec.msgpack.encode(envelope), message
+        )
+
+    def _send(
+        self, router_id: str, envelope: bytes, message: AnyPeerMessage
+    ) -> int:
         address = self._membership.address_of(router_id)
         if address is None:
             return 0
         data = encode_message(message)
         try:
             self._socket(address).send_multipart(
-                (self._envelope, data), flags=zmq.NOBLOCK
+                (envelope, data), flags=zmq.NOBLOCK
             )
         except zmq.ZMQError:
             _LOGGER.debug("peer message dropped", router_id=router_id)
             return 0
-        size = len(self._envelope) + len(data)
+        size = len(envelope) + len(data)
         self._sent_traffic.add(message, size, is_near=self._is_near(router_id))
         return size
 
@@ -262,6 +297,9 @@
             size,
             is_near=envelope.data_centre == self._app.settings.data_centre,
         )
+        if envelope.receiver not in (None, self._app.instance):
+            self._record_foreign(envelope, message)
+            return
         if isinstance(message, Heartbeat):
             self._membership.merge(message, self._app.now())
             self._refresh_alive()
@@ -270,6 +308,20 @@
         )
         self._deliver(received)
 
+    def _record_foreign(
+        self, envelope: _Envelope, message: AnyPeerMessage
+    ) -> None:
+        """Log and count a message for another process of this address."""
+        message_type = type(message).__name__
+        self._telemetry.count(const.METRIC_FOREIGN_MESSAGES, type=message_type)
+        _LOGGER.info(
+            "peer message for another process dropped",
+            type=message_type,
+            sender=envelope.sender.router_id,
+            receiver=envelope.receiver,
+            instance=self._app.instance,
+        )
+
     def _deliver(self, received: ReceivedMessage) -> None:
         for handler in self._handlers_by_type.get(type(received.message), ()):
             with self._handler_guard:
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -235,13 +235,22 @@
     ) -> Caller:
         """Start a router and return a caller that uses it."""
         settings = self.settings(name, data_centre, **changes)
+        self.apps.append(await self._async_start_router(settings))
+        return Caller(settings.caller_address)
+
+    async def restart_router(self, ended: Application) -> Application:
+        """Start a router at the addresses of one that has ended."""
+        app = await self._async_start_router(ended.settings)
+        self.apps[self.apps.index(ended)] = app
+        return app
+
+    async def _async_start_router(self, settings: Settings) -> Application:
         app = Application(settings)
-        self.apps.append(app)
         self._stack.push_async_callback(app.async_stop)
         start = asyncio.create_task(app.async_start(setup_functions(settings)))
         self._stack.callback(start.cancel)
         await asyncio.wait({start}, timeout=1.0)
-        return Caller(settings.caller_address)
+        return app
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/router/deployed/test_restarted_routers.py
@@ -0,0 +1,120 @@
+"""Routers that are killed and started again at their addresses."""
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+import pytest
+from tests.router.deployed.conftest import (
+    Caller,
+    Deployment,
+    manifest,
+    until,
+)
+
+from lacewingspar_core.membership import Membership
+from lacewingspar_core.messages import RouterState
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.peers.models import PEERS
+
+SLOTS = 2
+WAITING_REQUESTS = 3
+# Room for the requests that occupy the upstreams and for those that wait.
+LIMIT_MS = 20_000
+
+
+def knows_as_serving(app: Application, router_id: str) -> bool:
+    """Return whether a router knows another one as ready."""
+    record = app.get(PEERS).alive_by_router_id.get(router_id)
+    return record is not None and record.state is RouterState.SERVING
+
+
+async def async_kill(app: Application) -> None:
+    """End a router without a word to the others."""
+    with mock.patch.object(app.get(PEERS), "send", return_value=0):
+        await app.async_stop()
+
+
+async def async_fill(
+    deployment: Deployment, caller: Caller, path: str, upstream_id: str
+) -> list[asyncio.Task[Any]]:
+    """Occupy all slots of an upstream until it is unmuted."""
+    upstream = deployment.upstream_by_id[upstream_id]
+    upstream.faults.mute = True
+    calls = [
+        asyncio.create_task(
+            Caller(caller.address).call(path, budget_ms=LIMIT_MS)
+        )
+        for _ in range(SLOTS)
+    ]
+    await until(lambda: len(upstream.received) == SLOTS)
+    return calls
+
+
+def send_calls(
+    caller: Caller, path: str, count: int
+) -> list[asyncio.Task[Any]]:
+    """Send calls that wait for an upstream."""
+    return [
+        asyncio.create_task(
+            Caller(caller.address).call(path, budget_ms=LIMIT_MS)
+        )
+        for _ in range(count)
+    ]
+
+
+@pytest.fixture
+async def small(deployment: Deployment) -> Deployment:
+    """Provide one upstream of each service, with long targets and few slots."""
+    value = manifest()
+    for item in value["routes"]:
+        item |= {"targetLatencyMs": LIMIT_MS, "timeoutMs": LIMIT_MS}
+    value["services"][0]["engine"]["slots"] = SLOTS
+    deployment.publish(value)
+    for upstream_id, service in (("e1", "engines"), ("p1", "plain")):
+        await deployment.add_upstream(upstream_id, service)
+        deployment.register(upstream_id, service, slots=SLOTS)
+    return deployment
+
+
+async def test_grant_for_a_killed_router_is_not_used_by_its_successor(
+    small: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that run at an upstream of another service.
+
+    A new process at the address of a killed one numbers its requests from 1
+    too, and the owner of the pools does not know yet that the other one ended.
+    """
+    owner_caller = await small.add_router("r2", processor_share=4.0)
+    caller = await small.add_router("r1")
+    owner, killed = small.apps
+    await until(lambda: knows_as_serving(owner, "r1"))
+    await until(lambda: knows_as_serving(killed, "r2"))
+    occupying = await async_fill(small, owner_caller, "/stream-once/", "e1")
+    occupying += await async_fill(small, owner_caller, "/read/", "p1")
+    lost = send_calls(caller, "/stream-once/", WAITING_REQUESTS)
+    await asyncio.sleep(0.2)
+    await async_kill(killed)
+    # The heartbeats of the new process do not arrive.
+    merge = Membership.merge
+    monkeypatch.setattr(
+        Membership,
+        "merge",
+        lambda self, *args: (
+            None
+            if self.own_record.life == owner.instance
+            else merge(self, *args)
+        ),
+    )
+    successor = await small.restart_router(killed)
+    await until(lambda: knows_as_serving(successor, "r2"))
+    calls = send_calls(caller, "/write/", WAITING_REQUESTS)
+    await asyncio.sleep(0.2)
+    small.upstream_by_id["e1"].unmute()
+    await asyncio.sleep(0.3)
+    small.upstream_by_id["p1"].unmute()
+    responses = await asyncio.gather(*calls)
+    await asyncio.gather(*occupying, *lost)
+    assert [response.status for response in responses] == [200] * len(calls)
+    at_engine = {item.target for item in small.upstream_by_id["e1"].received}
+    assert at_engine == {"/stream-once/"}
