Address replies about the shared state to the process that asked

Callers would see: a restarted router that is ready while it knows only some of the upstreams, so that it refuses or misplaces their requests.

A StateReply holds the records after the offset of the process that asked. A reply to a killed process arrived at its successor, which took these records for the whole list.

Evidence: test_reply_is_used_only_by_the_process_that_asked failed before for the predecessor: the successor counted the list as read up to offset 2 and knew one of two upstreams.

Change: the reply is sent with send_to_instance.

--- a/packages/core/src/lacewingspar_core/state_messages.py
+++ b/packages/core/src/lacewingspar_core/state_messages.py
@@ -57,7 +57,7 @@
 
 
 class StateReply(PeerMessage, frozen=True, tag="state"):
-    """Shared state that is newer than the receiver's.
+    """Shared state that is newer than that of the process that asked.
 
     Attributes:
         configuration_version: Version of the configuration.
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -204,8 +204,9 @@
         )
         if not has_newer and not records:
             return
-        self._peers.send(
-            received.sender.router_id,
+        # The reply leaves out what the process that asks has already.
+        self._peers.send_to_instance(
+            received.sender,
             StateReply(
                 configuration_version=self._state.configuration_version,
                 configuration=stored.data if has_newer and stored else b"",
