--- a/packages/core/src/lacewingspar_core/claims.py
+++ b/packages/core/src/lacewingspar_core/claims.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.errors import RecordGapError
 from lacewingspar_core.identity import RouterInstance
 
@@ -92,7 +93,7 @@
     """Decode a record, or return None if the bytes are not a valid record."""
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/core/src/lacewingspar_core/configlog.py
+++ b/packages/core/src/lacewingspar_core/configlog.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.documents import ServiceDocument, validate_document
 from lacewingspar_core.errors import RecordGapError
 from lacewingspar_core.mergepatch import apply_patch
@@ -104,7 +105,7 @@
     """Decode a record, or return None if the bytes are not a valid record."""
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -14,6 +14,7 @@
     RunReport,
     RunStarted,
 )
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.errors import MessageDecodeError
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.peer_message import PeerMessage
@@ -470,5 +471,5 @@
     """
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise MessageDecodeError(f"invalid peer message: {error}") from error
--- a/packages/router/src/lacewingspar_router/components/caller_api/checks.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/checks.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.documents import (
     RequestClass,
     ServiceDocument,
@@ -189,7 +190,7 @@
 def _parse_model(body: bytes) -> str:
     try:
         model = msgspec.json.decode(body, type=_ModelBody).model
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RequestRefusedError(
             400,
             "bad_body",
--- a/packages/router/src/lacewingspar_router/components/log_service/client.py
+++ b/packages/router/src/lacewingspar_router/components/log_service/client.py
@@ -7,6 +7,7 @@
 import httpx
 import msgspec
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.messages import LogRecord
 from lacewingspar_core.platform import AppendReply, AppendRequest, ReadReply
 from lacewingspar_router.application import Application
@@ -110,7 +111,7 @@
             )
             response.raise_for_status()
             reply = msgspec.json.decode(response.content, type=ReadReply)
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except (httpx.HTTPError, *DECODE_ERRORS) as error:
             self._telemetry.count(METRIC_READ_FAILURES, stream=stream)
             raise LogUnavailableError(f"reading {stream}: {error!r}") from error
         return LogPage(
@@ -183,7 +184,7 @@
         try:
             response.raise_for_status()
             reply = msgspec.json.decode(response.content, type=AppendReply)
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except (httpx.HTTPError, *DECODE_ERRORS) as error:
             raise LogAppendUnknownError(f"append failed: {error!r}") from error
         return reply.first_offset
 
--- a/packages/router/src/lacewingspar_router/components/peers/network.py
+++ b/packages/router/src/lacewingspar_router/components/peers/network.py
@@ -8,6 +8,7 @@
 import zmq
 import zmq.asyncio
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.errors import MessageDecodeError
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.membership import (
@@ -288,7 +289,7 @@
             envelope_data, data = frames
             envelope = self._envelope_decoder.decode(envelope_data)
             message = decode_message(data)
-        except (ValueError, msgspec.MsgspecError, MessageDecodeError) as error:
+        except (*DECODE_ERRORS, MessageDecodeError) as error:
             _LOGGER.warning("invalid peer message", error=str(error))
             return
         size = len(envelope_data) + len(data)
--- a/packages/router/src/lacewingspar_router/components/quarantine/message_parts.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/message_parts.py
@@ -5,6 +5,8 @@
 import msgspec
 import xxhash
 
+from lacewingspar_core.decoding import DECODE_ERRORS
+
 
 class _MessagesBody(msgspec.Struct):
     """The part of a model request that holds its prompt."""
@@ -22,7 +24,7 @@
     """
     try:
         messages = msgspec.json.decode(body, type=_MessagesBody).messages
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # A plain service may take any body, so this is no error.
         return
     for message in messages[:-1]:
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.identity import RouterInstance, started_at_ms
 from lacewingspar_core.membership import Seed
 from lacewingspar_router.application import Application
@@ -99,7 +100,7 @@
         for key, stored in listing.record_by_key.items():
             try:
                 record = decoder.decode(stored.value)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 _LOGGER.warning(
                     "invalid router registration ignored",
                     key=key,
--- a/packages/router/src/lacewingspar_router/components/upstreams/health.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/health.py
@@ -11,6 +11,7 @@
 import msgspec
 import structlog
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.documents import Upstream
 from lacewingspar_core.platform import LoadReport
 from lacewingspar_core.upstream_health import (
@@ -366,7 +367,7 @@
             report = msgspec.json.decode(response.content, type=LoadReport)
         except (httpx.ConnectError, httpx.ConnectTimeout):
             return ConnectFailure()
-        except (httpx.HTTPError, httpx.InvalidURL, msgspec.MsgspecError):
+        except (httpx.HTTPError, httpx.InvalidURL, *DECODE_ERRORS):
             return None
         return LoadReported(
             running=report.running,
--- a/packages/router/src/lacewingspar_router/components/vm_list/poller.py
+++ b/packages/router/src/lacewingspar_router/components/vm_list/poller.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.platform import VmList, VmState
 from lacewingspar_router.components.vm_list.const import (
     MAX_DEPARTED_VMS,
@@ -85,7 +86,7 @@
         except (
             httpx.HTTPError,
             httpx.InvalidURL,
-            msgspec.MsgspecError,
+            *DECODE_ERRORS,
         ) as error:
             reason = str(error) or type(error).__name__
             raise VmListReadError(f"GET {self._url}: {reason}") from error
--- a/packages/router/src/lacewingspar_router/platform/manifest.py
+++ b/packages/router/src/lacewingspar_router/platform/manifest.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.routing import (
     CallerLimits,
     EngineProfile,
@@ -109,7 +110,7 @@
     """Decode a configuration, or return what is wrong with it."""
     try:
         manifest = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(str(error))
     limits = manifest.limits
     return Success(
--- a/packages/router/src/lacewingspar_router/platform/store.py
+++ b/packages/router/src/lacewingspar_router/platform/store.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import base64
-import binascii
 import struct
 from urllib.parse import urlencode
 
 import msgspec
+import structlog
+from returns.result import Failure, Result, Success
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_router.components.routing.errors import (
     TopicTruncatedError,
     TopicUnavailableError,
@@ -27,6 +29,8 @@
 from lacewingspar_router.http1.messages import Response, encode_head
 from lacewingspar_router.platform import names
 
+_LOGGER = structlog.get_logger(__name__)
+
 # Response timeout in addition to the long-poll duration of a read. The service
 # normally responds within milliseconds.
 CALL_TIMEOUT_SECONDS = 0.8
@@ -49,13 +53,15 @@
 
 
 class _Page(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...]
+    # Decoded one by one: an item that cannot be read leaves the others.
+    items: tuple[msgspec.Raw, ...]
     # Whether another page follows.
     truncated: bool
     end: int
 
 
 _PAGE_DECODER = msgspec.json.Decoder(_Page)
+_ITEM_DECODER = msgspec.json.Decoder(_Item)
 
 
 class PlatformStore:
@@ -153,10 +159,13 @@
         while True:
             page = await self._async_page(query)
             end = page.end if end is None else end
-            records |= {item.key: _decode_item(item) for item in page.items}
+            listed = self._decode_items(page)
+            records |= {record.key: record for record in listed}
             if not page.truncated or not page.items:
                 return TopicListing(records, end)
-            query["after"] = page.items[-1].key
+            if not listed:
+                raise TopicUnavailableError("no item of a page can be read")
+            query["after"] = listed[-1].key
 
     async def async_read(
         self, from_offset: int, wait_seconds: float
@@ -204,23 +213,40 @@
         _raise_for_status(names.CALL_NEWEST, response)
         try:
             return _PAGE_DECODER.decode(response.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise TopicUnavailableError(
                 f"invalid listing page: {error}"
             ) from error
 
+    def _decode_items(self, page: _Page) -> list[KeyedRecord]:
+        """Return the records of a page, without those that can't be read."""
+        records: list[KeyedRecord] = []
+        for data in page.items:
+            match _decode_item(data):
+                case Success(record):
+                    records.append(record)
+                case Failure(problem):
+                    _LOGGER.warning(
+                        "unreadable item of a listing ignored",
+                        topic=self.name,
+                        end_offset=page.end,
+                        problem=problem,
+                    )
+        return records
+
 
 def _raise_for_status(call: str, response: Response) -> None:
     if response.status != _STATUS_OK:
         raise TopicUnavailableError(f"{call}: status {response.status}")
 
 
-def _decode_item(item: _Item) -> KeyedRecord:
+def _decode_item(data: msgspec.Raw) -> Result[KeyedRecord, str]:
     try:
+        item = _ITEM_DECODER.decode(data)
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise TopicUnavailableError(f"invalid record value: {error}") from error
-    return KeyedRecord(item.key, value, item.offset)
+    except DECODE_ERRORS as error:
+        return Failure(str(error))
+    return Success(KeyedRecord(item.key, value, item.offset))
 
 
 def _decode_records(data: bytes, from_offset: int) -> TopicRecords:
@@ -235,11 +261,14 @@
         (length,) = _LENGTH_PREFIX.unpack_from(data, position)
         position += _LENGTH_PREFIX.size
         content = data[position : position + length]
-        if len(content) < length or not content:
+        if len(content) < length:
             raise TopicUnavailableError("invalid records: incomplete content")
         position += length
-        key_end = 1 + content[0]
-        key = content[1:key_end].decode("utf-8", "replace")
-        records.append(KeyedRecord(key, content[key_end:], offset))
+        if content:
+            key_end = 1 + content[0]
+            key = content[1:key_end].decode("utf-8", "replace")
+            records.append(KeyedRecord(key, content[key_end:], offset))
+        else:
+            _LOGGER.warning("record without content ignored", offset=offset)
         offset += 1
     return TopicRecords(records, offset)
--- a/packages/router/src/lacewingspar_router/platform/upstream_list.py
+++ b/packages/router/src/lacewingspar_router/platform/upstream_list.py
@@ -1,13 +1,24 @@
 """Decodes the registrations of upstreams."""
 
 import ipaddress
+import re
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_core.directory import UpstreamEntry, UpstreamState
 
 _MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,5}")
+# Ids of upstreams are sent in headers.
+_HEADER_TOKEN = re.compile(r"[!-~]+")
+# Range of whole numbers that messages between routers can hold.
+_MAX_INTEGER = 2**63 - 1
+_MAX_SLOTS = 1_000_000
+
+_Integer = Annotated[int, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
@@ -15,12 +26,12 @@
     address: str
     # Data centre of the upstream.
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: UpstreamState
     # Number of the registration; restarts with the upstream process.
-    sequence: int
+    sequence: _Integer
     # Start time of the upstream process, in milliseconds since the epoch.
-    born: int = 0
+    born: _Integer = 0
     cold_remaining_ms: float = 0.0
 
 
@@ -33,12 +44,12 @@
     """Decode an upstream entry, or return what is wrong with it."""
     try:
         entry = _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(str(error))
+    if not _HEADER_TOKEN.fullmatch(upstream_id):
+        return Failure("id is not a word of printable ASCII characters")
     if not _is_address(entry.address):
         return Failure("address is not an IP address and port")
-    if entry.slots < 1:
-        return Failure("slots must be at least 1")
     return Success(
         UpstreamEntry(
             upstream_id=upstream_id,
@@ -60,4 +71,4 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT
+    return _PORT.fullmatch(port) is not None and 0 < int(port) <= _MAX_PORT
