--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -62,6 +62,23 @@
     events: EventSequence = field(default_factory=EventSequence)
     first_chunk_at: float | None = None
 
+    def check(self, end: AttemptEnd) -> AttemptEnd:
+        """Return the end of an attempt as it counts for the caller.
+
+        A whole response cannot continue a response that has started. That is
+        known only when it is used: another attempt may have started it since.
+        """
+        if (
+            end.result is not AttemptResult.RESPONDED
+            or end.response is None
+            or not self.exchange.is_started
+        ):
+            return end
+        return AttemptEnd(
+            AttemptResult.UPSTREAM_FAILURE,
+            f"status {end.response.status} in place of the rest of a stream",
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptHooks:
@@ -288,8 +305,12 @@
             return AttemptEnd(
                 AttemptResult.UPSTREAM_FAILURE, f"status {status}", response
             )
-        self._hooks.on_first_chunk()
-        return AttemptEnd(AttemptResult.RESPONDED, "", response)
+        end = self._caller_response.check(
+            AttemptEnd(AttemptResult.RESPONDED, "", response)
+        )
+        if end.result is AttemptResult.RESPONDED:
+            self._hooks.on_first_chunk()
+        return end
 
     def _is_stream(self, head: ResponseHead, info: ResponseInfo) -> bool:
         return (
--- a/packages/router/src/lacewingspar_router/http1/errors.py
+++ b/packages/router/src/lacewingspar_router/http1/errors.py
@@ -21,3 +21,7 @@
 
 class ExchangeInterruptedError(RouterError):
     """This side gave up an exchange before its response was complete."""
+
+
+class ResponseOrderError(RouterError):
+    """A step of a response was called for that it cannot take any more."""
--- a/packages/router/src/lacewingspar_router/http1/exchange.py
+++ b/packages/router/src/lacewingspar_router/http1/exchange.py
@@ -1,8 +1,10 @@
 """A caller's request and the response to it."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
+from lacewingspar_router.http1.errors import ResponseOrderError
 from lacewingspar_router.http1.messages import (
     HttpRequest,
     encode_head,
@@ -46,34 +48,72 @@
         """Wait until the write buffer has room."""
 
 
+class _State(StrEnum):
+    """How much of a response was sent."""
+
+    PENDING = "nothing"
+    STARTED = "its head"
+    FINISHED = "its end"
+
+
+class _Step(StrEnum):
+    """A step of sending a response."""
+
+    START = "head"
+    WRITE = "body data"
+    FINISH = "end"
+    SEND_WHOLE = "whole response"
+
+
+# The steps that a response may take; any other would send bytes that belong to
+# no response.
+_NEXT_STATE = {
+    (_State.PENDING, _Step.START): _State.STARTED,
+    (_State.STARTED, _Step.WRITE): _State.STARTED,
+    (_State.STARTED, _Step.FINISH): _State.FINISHED,
+    (_State.PENDING, _Step.SEND_WHOLE): _State.FINISHED,
+}
+
+
 class ServerExchange:
-    """Request and the response that is sent to it.
+    """Request and the one response that is sent to it.
+
+    All methods that send raise `ResponseOrderError`, and send nothing, if the
+    response cannot take that step any more.
 
     Attributes:
         request: The request.
-        is_started: Whether the response head was sent.
-        is_finished: Whether the response is complete.
     """
 
     def __init__(
         self, connection: ResponseConnection, request: HttpRequest
     ) -> None:
         self.request = request
-        self.is_started = False
-        self.is_finished = False
+        self._state = _State.PENDING
         self._connection = connection
         self._is_chunked = False
 
+    @property
+    def is_started(self) -> bool:
+        """Return whether the response head was sent."""
+        return self._state is not _State.PENDING
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the response is complete."""
+        return self._state is _State.FINISHED
+
     def start(
         self, status: int, headers: RawHeaders, *, length: int | None
     ) -> None:
         """Send the response head; without a length the body is chunked."""
-        self.is_started = True
+        self._take(_Step.START)
         self._is_chunked = length is None
         self._connection.write(self._encode_head(status, headers, length))
 
     def write(self, data: bytes) -> bool:
         """Send body data; return whether the write buffer has room."""
+        self._take(_Step.WRITE)
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._connection.write(data)
@@ -85,7 +125,7 @@
 
     def finish(self) -> None:
         """Send the end of the response."""
-        self.is_finished = True
+        self._take(_Step.FINISH)
         if self._is_chunked:
             self._connection.write(b"0\r\n\r\n")
 
@@ -93,11 +133,19 @@
         self, status: int, headers: RawHeaders, body: bytes
     ) -> None:
         """Send a whole response."""
-        self.is_started = self.is_finished = True
+        self._take(_Step.SEND_WHOLE)
         self._connection.write(
             self._encode_head(status, headers, len(body)) + body
         )
 
+    def _take(self, step: _Step) -> None:
+        next_state = _NEXT_STATE.get((self._state, step))
+        if next_state is None:
+            raise ResponseOrderError(
+                f"{step} of a response that has sent {self._state}"
+            )
+        self._state = next_state
+
     def _encode_head(
         self, status: int, headers: RawHeaders, length: int | None
     ) -> bytes:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -57,6 +57,7 @@
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 _STATUS_UNAVAILABLE = 503
+_STATUS_NO_CONTENT = 204
 
 
 class UpstreamFaults(Faults):
@@ -67,6 +68,8 @@
         refuse_after_seconds: Delay of a response of `refuse`.
         refuse_silently: Respond 503 without stating whether it ran.
         status: Status of the responses to plain calls.
+        stream_status: Status of a whole response to a streamed request, in
+            place of the stream; or 0 for the stream.
         is_other_upstream: Respond 421, like a different upstream that has
             taken over this address.
         break_after_events: Number of events after which to reset the
@@ -104,6 +107,7 @@
     refuse_after_seconds: float = 0.0
     refuse_silently: bool = False
     status: int = 200
+    stream_status: int = 0
     is_other_upstream: bool = False
     break_after_events: int = -1
     cut_event: bool = False
@@ -372,6 +376,14 @@
 
     async def _async_respond_stream(self, request: ReceivedRequest) -> None:
         faults = self._upstream.faults
+        if faults.stream_status:
+            self._write_response(
+                request,
+                faults.stream_status,
+                b"" if faults.stream_status == _STATUS_NO_CONTENT else b"bad",
+                [f"X-Server-Seal: {SEAL}"],
+            )
+            return
         first = int(request.value_by_header.get("last-event-id", "0")) + 1
         headers = [f"X-Server-Seal: {SEAL}", "Content-Type: text/event-stream"]
         if not faults.unframed:
