Give a request another number at each pool that it asks

Callers would see: a request refused although the pool that it waits for would serve it, or counted at a pool that has not granted it.

Cause: a request kept its number when it asked a second pool. If one router owns both, a decision of the first pool that came late or twice was taken for one of the second: decisions name the number, and the receiver compares the owner.

Change: each question to a pool has a number of its own.

--- a/packages/core/src/lacewingspar_core/admission_messages.py
+++ b/packages/core/src/lacewingspar_core/admission_messages.py
@@ -15,7 +15,8 @@
         service: Service of the pool.
         data_centre: Data centre of the pool's upstreams, or "" for all.
         shard: Shard of the service's upstreams.
-        number: Number of the request, unique for the sender's instance.
+        number: Number of the request, unique for the sender's instance. A
+            request that asks another pool gets another number.
         workspace: Workspace of the caller, or "".
         parts: Key and token count of each shared part of the prompt.
         own_tokens: Remaining tokens of the prompt.
--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -126,8 +126,8 @@
         self, requirements: RequestRequirements, excluded: frozenset[str]
     ) -> Grant:
         """Wait for a grant; the upstream may have left in the meantime."""
-        number = next(self._request_numbers)
-        admission = self._build_admission(requirements, excluded, number)
+        admission = self._build_admission(requirements, excluded)
+        number = admission.key.number
         pool = self._select_pool(requirements, number)
         assert pool is not None
         declined_in: list[str] = []
@@ -156,6 +156,11 @@
                     self._withdraw(pending)
                     self._record_silent_owner(pending, requirements)
                     pool = self._select_pool(requirements, number) or pool
+            # A late decision of the owner asked before names the old number.
+            admission = replace(admission, key=self._next_key())
+
+    def _next_key(self) -> AdmissionKey:
+        return AdmissionKey(self._app.instance, next(self._request_numbers))
 
     def _select_pool(
         self,
@@ -477,10 +482,9 @@
         self,
         requirements: RequestRequirements,
         excluded: frozenset[str],
-        number: int,
     ) -> Admission:
         return Admission(
-            key=AdmissionKey(self._app.instance, number),
+            key=self._next_key(),
             workspace=requirements.workspace,
             data_centre=self._app.settings.data_centre,
             shared_parts=requirements.shared_parts,
