Send no request to an upstream whose entry names another service

Callers would see: their request run by another service, after an upstream was registered for that service under the same id.

Cause: a grant names an upstream, and the router that sends the request compared only whether it drains. The owner of the pool may know an older entry. The expected id in the request does not help, as it is the same.

Evidence: test_grant_of_an_owner_with_an_old_list_is_not_used failed before: the stream ran at e1, which was listed for the plain service.

Change: a grant names its service, and the check before each send compares it with the newest entry that this router has.

Result: the test and those of notices, waits and switches pass.

--- a/packages/router/src/lacewingspar_router/components/admission/ingress.py
+++ b/packages/router/src/lacewingspar_router/components/admission/ingress.py
@@ -308,7 +308,7 @@
             )
 
     def may_send(self, grant: Grant) -> bool:
-        """Return whether the upstream of a grant still accepts requests."""
+        """Return whether the upstream of a grant still takes the request."""
         return self._send_check.may_send(grant)
 
     def record_first_chunk(self, grant: Grant) -> None:
@@ -449,7 +449,11 @@
             waited_ms=milliseconds(self._app.now() - requirements.arrived_at),
         )
         return Grant(
-            number, granted.upstream_id, granted.fetch_from, pending.owner
+            number,
+            requirements.service,
+            granted.upstream_id,
+            granted.fetch_from,
+            pending.owner,
         )
 
     def _refusal(
--- a/packages/router/src/lacewingspar_router/components/admission/models.py
+++ b/packages/router/src/lacewingspar_router/components/admission/models.py
@@ -51,6 +51,7 @@
 
     Attributes:
         number: Number of the request; unique for this router process.
+        service: Service of the request.
         upstream_id: Upstream that runs the request.
         fetch_from: Upstream from which to copy the shared parts of the prompt,
             or "".
@@ -58,6 +59,7 @@
     """
 
     number: int
+    service: str
     upstream_id: str
     fetch_from: str
     owner: str
@@ -81,7 +83,7 @@
         """
 
     def may_send(self, grant: Grant) -> bool:
-        """Return whether the upstream of a grant still accepts requests."""
+        """Return whether the upstream of a grant still takes the request."""
 
     def record_first_chunk(self, grant: Grant) -> None:
         """Report to the owner that the first chunk of the response arrived."""
--- a/packages/router/src/lacewingspar_router/components/admission/send_check.py
+++ b/packages/router/src/lacewingspar_router/components/admission/send_check.py
@@ -1,4 +1,4 @@
-"""Keeps requests from upstreams that leave or asked this router to wait."""
+"""Keeps requests from upstreams that must not get them any more."""
 
 import structlog
 
@@ -26,8 +26,8 @@
 class SendCheck:
     """Checks grants at the moment of sending.
 
-    A grant may be older than a notice of its upstream, or its owner may not
-    know of the notice.
+    A grant may be older than a notice or an entry of its upstream, or its
+    owner may not know of it.
 
     Args:
         app: The application.
@@ -46,7 +46,10 @@
     def may_send(self, grant: Grant) -> bool:
         """Return whether a granted request may be sent now."""
         entry = self._routing.directory.entry_by_id.get(grant.upstream_id)
-        if entry is not None and entry.state is UpstreamState.DRAINING:
+        if entry is not None and (
+            entry.state is UpstreamState.DRAINING
+            or entry.service != grant.service
+        ):
             return False
         return self._availability.try_begin(grant.upstream_id, grant.number)
 
@@ -58,7 +61,7 @@
             "requests_kept_back_total", service=requirements.service
         )
         _LOGGER.info(
-            "grant given back: the upstream wants no requests",
+            "grant given back: the upstream takes no such requests",
             request_id=requirements.request_id,
             service=requirements.service,
             upstream=grant.upstream_id,
--- a/tests/router/components/forwarding/test_upstream_switch.py
+++ b/tests/router/components/forwarding/test_upstream_switch.py
@@ -21,7 +21,7 @@
 from lacewingspar_router.errors import RequestRefusedError
 from lacewingspar_router.http1.errors import ConnectionFailedError
 
-GRANT = Grant(2, "u2", "", "r1")
+GRANT = Grant(2, "engines", "u2", "", "r1")
 LIMIT_SECONDS = 0.05
 RESPONDED = AttemptEnd(AttemptResult.RESPONDED)
 
--- a/tests/router/deployed/test_restarted_routers.py
+++ b/tests/router/deployed/test_restarted_routers.py
@@ -4,6 +4,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 import pytest
 from tests.router.deployed.conftest import (
     Caller,
@@ -16,11 +17,16 @@
 from lacewingspar_core.messages import RouterState
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.routing.models import ROUTING, KeyedRecord
+from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_standins.deployed.documents import upstream_entry
 
 SLOTS = 2
 WAITING_REQUESTS = 3
 # Room for the requests that occupy the upstreams and for those that wait.
 LIMIT_MS = 20_000
+# Offset of records that the other routers have not read.
+NEW_OFFSET = 1000
 
 
 def knows_as_serving(app: Application, router_id: str) -> bool:
@@ -118,3 +124,33 @@
     assert [response.status for response in responses] == [200] * len(calls)
     at_engine = {item.target for item in small.upstream_by_id["e1"].received}
     assert at_engine == {"/stream-once/"}
+
+
+async def test_grant_of_an_owner_with_an_old_list_is_not_used(
+    served: Deployment,
+) -> None:
+    """Guards against a request at an upstream that has changed its service.
+
+    The owner of the pool has not read the new entries.
+    """
+    await served.add_router("r2", processor_share=4.0)
+    caller = await served.add_router("r1")
+    asking = served.apps[1]
+    await until(lambda: knows_as_serving(asking, "r2"))
+    state = asking.get(ROUTING)
+    assert isinstance(state, RoutingState)
+    upstreams = [served.upstream_by_id[name] for name in ("e1", "e2")]
+    records = [
+        KeyedRecord(
+            upstream.upstream_id,
+            msgspec.json.encode(
+                upstream_entry("plain", upstream.address, NEW_OFFSET)
+            ),
+            NEW_OFFSET + number,
+        )
+        for number, upstream in enumerate(upstreams)
+    ]
+    state.apply_upstream_records(records, NEW_OFFSET + 2, "log")
+    response = await caller.call("/stream-once/", budget_ms=1000)
+    assert response.status == 503
+    assert not any(upstream.received for upstream in upstreams)
