Leave out records whose key is cut

Callers would see: an upstream that is used no more, because a record of another writer whose key is shorter than its length says was read as the removal of the upstream with that shorter id.

Evidence: test_record_without_a_key_is_left_out[cut key] failed before. Change: such a record is logged and left out, like one without content. Result: the tests of unreadable records pass.

--- a/packages/router/src/lacewingspar_router/platform/store.py
+++ b/packages/router/src/lacewingspar_router/platform/store.py
@@ -264,11 +264,19 @@
         if len(content) < length:
             raise TopicUnavailableError("invalid records: incomplete content")
         position += length
-        if content:
-            key_end = 1 + content[0]
-            key = content[1:key_end].decode("utf-8", "replace")
-            records.append(KeyedRecord(key, content[key_end:], offset))
+        record = _decode_record(content, offset)
+        if record is None:
+            _LOGGER.warning("record without a key ignored", offset=offset)
         else:
-            _LOGGER.warning("record without content ignored", offset=offset)
+            records.append(record)
         offset += 1
     return TopicRecords(records, offset)
+
+
+def _decode_record(content: bytes, offset: int) -> KeyedRecord | None:
+    """Decode a record, or return None if its key is not complete."""
+    if not content or len(content) <= content[0]:
+        return None
+    key_end = 1 + content[0]
+    key = content[1:key_end].decode("utf-8", "replace")
+    return KeyedRecord(key, content[key_end:], offset)
--- a/tests/router/deployed/test_unreadable_records.py
+++ b/tests/router/deployed/test_unreadable_records.py
@@ -195,10 +195,15 @@
     assert listing.end_offset == 2
 
 
-async def test_record_without_content_is_left_out() -> None:
-    """Guards against a topic that cannot be read beyond one record."""
-    content = b"\x02u1" + entry()
-    body = struct.pack(">QQII", 2, 0, 0, len(content)) + content
+@pytest.mark.parametrize("bad", [b"", b"\xffu2"], ids=["empty", "cut key"])
+async def test_record_without_a_key_is_left_out(bad: bytes) -> None:
+    """Guards against a topic that cannot be read beyond one record.
+
+    A key that is cut must not remove the upstream with the rest as its id.
+    """
+    body = struct.pack(">QQ", 2, 0)
+    for content in (bad, b"\x02u1" + entry()):
+        body += struct.pack(">I", len(content)) + content
     records = await topic_with(body).async_read(0, 0.0)
     assert [item.key for item in records.records] == ["u1"]
     assert records.records[0].offset == 1
