--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -62,7 +62,7 @@
     events: EventSequence = field(default_factory=EventSequence)
     first_chunk_at: float | None = None
 
-    def check(self, end: AttemptEnd) -> AttemptEnd:
+    def validated(self, end: AttemptEnd) -> AttemptEnd:
         """Return the end of an attempt as it counts for the caller.
 
         A whole response cannot continue a response that has started. That is
@@ -305,7 +305,7 @@
             return AttemptEnd(
                 AttemptResult.UPSTREAM_FAILURE, f"status {status}", response
             )
-        end = self._caller_response.check(
+        end = self._caller_response.validated(
             AttemptEnd(AttemptResult.RESPONDED, "", response)
         )
         if end.result is AttemptResult.RESPONDED:
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -291,7 +291,9 @@
         # It stays so if the attempt is cancelled: the request may have run.
         history.is_in_flight = True
         try:
-            end = progress.caller_response.check(await switch.async_send(grant))
+            end = progress.caller_response.validated(
+                await switch.async_send(grant)
+            )
             history.is_in_flight = False
             history.record(end.result, grant.upstream_id)
             outcome = RULE_BY_RESULT[end.result].outcome
--- a/packages/router/src/lacewingspar_router/http1/exchange.py
+++ b/packages/router/src/lacewingspar_router/http1/exchange.py
@@ -107,13 +107,13 @@
         self, status: int, headers: RawHeaders, *, length: int | None
     ) -> None:
         """Send the response head; without a length the body is chunked."""
-        self._take(_Step.START)
+        self._advance(_Step.START)
         self._is_chunked = length is None
         self._connection.write(self._encode_head(status, headers, length))
 
     def write(self, data: bytes) -> bool:
         """Send body data; return whether the write buffer has room."""
-        self._take(_Step.WRITE)
+        self._advance(_Step.WRITE)
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._connection.write(data)
@@ -125,7 +125,7 @@
 
     def finish(self) -> None:
         """Send the end of the response."""
-        self._take(_Step.FINISH)
+        self._advance(_Step.FINISH)
         if self._is_chunked:
             self._connection.write(b"0\r\n\r\n")
 
@@ -133,12 +133,12 @@
         self, status: int, headers: RawHeaders, body: bytes
     ) -> None:
         """Send a whole response."""
-        self._take(_Step.SEND_WHOLE)
+        self._advance(_Step.SEND_WHOLE)
         self._connection.write(
             self._encode_head(status, headers, len(body)) + body
         )
 
-    def _take(self, step: _Step) -> None:
+    def _advance(self, step: _Step) -> None:
         next_state = _NEXT_STATE.get((self._state, step))
         if next_state is None:
             raise ResponseOrderError(
