--- a/tests/router/deployed/test_restarted_routers.py
+++ b/tests/router/deployed/test_restarted_routers.py
@@ -37,26 +37,13 @@
 
 async def async_kill(app: Application) -> None:
     """End a router without a word to the others."""
-    with mock.patch.object(app.get(PEERS), "send", return_value=0):
+    silent = mock.Mock(return_value=0)
+    with mock.patch.multiple(
+        app.get(PEERS), send=silent, send_to_instance=silent
+    ):
         await app.async_stop()
 
 
-async def async_fill(
-    deployment: Deployment, caller: Caller, path: str, upstream_id: str
-) -> list[asyncio.Task[Any]]:
-    """Occupy all slots of an upstream until it is unmuted."""
-    upstream = deployment.upstream_by_id[upstream_id]
-    upstream.faults.mute = True
-    calls = [
-        asyncio.create_task(
-            Caller(caller.address).call(path, budget_ms=LIMIT_MS)
-        )
-        for _ in range(SLOTS)
-    ]
-    await until(lambda: len(upstream.received) == SLOTS)
-    return calls
-
-
 def send_calls(
     caller: Caller, path: str, count: int
 ) -> list[asyncio.Task[Any]]:
@@ -69,6 +56,17 @@
     ]
 
 
+async def async_fill(
+    deployment: Deployment, caller: Caller, path: str, upstream_id: str
+) -> list[asyncio.Task[Any]]:
+    """Occupy all slots of an upstream until it is unmuted."""
+    upstream = deployment.upstream_by_id[upstream_id]
+    upstream.faults.mute = True
+    calls = send_calls(caller, path, SLOTS)
+    await until(lambda: len(upstream.received) == SLOTS)
+    return calls
+
+
 @pytest.fixture
 async def small(deployment: Deployment) -> Deployment:
     """Provide one upstream of each service, with long targets and few slots."""
