Make the test of a killed router's grants fail for its own fault again

It now also asserts that no grant is given back, and waits for the dropped message in place of fixed times; the owner keeps the requests of the killed router however slow the machine is.

--- a/tests/router/deployed/test_restarted_routers.py
+++ b/tests/router/deployed/test_restarted_routers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+import structlog
 from tests.router.deployed.conftest import (
     Caller,
     Deployment,
@@ -13,10 +14,12 @@
     until,
 )
 
-from lacewingspar_core.membership import Membership
+from lacewingspar_core.admission_messages import AdmissionQueued
 from lacewingspar_core.messages import RouterState
+from lacewingspar_core.pool_admission import PoolAdmission
 from lacewingspar_router.application import Application
-from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.components.admission import const
+from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import ROUTING, KeyedRecord
 from lacewingspar_router.components.routing.state import RoutingState
 from lacewingspar_standins.deployed.documents import upstream_entry
@@ -81,6 +84,13 @@
     return deployment
 
 
+def record_queued(app: Application) -> list[ReceivedMessage]:
+    """Return a list that gets the router's messages about queued requests."""
+    received: list[ReceivedMessage] = []
+    app.get(PEERS).subscribe(AdmissionQueued, received.append)
+    return received
+
+
 async def test_grant_for_a_killed_router_is_not_used_by_its_successor(
     small: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -89,6 +99,10 @@
     A new process at the address of a killed one numbers its requests from 1
     too, and the owner of the pools does not know yet that the other one ended.
     """
+    monkeypatch.setattr(const, "OWNER_RESPONSE_TIMEOUT_SECONDS", LIMIT_MS)
+    monkeypatch.setattr(
+        PoolAdmission, "remove_ingress_router", mock.Mock(return_value=[])
+    )
     owner_caller = await small.add_router("r2", processor_share=4.0)
     caller = await small.add_router("r1")
     owner, killed = small.apps
@@ -96,32 +110,32 @@
     await until(lambda: knows_as_serving(killed, "r2"))
     occupying = await async_fill(small, owner_caller, "/stream-once/", "e1")
     occupying += await async_fill(small, owner_caller, "/read/", "p1")
+    queued = record_queued(killed)
     lost = send_calls(caller, "/stream-once/", WAITING_REQUESTS)
-    await asyncio.sleep(0.2)
+    await until(lambda: len(queued) == WAITING_REQUESTS)
     await async_kill(killed)
-    # The heartbeats of the new process do not arrive.
-    merge = Membership.merge
-    monkeypatch.setattr(
-        Membership,
-        "merge",
-        lambda self, *args: (
-            None
-            if self.own_record.life == owner.instance
-            else merge(self, *args)
-        ),
-    )
     successor = await small.restart_router(killed)
     await until(lambda: knows_as_serving(successor, "r2"))
+    queued = record_queued(successor)
     calls = send_calls(caller, "/write/", WAITING_REQUESTS)
-    await asyncio.sleep(0.2)
-    small.upstream_by_id["e1"].unmute()
-    await asyncio.sleep(0.3)
-    small.upstream_by_id["p1"].unmute()
-    responses = await asyncio.gather(*calls)
+    await until(lambda: len(queued) >= WAITING_REQUESTS)
+    engine, plain = (small.upstream_by_id[name] for name in ("e1", "p1"))
+    with structlog.testing.capture_logs() as lines:
+        engine.unmute()
+        await until(
+            lambda: any(
+                line["event"] == "peer message for another process dropped"
+                or line["event"].startswith("grant given back")
+                for line in lines
+            )
+        )
+        plain.unmute()
+        responses = await asyncio.gather(*calls)
     await asyncio.gather(*occupying, *lost)
     assert [response.status for response in responses] == [200] * len(calls)
-    at_engine = {item.target for item in small.upstream_by_id["e1"].received}
-    assert at_engine == {"/stream-once/"}
+    assert {item.target for item in engine.received} == {"/stream-once/"}
+    # The check of the service before the send would hide the mix-up.
+    assert not any("given back" in line["event"] for line in lines)
 
 
 async def test_grant_of_an_owner_with_an_old_list_is_not_used(
