Decode upstream records in one loop again

The guard of each record stands in the loop that was there, so that the second function beside it and the branch on the result's class go.

--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -172,7 +172,7 @@
             expiry_grace_seconds: The same property of the router that has read
                 the records, or None if this router has read them.
         """
-        entries = self._decode_all(listing.record_by_key.values())
+        entries = self._decode(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
         self._change_offset_by_upstream = {
             key: record.offset for key, record in listing.record_by_key.items()
@@ -316,34 +316,29 @@
             return self._directory.remove(
                 record.key, self._app.now(), grace_seconds=grace_seconds
             )
-        entry = self._decode(record)
+        entry = self._decode([record]).get(record.key)
         return None if entry is None else self._directory.apply(entry)
 
-    def _decode_all(
+    def _decode(
         self, records: Iterable[KeyedRecord]
     ) -> dict[str, UpstreamEntry]:
         """Return the entries of the records that can be decoded, by id."""
         entry_by_id: dict[str, UpstreamEntry] = {}
         for record in records:
             with self._record_guard:
-                entry = self._decode(record)
-                if entry is not None:
-                    entry_by_id[record.key] = entry
+                match self._source.decode_upstream(record.key, record.value):
+                    case Success(entry):
+                        entry_by_id[record.key] = entry
+                    case Failure(problem):
+                        self._telemetry.count("invalid_upstream_entries_total")
+                        _LOGGER.warning(
+                            "invalid upstream entry ignored",
+                            upstream=record.key,
+                            offset=record.offset,
+                            problem=problem,
+                        )
         return entry_by_id
 
-    def _decode(self, record: KeyedRecord) -> UpstreamEntry | None:
-        result = self._source.decode_upstream(record.key, record.value)
-        if isinstance(result, Failure):
-            self._telemetry.count("invalid_upstream_entries_total")
-            _LOGGER.warning(
-                "invalid upstream entry ignored",
-                upstream=record.key,
-                offset=record.offset,
-                problem=result.failure(),
-            )
-            return None
-        return result.unwrap()
-
     def _mark_available(self) -> None:
         if self._is_unavailable:
             self._is_unavailable = False
