Share the body of a stream and the wait for a known router among tests

The body of a whole stream was written in four test files, and whether a router knows another one as serving in two places. The checks of a whole and of a cut stream stood twice each in the tests of continuations. The assertions are the same; the stand-in keeps its own literal.

--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -40,6 +40,14 @@
 from lacewingspar_standins.server import running
 
 
+def stream_bytes(events: int) -> bytes:
+    """Return the body of a whole stream of an upstream."""
+    return b"".join(
+        b"id: %d\ndata: event %d\n\n" % (number, number)
+        for number in range(1, events + 1)
+    )
+
+
 @dataclass(slots=True)
 class ReceivedResponse:
     """Response as received by the caller.
@@ -282,6 +290,12 @@
     return deployment
 
 
+def knows_as_serving(app: Application, router_id: str) -> bool:
+    """Return whether a router knows another one as serving."""
+    record = app.get(PEERS).alive_by_router_id.get(router_id)
+    return record is not None and record.state is RouterState.SERVING
+
+
 class _FullHandOverController(HandOverController):
     """Controller of an overloaded router: hands over all requests."""
 
@@ -305,14 +319,7 @@
         patch.setattr(hand_over, "HandOverController", _FullHandOverController)
         caller = await deployment.add_router("r1")
     await deployment.add_router("r2")
-    first, second = deployment.apps
-    peers = first.get(PEERS)
-
-    def is_known() -> bool:
-        record = peers.alive_by_router_id.get(second.instance.router_id)
-        return record is not None and record.state is RouterState.SERVING
-
-    await until(is_known)
+    await until(lambda: knows_as_serving(deployment.apps[0], "r2"))
     return caller
 
 
@@ -339,7 +346,9 @@
     "Deployment",
     "ReceivedResponse",
     "Response",
+    "knows_as_serving",
     "manifest",
     "route",
+    "stream_bytes",
     "until",
 ]
--- a/tests/router/deployed/test_failed_continuations.py
+++ b/tests/router/deployed/test_failed_continuations.py
@@ -12,6 +12,7 @@
     manifest,
     receive,
     route,
+    stream_bytes,
     until,
 )
 
@@ -19,10 +20,7 @@
 from lacewingspar_standins.deployed.upstream import Upstream
 
 EVENTS = 8
-STREAM = b"".join(
-    b"id: %d\ndata: event %d\n\n" % (number, number)
-    for number in range(1, EVENTS + 1)
-)
+STREAM = stream_bytes(EVENTS)
 STATUSES = [200, 204, 302, 400, 404, 500]
 LIMIT_MS = 6000
 
@@ -45,6 +43,20 @@
         return self.data.count(b"HTTP/1.1 ")
 
 
+def assert_complete(response: RawResponse) -> None:
+    """Check that a caller received the whole stream and nothing else."""
+    assert response.status_lines == 1
+    assert response.parsed.is_complete
+    assert response.parsed.body == STREAM
+
+
+def assert_cut(response: RawResponse) -> None:
+    """Check that a caller received a part of the stream and nothing else."""
+    assert response.status_lines == 1
+    assert not response.parsed.is_complete
+    assert STREAM.startswith(response.parsed.body)
+
+
 async def async_call(address: str) -> RawResponse:
     """Send a streamed request and return all that comes back."""
     connection = await async_open_connection(address)
@@ -111,9 +123,7 @@
     other.faults.stream_status = status
     response = await call
     assert other.received
-    assert response.status_lines == 1
-    assert not response.parsed.is_complete
-    assert STREAM.startswith(response.parsed.body)
+    assert_cut(response)
 
 
 @pytest.mark.parametrize("status", STATUSES)
@@ -131,9 +141,7 @@
             other.faults.stream_status = 0
     response = await call
     assert all(other.received for other in others)
-    assert response.status_lines == 1
-    assert response.parsed.is_complete
-    assert response.parsed.body == STREAM
+    assert_complete(response)
 
 
 @pytest.mark.parametrize("status", STATUSES)
@@ -147,9 +155,7 @@
     other.faults.stream_status = status
     response = await call
     assert other.received
-    assert response.status_lines == 1
-    assert response.parsed.is_complete
-    assert response.parsed.body == STREAM
+    assert_complete(response)
 
 
 @pytest.mark.parametrize("status", STATUSES)
@@ -172,6 +178,4 @@
     await until(lambda: bool(other.received))
     first.may_go_on.set()
     response = await call
-    assert response.status_lines == 1
-    assert not response.parsed.is_complete
-    assert STREAM.startswith(response.parsed.body)
+    assert_cut(response)
--- a/tests/router/deployed/test_forwarding.py
+++ b/tests/router/deployed/test_forwarding.py
@@ -11,15 +11,14 @@
     Deployment,
     manifest,
     route,
+    stream_bytes,
     until,
 )
 
 from lacewingspar_core import decline_cache, router_concurrency_limit
 from lacewingspar_standins.deployed.upstream import SEAL
 
-STREAM = b"".join(
-    b"id: %d\ndata: event %d\n\n" % (number, number) for number in range(1, 6)
-)
+STREAM = stream_bytes(5)
 
 
 def upstreams(deployment: Deployment, service: str) -> list[Any]:
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -5,7 +5,12 @@
 import pytest
 import structlog
 from tests.router.connections import async_open_connection
-from tests.router.deployed.conftest import Caller, Deployment, until
+from tests.router.deployed.conftest import (
+    Caller,
+    Deployment,
+    stream_bytes,
+    until,
+)
 
 from lacewingspar_core.messages import RouterState
 from lacewingspar_router.components.forwarding import hand_over
@@ -278,8 +283,7 @@
     await served.apps[1].async_stop()
     response = await call
     assert response.is_complete
-    events = [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 21)]
-    assert response.body == b"".join(events)
+    assert response.body == stream_bytes(20)
 
 
 @pytest.mark.parametrize(
--- a/tests/router/deployed/test_restarted_routers.py
+++ b/tests/router/deployed/test_restarted_routers.py
@@ -10,12 +10,12 @@
 from tests.router.deployed.conftest import (
     Caller,
     Deployment,
+    knows_as_serving,
     manifest,
     until,
 )
 
 from lacewingspar_core.admission_messages import AdmissionQueued
-from lacewingspar_core.messages import RouterState
 from lacewingspar_core.pool_admission import PoolAdmission
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission import const
@@ -32,12 +32,6 @@
 NEW_OFFSET = 1000
 
 
-def knows_as_serving(app: Application, router_id: str) -> bool:
-    """Return whether a router knows another one as ready."""
-    record = app.get(PEERS).alive_by_router_id.get(router_id)
-    return record is not None and record.state is RouterState.SERVING
-
-
 async def async_kill(app: Application) -> None:
     """End a router without a word to the others."""
     silent = mock.Mock(return_value=0)
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -12,6 +12,7 @@
     ReceivedResponse,
     manifest,
     route,
+    stream_bytes,
     until,
 )
 
@@ -24,10 +25,7 @@
 from lacewingspar_standins.deployed.upstream import Upstream
 
 EVENTS = 10
-STREAM = b"".join(
-    b"id: %d\ndata: event %d\n\n" % (number, number)
-    for number in range(1, EVENTS + 1)
-)
+STREAM = stream_bytes(EVENTS)
 
 ROUTES = [
     route(
--- a/tests/router/deployed/test_unreadable_records.py
+++ b/tests/router/deployed/test_unreadable_records.py
@@ -63,16 +63,11 @@
 }
 
 
-class Failing:
-    """Decoder that does not expect one entry."""
-
-    def __init__(self, upstream_id: str) -> None:
-        self._upstream_id = upstream_id
-
-    def decode(self, upstream_id: str, data: bytes) -> Result[Any, str]:
-        if upstream_id == self._upstream_id:
-            raise LookupError(upstream_id)
-        return decode_upstream(upstream_id, data)
+def decode_with_a_fault(upstream_id: str, data: bytes) -> Result[Any, str]:
+    """Decode an entry, but fail for one upstream."""
+    if upstream_id == "other":
+        raise LookupError(upstream_id)
+    return decode_upstream(upstream_id, data)
 
 
 def routing_state(decode: Any = decode_upstream) -> RoutingState:
@@ -104,7 +99,7 @@
     [
         (decode_upstream, UNUSABLE_ENTRY_BY_NAME["nested in an unknown field"]),
         (decode_upstream, UNUSABLE_ENTRY_BY_NAME["port of many digits"]),
-        (Failing("other").decode, entry()),
+        (decode_with_a_fault, entry()),
     ],
     ids=["nested", "port of many digits", "decoder with a fault"],
 )
