Log how far a stream had come when an attempt failed

The log did not tell whether the next upstream was asked to go on after the last event or to start anew: 'attempt failed' named neither. Measured: the new test in test_forwarding.py fails without the two fields (KeyError) and passes with them.

--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -118,6 +118,8 @@
             result=end.result,
             reason=end.reason,
             sent=progress.history.sent,
+            events=progress.caller_response.events.forwarded,
+            last_event_id=progress.caller_response.events.last_id,
             directory_age_ms=_milliseconds(self._routing.directory_age_seconds),
         )
 
--- a/tests/router/deployed/test_forwarding.py
+++ b/tests/router/deployed/test_forwarding.py
@@ -224,6 +224,22 @@
         assert STREAM.startswith(response.body)
 
 
+async def test_failed_attempt_names_the_events_before_it(
+    served: Deployment,
+) -> None:
+    """Guards against a repeated stream whose log does not name the cause."""
+    caller = await served.add_router()
+    for upstream in upstreams(served, "e"):
+        upstream.faults.break_after_events = 2
+    with structlog.testing.capture_logs() as lines:
+        await caller.call("/stream/1")
+    failed = [line for line in lines if line["event"] == "attempt failed"]
+    assert [(line["events"], line["last_event_id"]) for line in failed] == [
+        (2, 2),
+        (4, 4),
+    ]
+
+
 async def test_caller_resumes_by_event_id(served: Deployment) -> None:
     caller = await served.add_router()
     response = await caller.call("/stream/1", last_event_id="3")
