Continue a stream after its last event whatever the event's id looks like

Cause: the router kept the id of the last event as a number of 1 to 18 digits. An event with any other id counted as one without an id, so the next upstream was sent the request without Last-Event-Id although events had been delivered. A number with leading zeros was sent on without them. The caller's own Last-Event-Id went through the same conversion: another value than a number was dropped, and one of 5,000 digits got 500.

Ruled out: an id that is read and not sent, and an upstream that ignores it. With ids of up to 18 digits the same upstreams go on where they should.

Change: ids are opaque bytes from the event, or from the caller's header, to the header of the next request. The last id line of an event counts, as in the standard of event streams. Two decimal numbers are compared by their digits, of any length; other ids only tell whether two events are the same.

The log names the id as text now, since it need not be a number; the tests that named a number name its text.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -7,7 +7,7 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _MAX_EVENT_END_BYTES = 4
-_EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18})(?=[\r\n])")
+_EVENT_ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
 # Limits the buffered part of an event, and also the data that a stream delivers
 # without a new event, such as events that were already forwarded.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -21,13 +21,16 @@
 class EventSequence:
     """Forwards complete events, each once and in order.
 
+    Ids are opaque: they are compared and passed on as they were received. Only
+    ids that are decimal numbers, of any length, also have an order.
+
     Attributes:
         last_id: Id of the last forwarded event, or None before the first event
             with an id.
         forwarded: Number of forwarded events.
     """
 
-    last_id: int | None = None
+    last_id: bytes | None = None
     forwarded: int = 0
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
@@ -72,11 +75,28 @@
 
     def _is_new(self, event: bytes) -> bool:
         """Return whether an event is new, and record its id."""
-        found = _EVENT_ID.search(event)
-        if found is None:
+        # The last of several ids counts.
+        ids = _EVENT_ID.findall(event)
+        if not ids:
             return True
-        number = int(found.group(1))
-        if self.last_id is not None and number <= self.last_id:
+        event_id = ids[-1]
+        if self.last_id is not None and not _is_later(event_id, self.last_id):
             return False
-        self.last_id = number
+        self.last_id = event_id
         return True
+
+
+def _is_later(event_id: bytes, other: bytes) -> bool:
+    """Return whether an event may follow another one.
+
+    Ids that are not both decimal numbers only tell whether it is the same one.
+    """
+    if event_id.isdigit() and other.isdigit():
+        return _magnitude(event_id) > _magnitude(other)
+    return event_id != other
+
+
+def _magnitude(digits: bytes) -> tuple[int, bytes]:
+    """Return a key that orders decimal numbers of any length."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -49,7 +49,8 @@
         own_tokens: Number of prompt tokens outside the shared parts.
         output_tokens: Expected number of tokens of the response, or 0 if
             unknown.
-        last_event_id: ID of the last event that the caller received, or None.
+        last_event_id: ID of the last event that the caller received, as the
+            caller sent it, or None.
         handed_over_after_seconds: Time between the arrival of the request at
             another router and its hand-over to this one, or None if it came
             from the caller.
@@ -64,7 +65,7 @@
     shared_parts: tuple[PromptPart, ...]
     own_tokens: int
     output_tokens: int
-    last_event_id: int | None
+    last_event_id: bytes | None
     handed_over_after_seconds: float | None = None
     min_configuration_version: int | None = None
 
@@ -162,7 +163,7 @@
         call: Call,
         upstream: UpstreamEntry,
         time_budget_seconds: float,
-        resume_after: int | None,
+        resume_after: bytes | None,
         fetch_from: str,
     ) -> bytes:
         """Encode a request for an upstream.
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -26,6 +26,8 @@
 REASON_BUDGET = "retry_budget"
 REASON_REMOVED = "upstream_removed"
 REASON_UNREACHABLE = "upstream_unreachable"
+# Length to which the ids of events are cut in the log, in characters.
+_MAX_LOGGED_ID_LENGTH = 64
 # Outcome of a silence after which the upstream has sent more.
 WENT_ON = "went_on"
 
@@ -119,7 +121,7 @@
             reason=end.reason,
             sent=progress.history.sent,
             events=progress.caller_response.events.forwarded,
-            last_event_id=progress.caller_response.events.last_id,
+            last_event_id=_logged_event_id(progress),
             directory_age_ms=_milliseconds(self._routing.directory_age_seconds),
         )
 
@@ -163,7 +165,7 @@
             "upstream": progress.upstream_id,
             "service": service,
             "silent_ms": _milliseconds(silent_seconds),
-            "last_event_id": progress.caller_response.events.last_id,
+            "last_event_id": _logged_event_id(progress),
         }
 
     def record_end(self, progress: CallProgress, outcome: str) -> None:
@@ -198,5 +200,12 @@
         )
 
 
+def _logged_event_id(progress: CallProgress) -> str | None:
+    event_id = progress.caller_response.events.last_id
+    if event_id is None:
+        return None
+    return event_id.decode("utf-8", "replace")[:_MAX_LOGGED_ID_LENGTH]
+
+
 def _milliseconds(seconds: float) -> int:
     return round(seconds * 1000)
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -69,7 +69,7 @@
             shared_parts=shared,
             own_tokens=own,
             output_tokens=output,
-            last_event_id=_header_integer(values, names.HEADER_LAST_EVENT_ID),
+            last_event_id=values.get(names.HEADER_LAST_EVENT_ID) or None,
             handed_over_after_seconds=_handed_over_after(values),
             min_configuration_version=_header_integer(
                 values, names.HEADER_CONFIGURATION_VERSION
@@ -98,7 +98,7 @@
         call: Call,
         upstream: UpstreamEntry,
         time_budget_seconds: float,
-        resume_after: int | None,
+        resume_after: bytes | None,
         fetch_from: str,
     ) -> bytes:
         """Encode a request to an upstream."""
@@ -112,7 +112,7 @@
         if call.workspace:
             headers.append((names.HEADER_WORKSPACE, call.workspace.encode()))
         if resume_after is not None:
-            headers.append((names.HEADER_LAST_EVENT_ID, b"%d" % resume_after))
+            headers.append((names.HEADER_LAST_EVENT_ID, resume_after))
         if fetch_from:
             headers.append((names.HEADER_FETCH_PARTS_FROM, fetch_from.encode()))
         if request.body or request.method not in _METHODS_WITHOUT_BODY:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -173,6 +173,7 @@
         may_go_on: Ends all pauses, instead of `pause_seconds`, or None.
         on_crash: Called at each crash with whether a prompt part caused it, or
             None.
+        id_of_event: Returns the id of the event with a number, from 1.
 
     Args:
         upstream_id: Id of the upstream.
@@ -200,6 +201,7 @@
         self.part_crashes: list[tuple[str, float]] = []
         self.may_go_on: asyncio.Event | None = None
         self.on_crash: Callable[[bool], None] | None = None
+        self.id_of_event: Callable[[int], str] = str
         self.endless_bytes = 0
         self.unmuted = asyncio.Event()
         self.open_connections: set[_Connection] = set()
@@ -215,6 +217,24 @@
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
+    def event(self, number: int) -> bytes:
+        """Return the event with a number, from 1."""
+        return (
+            f"id: {self.id_of_event(number)}\ndata: event {number}\n\n".encode()
+        )
+
+    def first_event(self, request: ReceivedRequest) -> int:
+        """Return the number of the first event of a response.
+
+        A stream begins anew after an id that names no event.
+        """
+        number_by_id = {
+            self.id_of_event(number): number
+            for number in range(1, self.events + 1)
+        }
+        last_id = request.value_by_header.get("last-event-id", "")
+        return number_by_id.get(last_id, 0) + 1
+
     def unmute(self) -> None:
         """Go on with all requests, also those that wait for a response."""
         self.faults.mute = False
@@ -384,7 +404,7 @@
                 [f"X-Server-Seal: {SEAL}"],
             )
             return
-        first = int(request.value_by_header.get("last-event-id", "0")) + 1
+        first = self._upstream.first_event(request)
         headers = [f"X-Server-Seal: {SEAL}", "Content-Type: text/event-stream"]
         if not faults.unframed:
             headers.append("Transfer-Encoding: chunked")
@@ -395,7 +415,7 @@
                 self._upstream.crash(by_part=True)
                 return
         for sent, number in enumerate(range(first, self._upstream.events + 1)):
-            data = b"id: %d\ndata: event %d\n\n" % (number, number)
+            data = self._upstream.event(number)
             if sent == faults.break_after_events:
                 if faults.cut_event:
                     self._write_chunk(data[: len(data) // 2])
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -25,7 +25,7 @@
         assert not ready or ready.endswith(end)
         forwarded.append(ready)
     assert b"".join(forwarded) == stream
-    assert sequence.last_id == 3
+    assert sequence.last_id == b"3"
     assert not sequence.has_partial_event
 
 
@@ -38,7 +38,7 @@
 
 
 def test_events_without_an_id_are_forwarded() -> None:
-    sequence = EventSequence(last_id=4)
+    sequence = EventSequence(last_id=b"4")
     assert sequence.push(b"data: [end]\n\n") == b"data: [end]\n\n"
 
 
@@ -49,9 +49,38 @@
 
 
 def test_endless_repeated_events_are_rejected() -> None:
-    sequence = EventSequence(last_id=9)
+    sequence = EventSequence(last_id=b"9")
     part = event(9) * 1000
     for _ in range(MAX_EVENT_BYTES // len(part)):
         sequence.push(part)
     with pytest.raises(EventSizeError):
         sequence.push(part)
+
+
+@pytest.mark.parametrize(
+    ("last_id", "lines", "is_new"),
+    [
+        (b"9", b"id: 10\n", True),
+        (b"10", b"id: 9\n", False),
+        (b"0010", b"id: 9\n", False),
+        (b"9", b"id: 0009\n", False),
+        (b"9" * 18, b"id: 1%b\n" % (b"0" * 18), True),
+        (b"9" * 5000, b"id: %b\n" % (b"9" * 4999), False),
+        (b"a", b"id: a\n", False),
+        (b"b", b"id: a\n", True),
+        (b"a", b"id:a\n", False),
+        # Only one space belongs to the field.
+        (b"a", b"id:  a\n", True),
+        (b"2", b"id: 1\nid: 3\n", True),
+        (b"2", b"id: 3\ndata: y\nid: 2\n", False),
+        (b"2", b"idx: 2\n", True),
+        (b"2", b"data: id: 2\n", True),
+    ],
+)
+def test_events_are_compared_by_their_whole_id(
+    last_id: bytes, lines: bytes, is_new: bool
+) -> None:
+    """Guards against ids that are read only if they look as expected."""
+    sequence = EventSequence(last_id=last_id)
+    data = lines + b"data: x\n\n"
+    assert sequence.push(data) == (data if is_new else b"")
--- a/tests/router/deployed/test_forwarding.py
+++ b/tests/router/deployed/test_forwarding.py
@@ -235,8 +235,8 @@
         await caller.call("/stream/1")
     failed = [line for line in lines if line["event"] == "attempt failed"]
     assert [(line["events"], line["last_event_id"]) for line in failed] == [
-        (2, 2),
-        (4, 4),
+        (2, "2"),
+        (4, "4"),
     ]
 
 
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -128,7 +128,7 @@
     assert [
         (line["decision"], line["reason"]) for line in silences
     ] == decisions
-    assert silences[0]["last_event_id"] == 3
+    assert silences[0]["last_event_id"] == "3"
     assert silences[0]["silent_ms"] >= 1000
 
 
