Cut a stream that no id of an event tells where to continue

What callers saw: if the last event of a resumable stream had no id, the stream went on elsewhere after the last event that had one, or anew, and the events in between came twice. The same held for ids that a header cannot carry unchanged.

Cause: the place to go on from was the last id that had been read, not the last event that had been delivered; "no id" and "nothing delivered" were one value.

Change: the place is a value of its own, one of three kinds: the start, after an event, or none. A stream without one is not continued elsewhere: a failed attempt ends it as cut (the caller knows what it has received and may resume it), a silent upstream is kept, and an attempt looks once more before it sends. The reason is no_resume_point. Comments and reconnection times are no events and change nothing.

The stand-in can leave ids out.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -5,7 +5,14 @@
 
 from lacewingspar_core.attempt_rules import AttemptResult
 from lacewingspar_core.directory import UpstreamEntry
-from lacewingspar_core.event_stream import EventSequence, EventSizeError
+from lacewingspar_core.event_stream import (
+    AfterEvent,
+    EventSequence,
+    EventSizeError,
+    NoResumePoint,
+    ResumePoint,
+    StreamStart,
+)
 from lacewingspar_core.routing import RouteKind
 from lacewingspar_core.upstream_notices import UpstreamNotice
 from lacewingspar_router.components.forwarding import const
@@ -31,6 +38,7 @@
 # Callers take these statuses to mean that the request did not run. They are not
 # relayed unless the upstream also declares that it did not run the request.
 _UNCONFIRMED_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_NO_RESUME_POINT = "no id tells where the stream would go on"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +70,11 @@
     events: EventSequence = field(default_factory=EventSequence)
     first_chunk_at: float | None = None
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another upstream can be told where to go on."""
+        return not isinstance(self.events.resume_point, NoResumePoint)
+
     def validated(self, end: AttemptEnd) -> AttemptEnd:
         """Return the end of an attempt as it counts for the caller.
 
@@ -159,6 +172,9 @@
             return AttemptEnd(
                 AttemptResult.WITHHELD, "the upstream wants no requests"
             )
+        if not self._caller_response.can_continue:
+            connection.abort()
+            return AttemptEnd(AttemptResult.WITHHELD, _NO_RESUME_POINT)
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
@@ -173,12 +189,11 @@
                 connection.abort()
 
     def _request(self, fetch_from: str) -> bytes:
-        resume_after = self._caller_response.events.last_id
         return self._wire_format.encode_upstream_request(
             self._call,
             self._upstream,
             self._call.deadline_at - self._now(),
-            resume_after,
+            _last_event_id(self._caller_response.events.resume_point),
             fetch_from,
         )
 
@@ -342,6 +357,17 @@
         await self._attempt.async_drain()
 
 
+def _last_event_id(resume_point: ResumePoint) -> bytes | None:
+    """Return the id after which an upstream begins, or None at the start."""
+    match resume_point:
+        case StreamStart():
+            return None
+        case AfterEvent(event_id):
+            return event_id
+        case NoResumePoint():
+            raise AssertionError(_NO_RESUME_POINT)
+
+
 _UNUSABLE_CONNECTION_RESULTS = frozenset(
     {AttemptResult.BROKEN, AttemptResult.INVALID, AttemptResult.TIMED_OUT}
 )
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -34,6 +34,7 @@
 from lacewingspar_router.components.forwarding.request_recorder import (
     REASON_ATTEMPTS,
     REASON_BUDGET,
+    REASON_NO_RESUME_POINT,
     REASON_TIME,
     CallProgress,
     RequestRecorder,
@@ -320,6 +321,9 @@
             if history.may_run_again:
                 progress.no_replacement = REASON_ATTEMPTS
             return False
+        if not progress.caller_response.can_continue:
+            progress.no_replacement = REASON_NO_RESUME_POINT
+            return False
         time_left = call.deadline_at - self._app.now()
         if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
             progress.no_replacement = REASON_TIME
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -26,6 +26,7 @@
 REASON_BUDGET = "retry_budget"
 REASON_REMOVED = "upstream_removed"
 REASON_UNREACHABLE = "upstream_unreachable"
+REASON_NO_RESUME_POINT = "no_resume_point"
 # Length to which the ids of events are cut in the log, in characters.
 _MAX_LOGGED_ID_LENGTH = 64
 # Outcome of a silence after which the upstream has sent more.
--- a/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/upstream_switch.py
@@ -23,6 +23,7 @@
 from lacewingspar_router.components.forwarding.request_recorder import (
     REASON_ATTEMPTS,
     REASON_BUDGET,
+    REASON_NO_RESUME_POINT,
     REASON_REMOVED,
     REASON_TIME,
     REASON_UNREACHABLE,
@@ -412,6 +413,8 @@
         call = self._progress.call
         if not self._progress.history.may_replace:
             return REASON_ATTEMPTS
+        if not self._progress.caller_response.can_continue:
+            return REASON_NO_RESUME_POINT
         time_left = call.deadline_at - self._app.now()
         if time_left < const.MIN_RETRY_TIME_LEFT_SECONDS:
             return REASON_TIME
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -173,7 +173,8 @@
         may_go_on: Ends all pauses, instead of `pause_seconds`, or None.
         on_crash: Called at each crash with whether a prompt part caused it, or
             None.
-        id_of_event: Returns the id of the event with a number, from 1.
+        id_of_event: Returns the id of the event with a number, from 1, or None
+            for an event without an id.
 
     Args:
         upstream_id: Id of the upstream.
@@ -201,7 +202,7 @@
         self.part_crashes: list[tuple[str, float]] = []
         self.may_go_on: asyncio.Event | None = None
         self.on_crash: Callable[[bool], None] | None = None
-        self.id_of_event: Callable[[int], str] = str
+        self.id_of_event: Callable[[int], str | None] = str
         self.endless_bytes = 0
         self.unmuted = asyncio.Event()
         self.open_connections: set[_Connection] = set()
@@ -219,9 +220,9 @@
 
     def event(self, number: int) -> bytes:
         """Return the event with a number, from 1."""
-        return (
-            f"id: {self.id_of_event(number)}\ndata: event {number}\n\n".encode()
-        )
+        event_id = self.id_of_event(number)
+        id_line = "" if event_id is None else f"id: {event_id}\n"
+        return f"{id_line}data: event {number}\n\n".encode()
 
     def first_event(self, request: ReceivedRequest) -> int:
         """Return the number of the first event of a response.
@@ -232,7 +233,9 @@
             self.id_of_event(number): number
             for number in range(1, self.events + 1)
         }
-        last_id = request.value_by_header.get("last-event-id", "")
+        last_id = request.value_by_header.get("last-event-id")
+        if not last_id:
+            return 1
         return number_by_id.get(last_id, 0) + 1
 
     def unmute(self) -> None:
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -4,8 +4,13 @@
 
 from lacewingspar_core.event_stream import (
     MAX_EVENT_BYTES,
+    MAX_EVENT_ID_BYTES,
+    AfterEvent,
     EventSequence,
     EventSizeError,
+    NoResumePoint,
+    ResumePoint,
+    StreamStart,
 )
 
 
@@ -84,3 +89,38 @@
     sequence = EventSequence(last_id=last_id)
     data = lines + b"data: x\n\n"
     assert sequence.push(data) == (data if is_new else b"")
+
+
+@pytest.mark.parametrize(
+    ("data", "resume_point"),
+    [
+        (b"", StreamStart()),
+        (event(1), AfterEvent(b"1")),
+        (b"id: a\n\n", AfterEvent(b"a")),
+        (b"id: a b\ndata: x\n\n", AfterEvent(b"a b")),
+        (b"data: x\n\n", NoResumePoint()),
+        (event(1) + b"data: x\n\n", NoResumePoint()),
+        (event(1) + b"event: x\n\n", NoResumePoint()),
+        (event(1) + b"data: x\n\n" + event(2), AfterEvent(b"2")),
+        (event(1) + b": comment\n\nretry: 10\n: comment\n\n", AfterEvent(b"1")),
+        (b": comment\n\n", StreamStart()),
+        (event(1) + b"id\ndata: x\n\n", NoResumePoint()),
+        (event(1) + b"id:\ndata: x\n\n", NoResumePoint()),
+        (event(1) + b"id: a\tb\ndata: x\n\n", AfterEvent(b"a\tb")),
+        (event(1) + b"id: a\0\ndata: x\n\n", NoResumePoint()),
+        (event(1) + b"id:  a\ndata: x\n\n", NoResumePoint()),
+        (event(1) + b"id: a\x7f\ndata: x\n\n", NoResumePoint()),
+        (
+            b"id: %b\n\n" % (b"a" * MAX_EVENT_ID_BYTES),
+            AfterEvent(b"a" * MAX_EVENT_ID_BYTES),
+        ),
+        (b"id: a%b\n\n" % (b"a" * MAX_EVENT_ID_BYTES), NoResumePoint()),
+    ],
+)
+def test_resume_point_follows_the_last_event(
+    data: bytes, resume_point: ResumePoint
+) -> None:
+    """Guards against a stream that goes on at another place than its end."""
+    sequence = EventSequence()
+    assert sequence.push(data) == data
+    assert sequence.resume_point == resume_point
--- a/tests/router/deployed/test_event_ids.py
+++ b/tests/router/deployed/test_event_ids.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import pytest
+import structlog
 from tests.router.deployed.conftest import (
     Deployment,
     ReceivedResponse,
@@ -11,11 +12,13 @@
     until,
 )
 
+from lacewingspar_core.event_stream import MAX_EVENT_ID_BYTES
 from lacewingspar_standins.deployed.upstream import Upstream
 
 EVENTS = 8
+IdFunction = Callable[[int], str | None]
 # Ids of the events of a stream, by their kind.
-ID_OF_EVENT_BY_KIND: dict[str, Callable[[int], str]] = {
+ID_OF_EVENT_BY_KIND: dict[str, IdFunction] = {
     "short number": str,
     "nanoseconds": lambda number: str(1_700_000_000_000_000_000 + number),
     "number of 5000 digits": lambda number: f"{number}" + "0" * 4999,
@@ -30,16 +33,19 @@
 
 
 @pytest.fixture(params=ID_OF_EVENT_BY_KIND)
-def id_of_event(request: pytest.FixtureRequest) -> Callable[[int], str]:
+def id_of_event(request: pytest.FixtureRequest) -> IdFunction:
     """Provide the ids of the events of a stream."""
     return ID_OF_EVENT_BY_KIND[request.param]
 
 
 @pytest.fixture
-def engines(
-    served: Deployment, id_of_event: Callable[[int], str]
-) -> list[Upstream]:
+def engines(served: Deployment, id_of_event: IdFunction) -> list[Upstream]:
     """Provide the engines, whose streams last a while."""
+    return prepare(served, id_of_event)
+
+
+def prepare(served: Deployment, id_of_event: IdFunction) -> list[Upstream]:
+    """Set the ids of events at the engines; return these."""
     engines = [served.upstream_by_id[name] for name in ("e1", "e2")]
     for engine in engines:
         engine.events = EVENTS
@@ -85,11 +91,11 @@
 async def test_caller_resumes_after_its_last_event(
     served: Deployment,
     engines: list[Upstream],
-    id_of_event: Callable[[int], str],
+    id_of_event: IdFunction,
 ) -> None:
     """Guards against a caller whose last event is not passed on."""
     caller = await served.add_router()
-    response = await caller.call("/stream/1", last_event_id=id_of_event(3))
+    response = await caller.call("/stream/1", last_event_id=str(id_of_event(3)))
     assert response.status == 200
     assert response.body == stream(engines[0], 4)
 
@@ -105,3 +111,79 @@
     await until(lambda: b"event 2" in caller.response.body)
     await served.apps[1].async_stop()
     assert_whole(await call, engines[0])
+
+
+# Ids of the third event after which no upstream can be told where to go on.
+UNUSABLE_IDS = {
+    "no id": None,
+    "empty id": "",
+    "control character": "a\x01b",
+    "null character": "a\0b",
+    "space at the start": " a",
+    "space at the end": "a ",
+    "too long": "9" * (MAX_EVENT_ID_BYTES + 1),
+}
+
+
+@pytest.mark.parametrize("unusable_id", UNUSABLE_IDS.values(), ids=UNUSABLE_IDS)
+@pytest.mark.parametrize("way", ["upstream", "neighbour"])
+async def test_stream_without_a_resume_point_is_cut(
+    served: Deployment,
+    monkeypatch: pytest.MonkeyPatch,
+    unusable_id: str | None,
+    way: str,
+) -> None:
+    """Guards against events that come again after one that has no id."""
+    engines = prepare(served, lambda n: unusable_id if n == 3 else str(n))
+    if way == "neighbour":
+        caller = await async_add_overloaded_router(served, monkeypatch)
+    else:
+        caller = await served.add_router()
+    call = asyncio.create_task(caller.call("/stream/1"))
+    first, second = await async_running(engines)
+    first.faults.pause_after_events = 3
+    first.may_go_on = asyncio.Event()
+    with structlog.testing.capture_logs() as lines:
+        await until(lambda: b"event 3" in caller.response.body)
+        if way == "neighbour":
+            await served.apps[1].async_stop()
+        else:
+            first.crash()
+        response = await call
+    assert not response.is_complete
+    assert stream(first).startswith(response.body)
+    assert not second.received
+    if way == "upstream":
+        (end,) = [line for line in lines if line["event"] == "request ended"]
+        assert end["outcome"] == "broken_off"
+        assert end["no_replacement"] == "no_resume_point"
+
+
+@pytest.mark.parametrize("unusable_id", [None, ""])
+async def test_stream_goes_on_after_the_event_that_follows_one_without_an_id(
+    served: Deployment, unusable_id: str | None
+) -> None:
+    """Guards against a stream that is cut although an id tells where it is."""
+    engines = prepare(served, lambda n: unusable_id if n == 3 else str(n))
+    caller = await served.add_router()
+    call = asyncio.create_task(caller.call("/stream/1"))
+    first, second = await async_running(engines)
+    first.faults.break_after_events = 4
+    assert_whole(await call, second)
+
+
+async def test_silent_upstream_without_a_resume_point_is_kept(
+    served: Deployment,
+) -> None:
+    """Guards against a replacement that repeats an event without an id."""
+    engines = prepare(served, lambda _: None)
+    for engine in engines:
+        engine.faults.pause_after_events = 3
+        engine.faults.pause_seconds = 1.8
+    caller = await served.add_router()
+    with structlog.testing.capture_logs() as lines:
+        response = await caller.call("/stream/1", budget_ms=6000)
+    assert_whole(response, engines[0])
+    silences = [line for line in lines if line["event"] == "upstream silent"]
+    assert [line["reason"] for line in silences] == ["no_resume_point"]
+    assert sum(len(engine.received) for engine in engines) == 1
