Join the runs of a stream at the last event that was delivered

What callers saw: a replacement of a silent upstream is asked to go on after the last event at that time. If the silent upstream delivered more and then broke off, the replacement sent these events again, and they came twice unless their ids were numbers. The same with an upstream that starts a stream anew though it was asked to go on. In the other direction, events of one upstream with the same id, or with numbers that do not grow, were left out as repetitions, also where nothing had failed.

Cause: whether an event is a repetition was decided event by event, by comparing numbers, without knowing which run it belongs to and from where that run was asked to go on.

Change: each run begins with the place that its upstream was given. If that is not where the stream is now, the run is skipped up to the last event that was delivered; if it begins with an event that is known to be earlier, too. After its first new event it is forwarded as it comes. A small table of states says what is skipped. A run that ends before it has come to the last event does not complete the stream. Two events with the same id leave no place to go on from. Numbers of any length still have an order. If the silent upstream has left no place, the replacement is withdrawn.

The existing test of repeated events begins a run in place of drop_partial_event, which it replaces, and checks in addition that no partial event is left.

--- a/packages/core/src/lacewingspar_core/attempt_rules.py
+++ b/packages/core/src/lacewingspar_core/attempt_rules.py
@@ -30,7 +30,8 @@
     WITHHELD = "withheld"
     # The upstream was silent and another one takes over.
     TIMED_OUT = "silent"
-    # The upstream that it was to replace went on.
+    # The upstream that it was to replace went on, or delivered events after
+    # which no other one can go on.
     WITHDRAWN = "withdrawn"
 
 
--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -2,6 +2,7 @@
 
 import re
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from lacewingspar_core.errors import CoreError
 
@@ -26,6 +27,10 @@
     """A stream delivered too much data without a new event."""
 
 
+class NoResumePointError(CoreError):
+    """No id tells where the stream would go on."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStart:
     """The stream begins; no event of it was delivered."""
@@ -50,16 +55,79 @@
 ResumePoint = StreamStart | AfterEvent | NoResumePoint
 
 
+class _RunState(Enum):
+    """State of the run of the stream that is read.
+
+    Attributes:
+        AT_LAST_EVENT: The next event is expected to be the first new one.
+        REPEATING: The run repeats events that were forwarded.
+        NEW: The run has delivered a new event; all that follow are new.
+    """
+
+    AT_LAST_EVENT = auto()
+    REPEATING = auto()
+    NEW = auto()
+
+
+class _Order(Enum):
+    """Place of an event in relation to the last forwarded one.
+
+    Attributes:
+        SAME: It is that event.
+        EARLIER: It comes before that event.
+        LATER: It comes after that event.
+        UNKNOWN: Its id does not tell.
+    """
+
+    SAME = auto()
+    EARLIER = auto()
+    LATER = auto()
+    UNKNOWN = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """Handling of an event.
+
+    Attributes:
+        is_new: Whether to forward the event.
+        next_state: State of the run after it.
+    """
+
+    is_new: bool
+    next_state: _RunState
+
+
+_SKIP = _Step(False, _RunState.REPEATING)
+_SKIP_LAST = _Step(False, _RunState.AT_LAST_EVENT)
+_FORWARD = _Step(True, _RunState.NEW)
+# Steps until the first new event of a run.
+_STEP_BY_STATE_AND_ORDER = {
+    (_RunState.AT_LAST_EVENT, _Order.SAME): _SKIP_LAST,
+    (_RunState.AT_LAST_EVENT, _Order.EARLIER): _SKIP,
+    (_RunState.AT_LAST_EVENT, _Order.LATER): _FORWARD,
+    (_RunState.AT_LAST_EVENT, _Order.UNKNOWN): _FORWARD,
+    (_RunState.REPEATING, _Order.SAME): _SKIP_LAST,
+    (_RunState.REPEATING, _Order.EARLIER): _SKIP,
+    (_RunState.REPEATING, _Order.LATER): _FORWARD,
+    (_RunState.REPEATING, _Order.UNKNOWN): _SKIP,
+}
+
+
 @dataclass(slots=True)
 class EventSequence:
-    """Forwards complete events, each once and in order.
+    """Joins the runs of a stream, so that each event is forwarded once.
+
+    A run is the stream of one upstream. It begins with `begin_run` and goes on
+    where the last one ended; what it repeats before its first new event is
+    skipped. After that its events are forwarded as they come.
 
     Ids are opaque: they are compared and passed on as they were received. Only
     ids that are decimal numbers, of any length, also have an order.
 
     A stream can go on elsewhere only if the id of its last event tells where:
-    an event without an id, or with one that no header can carry, leaves no
-    resume point until the next event.
+    an event without an id, with the id of the event before it, or with one that
+    no header can carry leaves no resume point until the next event.
 
     Attributes:
         last_id: Id of the last forwarded event, or None before the first event
@@ -69,12 +137,35 @@
 
     last_id: bytes | None = None
     forwarded: int = 0
+    _first_id: bytes | None = None
     _is_resumable: bool = True
+    _run_state: _RunState = _RunState.AT_LAST_EVENT
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
 
+    def begin_run(self, requested: ResumePoint) -> None:
+        """Begin to read the stream of an upstream.
+
+        Args:
+            requested: Resume point that the upstream was given. Another one may
+                have delivered further events since.
+
+        Raises:
+            NoResumePointError: The stream cannot go on at another upstream.
+        """
+        current = self.resume_point
+        if isinstance(current, NoResumePoint):
+            raise NoResumePointError("no id tells where the stream would go on")
+        self._buffer.clear()
+        self._bytes_without_new_event = 0
+        self._run_state = (
+            _RunState.AT_LAST_EVENT
+            if requested == current
+            else _RunState.REPEATING
+        )
+
     def push(self, data: bytes) -> bytes:
-        """Add a chunk of the stream and return the events to forward.
+        """Add a chunk of the run and return the events to forward.
 
         Raises:
             EventSizeError: No new event ends within the size limit.
@@ -89,7 +180,6 @@
             start = end.end()
             if self._is_new(event):
                 ready += event
-                self.forwarded += 1
         del self._buffer[:start]
         self._bytes_without_new_event = (
             0 if ready else self._bytes_without_new_event + len(data)
@@ -108,6 +198,8 @@
             return NoResumePoint()
         if self.last_id is None:
             return StreamStart()
+        if self._first_id is not None and not _is_header_value(self.last_id):
+            return NoResumePoint()
         return AfterEvent(self.last_id)
 
     @property
@@ -115,26 +207,50 @@
         """Return whether the stream stopped in the middle of an event."""
         return bool(self._buffer)
 
-    def drop_partial_event(self) -> None:
-        """Discard a partial event before the stream resumes elsewhere."""
-        self._buffer.clear()
-        self._bytes_without_new_event = 0
-
-    def _is_new(self, event: bytes) -> bool:
-        """Return whether an event is new, and record its id."""
+    @property
+    def is_repeating(self) -> bool:
+        """Return whether the run has not come to the last forwarded event."""
+        return self._run_state is _RunState.REPEATING
+
+    def _is_new(self, block: bytes) -> bool:
+        """Return whether to forward a block, and record its event."""
+        ids = _EVENT_ID.findall(block)
+        if not ids and not _is_event(block):
+            return self._run_state is not _RunState.REPEATING
         # The last of several ids counts.
-        ids = _EVENT_ID.findall(event)
-        if not ids:
-            if _is_event(event):
-                self._is_resumable = False
-            return True
-        event_id = ids[-1]
-        if self.last_id is not None and not _is_later(event_id, self.last_id):
-            return False
-        self.last_id = event_id
-        self._is_resumable = _is_header_value(event_id)
+        event_id = ids[-1] if ids else None
+        if self._run_state is not _RunState.NEW:
+            order = self._order(event_id)
+            step = _STEP_BY_STATE_AND_ORDER[self._run_state, order]
+            self._run_state = step.next_state
+            if not step.is_new:
+                return False
+        self._record(event_id)
         return True
 
+    def _order(self, event_id: bytes | None) -> _Order:
+        """Return the place of an event by its id."""
+        if self.last_id is None or event_id is None:
+            return _Order.UNKNOWN
+        if event_id == self.last_id:
+            return _Order.SAME
+        if event_id.isdigit() and self.last_id.isdigit():
+            return _numeric_order(event_id, self.last_id)
+        if event_id == self._first_id:
+            return _Order.EARLIER
+        return _Order.UNKNOWN
+
+    def _record(self, event_id: bytes | None) -> None:
+        """Record a forwarded event."""
+        self.forwarded += 1
+        if event_id is None:
+            self._is_resumable = False
+            return
+        self._is_resumable = event_id != self.last_id
+        self.last_id = event_id
+        if self._first_id is None:
+            self._first_id = event_id
+
 
 def _is_event(block: bytes) -> bool:
     """Return whether a block has more than comments and reconnection times."""
@@ -153,14 +269,12 @@
     )
 
 
-def _is_later(event_id: bytes, other: bytes) -> bool:
-    """Return whether an event may follow another one.
-
-    Ids that are not both decimal numbers only tell whether it is the same one.
-    """
-    if event_id.isdigit() and other.isdigit():
-        return _magnitude(event_id) > _magnitude(other)
-    return event_id != other
+def _numeric_order(event_id: bytes, other: bytes) -> _Order:
+    """Return the order of two decimal numbers of any length."""
+    value, other_value = _magnitude(event_id), _magnitude(other)
+    if value == other_value:
+        return _Order.SAME
+    return _Order.LATER if value > other_value else _Order.EARLIER
 
 
 def _magnitude(digits: bytes) -> tuple[int, bytes]:
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -10,6 +10,7 @@
     EventSequence,
     EventSizeError,
     NoResumePoint,
+    NoResumePointError,
     ResumePoint,
     StreamStart,
 )
@@ -145,6 +146,7 @@
         self._caller_response = caller_response
         self._now = now
         self._hooks = hooks
+        self._requested: ResumePoint = StreamStart()
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -189,11 +191,12 @@
                 connection.abort()
 
     def _request(self, fetch_from: str) -> bytes:
+        self._requested = self._caller_response.events.resume_point
         return self._wire_format.encode_upstream_request(
             self._call,
             self._upstream,
             self._call.deadline_at - self._now(),
-            _last_event_id(self._caller_response.events.resume_point),
+            _last_event_id(self._requested),
             fetch_from,
         )
 
@@ -214,6 +217,8 @@
             )
         except ConnectionBrokenError as error:
             return AttemptEnd(AttemptResult.BROKEN, str(error))
+        except NoResumePointError as error:
+            return AttemptEnd(AttemptResult.WITHDRAWN, str(error))
         except (InvalidResponseError, EventSizeError) as error:
             return AttemptEnd(AttemptResult.INVALID, str(error))
         return self._classify_response(response, info)
@@ -245,6 +250,7 @@
         """Relay events as they arrive."""
         caller_response = self._caller_response
         events = caller_response.events
+        events.begin_run(self._requested)
         events_before = events.forwarded
         sink = _EventSink(self, head)
         await connection.async_stream_body(sink)
@@ -252,6 +258,10 @@
             return AttemptEnd(
                 AttemptResult.BROKEN, "stream ended inside an event"
             )
+        if events.is_repeating:
+            return AttemptEnd(
+                AttemptResult.BROKEN, "stream ended before its first new event"
+            )
         if head.ends_with_connection:
             # The end of the stream looks like the death of the upstream.
             if events.forwarded == events_before:
@@ -369,5 +379,10 @@
 
 
 _UNUSABLE_CONNECTION_RESULTS = frozenset(
-    {AttemptResult.BROKEN, AttemptResult.INVALID, AttemptResult.TIMED_OUT}
+    {
+        AttemptResult.BROKEN,
+        AttemptResult.INVALID,
+        AttemptResult.TIMED_OUT,
+        AttemptResult.WITHDRAWN,
+    }
 )
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -161,7 +161,6 @@
             case HandOverOutcome.NOT_TAKEN:
                 return False
             case HandOverOutcome.BROKEN if exchange.is_started:
-                events.drop_partial_event()
                 return not call.route.is_resumable
             case HandOverOutcome.BROKEN:
                 request.may_have_run_elsewhere = True
@@ -279,10 +278,15 @@
         exchange.start(head.status, headers, length=None)
         sink: BodySink = exchange
         if call.route.is_resumable:
+            events.begin_run(events.resume_point)
             sink = _EventSink(exchange, events)
         await connection.async_stream_body(sink)
         if events.has_partial_event:
             raise InvalidResponseError("stream ended inside an event")
+        if events.is_repeating:
+            raise InvalidResponseError(
+                "stream ended before its first new event"
+            )
         exchange.finish()
         return None
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -230,10 +230,8 @@
                     self._send_response(exchange, end.response)
                 return "answered"
             if switch.has_replacement:
-                progress.caller_response.events.drop_partial_event()
                 continue
             if self._may_try_again(progress, end):
-                progress.caller_response.events.drop_partial_event()
                 if not exchange.is_started:
                     # It may be what has crashed the upstream.
                     await self._crash_guard.async_wait_for_check(
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -101,6 +101,7 @@
         leaving: Announce in every response that the upstream is leaving.
         retry_after: Value of `Retry-After` in responses with status 503, or ""
             for none.
+        ignore_last_event_id: Begin each stream at its first event.
     """
 
     refuse: bool = False
@@ -126,6 +127,7 @@
     pause_seconds: float = 0.0
     leaving: bool = False
     retry_after: str = ""
+    ignore_last_event_id: bool = False
 
 
 @dataclass(slots=True)
@@ -234,7 +236,7 @@
             for number in range(1, self.events + 1)
         }
         last_id = request.value_by_header.get("last-event-id")
-        if not last_id:
+        if not last_id or self.faults.ignore_last_event_id:
             return 1
         return number_by_id.get(last_id, 0) + 1
 
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -1,5 +1,7 @@
 """Tests that a stream delivers complete events once and in order."""
 
+from dataclasses import dataclass
+
 import pytest
 
 from lacewingspar_core.event_stream import (
@@ -9,6 +11,7 @@
     EventSequence,
     EventSizeError,
     NoResumePoint,
+    NoResumePointError,
     ResumePoint,
     StreamStart,
 )
@@ -38,7 +41,8 @@
     sequence = EventSequence()
     sequence.push(event(1) + event(2) + b"id: 3\nda")
     assert sequence.has_partial_event
-    sequence.drop_partial_event()
+    sequence.begin_run(sequence.resume_point)
+    assert not sequence.has_partial_event
     assert sequence.push(event(2) + event(3)) == event(3)
 
 
@@ -124,3 +128,109 @@
     sequence = EventSequence()
     assert sequence.push(data) == data
     assert sequence.resume_point == resume_point
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A run that continues a stream of two events, and what is expected of it.
+
+    Attributes:
+        ids: Ids of the two events that were delivered.
+        requested: Resume point that the upstream of the run was given.
+        data: What it sends.
+        forwarded: What is forwarded of it.
+        is_repeating: Whether it has not come to the last event.
+    """
+
+    ids: tuple[bytes, bytes]
+    requested: ResumePoint
+    data: bytes
+    forwarded: bytes = b""
+    is_repeating: bool = False
+
+
+NUMBERS = (b"1", b"2")
+NAMES = (b"b", b"a")
+
+
+def named(*ids: bytes) -> bytes:
+    return b"".join(b"id: %b\ndata: x\n\n" % event_id for event_id in ids)
+
+
+@pytest.mark.parametrize(
+    "run",
+    [
+        # After the last event, before it, and anew.
+        Run(NUMBERS, AfterEvent(b"2"), named(b"3", b"4"), named(b"3", b"4")),
+        Run(NUMBERS, AfterEvent(b"1"), named(b"2", b"3"), named(b"3")),
+        Run(NUMBERS, StreamStart(), named(b"1", b"2", b"3"), named(b"3")),
+        Run(NAMES, AfterEvent(b"a"), named(b"d", b"c"), named(b"d", b"c")),
+        Run(NAMES, AfterEvent(b"b"), named(b"a", b"d"), named(b"d")),
+        Run(NAMES, StreamStart(), named(b"b", b"a", b"d"), named(b"d")),
+        # The upstream does not go on where it was asked to.
+        Run(NUMBERS, AfterEvent(b"2"), named(b"1", b"2", b"3"), named(b"3")),
+        Run(NUMBERS, AfterEvent(b"2"), named(b"2", b"3"), named(b"3")),
+        Run(NUMBERS, AfterEvent(b"1"), named(b"3"), named(b"3")),
+        Run(NAMES, AfterEvent(b"a"), named(b"b", b"a", b"d"), named(b"d")),
+        Run(NAMES, AfterEvent(b"a"), named(b"a", b"d"), named(b"d")),
+        Run(NAMES, AfterEvent(b"b"), named(b"d"), is_repeating=True),
+        # Events without an id, and comments, belong to the event before them.
+        Run(NAMES, AfterEvent(b"a"), b"data: y\n\n", b"data: y\n\n"),
+        Run(
+            NAMES,
+            AfterEvent(b"b"),
+            b"data: y\n\n: z\n\n" + named(b"a") + b"data: y\n\n",
+            b"data: y\n\n",
+        ),
+        Run(
+            NUMBERS,
+            AfterEvent(b"2"),
+            b": z\n\n" + named(b"2", b"3"),
+            b": z\n\n" + named(b"3"),
+        ),
+        # Nothing is new.
+        Run(NUMBERS, AfterEvent(b"2"), b""),
+        Run(NUMBERS, AfterEvent(b"1"), b"", is_repeating=True),
+        Run(NUMBERS, AfterEvent(b"1"), named(b"2")),
+        Run(NUMBERS, AfterEvent(b"2"), named(b"1"), is_repeating=True),
+        Run(NAMES, StreamStart(), named(b"b"), is_repeating=True),
+    ],
+)
+@pytest.mark.parametrize("size", [1, 1000])
+def test_run_goes_on_after_the_last_event(run: Run, size: int) -> None:
+    """Guards against events that come twice where two runs are joined."""
+    sequence = EventSequence()
+    sequence.push(named(*run.ids) + b"id: c")
+    sequence.begin_run(run.requested)
+    forwarded = b"".join(
+        sequence.push(run.data[start : start + size])
+        for start in range(0, len(run.data), size)
+    )
+    assert forwarded == run.forwarded
+    assert sequence.is_repeating == run.is_repeating
+
+
+@pytest.mark.parametrize(
+    "ids", [(b"a", b"a", b"a"), (b"5", b"5"), (b"3", b"1")]
+)
+def test_events_of_one_run_are_not_left_out(ids: tuple[bytes, ...]) -> None:
+    """Guards against missing events if several of a run have the same id."""
+    sequence = EventSequence()
+    assert sequence.push(named(*ids)) == named(*ids)
+    assert sequence.forwarded == len(ids)
+
+
+def test_same_id_leaves_no_resume_point() -> None:
+    """Guards against a run that starts after the first of several events."""
+    sequence = EventSequence()
+    sequence.push(named(b"a", b"a", b"a"))
+    with pytest.raises(NoResumePointError):
+        sequence.begin_run(AfterEvent(b"a"))
+    sequence.push(named(b"b"))
+    assert sequence.resume_point == AfterEvent(b"b")
+
+
+def test_id_of_the_caller_is_sent_as_it_is() -> None:
+    """Guards against a request that is not sent because of a long id."""
+    event_id = b"a" * (MAX_EVENT_ID_BYTES + 1)
+    assert EventSequence(event_id).resume_point == AfterEvent(event_id)
--- a/tests/router/deployed/test_event_ids.py
+++ b/tests/router/deployed/test_event_ids.py
@@ -187,3 +187,46 @@
     silences = [line for line in lines if line["event"] == "upstream silent"]
     assert [line["reason"] for line in silences] == ["no_resume_point"]
     assert sum(len(engine.received) for engine in engines) == 1
+
+
+@pytest.mark.parametrize("delivered", [0, 3])
+async def test_replacement_continues_what_the_silent_upstream_has_gone_on_with(
+    served: Deployment, engines: list[Upstream], delivered: int
+) -> None:
+    """Guards against events that come again from a replacement.
+
+    It was sent the request while the other upstream was silent. That one then
+    delivers two more events and breaks off.
+    """
+    caller = await served.add_router()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
+    first, second = await async_running(engines)
+    first.faults.pause_after_events = delivered
+    first.faults.break_after_events = delivered + 2
+    first.may_go_on = asyncio.Event()
+    first.response_delay_seconds = 0.002
+    second.response_delay_seconds = 0.12
+    await until(lambda: bool(second.received))
+    first.may_go_on.set()
+    assert_whole(await call, second)
+    last_id = second.received[0].value_by_header.get("last-event-id")
+    assert last_id == (first.id_of_event(3) if delivered else None)
+
+
+async def test_upstream_that_starts_anew_repeats_no_events(
+    served: Deployment, engines: list[Upstream]
+) -> None:
+    """Guards against an upstream that knows no event by its id."""
+    caller = await served.add_router()
+    call = asyncio.create_task(caller.call("/stream/1"))
+    first, second = await async_running(engines)
+    first.faults.break_after_events = 3
+    second.faults.ignore_last_event_id = True
+    assert_whole(await call, second)
+
+
+async def test_events_with_the_same_id_all_arrive(served: Deployment) -> None:
+    """Guards against events that are taken for repetitions of one another."""
+    engines = prepare(served, lambda _: "chat-1")
+    caller = await served.add_router()
+    assert_whole(await caller.call("/stream/1"), engines[0])
