End an event at a blank line that differs from the line ends before it

What callers saw: an upstream that ends its lines with LF and its blank lines with CRLF got its events held back, as they were not found to end: up to 1 MiB, then the attempt failed. The standard of event streams allows each line its own end.

Cause: only CRLF CRLF, LF LF and CR CR were taken for the end of an event.

Change: the end of an event is LF, an optional CR and LF, or two CR.

Evidence: 4 of the 24 rows of the new test fail before the change (LF lines with CRLF blank lines, chunks of 1, 2, 3 and 1000 bytes) and none after.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -6,8 +6,8 @@
 
 from lacewingspar_core.errors import CoreError
 
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_MAX_EVENT_END_BYTES = 4
+_EVENT_END = re.compile(rb"\n\r?\n|\r\r")
+_MAX_EVENT_END_BYTES = 3
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
 # What a header field carries unchanged: no control characters, and no space at
 # either end.
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -234,3 +234,28 @@
     """Guards against a request that is not sent because of a long id."""
     event_id = b"a" * (MAX_EVENT_ID_BYTES + 1)
     assert EventSequence(event_id).resume_point == AfterEvent(event_id)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("blank_line", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("size", [1, 2, 3, 1000])
+def test_event_ends_at_a_blank_line_with_any_line_end(
+    line_end: bytes, blank_line: bytes, size: int
+) -> None:
+    """Guards against events that are held back, or read as one event."""
+    if line_end == b"\r":
+        blank_line = b"\r"
+    events = [
+        b"id: %d%bdata: x%b%b" % (number, line_end, line_end, blank_line)
+        for number in range(1, 4)
+    ]
+    sequence = EventSequence()
+    stream = b"".join(events)
+    for start in range(0, len(stream), size):
+        sequence.push(stream[start : start + size])
+        end = start + size
+        ended = sum(
+            len(b"".join(events[:number])) <= end for number in (1, 2, 3)
+        )
+        assert sequence.forwarded == ended
+    assert not sequence.has_partial_event
