--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -8,7 +8,8 @@
 
 _EVENT_END = re.compile(rb"\n\r?\n|\r\r")
 _MAX_EVENT_END_BYTES = 3
-_EVENT_ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
+# The literal start lets the search skip the data of an event quickly.
+_EVENT_ID = re.compile(rb"id(?<![^\r\n]id)(?:: ?([^\r\n]*))?(?=[\r\n])")
 # What a header field carries unchanged: no control characters, and no space at
 # either end.
 _HEADER_VALUE = re.compile(
