--- a/tests/router/deployed/test_event_ids.py
+++ b/tests/router/deployed/test_event_ids.py
@@ -213,6 +213,33 @@
     assert last_id == (first.id_of_event(3) if delivered else None)
 
 
+async def test_replacement_is_withdrawn_without_a_resume_point(
+    served: Deployment,
+) -> None:
+    """Guards against a replacement that repeats an event without an id.
+
+    The silent upstream delivers it after the replacement was sent the request.
+    """
+    engines = prepare(served, lambda n: None if n == 5 else str(n))
+    caller = await served.add_router()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
+    first, second = await async_running(engines)
+    first.faults.pause_after_events = 3
+    first.faults.break_after_events = 5
+    first.may_go_on = asyncio.Event()
+    first.response_delay_seconds = 0.002
+    second.response_delay_seconds = 0.12
+    await until(lambda: bool(second.received))
+    with structlog.testing.capture_logs() as lines:
+        first.may_go_on.set()
+        response = await call
+    assert not response.is_complete
+    assert stream(first).startswith(response.body)
+    assert b"event 5" in response.body
+    failed = [line for line in lines if line["event"] == "attempt failed"]
+    assert [line["result"] for line in failed] == ["broken", "withdrawn"]
+
+
 async def test_upstream_that_starts_anew_repeats_no_events(
     served: Deployment, engines: list[Upstream]
 ) -> None:
