Pause upstreams in the tests of event ids, in place of short delays

The tests relied on an engine that takes 20 ms an event, so that a late event loop could make them fail. Engines pause until the test goes on now, and replacements have 2 s to respond in place of 0.2 s. They check the same, and in addition how many events a cut response has and from where a lost neighbour's stream was continued.

--- a/tests/router/deployed/test_event_ids.py
+++ b/tests/router/deployed/test_event_ids.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import pytest
 import structlog
 from tests.router.deployed.conftest import (
+    Caller,
     Deployment,
     ReceivedResponse,
     async_add_overloaded_router,
@@ -13,6 +15,7 @@
 )
 
 from lacewingspar_core.event_stream import MAX_EVENT_ID_BYTES
+from lacewingspar_router.components.forwarding import const
 from lacewingspar_standins.deployed.upstream import Upstream
 
 EVENTS = 8
@@ -67,31 +70,88 @@
     assert response.is_complete
 
 
-async def async_running(engines: list[Upstream]) -> tuple[Upstream, Upstream]:
-    """Wait for a run; return the engine that has it and the other one."""
+def assert_cut(
+    response: ReceivedResponse, engine: Upstream, events: int
+) -> None:
+    """Check that a response broke off after a number of events."""
+    assert response.body == stream(engine).removesuffix(
+        stream(engine, events + 1)
+    )
+    assert not response.is_complete
+
+
+@dataclass(slots=True)
+class PausedStream:
+    """A streamed call whose upstream pauses.
+
+    Attributes:
+        call: The call.
+        first: Engine that runs it and pauses until `first.may_go_on` is set.
+        second: The other engine, which does not pause.
+    """
+
+    call: "asyncio.Task[ReceivedResponse]"
+    first: Upstream
+    second: Upstream
+
+    async def async_crash(self) -> ReceivedResponse:
+        """Crash the engine that pauses and return the response."""
+        self.first.crash()
+        return await self.call
+
+    async def async_go_on_and_break(self) -> ReceivedResponse:
+        """Let the engine deliver two more events and break off.
+
+        That happens while a replacement for it has the request and has not
+        responded yet.
+        """
+        faults = self.first.faults
+        faults.break_after_events = faults.pause_after_events + 2
+        self.first.response_delay_seconds = 0.002
+        self.second.response_delay_seconds = 0.5
+        await until(lambda: bool(self.second.received))
+        assert self.first.may_go_on is not None
+        self.first.may_go_on.set()
+        await until(lambda: not self.first.running)
+        self.second.response_delay_seconds = 0.002
+        return await self.call
+
+
+async def async_pause(
+    caller: Caller, engines: list[Upstream], after: int
+) -> PausedStream:
+    """Call for a stream, and wait until its upstream pauses after an event."""
+    for engine in engines:
+        engine.faults.pause_after_events = after
+        engine.may_go_on = asyncio.Event()
+    call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
     await until(lambda: any(engine.running for engine in engines))
     first, second = sorted(engines, key=lambda engine: not engine.running)
-    return first, second
+    second.faults.pause_after_events = -1
+    if after:
+        event = f"event {after}\n".encode()
+        await until(lambda: event in caller.response.body)
+    return PausedStream(call, first, second)
+
+
+@pytest.fixture
+def slow_replacements(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give replacements more time to respond than they take in a test."""
+    monkeypatch.setattr(const, "REPLACEMENT_RESPONSE_SECONDS", 2.0)
 
 
 async def test_broken_stream_goes_on_after_its_last_event(
     served: Deployment, engines: list[Upstream]
 ) -> None:
     """Guards against a stream that starts anew in the middle of a response."""
-    caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1"))
-    first, second = await async_running(engines)
-    first.faults.break_after_events = 3
-    assert_whole(await call, second)
-    assert second.received[0].value_by_header["last-event-id"] == (
-        second.id_of_event(3)
-    )
+    paused = await async_pause(await served.add_router(), engines, 3)
+    assert_whole(await paused.async_crash(), engines[0])
+    (request,) = paused.second.received
+    assert request.value_by_header["last-event-id"] == engines[0].id_of_event(3)
 
 
 async def test_caller_resumes_after_its_last_event(
-    served: Deployment,
-    engines: list[Upstream],
-    id_of_event: IdFunction,
+    served: Deployment, engines: list[Upstream], id_of_event: IdFunction
 ) -> None:
     """Guards against a caller whose last event is not passed on."""
     caller = await served.add_router()
@@ -107,10 +167,13 @@
 ) -> None:
     """Guards against a stream that starts anew after a hand-over."""
     caller = await async_add_overloaded_router(served, monkeypatch)
-    call = asyncio.create_task(caller.call("/stream/1"))
-    await until(lambda: b"event 2" in caller.response.body)
+    paused = await async_pause(caller, engines, 3)
+    for engine in engines:
+        engine.faults.pause_after_events = -1
     await served.apps[1].async_stop()
-    assert_whole(await call, engines[0])
+    assert_whole(await paused.call, engines[0])
+    resumed = [*paused.first.received, *paused.second.received][-1]
+    assert resumed.value_by_header["last-event-id"] == engines[0].id_of_event(3)
 
 
 # Ids of the third event after which no upstream can be told where to go on.
@@ -126,37 +189,34 @@
 
 
 @pytest.mark.parametrize("unusable_id", UNUSABLE_IDS.values(), ids=UNUSABLE_IDS)
-@pytest.mark.parametrize("way", ["upstream", "neighbour"])
-async def test_stream_without_a_resume_point_is_cut(
+async def test_broken_stream_without_a_resume_point_is_cut(
+    served: Deployment, unusable_id: str | None
+) -> None:
+    """Guards against events that come again after one that has no id."""
+    engines = prepare(served, lambda n: unusable_id if n == 3 else str(n))
+    paused = await async_pause(await served.add_router(), engines, 3)
+    with structlog.testing.capture_logs() as lines:
+        response = await paused.async_crash()
+    assert_cut(response, engines[0], events=3)
+    assert not paused.second.received
+    (end,) = [line for line in lines if line["event"] == "request ended"]
+    assert end["outcome"] == "broken_off"
+    assert end["no_replacement"] == "no_resume_point"
+
+
+@pytest.mark.parametrize("unusable_id", UNUSABLE_IDS.values(), ids=UNUSABLE_IDS)
+async def test_handed_over_stream_without_a_resume_point_is_cut(
     served: Deployment,
     monkeypatch: pytest.MonkeyPatch,
     unusable_id: str | None,
-    way: str,
 ) -> None:
-    """Guards against events that come again after one that has no id."""
+    """Guards against events that come again after the loss of a neighbour."""
     engines = prepare(served, lambda n: unusable_id if n == 3 else str(n))
-    if way == "neighbour":
-        caller = await async_add_overloaded_router(served, monkeypatch)
-    else:
-        caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1"))
-    first, second = await async_running(engines)
-    first.faults.pause_after_events = 3
-    first.may_go_on = asyncio.Event()
-    with structlog.testing.capture_logs() as lines:
-        await until(lambda: b"event 3" in caller.response.body)
-        if way == "neighbour":
-            await served.apps[1].async_stop()
-        else:
-            first.crash()
-        response = await call
-    assert not response.is_complete
-    assert stream(first).startswith(response.body)
-    assert not second.received
-    if way == "upstream":
-        (end,) = [line for line in lines if line["event"] == "request ended"]
-        assert end["outcome"] == "broken_off"
-        assert end["no_replacement"] == "no_resume_point"
+    caller = await async_add_overloaded_router(served, monkeypatch)
+    paused = await async_pause(caller, engines, 3)
+    await served.apps[1].async_stop()
+    assert_cut(await paused.call, engines[0], events=3)
+    assert not paused.second.received
 
 
 @pytest.mark.parametrize("unusable_id", [None, ""])
@@ -165,11 +225,8 @@
 ) -> None:
     """Guards against a stream that is cut although an id tells where it is."""
     engines = prepare(served, lambda n: unusable_id if n == 3 else str(n))
-    caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1"))
-    first, second = await async_running(engines)
-    first.faults.break_after_events = 4
-    assert_whole(await call, second)
+    paused = await async_pause(await served.add_router(), engines, 4)
+    assert_whole(await paused.async_crash(), engines[0])
 
 
 async def test_silent_upstream_without_a_resume_point_is_kept(
@@ -177,65 +234,47 @@
 ) -> None:
     """Guards against a replacement that repeats an event without an id."""
     engines = prepare(served, lambda _: None)
-    for engine in engines:
-        engine.faults.pause_after_events = 3
-        engine.faults.pause_seconds = 1.8
     caller = await served.add_router()
     with structlog.testing.capture_logs() as lines:
-        response = await caller.call("/stream/1", budget_ms=6000)
+        paused = await async_pause(caller, engines, 3)
+        await until(
+            lambda: any(line["event"] == "upstream silent" for line in lines)
+        )
+        assert paused.first.may_go_on is not None
+        paused.first.may_go_on.set()
+        response = await paused.call
     assert_whole(response, engines[0])
     silences = [line for line in lines if line["event"] == "upstream silent"]
     assert [line["reason"] for line in silences] == ["no_resume_point"]
-    assert sum(len(engine.received) for engine in engines) == 1
+    assert not paused.second.received
 
 
 @pytest.mark.parametrize("delivered", [0, 3])
 async def test_replacement_continues_what_the_silent_upstream_has_gone_on_with(
-    served: Deployment, engines: list[Upstream], delivered: int
+    served: Deployment,
+    engines: list[Upstream],
+    slow_replacements: None,
+    delivered: int,
 ) -> None:
-    """Guards against events that come again from a replacement.
-
-    It was sent the request while the other upstream was silent. That one then
-    delivers two more events and breaks off.
-    """
-    caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
-    first, second = await async_running(engines)
-    first.faults.pause_after_events = delivered
-    first.faults.break_after_events = delivered + 2
-    first.may_go_on = asyncio.Event()
-    first.response_delay_seconds = 0.002
-    second.response_delay_seconds = 0.12
-    await until(lambda: bool(second.received))
-    first.may_go_on.set()
-    assert_whole(await call, second)
-    last_id = second.received[0].value_by_header.get("last-event-id")
-    assert last_id == (first.id_of_event(3) if delivered else None)
+    """Guards against events that come again from a replacement."""
+    del slow_replacements
+    paused = await async_pause(await served.add_router(), engines, delivered)
+    assert_whole(await paused.async_go_on_and_break(), engines[0])
+    (request,) = paused.second.received
+    last_id = request.value_by_header.get("last-event-id")
+    assert last_id == (engines[0].id_of_event(3) if delivered else None)
 
 
 async def test_replacement_is_withdrawn_without_a_resume_point(
-    served: Deployment,
+    served: Deployment, slow_replacements: None
 ) -> None:
-    """Guards against a replacement that repeats an event without an id.
-
-    The silent upstream delivers it after the replacement was sent the request.
-    """
+    """Guards against a replacement that repeats an event without an id."""
+    del slow_replacements
     engines = prepare(served, lambda n: None if n == 5 else str(n))
-    caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
-    first, second = await async_running(engines)
-    first.faults.pause_after_events = 3
-    first.faults.break_after_events = 5
-    first.may_go_on = asyncio.Event()
-    first.response_delay_seconds = 0.002
-    second.response_delay_seconds = 0.12
-    await until(lambda: bool(second.received))
+    paused = await async_pause(await served.add_router(), engines, 3)
     with structlog.testing.capture_logs() as lines:
-        first.may_go_on.set()
-        response = await call
-    assert not response.is_complete
-    assert stream(first).startswith(response.body)
-    assert b"event 5" in response.body
+        response = await paused.async_go_on_and_break()
+    assert_cut(response, engines[0], events=5)
     failed = [line for line in lines if line["event"] == "attempt failed"]
     assert [line["result"] for line in failed] == ["broken", "withdrawn"]
 
@@ -244,12 +283,9 @@
     served: Deployment, engines: list[Upstream]
 ) -> None:
     """Guards against an upstream that knows no event by its id."""
-    caller = await served.add_router()
-    call = asyncio.create_task(caller.call("/stream/1"))
-    first, second = await async_running(engines)
-    first.faults.break_after_events = 3
-    second.faults.ignore_last_event_id = True
-    assert_whole(await call, second)
+    paused = await async_pause(await served.add_router(), engines, 3)
+    paused.second.faults.ignore_last_event_id = True
+    assert_whole(await paused.async_crash(), engines[0])
 
 
 async def test_events_with_the_same_id_all_arrive(served: Deployment) -> None:
