Name what the end of a stream tells, and raise one error where it tells nothing

No change of behaviour. A newcomer met the same sentence in two places, an assertion for what is an expected case, and 'resumable' for a route and for the last event. The check before a request is sent raises the error that the start of a run raises; comments say why the first id is kept and why the caller's id is not checked.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -31,6 +31,9 @@
 class NoResumePointError(CoreError):
     """No id tells where the stream would go on."""
 
+    def __init__(self) -> None:
+        super().__init__("no id tells where the stream would go on")
+
 
 @dataclass(frozen=True, slots=True)
 class StreamStart:
@@ -139,7 +142,7 @@
     last_id: bytes | None = None
     forwarded: int = 0
     _first_id: bytes | None = None
-    _is_resumable: bool = True
+    _ends_with_last_id: bool = True
     _run_state: _RunState = _RunState.AT_LAST_EVENT
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
@@ -156,7 +159,7 @@
         """
         current = self.resume_point
         if isinstance(current, NoResumePoint):
-            raise NoResumePointError("no id tells where the stream would go on")
+            raise NoResumePointError
         self._buffer.clear()
         self._bytes_without_new_event = 0
         self._run_state = (
@@ -195,11 +198,13 @@
     @property
     def resume_point(self) -> ResumePoint:
         """Return where another upstream would go on."""
-        if not self._is_resumable:
+        if not self._ends_with_last_id:
             return NoResumePoint()
         if self.last_id is None:
             return StreamStart()
-        if self._first_id is not None and not _is_header_value(self.last_id):
+        # An id that the caller has sent came in a header.
+        is_from_caller = self._first_id is None
+        if not is_from_caller and not _is_header_value(self.last_id):
             return NoResumePoint()
         return AfterEvent(self.last_id)
 
@@ -238,6 +243,7 @@
         if event_id.isdigit() and self.last_id.isdigit():
             return _numeric_order(event_id, self.last_id)
         if event_id == self._first_id:
+            # The upstream has started the stream anew.
             return _Order.EARLIER
         return _Order.UNKNOWN
 
@@ -245,9 +251,9 @@
         """Record a forwarded event."""
         self.forwarded += 1
         if event_id is None:
-            self._is_resumable = False
+            self._ends_with_last_id = False
             return
-        self._is_resumable = event_id != self.last_id
+        self._ends_with_last_id = event_id != self.last_id
         self.last_id = event_id
         if self._first_id is None:
             self._first_id = event_id
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -39,7 +39,6 @@
 # Callers take these statuses to mean that the request did not run. They are not
 # relayed unless the upstream also declares that it did not run the request.
 _UNCONFIRMED_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-_NO_RESUME_POINT = "no id tells where the stream would go on"
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +145,7 @@
         self._caller_response = caller_response
         self._now = now
         self._hooks = hooks
-        self._requested: ResumePoint = StreamStart()
+        self._resume_point: ResumePoint = StreamStart()
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
         """Run the attempt; cancelling it aborts the connection to the upstream.
@@ -174,9 +173,6 @@
             return AttemptEnd(
                 AttemptResult.WITHHELD, "the upstream wants no requests"
             )
-        if not self._caller_response.can_continue:
-            connection.abort()
-            return AttemptEnd(AttemptResult.WITHHELD, _NO_RESUME_POINT)
         is_reusable = False
         try:
             connection.send(self._request(fetch_from))
@@ -184,6 +180,8 @@
             end = await self._async_receive_response(connection)
             is_reusable = end.result not in _UNUSABLE_CONNECTION_RESULTS
             return end
+        except NoResumePointError as error:
+            return AttemptEnd(AttemptResult.WITHHELD, str(error))
         finally:
             if is_reusable:
                 self._connection_pool.release(connection)
@@ -191,12 +189,12 @@
                 connection.abort()
 
     def _request(self, fetch_from: str) -> bytes:
-        self._requested = self._caller_response.events.resume_point
+        self._resume_point = self._caller_response.events.resume_point
         return self._wire_format.encode_upstream_request(
             self._call,
             self._upstream,
             self._call.deadline_at - self._now(),
-            _last_event_id(self._requested),
+            _last_event_id(self._resume_point),
             fetch_from,
         )
 
@@ -250,7 +248,7 @@
         """Relay events as they arrive."""
         caller_response = self._caller_response
         events = caller_response.events
-        events.begin_run(self._requested)
+        events.begin_run(self._resume_point)
         events_before = events.forwarded
         sink = _EventSink(self, head)
         await connection.async_stream_body(sink)
@@ -368,14 +366,18 @@
 
 
 def _last_event_id(resume_point: ResumePoint) -> bytes | None:
-    """Return the id after which an upstream begins, or None at the start."""
+    """Return the id after which an upstream begins, or None at the start.
+
+    Raises:
+        NoResumePointError: No id tells where the stream would go on.
+    """
     match resume_point:
         case StreamStart():
             return None
         case AfterEvent(event_id):
             return event_id
         case NoResumePoint():
-            raise AssertionError(_NO_RESUME_POINT)
+            raise NoResumePointError
 
 
 _UNUSABLE_CONNECTION_RESULTS = frozenset(
