Decide in one place whether a run ends a stream too early

The relay from an upstream and the one from a neighbour asked the same two questions and gave the same two reasons. EventSequence answers both; what each caller does with the answer stays with it. No change of behaviour: the tests of streams, hand-overs and forwarding pass unchanged.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -203,6 +203,15 @@
         """Return whether the run has not come to the last forwarded event."""
         return self._run_state is _RunState.REPEATING
 
+    @property
+    def early_end(self) -> str:
+        """Return why the stream is not complete if the run ends here, or ""."""
+        if self.has_partial_event:
+            return "stream ended inside an event"
+        if self.is_repeating:
+            return "stream ended before its first new event"
+        return ""
+
     def _is_new(self, block: bytes) -> bool:
         """Return whether to forward a block, and record its event."""
         ids = _EVENT_ID.findall(block)
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -252,14 +252,8 @@
         events_before = events.forwarded
         sink = _EventSink(self, head)
         await connection.async_stream_body(sink)
-        if events.has_partial_event:
-            return AttemptEnd(
-                AttemptResult.BROKEN, "stream ended inside an event"
-            )
-        if events.is_repeating:
-            return AttemptEnd(
-                AttemptResult.BROKEN, "stream ended before its first new event"
-            )
+        if events.early_end:
+            return AttemptEnd(AttemptResult.BROKEN, events.early_end)
         if head.ends_with_connection:
             # The end of the stream looks like the death of the upstream.
             if events.forwarded == events_before:
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -281,12 +281,8 @@
             events.begin_run(events.resume_point)
             sink = _EventSink(exchange, events)
         await connection.async_stream_body(sink)
-        if events.has_partial_event:
-            raise InvalidResponseError("stream ended inside an event")
-        if events.is_repeating:
-            raise InvalidResponseError(
-                "stream ended before its first new event"
-            )
+        if events.early_end:
+            raise InvalidResponseError(events.early_end)
         exchange.finish()
         return None
 
