--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -231,13 +231,13 @@
 
         A stream begins anew after an id that names no event.
         """
+        last_id = request.value_by_header.get("last-event-id")
+        if not last_id or self.faults.ignore_last_event_id:
+            return 1
         number_by_id = {
             self.id_of_event(number): number
             for number in range(1, self.events + 1)
         }
-        last_id = request.value_by_header.get("last-event-id")
-        if not last_id or self.faults.ignore_last_event_id:
-            return 1
         return number_by_id.get(last_id, 0) + 1
 
     def unmute(self) -> None:
