--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -331,6 +331,12 @@
     return await async_add_overloaded_router(served, monkeypatch)
 
 
+async def async_running_first(upstreams: list[Upstream]) -> list[Upstream]:
+    """Wait for a run at one of some upstreams, and sort that one first."""
+    await until(lambda: any(upstream.running for upstream in upstreams))
+    return sorted(upstreams, key=lambda upstream: not upstream.running)
+
+
 async def until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
@@ -346,6 +352,7 @@
     "Deployment",
     "ReceivedResponse",
     "Response",
+    "async_running_first",
     "knows_as_serving",
     "manifest",
     "route",
--- a/tests/router/deployed/test_event_ids.py
+++ b/tests/router/deployed/test_event_ids.py
@@ -11,6 +11,7 @@
     Deployment,
     ReceivedResponse,
     async_add_overloaded_router,
+    async_running_first,
     until,
 )
 
@@ -125,8 +126,7 @@
         engine.faults.pause_after_events = after
         engine.may_go_on = asyncio.Event()
     call = asyncio.create_task(caller.call("/stream/1", budget_ms=6000))
-    await until(lambda: any(engine.running for engine in engines))
-    first, second = sorted(engines, key=lambda engine: not engine.running)
+    first, second = await async_running_first(engines)
     second.faults.pause_after_events = -1
     if after:
         event = f"event {after}\n".encode()
--- a/tests/router/deployed/test_failed_continuations.py
+++ b/tests/router/deployed/test_failed_continuations.py
@@ -9,6 +9,7 @@
 from tests.router.deployed.conftest import (
     Deployment,
     ReceivedResponse,
+    async_running_first,
     manifest,
     receive,
     route,
@@ -109,8 +110,7 @@
             setattr(upstream.faults, name, value)
     caller = await deployment.add_router()
     call = asyncio.create_task(async_call(caller.address))
-    await until(lambda: any(upstream.running for upstream in upstreams))
-    first, *others = sorted(upstreams, key=lambda item: not item.running)
+    first, *others = await async_running_first(upstreams)
     return call, first, others
 
 
--- a/tests/router/deployed/test_silent_upstreams.py
+++ b/tests/router/deployed/test_silent_upstreams.py
@@ -10,6 +10,7 @@
     Caller,
     Deployment,
     ReceivedResponse,
+    async_running_first,
     manifest,
     route,
     stream_bytes,
@@ -74,8 +75,7 @@
         The call, the engine that runs it and the other one.
     """
     call = asyncio.create_task(caller.call(path, budget_ms=9000))
-    await until(lambda: any(engine.running for engine in engines))
-    first, other = sorted(engines, key=lambda engine: not engine.running)
+    first, other = await async_running_first(engines)
     return call, first, other
 
 
