Show that second responses and repeated events reach callers twice

The stand-in for upstreams can now send what belongs to no request right behind the end of a response, and events again within one run.

Second responses behind whole responses with a length, and bytes that are no response, reach nobody.

--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -43,6 +43,31 @@
         b"f\r\nid: 9\ndata: x\n\n\r\n" * 50,
     ),
 }
+# Responses that belong to no request, by their kind: `ID` stands for the id of
+# the last request, and `STREAM` for the events of a whole stream.
+SURPLUS_RESPONSES: dict[str, bytes] = {
+    "stream to the same request": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
+        + _CHUNKED_HEAD
+        + b"STREAM0\r\n\r\n"
+    ),
+    "stream to another request": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+        + _CHUNKED_HEAD
+        + b"STREAM0\r\n\r\n"
+    ),
+    "stream that does not end": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n" + _CHUNKED_HEAD + b"STREAM"
+    ),
+    "whole response": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
+        b"X-Server-Seal: %b\r\nContent-Length: 12\r\n\r\nid: 1\ndata:\n\n"
+        % SEAL.encode()
+    ),
+    "head of a response": b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n",
+    "part of a head": b"HTTP/1.1 200 OK\r\nX-Att",
+    "no response": b"\0\0id: 1\n\n",
+}
 # Status of the endless responses that do not start with 200 OK.
 _STATUS_BY_ENDLESS_PART = {
     "informational answers": "103 Early Hints",
@@ -77,6 +102,11 @@
         cut_event: Send half of the next event before the reset.
         mute: Run requests and do not respond until `Upstream.unmute`.
         extra_answer: Send a second response after each complete one.
+        surplus: What follows the end of each complete response at once, a key
+            of `SURPLUS_RESPONSES`, or "" for nothing.
+        repeat_after_events: Number of events of a run after which it sends the
+            last `repeated_events` again and then goes on, or -1 for never.
+        repeated_events: Number of events that it sends again.
         stray_id: Send a response with the id of another request first.
         unframed: Send responses that end with the connection, without a
             length or chunks, also streams.
@@ -114,6 +144,9 @@
     cut_event: bool = False
     mute: bool = False
     extra_answer: bool = False
+    surplus: str = ""
+    repeat_after_events: int = -1
+    repeated_events: int = 0
     stray_id: bool = False
     unframed: bool = False
     reset_unframed: bool = False
@@ -389,13 +422,15 @@
             headers.append(f"Content-Encoding: {faults.encoding}")
         if faults.unframed:
             self._write_head(request, faults.status, headers)
-            self._transport.write(body)
+            self._transport.write(body + self._surplus(request))
             if faults.reset_unframed:
                 self.reset()
             else:
                 self._transport.close()
             return
-        self._write_response(request, faults.status, body, headers)
+        self._write_response(
+            request, faults.status, body, headers, self._surplus(request)
+        )
         if faults.extra_answer:
             self._write_response(request, 200, b"extra", headers)
 
@@ -428,12 +463,35 @@
                 self.reset()
                 return
             self._write_chunk(data)
+            if sent + 1 == faults.repeat_after_events:
+                self._repeat_events(number)
             await asyncio.sleep(self._upstream.response_delay_seconds)
             await self._async_pause_after(sent + 1)
+        surplus = self._surplus(request)
         if faults.unframed:
+            self._transport.write(surplus)
             self._transport.close()
         else:
-            self._transport.write(b"0\r\n\r\n")
+            self._transport.write(b"0\r\n\r\n" + surplus)
+
+    def _repeat_events(self, last: int) -> None:
+        """Send the last events of a run again."""
+        first = max(1, last - self._upstream.faults.repeated_events + 1)
+        for number in range(first, last + 1):
+            self._write_chunk(self._upstream.event(number))
+
+    def _surplus(self, request: ReceivedRequest) -> bytes:
+        """Return what follows the end of the response to a request."""
+        kind = self._upstream.faults.surplus
+        if not kind:
+            return b""
+        request_id = request.value_by_header["x-attempt-id"].encode()
+        stream = b"".join(
+            _chunk(self._upstream.event(number))
+            for number in range(1, self._upstream.events + 1)
+        )
+        surplus = SURPLUS_RESPONSES[kind]
+        return surplus.replace(b"ID", request_id).replace(b"STREAM", stream)
 
     async def _async_pause_after(self, events: int) -> None:
         """Pause if the run pauses after this number of events."""
@@ -459,7 +517,7 @@
         if self._upstream.faults.unframed:
             self._transport.write(data)
         else:
-            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self._transport.write(_chunk(data))
 
     def _write_response(
         self,
@@ -467,11 +525,12 @@
         status: int,
         body: bytes,
         headers: list[str],
+        surplus: bytes = b"",
     ) -> None:
         self._write_head(
             request, status, [*headers, f"Content-Length: {len(body)}"]
         )
-        self._transport.write(body)
+        self._transport.write(body + surplus)
 
     def _write_head(
         self, request: ReceivedRequest, status: int, headers: list[str]
@@ -488,3 +547,8 @@
         if faults.retry_after and status == _STATUS_UNAVAILABLE:
             lines.append(f"Retry-After: {faults.retry_after}")
         self._transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+
+def _chunk(data: bytes) -> bytes:
+    """Encode data as a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -0,0 +1,118 @@
+"""Responses of upstreams that belong to no request."""
+
+import pytest
+from tests.router.deployed.conftest import (
+    Caller,
+    Deployment,
+    async_add_overloaded_router,
+    stream_bytes,
+)
+
+from lacewingspar_standins.deployed.upstream import SURPLUS_RESPONSES
+
+EVENTS = 5
+CALLS = 6
+IS_KNOWN = pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, entry 16")
+IS_KNOWN_UNFRAMED = pytest.mark.xfail(
+    strict=False, reason="KNOWN-RED.txt, entry 18"
+)
+
+
+def prepare(served: Deployment, surplus: str, *, unframed: bool) -> None:
+    """Let all upstreams send surplus data behind their responses."""
+    for upstream in served.upstream_by_id.values():
+        upstream.faults.surplus = surplus
+        upstream.faults.unframed = unframed
+        # The end of a stream arrives while the router waits for it.
+        upstream.response_delay_seconds = 0.01
+
+
+async def async_assert_streams_are_whole(caller: Caller, path: str) -> None:
+    """Check that streams deliver each event once, and nothing else."""
+    for _ in range(CALLS):
+        response = await caller.call(path)
+        assert (response.status, response.is_complete) == (200, True)
+        assert response.body == stream_bytes(EVENTS)
+
+
+@IS_KNOWN
+@pytest.mark.parametrize("surplus", SURPLUS_RESPONSES)
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+async def test_response_behind_a_stream_is_no_part_of_it(
+    served: Deployment, path: str, surplus: str
+) -> None:
+    """Guards against events of a second response in a stream."""
+    prepare(served, surplus, unframed=False)
+    await async_assert_streams_are_whole(await served.add_router(), path)
+
+
+@IS_KNOWN
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+async def test_response_behind_a_stream_without_ids_is_no_part_of_it(
+    served: Deployment, path: str
+) -> None:
+    """Guards against events that only their id keeps from coming twice."""
+    prepare(served, "stream to the same request", unframed=False)
+    for upstream in served.upstream_by_id.values():
+        upstream.id_of_event = lambda _: None
+    caller = await served.add_router()
+    for _ in range(CALLS):
+        response = await caller.call(path)
+        assert response.body == b"".join(
+            served.upstream_by_id["e1"].event(number)
+            for number in range(1, EVENTS + 1)
+        )
+
+
+@IS_KNOWN
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+async def test_response_behind_a_handed_over_stream_is_no_part_of_it(
+    served: Deployment, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against events of a second response after a hand-over."""
+    prepare(served, "stream to the same request", unframed=False)
+    caller = await async_add_overloaded_router(served, monkeypatch)
+    await async_assert_streams_are_whole(caller, path)
+
+
+@pytest.mark.parametrize("surplus", SURPLUS_RESPONSES)
+@pytest.mark.parametrize("path", ["/read/", "/write/"])
+async def test_response_behind_a_whole_one_reaches_no_request(
+    served: Deployment, path: str, surplus: str
+) -> None:
+    """Guards against requests that fail because of a second response."""
+    prepare(served, surplus, unframed=False)
+    caller = await served.add_router()
+    for _ in range(CALLS):
+        response = await caller.call(path)
+        assert (response.status, response.is_complete) == (200, True)
+        assert response.body in (b"answer of p1", b"answer of p2")
+
+
+# Surplus data that a client can tell from the events of a stream.
+RESPONSES = [kind for kind in SURPLUS_RESPONSES if kind != "no response"]
+
+
+@IS_KNOWN_UNFRAMED
+@pytest.mark.parametrize("surplus", RESPONSES)
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+async def test_response_behind_an_unframed_stream_is_no_part_of_it(
+    served: Deployment, path: str, surplus: str
+) -> None:
+    """Guards against a status line and repeated events in a stream."""
+    prepare(served, surplus, unframed=True)
+    await async_assert_streams_are_whole(await served.add_router(), path)
+
+
+@IS_KNOWN_UNFRAMED
+@pytest.mark.parametrize(
+    "surplus", ["stream to the same request", "whole response"]
+)
+@pytest.mark.parametrize("path", ["/read/", "/write/"])
+async def test_response_behind_an_unframed_one_is_not_delivered(
+    served: Deployment, path: str, surplus: str
+) -> None:
+    """Guards against a body that holds a second response."""
+    prepare(served, surplus, unframed=True)
+    response = await (await served.add_router()).call(path)
+    assert response.status == 502
