--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -103,6 +103,7 @@
             interrupts the exchange, the attempt ends as timed out.
         on_notice: Called with each notice of the upstream.
         on_first_chunk: Called when the first chunk of the response arrives.
+        on_surplus_data: Called if data follows the response at once.
         async_before_relay: Waits until a stream may be relayed.
         async_has_crashed: Returns whether the upstream has just crashed.
     """
@@ -111,6 +112,7 @@
     on_sent: Callable[[ClientConnection], None]
     on_notice: Callable[[UpstreamNotice], None]
     on_first_chunk: Callable[[], None]
+    on_surplus_data: Callable[[], None]
     async_before_relay: Callable[[], Awaitable[None]]
     async_has_crashed: Callable[[], Awaitable[bool]]
 
@@ -179,6 +181,8 @@
             self._hooks.on_sent(connection)
             end = await self._async_receive_response(connection)
             is_reusable = end.result not in _UNUSABLE_CONNECTION_RESULTS
+            if is_reusable and connection.has_surplus_data:
+                self._hooks.on_surplus_data()
             return end
         except NoResumePointError as error:
             return AttemptEnd(AttemptResult.WITHHELD, str(error))
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -194,6 +194,7 @@
             workspace=call.workspace,
             upstream=progress.upstream_id,
             sent=progress.history.sent,
+            events=progress.caller_response.events.forwarded,
             duration_ms=_milliseconds(seconds),
             first_part_ms=first_part_ms,
             no_replacement=progress.no_replacement,
--- a/packages/router/src/lacewingspar_router/components/forwarding/sending.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/sending.py
@@ -2,6 +2,8 @@
 
 from http import HTTPStatus
 
+import structlog
+
 from lacewingspar_core.attempt_rules import AttemptResult
 from lacewingspar_core.directory import UpstreamEntry, UpstreamState
 from lacewingspar_router.application import Application
@@ -28,9 +30,12 @@
     ROUTING,
     UPSTREAM_AVAILABILITY,
 )
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.connection_pool import ConnectionPool
 
+_LOGGER = structlog.get_logger(__name__)
+
 
 class UpstreamSender:
     """Sends requests to upstreams and keeps the connections to them.
@@ -45,6 +50,7 @@
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
         self._availability = app.get(UPSTREAM_AVAILABILITY)
+        self._telemetry = app.get(TELEMETRY)
         self._wire_format = app.get(WIRE_FORMAT)
         self._crash_guard = crash_guard
         self._pool_by_address: dict[str, ConnectionPool] = {}
@@ -112,7 +118,7 @@
             self._wire_format,
             progress.caller_response,
             self._app.now,
-            self._attempt_hooks(grant, upstream, pool, run, observer),
+            self._attempt_hooks(progress, grant, upstream, run, observer),
         )
         source = entries.get(grant.fetch_from)
         is_broken = False
@@ -130,13 +136,14 @@
 
     def _attempt_hooks(
         self,
+        progress: CallProgress,
         grant: Grant,
         upstream: UpstreamEntry,
-        pool: ConnectionPool,
         run: GuardedRun,
         observer: AttemptObserver,
     ) -> AttemptHooks:
         """Return the functions that one attempt calls on its way."""
+        pool = self.connection_pool(upstream.address)
 
         def may_send() -> bool:
             return self._admission.may_send(
@@ -159,6 +166,22 @@
                 upstream, notice
             ),
             on_first_chunk=record_first_chunk,
+            on_surplus_data=lambda: self._record_surplus_data(
+                progress, upstream
+            ),
             async_before_relay=observer.async_before_relay,
             async_has_crashed=lambda: async_has_crashed(pool),
         )
+
+    def _record_surplus_data(
+        self, progress: CallProgress, upstream: UpstreamEntry
+    ) -> None:
+        """Record that an upstream sent data behind a complete response."""
+        service = progress.call.service
+        self._telemetry.count("surplus_data_total", service=service)
+        _LOGGER.warning(
+            "data behind the end of a response",
+            request_id=progress.call.metadata.request_id,
+            upstream=upstream.upstream_id,
+            service=service,
+        )
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -8,6 +8,7 @@
 from typing import Protocol, cast
 
 import httptools
+import structlog
 
 from lacewingspar_core.event_stream import EventSizeError
 from lacewingspar_router.http1.errors import (
@@ -43,6 +44,8 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
 
+_LOGGER = structlog.get_logger(__name__)
+
 _Event = ResponseHead | bytes | ResponseEnd
 
 
@@ -77,6 +80,7 @@
         self._idle_timeout_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
         self._headers: RawHeaders = []
         self._is_close_delimited = False
+        self._is_in_response = False
         self._parser = httptools.HttpResponseParser(self)
 
     # asyncio.Protocol
@@ -91,6 +95,11 @@
         """Parse received bytes."""
         if not self._is_busy:
             # Data without a request in flight belongs to no request.
+            _LOGGER.warning(
+                "connection closed: data without a request",
+                peer=self._peer_address,
+                received_bytes=len(data),
+            )
             self.abort()
             return
         if self._error is not None:
@@ -127,6 +136,7 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
+        self._is_in_response = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
@@ -165,6 +175,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of the response."""
+        self._is_in_response = False
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             return
         if not self._parser.should_keep_alive():
@@ -306,6 +317,11 @@
         self._parser = httptools.HttpResponseParser(self)
         return True
 
+    @property
+    def has_surplus_data(self) -> bool:
+        """Return whether data followed the response that was read last."""
+        return bool(self._events) or self._is_in_response
+
     def watch_progress(self) -> None:
         """Keep `last_progress_at` until the next request is sent."""
         self._is_watched = True
@@ -369,6 +385,13 @@
         poll.register(sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def _peer_address(self) -> str:
+        """Return `host:port` of the peer, or "" if it is not known."""
+        assert self._transport is not None
+        name = self._transport.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else ""
+
     def _push_event(self, event: _Event) -> None:
         self._events.append(event)
         is_full = (
--- a/tests/router/deployed/test_http1_client.py
+++ b/tests/router/deployed/test_http1_client.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import pytest
+import structlog
 
 from lacewingspar_router.http1 import client_connection
 from lacewingspar_router.http1.client import ClientConnection
@@ -174,3 +175,16 @@
     connection.data_received(b"0\r\n\r\n" + HEAD)
     await streaming
     assert not connection.complete_exchange()
+
+
+def test_data_without_a_request_is_logged_and_ends_the_connection() -> None:
+    """Guards against a connection that ends without a trace."""
+    connection, transport = ClientConnection(), mock.Mock()
+    transport.get_extra_info = {"peername": ("10.0.0.1", 80)}.get
+    connection.connection_made(transport)
+    with structlog.testing.capture_logs() as lines:
+        connection.data_received(HEAD)
+    transport.abort.assert_called_once()
+    (line,) = lines
+    assert line["event"] == "connection closed: data without a request"
+    assert (line["peer"], line["received_bytes"]) == ("10.0.0.1:80", len(HEAD))
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -1,6 +1,7 @@
 """Responses of upstreams that belong to no request."""
 
 import pytest
+import structlog
 from tests.router.deployed.conftest import (
     Caller,
     Deployment,
@@ -8,6 +9,7 @@
     stream_bytes,
 )
 
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_standins.deployed.upstream import SURPLUS_RESPONSES
 
 EVENTS = 5
@@ -116,3 +118,37 @@
     prepare(served, surplus, unframed=True)
     response = await (await served.add_router()).call(path)
     assert response.status == 502
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/read/"])
+async def test_response_behind_the_end_is_logged(
+    served: Deployment, path: str
+) -> None:
+    """Guards against a faulty upstream that leaves no trace in the logs."""
+    prepare(served, "whole response", unframed=False)
+    caller = await served.add_router()
+    with structlog.testing.capture_logs() as lines:
+        await caller.call(path, x_attempt_id="q1")
+    (surplus,) = [
+        line
+        for line in lines
+        if line["event"] == "data behind the end of a response"
+    ]
+    assert surplus["request_id"] == "q1"
+    assert surplus["upstream"] in served.upstream_by_id
+    (end,) = [line for line in lines if line["event"] == "request ended"]
+    assert end["upstream"] == surplus["upstream"]
+    _, page = served.apps[0].get(TELEMETRY).render()
+    service = surplus["service"]
+    assert f'surplus_data_total{{service="{service}"}} 1\n' in page.decode()
+
+
+async def test_end_of_a_stream_tells_the_number_of_its_events(
+    served: Deployment,
+) -> None:
+    """Guards against logs that cannot tell a stream with repeated events."""
+    caller = await served.add_router()
+    with structlog.testing.capture_logs() as lines:
+        await caller.call("/stream/")
+    (end,) = [line for line in lines if line["event"] == "request ended"]
+    assert end["events"] == EVENTS
