End the body of a response at its end, whatever follows it

No attempt failed.

Cause: the parser writes body data to the caller's sink itself, and the sink stayed in place until the reading coroutine ran again. Whatever the upstream sent behind the end of the stream in the same read, the body of a second response, was written to the caller. A part of a second head was not noticed at all, and the connection was used again.

The end of a message now takes the sink away in the parser's callback, and a connection on which anything has followed the response is not used again. So no byte behind the end can reach a request, however the bytes are split.

--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -174,8 +174,12 @@
             self._wake_waiter()
 
     def on_message_complete(self) -> None:
-        """Queue the end of the response."""
+        """Queue the end of the response.
+
+        What follows belongs to another response, so the sink gets no more.
+        """
         self._is_in_response = False
+        self._sink = None
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             return
         if not self._parser.should_keep_alive():
@@ -305,7 +309,7 @@
             transport is not None
             and not self._is_closing
             and self._error is None
-            and not self._events
+            and not self.has_surplus_data
             # The peer may respond before it has read the whole request body.
             and transport.get_write_buffer_size() == 0
         )
--- a/tests/router/deployed/test_http1_client.py
+++ b/tests/router/deployed/test_http1_client.py
@@ -168,6 +168,36 @@
         await streaming
 
 
+SECOND_RESPONSE = HEAD + b"3\r\none\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize("split", range(len(SECOND_RESPONSE) + 1))
+async def test_sink_gets_nothing_behind_the_end(split: int) -> None:
+    """Guards against a second response that is read as part of the first."""
+    connection, transport = _connection_with_head()
+    transport.get_write_buffer_size.return_value = 0
+    sink = _Sink()
+    streaming = asyncio.create_task(connection.async_stream_body(sink))
+    await asyncio.sleep(0)
+    connection.data_received(b"3\r\ntwo\r\n0\r\n\r\n" + SECOND_RESPONSE[:split])
+    connection.data_received(SECOND_RESPONSE[split:])
+    await streaming
+    assert sink.chunks == [b"two"]
+    assert not connection.complete_exchange()
+
+
+@pytest.mark.parametrize("size", range(1, len(HEAD)))
+async def test_connection_with_a_part_of_a_second_response_is_not_reused(
+    size: int,
+) -> None:
+    """Guards against the rest of a response in front of the next one."""
+    connection, transport = _connection_with_head()
+    transport.get_write_buffer_size.return_value = 0
+    connection.data_received(b"0\r\n\r\n" + HEAD[:size])
+    await connection.async_stream_body(_Sink())
+    assert not connection.complete_exchange()
+
+
 async def test_connection_with_a_second_response_is_not_reused() -> None:
     connection, _ = _connection_with_head()
     streaming = asyncio.create_task(connection.async_stream_body(_Sink()))
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -14,7 +14,6 @@
 
 EVENTS = 5
 CALLS = 6
-IS_KNOWN = pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, entry 16")
 IS_KNOWN_UNFRAMED = pytest.mark.xfail(
     strict=False, reason="KNOWN-RED.txt, entry 18"
 )
@@ -37,7 +36,6 @@
         assert response.body == stream_bytes(EVENTS)
 
 
-@IS_KNOWN
 @pytest.mark.parametrize("surplus", SURPLUS_RESPONSES)
 @pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
 async def test_response_behind_a_stream_is_no_part_of_it(
@@ -48,7 +46,6 @@
     await async_assert_streams_are_whole(await served.add_router(), path)
 
 
-@IS_KNOWN
 @pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
 async def test_response_behind_a_stream_without_ids_is_no_part_of_it(
     served: Deployment, path: str
@@ -66,7 +63,6 @@
         )
 
 
-@IS_KNOWN
 @pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
 async def test_response_behind_a_handed_over_stream_is_no_part_of_it(
     served: Deployment, monkeypatch: pytest.MonkeyPatch, path: str
