Skip the events that an upstream sends again within one run

Cause: since the events of a run were compared with the delivered ones only up to its first new event.

The state table of a run now has rows for every event. A number that is not above the last one, or an event with the same id and data as one before, is a repetition and is skipped; at most 1,024 events are remembered. A run that ends while it repeats events is not complete. 'request ended' counts them.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -17,6 +17,8 @@
 )
 # Longer ids are not sent to upstreams, which limit the size of headers.
 MAX_EVENT_ID_BYTES = 8 * 1024
+# Events that are compared with later ones of the same stream.
+MAX_REMEMBERED_EVENTS = 1024
 # Starts of lines that belong to no event: comments and times to reconnect.
 _LINES_OUTSIDE_EVENTS = (b":", b"retry:")
 # Limits the buffered part of an event, and also the data that a stream delivers
@@ -63,9 +65,9 @@
     """State of the run of the stream that is read.
 
     Attributes:
-        AT_LAST_EVENT: The next event is expected to be the first new one.
-        REPEATING: The run repeats events that were forwarded.
-        NEW: The run has delivered a new event; all that follow are new.
+        AT_LAST_EVENT: The run has come to the last forwarded event.
+        REPEATING: The run repeats events that were forwarded before that one.
+        NEW: The last event of the run was new.
     """
 
     AT_LAST_EVENT = auto()
@@ -89,8 +91,7 @@
     UNKNOWN = auto()
 
 
-# Next state until the first new event of a run. Only that event leads to `NEW`;
-# the events before it are skipped.
+# Next state by the place of an event. It is forwarded if that state is `NEW`.
 _NEXT_STATE = {
     (_RunState.AT_LAST_EVENT, _Order.SAME): _RunState.AT_LAST_EVENT,
     (_RunState.AT_LAST_EVENT, _Order.EARLIER): _RunState.REPEATING,
@@ -100,6 +101,10 @@
     (_RunState.REPEATING, _Order.EARLIER): _RunState.REPEATING,
     (_RunState.REPEATING, _Order.LATER): _RunState.NEW,
     (_RunState.REPEATING, _Order.UNKNOWN): _RunState.REPEATING,
+    (_RunState.NEW, _Order.SAME): _RunState.AT_LAST_EVENT,
+    (_RunState.NEW, _Order.EARLIER): _RunState.REPEATING,
+    (_RunState.NEW, _Order.LATER): _RunState.NEW,
+    (_RunState.NEW, _Order.UNKNOWN): _RunState.NEW,
 }
 
 
@@ -108,11 +113,12 @@
     """Joins the runs of a stream, so that each event is forwarded once.
 
     A run is the stream of one upstream. It begins with `begin_run` and goes on
-    where the last one ended; what it repeats before its first new event is
-    skipped. After that its events are forwarded as they come.
+    where the last one ended. Events that it repeats are skipped, whether
+    another run has delivered them or this one.
 
     Ids are opaque: they are compared and passed on as they were received. Only
-    ids that are decimal numbers, of any length, also have an order.
+    ids that are decimal numbers, of any length, also have an order. An upstream
+    that gives different events the same id is not taken to repeat any.
 
     A stream can go on elsewhere only if the id of its last event tells where:
     an event without an id, with the id of the event before it, or with one that
@@ -122,13 +128,19 @@
         last_id: Id of the last forwarded event, or None before the first event
             with an id.
         forwarded: Number of forwarded events.
+        repeated: Number of events that were skipped as repetitions.
     """
 
     last_id: bytes | None = None
     forwarded: int = 0
+    repeated: int = 0
     _first_id: bytes | None = None
     _ends_with_last_id: bool = True
     _run_state: _RunState = _RunState.AT_LAST_EVENT
+    _has_run_delivered: bool = False
+    # Hashes of forwarded events with an id, oldest first.
+    _remembered: dict[int, None] = field(default_factory=dict)
+    _has_shared_ids: bool = False
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
 
@@ -147,6 +159,7 @@
             raise NoResumePointError
         self._buffer.clear()
         self._bytes_without_new_event = 0
+        self._has_run_delivered = False
         self._run_state = (
             _RunState.AT_LAST_EVENT
             if requested == current
@@ -209,7 +222,7 @@
         if self.has_partial_event:
             return "stream ended inside an event"
         if self.is_repeating:
-            return "stream ended before its first new event"
+            return "stream ended while it repeated events"
         return ""
 
     def _is_new(self, block: bytes) -> bool:
@@ -219,30 +232,50 @@
             return self._run_state is not _RunState.REPEATING
         # The last of several ids counts.
         event_id = ids[-1] if ids else None
+        order = self._order(event_id, block)
+        self._run_state = _NEXT_STATE[self._run_state, order]
         if self._run_state is not _RunState.NEW:
-            order = self._order(event_id)
-            self._run_state = _NEXT_STATE[self._run_state, order]
-            if self._run_state is not _RunState.NEW:
-                return False
-        self._record(event_id)
+            self.repeated += 1
+            return False
+        self._record(event_id, block)
         return True
 
-    def _order(self, event_id: bytes | None) -> _Order:
-        """Return the place of an event by its id."""
-        if self.last_id is None or event_id is None:
+    def _order(self, event_id: bytes | None, block: bytes) -> _Order:
+        """Return the place of an event."""
+        if self.last_id is None or not event_id:
             return _Order.UNKNOWN
-        if event_id == self.last_id:
-            return _Order.SAME
-        if event_id.isdigit() and self.last_id.isdigit():
-            return _numeric_order(event_id, self.last_id)
-        if event_id == self._first_id:
+        order = _order_of_ids(event_id, self.last_id)
+        if self._has_run_delivered:
+            return self._order_within_run(order, block)
+        if order is _Order.UNKNOWN and event_id == self._first_id:
             # The upstream has started the stream anew.
             return _Order.EARLIER
-        return _Order.UNKNOWN
+        return order
+
+    def _order_within_run(self, order: _Order, block: bytes) -> _Order:
+        """Return the place of an event in a run that has delivered a new one.
 
-    def _record(self, event_id: bytes | None) -> None:
+        Args:
+            order: Its place by its id.
+            block: The event.
+        """
+        is_remembered = hash(block) in self._remembered
+        is_after_new_event = self._run_state is _RunState.NEW
+        match order:
+            case _Order.SAME if is_after_new_event and not is_remembered:
+                self._has_shared_ids = True
+                return _Order.LATER
+            case _Order.SAME | _Order.UNKNOWN if self._has_shared_ids:
+                return _Order.LATER
+            case _Order.UNKNOWN:
+                return _Order.EARLIER if is_remembered else _Order.LATER
+            case _:
+                return order
+
+    def _record(self, event_id: bytes | None, block: bytes) -> None:
         """Record a forwarded event."""
         self.forwarded += 1
+        self._has_run_delivered = True
         if event_id is None:
             self._ends_with_last_id = False
             return
@@ -250,6 +283,9 @@
         self.last_id = event_id
         if self._first_id is None:
             self._first_id = event_id
+        self._remembered[hash(block)] = None
+        if len(self._remembered) > MAX_REMEMBERED_EVENTS:
+            del self._remembered[next(iter(self._remembered))]
 
 
 def _is_event(block: bytes) -> bool:
@@ -269,12 +305,16 @@
     )
 
 
-def _numeric_order(event_id: bytes, other: bytes) -> _Order:
-    """Return the order of two decimal numbers of any length."""
-    value, other_value = _magnitude(event_id), _magnitude(other)
-    if value == other_value:
+def _order_of_ids(event_id: bytes, last_id: bytes) -> _Order:
+    """Return the place of an event by its id and that of the last one."""
+    if event_id == last_id:
+        return _Order.SAME
+    if not (event_id.isdigit() and last_id.isdigit()):
+        return _Order.UNKNOWN
+    magnitude, last_magnitude = _magnitude(event_id), _magnitude(last_id)
+    if magnitude == last_magnitude:
         return _Order.SAME
-    return _Order.LATER if value > other_value else _Order.EARLIER
+    return _Order.LATER if magnitude > last_magnitude else _Order.EARLIER
 
 
 def _magnitude(digits: bytes) -> tuple[int, bytes]:
--- a/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/request_recorder.py
@@ -195,6 +195,7 @@
             upstream=progress.upstream_id,
             sent=progress.history.sent,
             events=progress.caller_response.events.forwarded,
+            repeated_events=progress.caller_response.events.repeated,
             duration_ms=_milliseconds(seconds),
             first_part_ms=first_part_ms,
             no_replacement=progress.no_replacement,
--- a/tests/core/test_event_stream_runs.py
+++ b/tests/core/test_event_stream_runs.py
@@ -29,6 +29,7 @@
     ),
     "without ids": lambda _: None,
 }
+KINDS_WITH_IDS = ["numbers", "long numbers", "names"]
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 
 
@@ -131,3 +132,37 @@
     events = stream.without_comments(forwarded)
     assert whole.startswith(events)
     assert events == b"".join(stream.events[: sequence.forwarded])
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+@pytest.mark.parametrize("kind", KINDS_WITH_IDS)
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(0, EVENTS), st.integers(1, EVENTS)), max_size=4
+    ),
+    chunk_size=st.integers(1, 80),
+)
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_run_that_goes_back_is_one_stream(
+    kind: str, line_end: bytes, steps: list[tuple[int, int]], chunk_size: int
+) -> None:
+    """Guards against events that one run sends twice.
+
+    Each step of the run goes on to an event and then back by some events.
+    """
+    stream = Stream(ID_OF_EVENT_BY_KIND[kind], line_end)
+    sequence = EventSequence()
+    numbers: list[int] = []
+    position = 0
+    for target, back in steps:
+        numbers += range(position, max(position, target))
+        position = max(0, max(position, target) - back)
+    numbers += range(position, EVENTS)
+    data = b"".join(stream.events[number] for number in numbers)
+    forwarded = b"".join(
+        sequence.push(data[start : start + chunk_size])
+        for start in range(0, len(data), chunk_size)
+    )
+    assert forwarded == b"".join(stream.events)
+    assert sequence.repeated == len(numbers) - EVENTS
+    assert not sequence.early_end
