Do not log the end of a connection as data behind the response

The line 'data behind the end of a response' came for every response that ends with its connection, as the parser does not report the end of such a message. The test fails for these (2 of 4) before.

--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -117,7 +117,7 @@
         """End a response that is delimited by the close of the connection."""
         if self._is_close_delimited:
             self._push_event(ResponseEnd())
-            self._is_close_delimited = False
+            self._is_close_delimited = self._is_in_response = False
         self._is_closing = True
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -139,6 +139,20 @@
     assert f'surplus_data_total{{service="{service}"}} 1\n' in page.decode()
 
 
+@pytest.mark.parametrize("path", ["/stream/", "/read/"])
+@pytest.mark.parametrize("unframed", [True, False])
+async def test_end_with_nothing_behind_it_is_not_logged(
+    served: Deployment, path: str, *, unframed: bool
+) -> None:
+    """Guards against sound upstreams that look faulty in the logs."""
+    prepare(served, "", unframed=unframed)
+    caller = await served.add_router()
+    with structlog.testing.capture_logs() as lines:
+        await caller.call(path)
+    events = {line["event"] for line in lines}
+    assert "data behind the end of a response" not in events
+
+
 async def test_end_of_a_stream_tells_the_number_of_its_events(
     served: Deployment,
 ) -> None:
