End a stream without framing where another response begins

No field of an event is called like a status line. In such a stream a line that begins with one now ends the run, and the connection is closed at once, as the upstream may keep it open. If it comes inside an event, the stream has broken off. Framed streams may hold such a line. Bytes behind a stream that are no response still cannot be told from events.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -10,6 +10,9 @@
 _MAX_EVENT_END_BYTES = 3
 # The literal start lets the search skip the data of an event quickly.
 _EVENT_ID = re.compile(rb"id(?<![^\r\n]id)(?:: ?([^\r\n]*))?(?=[\r\n])")
+# First line of another response in a stream that ends with its connection. No
+# field of an event is called so.
+_STATUS_LINE = re.compile(rb"(?:\A|[\r\n])(HTTP/1\.[01] [1-5]\d\d[ \r\n])")
 # What a header field carries unchanged: no control characters, and no space at
 # either end.
 _HEADER_VALUE = re.compile(
@@ -129,11 +132,13 @@
             with an id.
         forwarded: Number of forwarded events.
         repeated: Number of events that were skipped as repetitions.
+        is_run_over: Whether another response has begun behind the run.
     """
 
     last_id: bytes | None = None
     forwarded: int = 0
     repeated: int = 0
+    is_run_over: bool = False
     _first_id: bytes | None = None
     _ends_with_last_id: bool = True
     _run_state: _RunState = _RunState.AT_LAST_EVENT
@@ -141,15 +146,20 @@
     # Hashes of forwarded events with an id, oldest first.
     _remembered: dict[int, None] = field(default_factory=dict)
     _has_shared_ids: bool = False
+    _is_framed: bool = True
     _buffer: bytearray = field(default_factory=bytearray)
     _bytes_without_new_event: int = 0
 
-    def begin_run(self, requested: ResumePoint) -> None:
+    def begin_run(
+        self, requested: ResumePoint, *, is_framed: bool = True
+    ) -> None:
         """Begin to read the stream of an upstream.
 
         Args:
             requested: Resume point that the upstream was given. Another one may
                 have delivered further events since.
+            is_framed: Whether the framing of the response tells its end. If
+                not, the run is over where another response begins.
 
         Raises:
             NoResumePointError: The stream cannot go on at another upstream.
@@ -160,6 +170,8 @@
         self._buffer.clear()
         self._bytes_without_new_event = 0
         self._has_run_delivered = False
+        self._is_framed = is_framed
+        self.is_run_over = False
         self._run_state = (
             _RunState.AT_LAST_EVENT
             if requested == current
@@ -172,9 +184,13 @@
         Raises:
             EventSizeError: No new event ends within the size limit.
         """
+        if self.is_run_over:
+            return b""
         # The end of an event may have started in an earlier chunk.
         searched_from = max(0, len(self._buffer) - _MAX_EVENT_END_BYTES + 1)
         self._buffer += data
+        if not self._is_framed:
+            self._drop_other_response()
         ready = bytearray()
         start = 0
         for end in _EVENT_END.finditer(self._buffer, searched_from):
@@ -225,6 +241,13 @@
             return "stream ended while it repeated events"
         return ""
 
+    def _drop_other_response(self) -> None:
+        """End the run where another response begins in the buffer."""
+        found = _STATUS_LINE.search(self._buffer)
+        if found is not None:
+            self.is_run_over = True
+            del self._buffer[found.start(1) :]
+
     def _is_new(self, block: bytes) -> bool:
         """Return whether to forward a block, and record its event."""
         ids = _EVENT_ID.findall(block)
--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -252,9 +252,11 @@
         """Relay events as they arrive."""
         caller_response = self._caller_response
         events = caller_response.events
-        events.begin_run(self._resume_point)
+        events.begin_run(
+            self._resume_point, is_framed=not head.ends_with_connection
+        )
         events_before = events.forwarded
-        sink = _EventSink(self, head)
+        sink = _EventSink(self, head, connection)
         await connection.async_stream_body(sink)
         if events.early_end:
             return AttemptEnd(AttemptResult.BROKEN, events.early_end)
@@ -284,6 +286,11 @@
         self._start_response(head)
         return self._caller_response.exchange.write(ready)
 
+    @property
+    def is_body_over(self) -> bool:
+        """Return whether the rest of the body belongs to another response."""
+        return self._caller_response.events.is_run_over
+
     def record_first_chunk(self) -> None:
         """Report that the first chunk of the response arrived."""
         self._hooks.on_first_chunk()
@@ -346,9 +353,15 @@
 class _EventSink:
     """Receives the body of a streamed response."""
 
-    def __init__(self, attempt: Attempt, head: ResponseHead) -> None:
+    def __init__(
+        self,
+        attempt: Attempt,
+        head: ResponseHead,
+        connection: ClientConnection,
+    ) -> None:
         self._attempt = attempt
         self._head = head
+        self._connection = connection
         self._is_first = True
 
     def write(self, data: bytes) -> bool:
@@ -356,7 +369,10 @@
         if self._is_first:
             self._is_first = False
             self._attempt.record_first_chunk()
-        return self._attempt.relay_chunk(self._head, data)
+        takes_more = self._attempt.relay_chunk(self._head, data)
+        if self._attempt.is_body_over:
+            self._connection.end_body()
+        return takes_more
 
     async def async_drain(self) -> None:
         """Wait until the caller can take more data."""
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -260,6 +260,12 @@
                 await sink.async_drain()
                 self._resume_reading()
 
+    def end_body(self) -> None:
+        """Take the body that is read as complete, and close the connection."""
+        self._sink = None
+        self._push_event(ResponseEnd())
+        self.abort()
+
     async def _async_wait(self, limit_seconds: float | None) -> None:
         """Wait until an event arrives.
 
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -363,3 +363,60 @@
         )
         assert sequence.forwarded == ended
     assert not sequence.has_partial_event
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", range(1, 60))
+@pytest.mark.parametrize(
+    "surplus", [HEAD + named(b"3"), HEAD, HEAD[:20], b"HTTP/1.0 503 \r\n\r\n"]
+)
+def test_unframed_run_is_over_where_another_response_begins(
+    surplus: bytes, size: int
+) -> None:
+    """Guards against the head and the events of a second response."""
+    stream = named(b"1", b"2")
+    data = stream + surplus
+    sequence = EventSequence()
+    sequence.begin_run(StreamStart(), is_framed=False)
+    forwarded = b"".join(
+        sequence.push(data[start : start + size])
+        for start in range(0, len(data), size)
+    )
+    assert forwarded == stream
+    assert sequence.is_run_over
+    assert not sequence.early_end
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_unframed_run_that_another_response_cuts_is_not_complete(
+    size: int,
+) -> None:
+    """Guards against a partial event that looks like the end of a stream."""
+    data = named(b"1") + b"id: 2\ndata: x\n" + HEAD
+    sequence = EventSequence()
+    sequence.begin_run(StreamStart(), is_framed=False)
+    forwarded = b"".join(
+        sequence.push(data[start : start + size])
+        for start in range(0, len(data), size)
+    )
+    assert forwarded == named(b"1")
+    assert sequence.early_end
+
+
+@pytest.mark.parametrize(
+    ("data", "is_framed"),
+    [
+        (b"data: HTTP/1.1 200 OK\n\n" + named(b"2"), False),
+        (b"HTTP/1.1 later\n\n" + named(b"2"), False),
+        (HEAD + named(b"2"), True),
+    ],
+)
+def test_status_line_in_an_event_is_part_of_the_stream(
+    data: bytes, *, is_framed: bool
+) -> None:
+    """Guards against a stream that is cut because of what it says."""
+    sequence = EventSequence()
+    sequence.begin_run(StreamStart(), is_framed=is_framed)
+    assert sequence.push(data) == data
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -91,7 +91,6 @@
 RESPONSES = [kind for kind in SURPLUS_RESPONSES if kind != "no response"]
 
 
-@IS_KNOWN_UNFRAMED
 @pytest.mark.parametrize("surplus", RESPONSES)
 @pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
 async def test_response_behind_an_unframed_stream_is_no_part_of_it(
