Reject a body without framing that runs into another response

A whole response with neither a length nor chunks ends with its connection, so nothing tells its end from what a faulty upstream sends behind it.

Unlike a stream such a body may hold any bytes, so it is not cut: if a head with the id of a request stands in it, the response is invalid. Callers get 502, and requests that may run again are sent to another upstream.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -324,6 +324,10 @@
             return AttemptEnd(
                 AttemptResult.INVALID, "response is encoded or not sealed"
             )
+        if self._holds_other_response(response):
+            return AttemptEnd(
+                AttemptResult.INVALID, "another response follows in the body"
+            )
         if status in _UNCONFIRMED_NOT_RUN_STATUSES:
             return AttemptEnd(
                 AttemptResult.INVALID,
@@ -340,6 +344,14 @@
             self._hooks.on_first_chunk()
         return end
 
+    def _holds_other_response(self, response: Response) -> bool:
+        """Return whether more than the response was read until its end."""
+        head = ResponseHead(response.status, response.headers)
+        return (
+            head.ends_with_connection
+            and self._wire_format.holds_other_response(response.body)
+        )
+
     def _is_stream(self, head: ResponseHead, info: ResponseInfo) -> bool:
         return (
             self._call.route.kind is RouteKind.STREAM
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -183,6 +183,9 @@
     ) -> ResponseInfo:
         """Parse the head of a response."""
 
+    def holds_other_response(self, body: bytes) -> bool:
+        """Return whether a body without framing runs into another response."""
+
     def response_headers(self, headers: RawHeaders) -> RawHeaders:
         """Return the headers of an upstream's response to relay."""
 
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -35,6 +35,13 @@
 # Whole or fractional seconds; HTTP also allows a date, which is ignored as the
 # clocks of upstreams may differ. The number of digits keeps the value finite.
 _SECONDS = re.compile(r"\d{1,300}(\.\d*)?|\.\d+", re.ASCII)
+# Head of a response to a request of the platform, up to the id of the request.
+_RESPONSE_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[^\r\n]+\r\n){0,100}?"
+    + names.HEADER_REQUEST_ID
+    + b":",
+    re.IGNORECASE,
+)
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -147,6 +154,10 @@
             notice=_notice(upstream, head.status, values),
         )
 
+    def holds_other_response(self, body: bytes) -> bool:
+        """Return whether a body without framing runs into another response."""
+        return _RESPONSE_HEAD.search(body) is not None
+
     def response_headers(self, headers: RawHeaders) -> RawHeaders:
         """Return the upstream's response headers to pass on to the caller."""
         return end_to_end_headers(headers, frozenset({b"content-length"}))
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -14,9 +14,6 @@
 
 EVENTS = 5
 CALLS = 6
-IS_KNOWN_UNFRAMED = pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt, entry 18"
-)
 
 
 def prepare(served: Deployment, surplus: str, *, unframed: bool) -> None:
@@ -101,7 +98,6 @@
     await async_assert_streams_are_whole(await served.add_router(), path)
 
 
-@IS_KNOWN_UNFRAMED
 @pytest.mark.parametrize(
     "surplus", ["stream to the same request", "whole response"]
 )
