Let upstreams of the soak send surplus responses and repeat events

Now the upstreams of every seed differ in what they send with each response: a second stream behind it, a part of a head, or an event again. Plans of seeds stay as they were.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -30,6 +30,7 @@
 from lacewingspar_standins.bench.soak_faults import (
     WEIGHT_BY_FAULT_SCENARIO,
     async_inject,
+    set_habits,
 )
 from lacewingspar_standins.bench.soak_fleet import (
     EVENTS,
@@ -152,6 +153,8 @@
     async with AsyncExitStack() as stack, Fleet(folder) as processes:
         fleet = SoakFleet(processes, stack, routers)
         await fleet.async_start()
+        # Apart from the plan of the seed.
+        set_habits(fleet, random.Random(f"{seed} habits"))
         soak = Soak(fleet)
         addresses = {
             plan.router_id: plan.caller_address
--- a/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
@@ -179,6 +179,14 @@
     ("no_seal", True),
     ("status", 500),
 )
+# What an upstream may do with every response, without a harm to callers.
+_HABITS: tuple[Fault, ...] = (
+    ("surplus", ""),
+    ("surplus", "stream to the same request"),
+    ("surplus", "stream to another request"),
+    ("repeat_after_events", 2),
+    ("surplus", "part of a head"),
+)
 WEIGHT_BY_FAULT_SCENARIO: dict[FaultScenario, int] = {
     FaultScenario("pause", _routers, _async_pause): 2,
     FaultScenario("kill", _routers, _async_kill): 2,
@@ -194,6 +202,14 @@
 }
 
 
+def set_habits(fleet: SoakFleet, generator: random.Random) -> None:
+    """Give the first upstreams habits, which they keep."""
+    first = generator.randrange(len(_HABITS))
+    for number, upstream in enumerate(fleet.upstream_by_id.values(), first):
+        field, value = _HABITS[number % len(_HABITS)]
+        setattr(upstream.faults, field, value)
+
+
 async def async_inject(
     scenario: FaultScenario, soak: Soak, generator: random.Random
 ) -> None:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -146,7 +146,7 @@
     extra_answer: bool = False
     surplus: str = ""
     repeat_after_events: int = -1
-    repeated_events: int = 0
+    repeated_events: int = 1
     stray_id: bool = False
     unframed: bool = False
     reset_unframed: bool = False
