Take no request's refusal for that of the next one

The wait of the caller for a repeat that is safe by that promise makes it a second run.

Cause: a refusal without the id of its request was believed to answer whatever request was in flight on its connection. Sent twice, the second one was taken for the refusal of the next request there, which the upstream was running.

The connection tells now: after a response that names no request, it carries no further one, so that what may still arrive there meets none, however late it is. Responses that name their request are told apart by it, as before, and their connections are kept. A refusal without an id costs one new connection; before, its repetition mostly ended the connection as well.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -230,7 +230,9 @@
     ) -> tuple[ResponseHead, ResponseInfo]:
         """Return the response head for this request.
 
-        Late responses to earlier requests on the connection are skipped.
+        Late responses to earlier requests on the connection are skipped. One
+        that names no request cannot be told from them if it comes again, so no
+        request follows it on the connection.
         """
         for _ in range(const.MAX_STALE_RESPONSES + 1):
             head = await async_read_head(connection)
@@ -240,6 +242,8 @@
             if info.notice is not None:
                 self._hooks.on_notice(info.notice)
             if info.is_for_request:
+                if not info.names_request:
+                    connection.end_reuse()
                 return head, info
             await async_read_body(
                 connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -110,7 +110,9 @@
     """Properties of a response, taken from its head.
 
     Attributes:
-        is_for_request: Whether it is the response to this request.
+        is_for_request: Whether it is the response to this request, as far as
+            its head tells.
+        names_request: Whether it names the request that it responds to.
         is_sealed: Whether it has the upstream's seal, which proves that the
             upstream sent it.
         is_declared_not_run: Whether the upstream declares that it did not run
@@ -122,6 +124,7 @@
     """
 
     is_for_request: bool
+    names_request: bool
     is_sealed: bool
     is_declared_not_run: bool
     is_wrong_upstream: bool
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -358,6 +358,10 @@
         self._set_error(ExchangeInterruptedError("exchange interrupted"))
         self.abort()
 
+    def end_reuse(self) -> None:
+        """Send no request after the one in flight."""
+        self._is_closing = True
+
     def abort(self) -> None:
         """Close the connection at once, which cancels a request in flight."""
         self._is_closing = True
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -142,6 +142,7 @@
                 or response_request_id.decode("latin-1")
                 == call.metadata.request_id
             ),
+            names_request=bool(response_request_id),
             is_sealed=names.HEADER_SERVER_SEAL in values
             and response_request_id is not None,
             is_declared_not_run=is_declared_not_run,
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -1,6 +1,7 @@
 """Stand-in for an upstream of the platform: engine or plain service."""
 
 import asyncio
+import random
 import socket
 import struct
 from collections import Counter
@@ -82,6 +83,9 @@
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 _STATUS_UNAVAILABLE = 503
+# Time from a refusal that does not name its request to its repetition.
+MIN_REPEAT_SECONDS = 0.002
+MAX_REPEAT_SECONDS = 0.012
 _STATUS_NO_CONTENT = 204
 
 
@@ -91,6 +95,9 @@
     Attributes:
         refuse: Respond 503 and state that the request did not run.
         refuse_after_seconds: Delay of a response of `refuse`.
+        unnamed_refusals: Fraction of the requests that it refuses without
+            naming them, each refusal being sent twice. They do not run.
+        unnamed_status: Status of these refusals.
         refuse_silently: Respond 503 without stating whether it ran.
         status: Status of the responses to plain calls.
         stream_status: Status of a whole response to a streamed request, in
@@ -136,6 +143,8 @@
 
     refuse: bool = False
     refuse_after_seconds: float = 0.0
+    unnamed_refusals: float = 0.0
+    unnamed_status: int = _STATUS_UNAVAILABLE
     refuse_silently: bool = False
     status: int = 200
     stream_status: int = 0
@@ -202,6 +211,8 @@
         running: Number of requests that run now.
         endless_bytes: Bytes written of endless parts of responses.
         unmuted: Set once the fault `mute` has ended.
+        random: Decides which requests it refuses without naming them.
+        unnamed_refusals: Number of these refusals.
         cancelled: Number of requests whose connection closed before they
             ended.
         part_crashes: Prompt parts that have crashed it, and when.
@@ -241,6 +252,8 @@
         self.endless_bytes = 0
         self.unmuted = asyncio.Event()
         self.open_connections: set[_Connection] = set()
+        self.random = random.Random(upstream_id)
+        self.unnamed_refusals = 0
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -365,6 +378,9 @@
             request.retry_after = faults.retry_after
             self._write_response(request, 503, b"full", ["X-Not-Executed: 1"])
             return
+        if self._upstream.random.random() < faults.unnamed_refusals:
+            self._refuse_unnamed()
+            return
         if faults.refuse_silently:
             self._write_response(request, 503, b"busy", [])
             return
@@ -390,6 +406,26 @@
             request.ended_at = asyncio.get_running_loop().time()
             self._upstream.running -= 1
 
+    def _refuse_unnamed(self) -> None:
+        """Refuse a request without its id, at once and again later."""
+        upstream = self._upstream
+        upstream.unnamed_refusals += 1
+        refusal = (
+            f"HTTP/1.1 {upstream.faults.unnamed_status} Status\r\n"
+            "X-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+        ).encode()
+        self._transport.write(refusal)
+        delay_seconds = upstream.random.uniform(
+            MIN_REPEAT_SECONDS, MAX_REPEAT_SECONDS
+        )
+        asyncio.get_running_loop().call_later(
+            delay_seconds, self._write_if_open, refusal
+        )
+
+    def _write_if_open(self, data: bytes) -> None:
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
     async def _async_respond_endlessly(self, request: ReceivedRequest) -> None:
         kind = self._upstream.faults.endless
         before, repeated = ENDLESS_PARTS[kind]
