Answer HEAD with a head only, and at once

Even refusals came with a body, which callers take for the next response on the connection.

Cause: the method was known nowhere behind the request's head. The router waited for the body that the upstream's response to HEAD announces, and sent a body itself.

A connection to an upstream is told that the response to HEAD ends with its head; no request follows on that connection, as a late response without the announced body would take in the next one. The caller gets the upstream's headers with its Content-Length, or without one if it named none, and no body; refusals have the length of their body without it. HEAD is not handed over to neighbours, which tell by the body of a refusal that they did not take it.

--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -177,7 +177,9 @@
             )
         is_reusable = False
         try:
-            connection.send(self._request(fetch_from))
+            connection.send(
+                self._request(fetch_from), is_head=self._call.request.is_head
+            )
             self._hooks.on_sent(connection)
             end = await self._async_receive_response(connection)
             is_reusable = end.result not in _UNUSABLE_CONNECTION_RESULTS
@@ -360,6 +362,7 @@
         return (
             self._call.route.kind is RouteKind.STREAM
             and info.is_event_stream
+            and not self._call.request.is_head
             and info.is_sealed
             and not info.is_encoded
             and head.status < 300
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -105,12 +105,16 @@
     def choose(self, call: Call) -> Neighbour | None:
         """Choose the neighbour to hand a request over to.
 
-        A request is handed over at most once.
+        A request is handed over at most once. One with the method HEAD is not:
+        a refusal to it has no body, which would tell that it was not taken.
 
         Returns:
             The neighbour, or None if this router forwards the request itself.
         """
-        if call.metadata.handed_over_after_seconds is not None:
+        if (
+            call.request.is_head
+            or call.metadata.handed_over_after_seconds is not None
+        ):
             return None
         if not self.controller.should_hand_over_next():
             return None
--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -340,6 +340,11 @@
         headers: RawHeaders = self._wire_format.response_headers(
             response.headers
         )
+        if exchange.request.is_head:
+            exchange.send_head(
+                response.status, headers, response.announced_bytes
+            )
+            return
         exchange.send_response(response.status, headers, response.body)
 
     def _refuse(
--- a/packages/router/src/lacewingspar_router/http1/client_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/client_connection.py
@@ -81,6 +81,7 @@
         self._headers: RawHeaders = []
         self._is_close_delimited = False
         self._is_in_response = False
+        self._is_head_only = False
         self._parser = httptools.HttpResponseParser(self)
 
     # asyncio.Protocol
@@ -149,15 +150,22 @@
             return
         head = ResponseHead(status, self._headers)
         self._is_close_delimited = (
-            head.ends_with_connection and status not in _STATUSES_WITHOUT_BODY
+            not self._is_head_only
+            and head.ends_with_connection
+            and status not in _STATUSES_WITHOUT_BODY
         )
         self._has_progressed = True
         self._last_progress_at = time.monotonic()
         self._push_event(head)
+        if self._is_head_only:
+            self._is_in_response = False
+            self._push_event(ResponseEnd())
 
     def on_body(self, body: bytes) -> None:
         """Pass body data to the sink, or queue it if there is none."""
         self._has_progressed = True
+        if self._is_head_only:
+            return
         if self._is_watched:
             self._last_progress_at = time.monotonic()
         if self._sink is None:
@@ -180,7 +188,10 @@
         """
         self._is_in_response = False
         self._sink = None
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+        if (
+            self._is_head_only
+            or self._parser.get_status_code() < _FIRST_FINAL_STATUS
+        ):
             return
         if not self._parser.should_keep_alive():
             self._is_closing = True
@@ -192,10 +203,20 @@
 
     # Exchange
 
-    def send(self, data: bytes) -> None:
-        """Send an encoded request."""
+    def send(self, data: bytes, *, is_head: bool = False) -> None:
+        """Send an encoded request.
+
+        Args:
+            data: The request.
+            is_head: Whether its response has a head only. As such a response
+                announces a body that does not come, one that arrives late would
+                take in the next response, so no request follows this one.
+        """
         assert self._transport is not None
         self._is_busy = True
+        self._is_head_only = is_head
+        if is_head:
+            self.end_reuse()
         self._is_watched = False
         self._transport.write(data)
 
--- a/packages/router/src/lacewingspar_router/http1/exchange.py
+++ b/packages/router/src/lacewingspar_router/http1/exchange.py
@@ -132,11 +132,24 @@
     def send_response(
         self, status: int, headers: RawHeaders, body: bytes
     ) -> None:
-        """Send a whole response."""
+        """Send a whole response, to HEAD without its body."""
         self._advance(_Step.SEND_WHOLE)
-        self._connection.write(
-            self._encode_head(status, headers, len(body)) + body
-        )
+        head = self._encode_head(status, headers, len(body))
+        self._connection.write(head if self.request.is_head else head + body)
+
+    def send_head(
+        self, status: int, headers: RawHeaders, length: int | None
+    ) -> None:
+        """Send a whole response to HEAD.
+
+        Args:
+            status: Status code.
+            headers: Headers, without those of the framing.
+            length: Length of the body that GET would get, or None if it is not
+                known.
+        """
+        self._advance(_Step.SEND_WHOLE)
+        self._connection.write(self._encode_head(status, headers, length))
 
     def _advance(self, step: _Step) -> None:
         next_state = _NEXT_STATE.get((self._state, step))
@@ -150,10 +163,10 @@
         self, status: int, headers: RawHeaders, length: int | None
     ) -> bytes:
         framed = list(headers)
-        if length is None:
-            framed.append((b"transfer-encoding", b"chunked"))
-        else:
+        if length is not None:
             framed.append((b"content-length", b"%d" % length))
+        elif self._is_chunked:
+            framed.append((b"transfer-encoding", b"chunked"))
         if self._connection.decide_close():
             framed.append((b"connection", b"close"))
         return encode_head(status_line(status), framed)
--- a/packages/router/src/lacewingspar_router/http1/messages.py
+++ b/packages/router/src/lacewingspar_router/http1/messages.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 from http import HTTPStatus
 
-from lacewingspar_router.http_headers import RawHeaders
+from lacewingspar_router.http_headers import RawHeaders, header_value
 
 
 @dataclass(frozen=True)
@@ -33,6 +33,11 @@
             values.setdefault(name, value)
         return values
 
+    @property
+    def is_head(self) -> bool:
+        """Return whether its response has a head only."""
+        return self.method == "HEAD"
+
     @property
     def path(self) -> str:
         """Return the target without its query."""
@@ -77,6 +82,12 @@
     headers: RawHeaders
     body: bytes
 
+    @property
+    def announced_bytes(self) -> int | None:
+        """Return the length of the body by the headers, or None."""
+        length = header_value(self.headers, b"content-length")
+        return None if length is None else int(length)
+
 
 def encode_head(first_line: str, headers: RawHeaders) -> bytes:
     """Encode the first line and the headers of a message."""
--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -40,10 +40,10 @@
         self.closed_at = float("inf")
         self.end_reason = ""
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, *, is_head: bool = False) -> None:
         """Send encoded requests at once."""
         self._check_end(includes_input=True)
-        super().send(data)
+        super().send(data, is_head=is_head)
         self.sent_at = self._loop.time()
         self._check_end()
         self.settled_at = self.sent_at
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -82,6 +82,7 @@
 PART_CRASH_DELAY_SECONDS = 0.03
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
+_METHOD_HEAD = "HEAD"
 _STATUS_UNAVAILABLE = 503
 # Time from a refusal that does not name its request to its repetition.
 MIN_REPEAT_SECONDS = 0.002
@@ -458,7 +459,8 @@
             headers.append(f"Content-Encoding: {faults.encoding}")
         if faults.unframed:
             self._write_head(request, faults.status, headers)
-            self._transport.write(body + self._surplus(request))
+            if request.method != _METHOD_HEAD:
+                self._transport.write(body + self._surplus(request))
             if faults.reset_unframed:
                 self.reset()
             else:
@@ -480,11 +482,16 @@
                 [f"X-Server-Seal: {SEAL}"],
             )
             return
-        first = self._upstream.first_event(request)
         headers = [f"X-Server-Seal: {SEAL}", "Content-Type: text/event-stream"]
         if not faults.unframed:
             headers.append("Transfer-Encoding: chunked")
         self._write_head(request, 200, headers)
+        if request.method != _METHOD_HEAD:
+            await self._async_write_events(request)
+
+    async def _async_write_events(self, request: ReceivedRequest) -> None:
+        faults = self._upstream.faults
+        first = self._upstream.first_event(request)
         if faults.crash_part in request.shared_prompt_parts:
             await asyncio.sleep(PART_CRASH_DELAY_SECONDS)
             if faults.crash_part:
@@ -566,6 +573,8 @@
         self._write_head(
             request, status, [*headers, f"Content-Length: {len(body)}"]
         )
+        if request.method == _METHOD_HEAD:
+            body = b""
         self._transport.write(body + surplus)
 
     def _write_head(
