Measure the memory of a router that receives large bodies at once

script/bench bodies starts a store, two upstreams and a router, sends bodies of 4 MB at once and reads the router's peak memory.

--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -3,6 +3,7 @@
 import typer
 
 from lacewingspar_standins.bench import (
+    bodies,
     capacity,
     faults,
     path,
@@ -17,6 +18,7 @@
 app.command("propagation")(propagation.main)
 app.command("capacity")(capacity.main)
 app.command("faults")(faults.main)
+app.command("bodies")(bodies.main)
 app.command("soak")(soak.main)
 
 
--- a/packages/standins/src/lacewingspar_standins/bench/process_usage.py
+++ b/packages/standins/src/lacewingspar_standins/bench/process_usage.py
@@ -25,9 +25,22 @@
     Raises:
         ProcessLookupError: The process has no memory, such as a zombie.
     """
+    return _status_bytes(pid, "VmRSS")
+
+
+def peak_resident_bytes(pid: int) -> int:
+    """Return the largest resident set size that a process has had.
+
+    Raises:
+        ProcessLookupError: The process has no memory, such as a zombie.
+    """
+    return _status_bytes(pid, "VmHWM")
+
+
+def _status_bytes(pid: int, field: str) -> int:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         name, _, value = line.partition(":")
-        if name == "VmRSS":
+        if name == field:
             return int(value.split()[0]) * 1024
     raise ProcessLookupError(pid)
 
