Log and count requests for confirmed state that have no reply

Its log had no line between the change and the moment at which it learned of it, so a reader that tells nothing, a request that is lost and a reply that cannot be used looked the same.

The line 'no reply to a request for confirmed state' has what was confirmed and what the router has, and lost_state_requests_total counts it; peer_received_bytes of the reader tells whether the request came.

--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -42,6 +42,9 @@
 # Shortest interval between state requests. A reply takes less time than this,
 # so notices received meanwhile trigger no duplicate request.
 STATE_REQUEST_MIN_INTERVAL_SECONDS = 0.2
+# Time after which a state request without a reply counts as lost. A reply takes
+# a round trip to another data centre at most.
+STATE_REPLY_TIMEOUT_SECONDS = 0.25
 # Interval between state requests to peers while the log is unreachable.
 OUTAGE_REQUEST_INTERVAL_SECONDS = 0.5
 # Peers notified of a change, in the local and in each remote data centre.
@@ -53,3 +56,5 @@
 # Registered routers that started longer ago than this are not contacted. The
 # VMs of the fleet are replaced more often than this.
 MAX_REGISTRATION_AGE_SECONDS = 7 * 86_400.0
+
+METRIC_LOST_STATE_REQUESTS = "lost_state_requests_total"
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Iterable
 
+import structlog
+
 from lacewingspar_core.log_readers import ReaderRank
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.state_messages import (
@@ -20,8 +22,11 @@
 )
 from lacewingspar_router.components.routing.reader_role import LogReaderRole
 from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.loop_guard import LoopGuard
 
+_LOGGER = structlog.get_logger(__name__)
+
 
 class StateSynchronizer:
     """Notifies peers of changes and requests the changes that it lacks.
@@ -48,6 +53,7 @@
         self._requested_at = float("-inf")
         # Whether a confirmation from another data centre was not yet passed on.
         self._must_relay = False
+        self._telemetry = app.get(TELEMETRY)
         self._peers = app.get(PEERS)
         self._peers.subscribe(StateNotice, self._on_notice)
         self._peers.subscribe(StateRequest, self._on_request)
@@ -138,7 +144,7 @@
                 self._relay_confirmation()
             return
         if notice.is_confirmed and self._role.rank is not ReaderRank.READER:
-            self._request_state(router_id)
+            self._request_lacked(router_id, notice)
         else:
             asyncio.get_running_loop().call_later(
                 const.STATE_REQUEST_DELAY_SECONDS,
@@ -147,6 +153,30 @@
                 notice,
             )
 
+    def _request_lacked(self, router_id: str, notice: StateNotice) -> None:
+        """Request what a router has confirmed, and check for the reply."""
+        if self._request_state(router_id):
+            asyncio.get_running_loop().call_later(
+                const.STATE_REPLY_TIMEOUT_SECONDS,
+                self._check_reply,
+                router_id,
+                notice,
+            )
+
+    def _check_reply(self, router_id: str, notice: StateNotice) -> None:
+        """Log and count a request if its reply has not arrived."""
+        if not self._is_behind(notice):
+            return
+        self._telemetry.count(const.METRIC_LOST_STATE_REQUESTS)
+        _LOGGER.warning(
+            "no reply to a request for confirmed state",
+            reader=router_id,
+            confirmed_version=notice.configuration_version,
+            configuration_version=self._state.configuration_version,
+            confirmed_offset=notice.changed_offset,
+            directory_offset=self._state.directory_offset,
+        )
+
     def _relay_confirmation(self) -> None:
         """Pass a confirmation on to the data centre of this relay."""
         if self._must_relay:
@@ -163,16 +193,18 @@
             or notice.changed_offset > self._state.directory_offset
         )
 
-    def _request_state(self, router_id: str | None) -> None:
+    def _request_state(self, router_id: str | None) -> bool:
+        """Request newer state; return whether a request was sent."""
         now = self._app.now()
         if (
             router_id is None
             or now
             < self._requested_at + const.STATE_REQUEST_MIN_INTERVAL_SECONDS
         ):
-            return
+            return False
         self._requested_at = now
         self._peers.send(router_id, self._make_request())
+        return True
 
     def _choose_peer(self) -> str | None:
         """Return a random peer, from the local data centre if possible."""
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -1,6 +1,7 @@
 """In-process deployment of a store, upstreams and routers."""
 
 import asyncio
+import dataclasses
 import itertools
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
@@ -239,10 +240,18 @@
         )
 
     async def add_router(
-        self, name: str = "r1", data_centre: str = "dc-a", **changes: Any
+        self,
+        name: str = "r1",
+        data_centre: str = "dc-a",
+        *,
+        address_map: dict[str, str] | None = None,
+        **changes: Any,
     ) -> Caller:
         """Start a router and return a caller that uses it."""
-        settings = self.settings(name, data_centre, **changes)
+        settings = dataclasses.replace(
+            self.settings(name, data_centre, **changes),
+            address_map=address_map or {},
+        )
         self.apps.append(await self._async_start_router(settings))
         return Caller(settings.caller_address)
 
--- /dev/null
+++ b/tests/router/deployed/test_silent_peer_connections.py
@@ -0,0 +1,94 @@
+"""Routers whose open connections to other routers fall silent."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from tests.router.deployed.conftest import (
+    Deployment,
+    knows_as_serving,
+    manifest,
+    until,
+)
+
+from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
+from lacewingspar_router.application import Application
+from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_standins.link import Link, LinkFaults
+
+NAMES = ("r0", "r1", "r2", "r3")
+ASSIGNMENT = ReaderAssignment.of(dict.fromkeys(NAMES, "dc-a"))
+NAME_BY_RANK = {ASSIGNMENT.rank_of(name, "dc-a"): name for name in NAMES}
+# Bound from the operators for a change, without the time for which routers
+# whose connections fall silent are excused.
+APPLY_SECONDS = 2.0
+
+
+@dataclass
+class CutOff:
+    """A router of a fleet, with links to the others.
+
+    Attributes:
+        app: The router.
+        link_by_name: Links that its connections to the others use.
+    """
+
+    app: Application
+    link_by_name: dict[str, Link]
+
+    def silence(self, names: set[str]) -> None:
+        """Silence its open connections to some routers."""
+        for name in names:
+            link = self.link_by_name[name]
+            link.faults = LinkFaults(silent=True)
+            link.faults_changed()
+
+    def metrics(self) -> str:
+        """Return its metrics."""
+        _, text = self.app.get(TELEMETRY).render()
+        return text.decode()
+
+
+async def add_cut_off_router(
+    stack: AsyncExitStack, served: Deployment, rank: ReaderRank
+) -> CutOff:
+    """Start a fleet in which one router uses links to the others."""
+    own_name = NAME_BY_RANK[rank]
+    link_by_name: dict[str, Link] = {}
+    address_map: dict[str, str] = {}
+    for name in NAMES:
+        if name == own_name:
+            continue
+        await served.add_router(name)
+        address = served.apps[-1].settings.peer_address
+        link_by_name[name] = Link(address, LinkFaults())
+        address_map[address] = await stack.enter_async_context(
+            link_by_name[name].listening("127.0.0.1", 0)
+        )
+    await served.add_router(own_name, address_map=address_map)
+    await until(
+        lambda: all(
+            knows_as_serving(app, name)
+            for app in served.apps
+            for name in NAMES
+            if name != app.instance.router_id
+        ),
+        10.0,
+    )
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
+    return CutOff(served.apps[-1], link_by_name)
+
+
+async def test_lost_request_for_confirmed_state_is_counted(
+    served: Deployment,
+) -> None:
+    """Guards against a follower that is behind without a trace of it."""
+    async with AsyncExitStack() as stack:
+        cut_off = await add_cut_off_router(stack, served, ReaderRank.FOLLOWER)
+        cut_off.silence(set(cut_off.link_by_name))
+        served.publish(manifest(7))
+        await until(
+            lambda: const.METRIC_LOST_STATE_REQUESTS in cut_off.metrics(),
+            APPLY_SECONDS,
+        )
