Read the log if confirmed state does not arrive

Cause: confirmations of the reader come over another connection than requests to it. Each confirmation moved the time at which a follower reads the log itself, before it was known whether the follower could get what it confirms. The request for it was lost, and only the pings of ZeroMQ noticed that, 3 to 4 s later.

The router now keeps what was confirmed and is lacked (core/confirmed_state.py). It reads the log if anything is lacked for 0.8 s, whatever it hears; a request without a reply for 0.25 s goes to another router, so that one silent connection costs no call of the log. It does not matter which message is lost, or whether the reader has started again without the state. A reply ends the pause between requests, or the second of two quick changes would be lacked until the next confirmation.

--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -40,7 +40,7 @@
     )
     is_log_unreachable = asyncio.Event()
     is_log_unreachable.set()
-    role = LogReaderRole(app)
+    role = LogReaderRole(app, lambda: state.position)
     synchronizer = StateSynchronizer(app, state, role, is_log_unreachable)
     configuration = _configuration_follower(
         app, state, source, role, is_log_unreachable
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -25,6 +25,10 @@
 FIRST_RELAY_TIMEOUT_SECONDS = 1.0
 SECOND_RELAY_TIMEOUT_SECONDS = 1.15
 FOLLOWER_TIMEOUT_SECONDS = 1.3
+# Time for which a router may lack what a reader has confirmed before it reads
+# the log itself. Together with the pause between reads and a call to the log it
+# must stay below the 2 s within which changes must be active.
+LACKED_STATE_TIMEOUT_SECONDS = 0.8
 # Time for which a router that starts waits for the state from others before it
 # lists the topics itself. A reply takes milliseconds.
 START_WAIT_SECONDS = 0.4
@@ -57,4 +61,5 @@
 # VMs of the fleet are replaced more often than this.
 MAX_REGISTRATION_AGE_SECONDS = 7 * 86_400.0
 
+METRIC_READS_OF_LACKED_STATE = "reads_of_lacked_state_total"
 METRIC_LOST_STATE_REQUESTS = "lost_state_requests_total"
--- a/packages/router/src/lacewingspar_router/components/routing/reader_role.py
+++ b/packages/router/src/lacewingspar_router/components/routing/reader_role.py
@@ -1,14 +1,16 @@
 """The part of this router in reading the shared topics for the fleet."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import structlog
 
+from lacewingspar_core.confirmed_state import LackedState, StatePosition
 from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -35,17 +37,25 @@
     reads, and after each read confirms to its data centre and to the relays of
     the others which offset it has reached; the relays pass that on. A router
     that receives no confirmation for the timeout of its rank reads the log
-    itself, the first relay of a data centre first.
+    itself, the first relay of a data centre first. So does one that hears
+    confirmations but has lacked what they confirm for
+    `LACKED_STATE_TIMEOUT_SECONDS`.
 
     Attributes:
         rank: Rank of this router.
 
     Args:
         app: The application.
+        read_position: Returns how much of the shared state this router has.
     """
 
-    def __init__(self, app: Application) -> None:
+    def __init__(
+        self, app: Application, read_position: Callable[[], StatePosition]
+    ) -> None:
         self._app = app
+        self._read_position = read_position
+        self._telemetry = app.get(TELEMETRY)
+        self._lacked = LackedState()
         self._peers = app.get(PEERS)
         self._started_at = app.now()
         # A router that starts gives others a moment to send it the state.
@@ -54,7 +64,7 @@
             - const.FOLLOWER_TIMEOUT_SECONDS
             + const.START_WAIT_SECONDS
         )
-        self._rank_changed = asyncio.Event()
+        self._due_changed = asyncio.Event()
         self._is_following = False
         self._registered_by_router_id: Mapping[str, str] = {}
         self._assignment = ReaderAssignment.of({})
@@ -64,7 +74,7 @@
 
     @property
     def is_following(self) -> bool:
-        """Return whether another router has sent a confirmation recently."""
+        """Return whether this router relies on the confirmations of another."""
         return (
             self.rank is not ReaderRank.READER
             and self._is_following
@@ -133,10 +143,27 @@
             if router_id and router_id != own_id
         ]
 
-    def record_confirmation(self, router_id: str) -> None:
-        """Record that another router has confirmed its state."""
-        self._confirmed_at = self._app.now()
-        if self.rank is not ReaderRank.READER and not self._is_following:
+    @property
+    def lacks_confirmed_state(self) -> bool:
+        """Return whether this router lacks what a reader has confirmed."""
+        return self._lacked_seconds() is not None
+
+    def record_confirmation(
+        self, router_id: str, position: StatePosition
+    ) -> None:
+        """Record that another router has read the log up to a position."""
+        now = self._app.now()
+        self._confirmed_at = now
+        self._lacked = self._lacked.after_confirmation(
+            position, self._read_position(), now
+        )
+        if self.lacks_confirmed_state:
+            self._due_changed.set()
+        if (
+            self.rank is not ReaderRank.READER
+            and not self._is_following
+            and self._seconds_until_read_due() > 0
+        ):
             self._is_following = True
             _LOGGER.info(
                 "following a log reader", reader=router_id, rank=self.rank.value
@@ -148,26 +175,55 @@
             seconds = self._seconds_until_read_due()
             if seconds <= 0:
                 break
-            self._rank_changed.clear()
+            self._due_changed.clear()
             try:
                 async with asyncio.timeout(seconds):
-                    await self._rank_changed.wait()
+                    await self._due_changed.wait()
             except TimeoutError:
                 continue
         if self._is_following:
             self._is_following = False
+            self._log_read_due()
+
+    def _log_read_due(self) -> None:
+        """Log why this router reads the log itself from now on."""
+        confirmation_age_ms = round(
+            (self._app.now() - self._confirmed_at) * 1000
+        )
+        lacked = self._lacked.newest()
+        if lacked is None:
             _LOGGER.warning(
                 "no confirmation from a log reader; reading the log",
                 rank=self.rank.value,
-                confirmation_age_ms=round(
-                    (self._app.now() - self._confirmed_at) * 1000
-                ),
+                confirmation_age_ms=confirmation_age_ms,
             )
+            return
+        own = self._read_position()
+        self._telemetry.count(const.METRIC_READS_OF_LACKED_STATE)
+        _LOGGER.warning(
+            "confirmed state not received; reading the log",
+            rank=self.rank.value,
+            confirmation_age_ms=confirmation_age_ms,
+            lacked_ms=round((self._lacked_seconds() or 0.0) * 1000),
+            confirmed_version=lacked.configuration_version,
+            configuration_version=own.configuration_version,
+            confirmed_offset=lacked.directory_offset,
+            directory_offset=own.directory_offset,
+        )
 
     def _seconds_until_read_due(self) -> float:
-        """Return the time until the last confirmation times out."""
+        """Return the time until this router must not rely on another."""
         timeout = _CONFIRMATION_TIMEOUT_SECONDS_BY_RANK[self.rank]
-        return max(0.0, timeout - (self._app.now() - self._confirmed_at))
+        silence_left = timeout - (self._app.now() - self._confirmed_at)
+        lacked_left = const.LACKED_STATE_TIMEOUT_SECONDS - (
+            self._lacked_seconds() or 0.0
+        )
+        return max(0.0, min(silence_left, lacked_left))
+
+    def _lacked_seconds(self) -> float | None:
+        """Return for how long confirmed state is lacked, if any is."""
+        self._lacked = self._lacked.after_progress(self._read_position())
+        return self._lacked.age_seconds(self._app.now())
 
     def _candidates(self) -> dict[str, str]:
         """Return the data centres of the routers that may read, by id."""
@@ -197,4 +253,4 @@
                 reader=self._assignment.reader,
             )
             self.rank = rank
-            self._rank_changed.set()
+            self._due_changed.set()
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -6,6 +6,7 @@
 import structlog
 from returns.result import Failure, Success
 
+from lacewingspar_core.confirmed_state import StatePosition
 from lacewingspar_core.directory import (
     EXPIRY_GRACE_SECONDS,
     ChangeKind,
@@ -98,6 +99,11 @@
         """Return the offset up to which upstream records were applied."""
         return self._directory_offset
 
+    @property
+    def position(self) -> StatePosition:
+        """Return how much of the shared state this router has."""
+        return StatePosition(self.configuration_version, self._directory_offset)
+
     @property
     def changed_offset(self) -> int:
         """Return the offset after the last record that changed an upstream."""
--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from lacewingspar_core.confirmed_state import StatePosition
 from lacewingspar_core.log_readers import ReaderRank
 from lacewingspar_core.messages import RouterState
 from lacewingspar_core.state_messages import (
@@ -132,7 +133,12 @@
         assert isinstance(notice, StateNotice)
         router_id = received.sender.router_id
         if notice.is_confirmed:
-            self._role.record_confirmation(router_id)
+            self._role.record_confirmation(
+                router_id,
+                StatePosition(
+                    notice.configuration_version, notice.changed_offset
+                ),
+            )
             self._is_log_unreachable.clear()
             self._must_relay = (
                 self._role.is_relay
@@ -154,7 +160,7 @@
             )
 
     def _request_lacked(self, router_id: str, notice: StateNotice) -> None:
-        """Request what a router has confirmed, and check for the reply."""
+        """Request what a router has confirmed, of another one if need be."""
         if self._request_state(router_id):
             asyncio.get_running_loop().call_later(
                 const.STATE_REPLY_TIMEOUT_SECONDS,
@@ -164,9 +170,10 @@
             )
 
     def _check_reply(self, router_id: str, notice: StateNotice) -> None:
-        """Log and count a request if its reply has not arrived."""
+        """Ask another router if a reply has not arrived."""
         if not self._is_behind(notice):
             return
+        other_id = self._choose_peer(router_id)
         self._telemetry.count(const.METRIC_LOST_STATE_REQUESTS)
         _LOGGER.warning(
             "no reply to a request for confirmed state",
@@ -175,7 +182,10 @@
             configuration_version=self._state.configuration_version,
             confirmed_offset=notice.changed_offset,
             directory_offset=self._state.directory_offset,
+            asked_next=other_id,
         )
+        if other_id is not None:
+            self._peers.send(other_id, self._make_request())
 
     def _relay_confirmation(self) -> None:
         """Pass a confirmation on to the data centre of this relay."""
@@ -206,12 +216,12 @@
         self._peers.send(router_id, self._make_request())
         return True
 
-    def _choose_peer(self) -> str | None:
+    def _choose_peer(self, excluded_id: str = "") -> str | None:
         """Return a random peer, from the local data centre if possible."""
         others = [
             (record.data_centre == self._app.settings.data_centre, router_id)
             for router_id, record in self._peers.alive_by_router_id.items()
-            if router_id != self._app.instance.router_id
+            if router_id not in (self._app.instance.router_id, excluded_id)
             and record.state is not RouterState.STARTING
         ]
         if not others:
@@ -255,6 +265,8 @@
     def _on_reply(self, received: ReceivedMessage) -> None:
         reply = received.message
         assert isinstance(reply, StateReply)
+        # A change right after this reply may be requested at once.
+        self._requested_at = float("-inf")
         self._apply_reply(reply, received)
         self._relay_confirmation()
 
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -23,6 +23,7 @@
     TopicListing,
 )
 from lacewingspar_router.components.routing.state import RoutingState
+from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_router.platform.upstream_list import decode_upstream
 
 ROUTERS = 5
@@ -112,6 +113,24 @@
     )
 
 
+async def test_quick_changes_are_read_by_the_reader_only(
+    fleet: Deployment,
+) -> None:
+    """Guards against followers that read the log on calm days."""
+    await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
+    listings = fleet.store.calls["/log-newest"]
+    for version in range(2, 18):
+        fleet.publish(manifest(version))
+        fleet.register("p1", "plain", slots=version)
+        await asyncio.sleep(0.13)
+    await until_all_have(fleet.apps, version=17, seconds=1.0)
+    await asyncio.sleep(const.LACKED_STATE_TIMEOUT_SECONDS)
+    assert fleet.store.calls["/log-newest"] == listings
+    for app in fleet.apps:
+        _, metrics = app.get(TELEMETRY).render()
+        assert const.METRIC_READS_OF_LACKED_STATE not in metrics.decode()
+
+
 async def test_lost_readers_are_replaced(fleet: Deployment) -> None:
     """Guards against followers that keep waiting for stopped readers."""
     await asyncio.sleep(2 * const.FOLLOWER_TIMEOUT_SECONDS)
--- a/tests/router/deployed/test_silent_peer_connections.py
+++ b/tests/router/deployed/test_silent_peer_connections.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
+import pytest
 from tests.router.deployed.conftest import (
     Deployment,
     knows_as_serving,
@@ -14,6 +15,7 @@
 from lacewingspar_core.log_readers import ReaderAssignment, ReaderRank
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.telemetry.models import TELEMETRY
 from lacewingspar_standins.link import Link, LinkFaults
 
@@ -44,6 +46,16 @@
             link.faults = LinkFaults(silent=True)
             link.faults_changed()
 
+    def has(self, version: int, draining_id: str) -> bool:
+        """Return whether it knows a version and that an upstream drains."""
+        view = self.app.get(ROUTING)
+        ready = view.directory.ready_upstreams("plain")
+        return (
+            view.configuration is not None
+            and view.configuration.version == version
+            and draining_id not in ready
+        )
+
     def metrics(self) -> str:
         """Return its metrics."""
         _, text = self.app.get(TELEMETRY).render()
@@ -92,3 +104,28 @@
             lambda: const.METRIC_LOST_STATE_REQUESTS in cut_off.metrics(),
             APPLY_SECONDS,
         )
+
+
+@pytest.mark.parametrize(
+    ("rank", "is_only_reader_silent"),
+    [
+        (ReaderRank.FOLLOWER, False),
+        (ReaderRank.FOLLOWER, True),
+        (ReaderRank.FIRST_RELAY, False),
+    ],
+)
+async def test_changes_arrive_in_time_over_silent_connections(
+    served: Deployment, rank: ReaderRank, is_only_reader_silent: bool
+) -> None:
+    """Guards against a router that hears of changes and cannot get them."""
+    async with AsyncExitStack() as stack:
+        cut_off = await add_cut_off_router(stack, served, rank)
+        cut_off.silence(
+            {ASSIGNMENT.reader}
+            if is_only_reader_silent
+            else set(cut_off.link_by_name)
+        )
+        await asyncio.sleep(0.3)
+        served.publish(manifest(7))
+        served.register("p1", "plain", "draining")
+        await until(lambda: cut_off.has(7, "p1"), APPLY_SECONDS)
--- a/tests/router/deployed/test_state_replies.py
+++ b/tests/router/deployed/test_state_replies.py
@@ -9,7 +9,11 @@
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import AnyPeerMessage
 from lacewingspar_core.peer_message import PeerMessage
-from lacewingspar_core.state_messages import StateReply, StateRequest
+from lacewingspar_core.state_messages import (
+    StateNotice,
+    StateReply,
+    StateRequest,
+)
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.routing.models import (
     KeyedRecord,
@@ -56,7 +60,7 @@
         self.state = RoutingState(
             app, mock.Mock(decode_upstream=decode_upstream)
         )
-        role = mock.Mock(is_following=True)
+        role = mock.Mock(is_following=True, is_relay=False)
         StateSynchronizer(app, self.state, role, mock.Mock())
 
     def deliver(
@@ -92,3 +96,20 @@
     successor = Router(OWN)
     successor.deliver(NEIGHBOUR, receiver, reply)
     assert (successor.state.directory_offset >= 0) is has_reply
+
+
+async def test_changes_in_quick_succession_are_requested_at_once() -> None:
+    """Guards against a follower that waits for the next confirmation."""
+    neighbour, own = Router(NEIGHBOUR), Router(OWN)
+    neighbour.state.apply_upstream_listing(TopicListing({}, 0))
+    for offset in range(2):
+        neighbour.state.apply_upstream_records(
+            [record(f"p{offset}", offset)], offset + 1, "log"
+        )
+        own.deliver(
+            NEIGHBOUR, None, StateNotice(-1, offset + 1, offset + 1, True)
+        )
+        neighbour.deliver(OWN, *own.sent.pop())
+        receiver, reply = neighbour.sent.pop()
+        own.deliver(NEIGHBOUR, receiver, reply)
+    assert set(own.state.directory.entry_by_id) == {"p0", "p1"}
