Do not relay a confirmation that the relay cannot back

Cause: the reply was taken for the one to the request. The relay now passes a confirmation on only if it lacks nothing that was confirmed.

--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -268,7 +268,8 @@
         # A change right after this reply may be requested at once.
         self._requested_at = float("-inf")
         self._apply_reply(reply, received)
-        self._relay_confirmation()
+        if not self._role.lacks_confirmed_state:
+            self._relay_confirmation()
 
     def _apply_reply(
         self, reply: StateReply, received: ReceivedMessage
