Keep asking others until confirmed state has arrived

Cause: is_log_unreachable was cleared by the confirmation, not by the state. It is now cleared once the router lacks nothing that was confirmed, at the notice or at the reply that completes it.

test_confirmation_counts_once_its_state_has_arrived fails before and passes after.

--- a/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state_synchronizer.py
@@ -139,7 +139,6 @@
                     notice.configuration_version, notice.changed_offset
                 ),
             )
-            self._is_log_unreachable.clear()
             self._must_relay = (
                 self._role.is_relay
                 and received.data_centre != self._app.settings.data_centre
@@ -147,7 +146,7 @@
         if not self._is_behind(notice):
             if notice.is_confirmed:
                 self._state.confirm_directory(notice.directory_offset)
-                self._relay_confirmation()
+                self._use_confirmation()
             return
         if notice.is_confirmed and self._role.rank is not ReaderRank.READER:
             self._request_lacked(router_id, notice)
@@ -187,8 +186,9 @@
         if other_id is not None:
             self._peers.send(other_id, self._make_request())
 
-    def _relay_confirmation(self) -> None:
-        """Pass a confirmation on to the data centre of this relay."""
+    def _use_confirmation(self) -> None:
+        """Rely on a confirmation, and pass it on if this router is a relay."""
+        self._is_log_unreachable.clear()
         if self._must_relay:
             self._must_relay = False
             self.send_confirmation()
@@ -268,8 +268,8 @@
         # A change right after this reply may be requested at once.
         self._requested_at = float("-inf")
         self._apply_reply(reply, received)
-        if not self._role.lacks_confirmed_state:
-            self._relay_confirmation()
+        if self._role.is_following and not self._role.lacks_confirmed_state:
+            self._use_confirmation()
 
     def _apply_reply(
         self, reply: StateReply, received: ReceivedMessage
--- a/tests/router/deployed/test_relayed_confirmations.py
+++ b/tests/router/deployed/test_relayed_confirmations.py
@@ -119,3 +119,14 @@
     relay.receive(READER, StateNotice(-1, 2, 2, is_confirmed=True))
     relay.receive(sender, reply_up_to(offset))
     assert set(relay.confirmed_offsets()) == confirmed
+
+
+async def test_confirmation_counts_once_its_state_has_arrived() -> None:
+    """Guards against a router that stops asking others for what it lacks."""
+    relay = Relay()
+    for _ in range(2):
+        relay.receive(READER, StateNotice(-1, 2, 2, is_confirmed=True))
+        relay.receive(NEIGHBOUR, reply_up_to(1))
+    relay.is_log_unreachable.clear.assert_not_called()
+    relay.receive(NEIGHBOUR, reply_up_to(2))
+    relay.is_log_unreachable.clear.assert_called_once()
