Repeat the read of the configuration if the other one finds silence

Cause: the read of the upstreams waits 0.3 s for records and the one of the configuration 2 s, each with 0.8 s more. The first noticed the silence, was repeated on a new connection and confirmed to all followers, while the second still waited on a silent one.

A call of the log that times out now also ends the wait for the configuration, once per outage; that read is repeated on another connection. Calm reads stay as they are. If only the connection of the configuration is silent, it takes 2.8 s as before.

--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -5,6 +5,10 @@
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing import const
+from lacewingspar_router.components.routing.errors import (
+    TopicSilentError,
+    TopicUnavailableError,
+)
 from lacewingspar_router.components.routing.follower import TopicFollower
 from lacewingspar_router.components.routing.models import (
     ROUTING,
@@ -92,7 +96,7 @@
         source.configuration,
         on_listing,
         on_records,
-        is_log_unreachable.set,
+        lambda _: is_log_unreachable.set(),
         const.CONFIGURATION_LONG_POLL_SECONDS,
         const.CONFIGURATION_READ_PAUSE_SECONDS,
         role,
@@ -125,11 +129,14 @@
         )
         on_read()
 
-    def on_failure() -> None:
+    def on_failure(error: TopicUnavailableError) -> None:
+        if isinstance(error, TopicSilentError) and upstreams.is_available:
+            # This read waits longer, on a connection that is as old.
+            configuration.repeat_wait()
         is_log_unreachable.set()
         state.mark_unavailable()
 
-    return TopicFollower(
+    upstreams = TopicFollower(
         source.upstreams,
         on_listing,
         on_records,
@@ -141,6 +148,7 @@
         LoopGuard(app, "upstream records"),
         lambda: state.directory_offset,
     )
+    return upstreams
 
 
 async def _async_expire(app: Application, state: RoutingState) -> None:
--- a/packages/router/src/lacewingspar_router/components/routing/follower.py
+++ b/packages/router/src/lacewingspar_router/components/routing/follower.py
@@ -34,7 +34,8 @@
         topic: Topic to follow.
         on_listing: Called with the newest record of each key.
         on_records: Called with the records after the listing.
-        on_failure: Called after each failed read.
+        on_failure: Called after each failed read, before `is_available`
+            changes.
         wait_seconds: Long-poll duration of a read.
         read_delay_seconds: Delay between reads.
         role: Decides when this router has to read the log.
@@ -49,7 +50,7 @@
         topic: KeyedTopic,
         on_listing: Callable[[TopicListing], None],
         on_records: Callable[[TopicRecords], None],
-        on_failure: Callable[[], None],
+        on_failure: Callable[[TopicUnavailableError], None],
         wait_seconds: float,
         read_delay_seconds: float,
         role: LogReaderRole,
@@ -68,8 +69,15 @@
         self._random = generator
         self._guard = guard
         self._offset: int | None = None
+        # Ends the wait for new records, if there is one.
+        self._wait: asyncio.Timeout | None = None
         self.is_available = True
 
+    def repeat_wait(self) -> None:
+        """Wait for new records on another connection, if waiting."""
+        if self._wait is not None:
+            self._wait.reschedule(asyncio.get_running_loop().time())
+
     async def async_run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
@@ -87,8 +95,8 @@
                     const.READ_RETRY_DELAY_SECONDS
                 )
             except TopicUnavailableError as error:
+                self._on_failure(error)
                 self._set_available(is_available=False, reason=str(error))
-                self._on_failure()
                 await self._async_sleep_with_jitter(
                     self._role.retry_delay_seconds
                 )
@@ -111,11 +119,27 @@
                 self._on_listing(listing)
             return
         self._offset = max(self._offset, self._known_offset())
-        records = await self._topic.async_read(self._offset, self._wait_seconds)
+        records = await self._async_read_records(self._offset)
         self._offset = records.next_offset
         with self._guard:
             self._on_records(records)
 
+    async def _async_read_records(self, offset: int) -> TopicRecords:
+        while True:
+            try:
+                async with asyncio.timeout(None) as self._wait:
+                    return await self._topic.async_read(
+                        offset, self._wait_seconds
+                    )
+            except TimeoutError:
+                _LOGGER.info(
+                    "read of the log repeated on another connection",
+                    topic=self._topic.name,
+                    offset=offset,
+                )
+            finally:
+                self._wait = None
+
     async def _async_sleep_with_jitter(self, seconds: float) -> None:
         await asyncio.sleep(seconds * self._random.uniform(0.5, 1.0))
 
--- a/packages/router/src/lacewingspar_router/platform/store.py
+++ b/packages/router/src/lacewingspar_router/platform/store.py
@@ -11,6 +11,7 @@
 
 from lacewingspar_core.decoding import DECODE_ERRORS
 from lacewingspar_router.components.routing.errors import (
+    TopicSilentError,
     TopicTruncatedError,
     TopicUnavailableError,
 )
@@ -94,6 +95,7 @@
         Raises:
             TopicUnavailableError: There was no response. The call may have been
                 executed, or may still be.
+            TopicSilentError: The same, because of a timeout.
         """
         target = f"{path}?{urlencode(query)}"
         headers = [
@@ -110,14 +112,12 @@
                 response = await async_exchange(
                     connection, data, MAX_RESPONSE_BYTES
                 )
-        except (
-            TimeoutError,
-            ConnectionBrokenError,
-            InvalidResponseError,
-        ) as error:
+        except TimeoutError as error:
             connection.abort()
-            reason = str(error) or "response timed out"
-            raise TopicUnavailableError(f"{path}: {reason}") from error
+            raise TopicSilentError(f"{path}: response timed out") from error
+        except (ConnectionBrokenError, InvalidResponseError) as error:
+            connection.abort()
+            raise TopicUnavailableError(f"{path}: {error}") from error
         except BaseException:
             connection.abort()
             raise
