Use no upstream entry that lacks a field

Cause: the decoder did not know the first field and had a default for the second. Both are required now. 'born' stays optional, since the examples have entries without it.

Four rows of test_unusable_entry_is_refused_with_a_reason failed before (the two fields missing, the version null or a list), none after. The entries of four other rows in test_shared_state.py got both fields, so that each is still refused for its own reason only.

--- a/packages/router/src/lacewingspar_router/platform/upstream_list.py
+++ b/packages/router/src/lacewingspar_router/platform/upstream_list.py
@@ -26,13 +26,15 @@
     address: str
     # Data centre of the upstream.
     zone: str
+    # Version of its software. It is not used, but every upstream states it.
+    version: int | str
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: UpstreamState
     # Number of the registration; restarts with the upstream process.
     sequence: _Integer
     # Start time of the upstream process, in milliseconds since the epoch.
+    cold_remaining_ms: float
     born: _Integer = 0
-    cold_remaining_ms: float = 0.0
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
--- a/packages/standins/src/lacewingspar_standins/deployed/documents.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/documents.py
@@ -78,6 +78,7 @@
         "service": service,
         "address": address,
         "zone": "dc-a",
+        "version": "v1",
         "slots": SLOTS,
         "state": "ready",
         "sequence": sequence,
--- a/tests/router/deployed/test_routing_state.py
+++ b/tests/router/deployed/test_routing_state.py
@@ -23,6 +23,7 @@
             "service": "plain",
             "address": "10.0.0.1:80",
             "zone": "dc-a",
+            "version": "v1",
             "slots": 4,
             "state": "ready",
             "sequence": sequence,
--- a/tests/router/deployed/test_shared_state.py
+++ b/tests/router/deployed/test_shared_state.py
@@ -82,12 +82,16 @@
         b"[]",
         b'{"service": "plain"}',
         b'{"service": "plain", "address": "host:1", "zone": "z", "slots": 1,'
+        b' "version": "v1", "coldRemainingMs": 0,'
         b' "state": "ready", "sequence": 1, "born": 1}',
         b'{"service": "plain", "address": "10.0.0.1:1", "zone": "z",'
+        b' "version": "v1", "coldRemainingMs": 0,'
         b' "slots": "many", "state": "ready", "sequence": 1, "born": 1}',
         b'{"service": "plain", "address": "10.0.0.1:1", "zone": "z",'
+        b' "version": "v1", "coldRemainingMs": 0,'
         b' "slots": 1, "state": "odd", "sequence": 1, "born": 1}',
         b'{"service": "plain", "address": "10.0.0.1:1", "zone": "z",'
+        b' "version": "v1", "coldRemainingMs": 0,'
         b' "slots": 1, "state": "ready", "sequence": 1, "born": 1.5}',
     ],
 )
--- a/tests/router/deployed/test_unreadable_records.py
+++ b/tests/router/deployed/test_unreadable_records.py
@@ -48,7 +48,31 @@
     )
 
 
+def without(name: str) -> bytes:
+    """Return an entry that lacks a field."""
+    value = upstream_entry("plain", "10.0.0.1:80", 1)
+    del value[name]
+    return msgspec.json.encode(value)
+
+
+REQUIRED_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "coldRemainingMs",
+    "sequence",
+)
 UNUSABLE_ENTRY_BY_NAME = {
+    **{f"without {name}": without(name) for name in REQUIRED_FIELDS},
+    **{f"{name} is null": entry(**{name: None}) for name in REQUIRED_FIELDS},
+    **{f"{name} is a list": entry(**{name: []}) for name in REQUIRED_FIELDS},
+    "remaining time of another type": entry(coldRemainingMs="0"),
+    "remaining time without bound": entry().replace(
+        b'"coldRemainingMs":0', b'"coldRemainingMs":1e999'
+    ),
     "no JSON": b"{]",
     "not UTF-8": entry().replace(b"plain", b"\xff"),
     "nested in an unknown field": with_field(entry(), NESTED),
