Clear a request of crashes by each run that gets to its end

Callers that sent a popular request (same path, workspace and body) were refused for ten minutes after two crashes that it had not caused.

Cause: a request that was the only suspect of a crash could not be cleared of it, since it was supposed to crash some of its runs only. Identical requests are one suspect, so a popular one is the only suspect of each crash, and the second crash convicted it, however many of its runs had ended well in between.

Now a completed run clears it of all crashes before, also as the only suspect. A crash counts after another one only if a run was sent after that one; crashes at once make a request suspected: 2 s, then one probe at a time, and 600 s only after a crash in sequence. Runs without output that have been in flight for 1 s at n other upstreams excuse up to n crashes, at most five.

--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -340,6 +340,8 @@
         age_seconds: Time since the crash.
         suspects: Known fingerprints of the requests in flight.
         cleared: Suspects that have completed elsewhere since.
+        sent_ages: Time in seconds since each suspect was last sent there, or
+            minus infinity where that is not known; empty if none is known.
     """
 
     upstream_id: str
@@ -347,6 +349,7 @@
     age_seconds: float
     suspects: tuple[str, ...]
     cleared: tuple[str, ...]
+    sent_ages: tuple[float, ...] = ()
 
 
 class PartCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -6,36 +6,51 @@
 and repetition of messages do not matter (up to `MAXIMUM_CRASHES` records), and
 every decision is a function of the records and the time.
 
-A fingerprint is refused if it is the only common suspect of two crashes, or an
-uncleared suspect of three. This bounds the crashes: if every router merges the
-records of all earlier crashes before it sends a fingerprint again, and at most
-k runs of the fingerprint are in flight at once, then the fingerprint takes part
-in at most 2 + k crashes within `CRASH_WINDOW_SECONDS` without a completed run
-between them. That is 3 for consecutive runs, and 2 if suspects also run on
-separate upstreams.
+`crash_evidence` states which crashes convict a fingerprint or make it
+suspected. A convicted one is refused for `QUARANTINE_SECONDS`. A suspected one
+is refused for `SUSPICION_SECONDS`, then one request at a time probes it.
+
+This bounds the crashes: if every router merges the records of all earlier
+crashes before it sends a fingerprint again, and at most k runs of the
+fingerprint are in flight at once, then without a completed run between them the
+fingerprint takes part in at most 2 + k crashes within `CRASH_WINDOW_SECONDS`
+until it is refused, and in two more as a probe if crashes happened together.
+That is 3 for consecutive runs, and 2 if suspects also run on separate
+upstreams. Runs that have long been in flight at n other upstreams raise it to
+n + k, for n of at least 2 and at most `MAXIMUM_EXCUSED_CRASHES`.
 
 Requests that have nothing but a part of their prompts in common are counted by
 `prompt_quarantine`.
 """
 
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+import itertools
+import math
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from types import MappingProxyType
 
 import xxhash
 
+from lacewingspar_core.crash_evidence import (
+    CRASH_WINDOW_SECONDS,
+    QUARANTINE_SECONDS,
+    Convicted,
+    Crash,
+    Suspected,
+    Verdict,
+    judge,
+)
 from lacewingspar_core.messages import CrashRecord, Quarantine
-from lacewingspar_core.prompt_quarantine import PromptQuarantine
+from lacewingspar_core.prompt_quarantine import (
+    PROBE_SECONDS,
+    PromptQuarantine,
+)
 from lacewingspar_core.prompt_suspects import CrashId, Prompt, PromptRun
 
-QUARANTINE_SECONDS = 600.0
-# Crashes further apart than this do not count against the same fingerprint.
-CRASH_WINDOW_SECONDS = 600.0
 # The first of two crashes must stay known until the quarantine ends.
 RETENTION_SECONDS = CRASH_WINDOW_SECONDS + QUARANTINE_SECONDS
 # Records of at least this age are not accepted from peers. Otherwise two
 # routers could send an expiring record back and forth.
 MERGE_AGE_LIMIT_SECONDS = RETENTION_SECONDS - 60.0
-CRASHES_UNTIL_REFUSED = 3
 # These limits bound the memory. The loss of a data centre crashes all its
 # upstreams at once, 60 of one service at the target size.
 MAXIMUM_CRASHES = 64
@@ -43,28 +58,7 @@
 MAXIMUM_EPOCHS = 4096
 
 
-@dataclass(slots=True)
-class _Crash:
-    """Merged records of one crash."""
-
-    crash_id: CrashId
-    happened_at: float
-    suspects: set[str] = field(default_factory=set)
-    cleared: set[str] = field(default_factory=set)
-
-    def possible_causes(self) -> set[str]:
-        """Return the suspects that may have caused the crash."""
-        if len(self.suspects) == 1:
-            return self.suspects
-        return self.suspects - self.cleared
-
-    def may_be_caused_by(self, fingerprint: str) -> bool:
-        """Return whether one suspect may have caused the crash.
-
-        A completed run does not clear the only suspect of a crash, because a
-        request may crash its upstream in some of its runs only.
-        """
-        return len(self.suspects) == 1 or fingerprint not in self.cleared
+_UNKNOWN_TIMES: Mapping[str, float] = MappingProxyType({})
 
 
 def fingerprint(service: str, path: str, body: bytes) -> str:
@@ -89,9 +83,11 @@
     def __init__(self, service: str) -> None:
         self.service = service
         self.prompts = PromptQuarantine()
-        self._crash_by_id: dict[CrashId, _Crash] = {}
+        self._crash_by_id: dict[CrashId, Crash] = {}
         self._crash_ids_by_fingerprint: dict[str, set[CrashId]] = {}
         self._epoch_by_upstream: dict[str, int] = {}
+        # Request that probes a fingerprint, and the time until which it may.
+        self._probe_by_fingerprint: dict[str, tuple[Prompt, float]] = {}
         self._changed: set[CrashId] = set()
 
     def epoch(self, upstream_id: str) -> int:
@@ -112,19 +108,94 @@
     ) -> float:
         """Return the time at which a request's quarantine ends, or 0.
 
+        A suspected request may be probed from that time on.
+
         Args:
             fingerprint: Fingerprint of the request.
             now: Time in seconds.
             parts: Parts of its prompt. Crashes do not count against a request
                 if all of them may be due to a part that it does not have.
         """
+        verdict = self.verdict(fingerprint, now, parts)
+        return 0.0 if verdict is None else verdict.until
+
+    def verdict(
+        self,
+        fingerprint: str,
+        now: float,
+        parts: Collection[str] = (),
+        *,
+        upstreams_elsewhere: int = 0,
+    ) -> Verdict | None:
+        """Return what the known crashes say of a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            now: Time in seconds.
+            parts: Parts of its prompt.
+            upstreams_elsewhere: Number of other upstreams at which it has long
+                been in flight.
+        """
         crashes = self._crashes_possibly_caused_by(
             fingerprint, now - RETENTION_SECONDS
         )
-        for position in range(len(crashes) - 1, 0, -1):
-            last = crashes[position]
-            if self._justifies_refusal(crashes[:position], last, parts):
-                return last.happened_at + QUARANTINE_SECONDS
+
+        def is_excused(counted: Sequence[Crash]) -> bool:
+            return self._is_due_to_other_part(counted, parts)
+
+        return judge(
+            fingerprint,
+            crashes,
+            now,
+            is_excused,
+            upstreams_elsewhere=upstreams_elsewhere,
+        )
+
+    def refusal_seconds(
+        self,
+        fingerprint: str,
+        prompt: Prompt,
+        now: float,
+        may_probe: Callable[[], bool],
+        *,
+        upstreams_elsewhere: int = 0,
+    ) -> float:
+        """Return the time for which a request must not be sent, or 0.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            prompt: Its prompt, which tells it from others like it.
+            now: Time in seconds.
+            may_probe: Returns whether this router may send probes. One router
+                may, so that the fleet sends one at a time.
+            upstreams_elsewhere: Number of other upstreams at which it has long
+                been in flight.
+        """
+        verdict = self.verdict(
+            fingerprint,
+            now,
+            prompt.parts,
+            upstreams_elsewhere=upstreams_elsewhere,
+        )
+        match verdict:
+            case None:
+                self._probe_by_fingerprint.pop(fingerprint, None)
+                return 0.0
+            case Convicted(until):
+                return max(0.0, until - now)
+            case Suspected(until):
+                if now < until:
+                    return until - now
+        probe, probe_until = self._probe_by_fingerprint.get(
+            fingerprint, (prompt, now)
+        )
+        if probe is not prompt and now < probe_until:
+            return probe_until - now
+        if not may_probe():
+            return PROBE_SECONDS
+        if probe is not prompt or now >= probe_until:
+            probe_until = now + PROBE_SECONDS
+        self._probe_by_fingerprint[fingerprint] = (prompt, probe_until)
         return 0.0
 
     def must_run_alone(self, fingerprint: str, now: float) -> bool:
@@ -143,6 +214,7 @@
         now: float,
         runs: Iterable[PromptRun] = (),
         broken_at: float | None = None,
+        sent_at_by_fingerprint: Mapping[str, float] = _UNKNOWN_TIMES,
     ) -> None:
         """Record a crash that this router has observed.
 
@@ -153,11 +225,18 @@
             now: Time in seconds.
             runs: Those of them that have prompt parts.
             broken_at: Time at which their connections broke.
+            sent_at_by_fingerprint: Latest time at which each request was sent.
+                A crash counts against the others as if they were sent last.
         """
         self.prompts.record_crash(
             (upstream_id, epoch), runs, now if broken_at is None else broken_at
         )
-        record = CrashRecord(upstream_id, epoch, 0.0, tuple(fingerprints), ())
+        suspects = tuple(fingerprints)
+        sent_ages = tuple(
+            now - sent_at_by_fingerprint.get(name, math.inf)
+            for name in suspects
+        )
+        record = CrashRecord(upstream_id, epoch, 0.0, suspects, (), sent_ages)
         self._merge_record(record, now)
         self._changed.add((upstream_id, epoch))
         self._expire(now)
@@ -209,7 +288,7 @@
 
     def _crashes_possibly_caused_by(
         self, fingerprint: str, since: float
-    ) -> list[_Crash]:
+    ) -> list[Crash]:
         """Return the crashes that a request may have caused, oldest first."""
         crash_ids = self._crash_ids_by_fingerprint.get(fingerprint)
         if crash_ids is None:
@@ -218,30 +297,12 @@
         crashes = [
             crash
             for crash in known
-            if crash.happened_at > since and crash.may_be_caused_by(fingerprint)
+            if crash.happened_at > since and fingerprint not in crash.cleared
         ]
         return sorted(crashes, key=lambda crash: crash.happened_at)
 
-    def _justifies_refusal(
-        self, earlier: list[_Crash], last: _Crash, parts: Collection[str]
-    ) -> bool:
-        """Return whether these crashes suffice to refuse a common suspect."""
-        near = [
-            crash
-            for crash in earlier
-            if last.happened_at - crash.happened_at <= CRASH_WINDOW_SECONDS
-        ]
-        if len(near) >= CRASHES_UNTIL_REFUSED - 1:
-            return not self._is_due_to_other_part([*near, last], parts)
-        suspects = last.possible_causes()
-        return any(
-            len(crash.possible_causes() & suspects) == 1
-            and not self._is_due_to_other_part([crash, last], parts)
-            for crash in near
-        )
-
     def _is_due_to_other_part(
-        self, crashes: list[_Crash], parts: Collection[str]
+        self, crashes: Sequence[Crash], parts: Collection[str]
     ) -> bool:
         """Return whether another part is a suspect of all these crashes."""
         common = self.prompts.common_parts(crash.crash_id for crash in crashes)
@@ -252,13 +313,17 @@
         happened_at = now - record.age_seconds
         crash = self._crash_by_id.get(crash_id)
         if crash is None:
-            crash = self._crash_by_id[crash_id] = _Crash(crash_id, happened_at)
+            crash = self._crash_by_id[crash_id] = Crash(crash_id, happened_at)
             self._update_epoch(record)
-        suspects = _limit_suspects(crash.suspects.union(record.suspects))
+        before = crash.suspects
+        suspects = _limit_suspects(before.union(record.suspects))
         cleared = suspects.intersection(crash.cleared.union(record.cleared))
-        self._update_index(crash_id, crash.suspects, suspects)
+        self._update_index(crash_id, before, suspects)
         crash.happened_at = min(crash.happened_at, happened_at)
-        crash.suspects, crash.cleared = suspects, cleared
+        crash.sent_at_by_suspect = _latest(
+            crash.sent_at_by_suspect, record, now, suspects
+        )
+        crash.cleared = cleared
 
     def _update_epoch(self, record: CrashRecord) -> None:
         epochs = self._epoch_by_upstream
@@ -299,14 +364,34 @@
 
     def _record_of(self, crash_id: CrashId, now: float) -> CrashRecord:
         crash = self._crash_by_id[crash_id]
+        suspects = sorted(crash.sent_at_by_suspect.items())
         return CrashRecord(
             *crash_id,
             now - crash.happened_at,
-            tuple(sorted(crash.suspects)),
+            tuple(name for name, _ in suspects),
             tuple(sorted(crash.cleared)),
+            tuple(now - sent_at for _, sent_at in suspects),
         )
 
 
+def _latest(
+    known: Mapping[str, float],
+    record: CrashRecord,
+    now: float,
+    suspects: Collection[str],
+) -> dict[str, float]:
+    """Return the latest time at which each suspect was sent.
+
+    Routers of an older version do not tell these times.
+    """
+    unknown = itertools.repeat(-math.inf)
+    ages = itertools.chain(record.sent_ages, unknown)
+    sent = dict(known)
+    for name, age in zip(record.suspects, ages, strict=False):
+        sent[name] = max(now - age, sent.get(name, -math.inf))
+    return {name: sent[name] for name in sorted(suspects)}
+
+
 def _limit_suspects(suspects: set[str]) -> set[str]:
     """Return the lowest suspects, independent of the order of merging."""
     if len(suspects) <= MAXIMUM_SUSPECTS:
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash upstreams."""
 
 import asyncio
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -107,14 +108,14 @@
             RequestRefusedError: It has crashed upstreams.
         """
         service = request.service
-        state = self._exchange.find_state(service)
-        if state is None:
+        if self._exchange.find_state(service) is None:
             return
-        now = self._app.now()
-        until = state.refused_until(
-            request.fingerprint, now, request.prompt.parts
+        seconds = self._exchange.refusal_seconds(
+            service,
+            request.fingerprint,
+            request.prompt,
+            lambda: self._runs_of(request),
         )
-        seconds = until - now
         if seconds > 0:
             self._telemetry.count("quarantined_total", service=service)
             raise refusals.quarantined(seconds)
@@ -239,6 +240,18 @@
             if run.request.service == service
         )
 
+    def _runs_of(
+        self, request: GuardedRequest
+    ) -> Iterator[tuple[str, PromptRun]]:
+        """Return the runs of all requests like one that are in flight."""
+        return (
+            (run.upstream_id, run.prompt_run)
+            for runs in self._runs_by_upstream.values()
+            for run in runs
+            if run.request.fingerprint == request.fingerprint
+            and run.broken_at == math.inf
+        )
+
     def _discard_run(self, run: GuardedRun) -> None:
         runs = self._runs_by_upstream.get(run.upstream_id)
         if runs is None:
@@ -265,7 +278,10 @@
 
     def _record_crash(self, run: GuardedRun) -> None:
         runs = self._runs_by_upstream.get(run.upstream_id, set()) | {run}
-        fingerprints = {suspect.request.fingerprint for suspect in runs}
+        sent_at_by_fingerprint: dict[str, float] = {}
+        for suspect in sorted(runs, key=lambda item: item.prompt_run.sent_at):
+            name = suspect.request.fingerprint
+            sent_at_by_fingerprint[name] = suspect.prompt_run.sent_at
         epoch = max(suspect.epoch for suspect in runs)
         broken_at = min(suspect.broken_at for suspect in runs)
         service = run.request.service
@@ -274,10 +290,11 @@
         state.record_crash(
             run.upstream_id,
             epoch,
-            fingerprints,
+            sent_at_by_fingerprint,
             self._app.now(),
             [suspect.prompt_run for suspect in runs],
             broken_at,
+            sent_at_by_fingerprint,
         )
         waiting = [
             suspect.request
@@ -288,7 +305,7 @@
             "upstream crashed",
             upstream=run.upstream_id,
             service=service,
-            suspects=len(fingerprints),
+            suspects=len(sent_at_by_fingerprint),
             without_output=[request.request_id for request in waiting][
                 : const.MAX_LOGGED_SUSPECTS
             ],
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -1,7 +1,7 @@
 """Crash records of all services and the runs that they result from."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 import structlog
 
@@ -60,14 +60,14 @@
 
     def remaining_quarantine_seconds(self, identity: RequestIdentity) -> float:
         """Return the remaining quarantine of a request in seconds, or 0."""
-        state = self._exchange.find_state(identity.service)
-        if state is None:
+        if self._exchange.find_state(identity.service) is None:
             return 0.0
-        now = self._app.now()
-        until = state.refused_until(
-            identity.fingerprint, now, identity.prompt.parts
+        return self._exchange.refusal_seconds(
+            identity.service,
+            identity.fingerprint,
+            identity.prompt,
+            lambda: self._runs_of(identity),
         )
-        return max(0.0, until - now)
 
     def prompt_refusal(self, identity: RequestIdentity) -> PartRefusal | None:
         """Return why the prompt of a request is in quarantine, or None."""
@@ -210,6 +210,18 @@
             state.record_success(identity.fingerprint, self._app.now(), prompt)
             self._exchange.publish(state)
 
+    def _runs_of(
+        self, identity: RequestIdentity
+    ) -> Iterator[tuple[str, PromptRun]]:
+        """Return the runs of all requests like one that are in flight."""
+        return (
+            (run.upstream_id, run.prompt_run)
+            for runs in self._runs_by_upstream.values()
+            for run in runs
+            if run.confirmation is None
+            and _is_same_request(run.identity, identity)
+        )
+
     def _prompt_runs(self, service: str) -> Iterator[PromptRun]:
         """Return the runs of a service that are in flight."""
         return (
@@ -264,6 +276,7 @@
             self._app.now(),
             [run.prompt_run for run in runs if not run.is_complete],
             broken_at,
+            _last_sent(runs),
         )
         self._exchange.publish(state)
         self._notify()
@@ -273,5 +286,11 @@
             listener()
 
 
+def _last_sent(runs: Iterable[UpstreamRun]) -> dict[str, float]:
+    """Return the latest time at which each request was sent."""
+    by_time = sorted(runs, key=lambda run: run.prompt_run.sent_at)
+    return {run.identity.fingerprint: run.prompt_run.sent_at for run in by_time}
+
+
 def _is_same_request(one: RequestIdentity, other: RequestIdentity) -> bool:
     return one.service == other.service and one.fingerprint == other.fingerprint
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -22,6 +22,8 @@
 # Changes that only clear suspects are collected for this long. After the crash
 # of an engine each of its requests clears itself when it has run elsewhere.
 CLEARING_DELAY_SECONDS = 0.5
+# A run that has been in flight for this long without output has probably begun.
+LONG_RUN_SECONDS = 1.0
 # Proofs of prompt parts are few, and a router without them may refuse a part.
 PROOF_DELAY_SECONDS = 0.05
 
@@ -66,6 +68,49 @@
             state = self._state_by_service[service] = QuarantineState(service)
         return state
 
+    def refusal_seconds(
+        self,
+        service: str,
+        fingerprint: str,
+        prompt: Prompt,
+        runs: Callable[[], Iterable[tuple[str, PromptRun]]],
+    ) -> float:
+        """Return the time for which a whole request must not be sent, or 0.
+
+        Before it is refused, its runs under way may clear it.
+
+        Args:
+            service: Name of the service.
+            fingerprint: Fingerprint of the request.
+            prompt: Its prompt.
+            runs: Returns this router's runs of the fingerprint that are in
+                flight, with the IDs of their upstreams.
+        """
+        state = self._state_by_service.get(service)
+        now = self._app.now()
+        if (
+            state is None
+            or state.verdict(fingerprint, now, prompt.parts) is None
+        ):
+            return 0.0
+        in_flight = list(runs())
+        if any(run.begun_at(now) is not None for _, run in in_flight):
+            state.record_success(fingerprint, now)
+            self.publish_soon(state)
+        return state.refusal_seconds(
+            fingerprint,
+            prompt,
+            now,
+            lambda: self._may_probe(service),
+            upstreams_elsewhere=len(
+                {
+                    upstream_id
+                    for upstream_id, run in in_flight
+                    if now - run.sent_at >= LONG_RUN_SECONDS
+                }
+            ),
+        )
+
     def find_refusal(
         self,
         service: str,
--- /dev/null
+++ b/tests/router/deployed/test_popular_request.py
@@ -0,0 +1,129 @@
+"""Tests of one sound request that many callers send beside crashes."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from tests.router.deployed.conftest import Caller, Deployment, manifest, until
+
+from lacewingspar_router.components.peers.models import PEERS
+
+UPSTREAMS = 6
+REQUESTS_PER_SECOND = 32
+CRASHES_AT_SECONDS = (0.7, 1.3, 1.9)
+RETURN_SECONDS = 0.2
+LOAD_SECONDS = 2.6
+CRASHING_BODY = b"poison"
+# More than three retries may not reach upstreams after the third crash, and
+# those in flight at once cannot be held back.
+MAX_CRASHES = 6
+
+
+async def start(
+    deployment: Deployment, service: str, delay_seconds: float, events: int = 5
+) -> list[Caller]:
+    """Start upstreams and two routers that know each other."""
+    deployment.publish(manifest())
+    for number in range(UPSTREAMS):
+        await deployment.add_upstream(
+            f"u{number}",
+            service,
+            events=events,
+            response_delay_seconds=delay_seconds,
+        )
+    callers = [await deployment.add_router("r1")]
+    seed = deployment.apps[0].settings.peer_address
+    callers.append(await deployment.add_router("r2", seed_hosts=[seed]))
+    await until(
+        lambda: all(
+            len(app.get(PEERS).alive_by_router_id) == len(callers)
+            for app in deployment.apps
+        )
+    )
+    return callers
+
+
+async def end_upstreams(deployment: Deployment, service: str) -> None:
+    """End busy upstreams one by one; each comes back under another id."""
+    begun_at = asyncio.get_running_loop().time()
+    for at_seconds in CRASHES_AT_SECONDS:
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(begun_at + at_seconds - now)
+        upstreams = [
+            upstream
+            for upstream in deployment.upstream_by_id.values()
+            if not upstream.crashes
+        ]
+        if upstreams:
+            max(upstreams, key=lambda upstream: upstream.running).crash()
+        await asyncio.sleep(RETURN_SECONDS)
+        await deployment.restart_crashed(service)
+
+
+async def call_often(
+    callers: list[Caller], path: str, body: bytes, **headers: str
+) -> Counter[str]:
+    """Send one request at a fixed rate; return how often it was refused so."""
+    calls = []
+    for number in range(round(LOAD_SECONDS * REQUESTS_PER_SECOND)):
+        caller = Caller(callers[number % len(callers)].address)
+        text = {name: value.format(n=number) for name, value in headers.items()}
+        calls.append(
+            asyncio.create_task(
+                caller.call(path, body=body, budget_ms=8000, **text)
+            )
+        )
+        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+    responses = await asyncio.gather(*calls)
+    return Counter(
+        response.body.decode()
+        if b"crashed" in response.body
+        else str(response.status)
+        for response in responses
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "delay_seconds", "events"),
+    [
+        ("/read/", 0.3, 1),
+        ("/write/", 0.3, 1),
+        ("/read/", 2.0, 1),
+        ("/stream/", 0.06, 5),
+        ("/stream/", 0.05, 40),
+    ],
+    ids=["short", "once only", "longer than all", "streams", "long streams"],
+)
+async def test_popular_request_is_not_blamed_for_crashes_beside_it(
+    deployment: Deployment, path: str, delay_seconds: float, events: int
+) -> None:
+    """Guards against refusing a request that runs to its end all the time.
+
+    Identical requests are in flight at every upstream that ends by itself.
+    """
+    service = "engines" if "stream" in path else "plain"
+    callers = await start(deployment, service, delay_seconds, events)
+    refusals, _ = await asyncio.gather(
+        call_often(callers, path, b"", x_prompt_prefix="{n}a:10"),
+        end_upstreams(deployment, service),
+    )
+    assert not [reason for reason in refusals if "crashed" in reason]
+    assert refusals["200"] > LOAD_SECONDS * REQUESTS_PER_SECOND / 2
+
+
+async def test_popular_crashing_request_is_contained_beside_other_crashes(
+    deployment: Deployment,
+) -> None:
+    """Guards against excusing a request because others crash too."""
+    callers = await start(deployment, "plain", 0.02)
+    for upstream in deployment.upstream_by_id.values():
+        upstream.faults.crash_marker = CRASHING_BODY.decode()
+    refusals, sound, _ = await asyncio.gather(
+        call_often(callers, "/write/", CRASHING_BODY),
+        call_often(callers, "/write/", b"fine"),
+        end_upstreams(deployment, "plain"),
+    )
+    crashes = sum(item.crashes for item in deployment.upstream_by_id.values())
+    assert crashes <= MAX_CRASHES + len(CRASHES_AT_SECONDS)
+    assert refusals["200"] == 0
+    assert not [reason for reason in sound if "crashed" in reason]
