Suspect only requests that were sent to the crashed upstream

A request that waited for a connection to an upstream when that crashed was counted among the suspects of the crash, and refused after a second one.

Cause: a run is registered before its connection is there, and the crash took all registered runs. Those without a time of sending are now left out, as the prompt parts of such runs have been.

Evidence: test_request_that_was_not_sent_is_no_suspect failed before (suspects 'sent' and 'waiting') and passes after.

--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -277,7 +277,11 @@
             del self._check_by_upstream[run.upstream_id]
 
     def _record_crash(self, run: GuardedRun) -> None:
-        runs = self._runs_by_upstream.get(run.upstream_id, set()) | {run}
+        runs = {
+            suspect
+            for suspect in self._runs_by_upstream.get(run.upstream_id, ())
+            if suspect.prompt_run.sent_at != math.inf
+        } | {run}
         sent_at_by_fingerprint: dict[str, float] = {}
         for suspect in sorted(runs, key=lambda item: item.prompt_run.sent_at):
             name = suspect.request.fingerprint
