Clear no request by a response of an upstream that may not have run it

On the own interface a request that crashes upstreams was cleared by a 503, 429 or 500 of another one, so it could go on.

Cause: each complete response counted as a completed run. Statuses of 500 or more and those that decline a request clear nothing now, as on the platform's interface.

--- a/packages/router/src/lacewingspar_router/components/caller_api/calls.py
+++ b/packages/router/src/lacewingspar_router/components/caller_api/calls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from http import HTTPStatus
 
 from lacewingspar_core.messages import SlotOutcome
 from lacewingspar_router.application import Application
@@ -281,8 +280,7 @@
         )
         await transfer.async_run()
         if use.run is not None:
-            use.run.is_complete = True
-            use.run.proves_prompt = response.status < HTTPStatus.BAD_REQUEST
+            use.run.record_response(response.status)
         use.release(SlotOutcome.COMPLETED, transfer.tokens)
         call.track.run = RunState.RAN
         if call.claim is not None:
--- a/packages/router/src/lacewingspar_router/components/quarantine/models.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/models.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 from lacewingspar_core.messages import SuspectRun
@@ -21,6 +22,14 @@
     message_parts,
 )
 
+_DECLINING_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+    }
+)
+
 
 @dataclass(slots=True, eq=False)
 class RequestIdentity:
@@ -68,6 +77,8 @@
         prompt_run: Progress of the run.
         is_complete: Whether the whole response has arrived.
         proves_prompt: Whether the response is one to its prompt, not an error.
+        may_not_have_run: Whether the response may be that of an upstream which
+            has not run the request.
         confirmation: Check whether the upstream has crashed, once started.
     """
 
@@ -78,8 +89,18 @@
     reservation: SuspectRun | None = None
     is_complete: bool = False
     proves_prompt: bool = False
+    may_not_have_run: bool = False
     confirmation: asyncio.Task[None] | None = None
 
+    def record_response(self, status: int) -> None:
+        """Record that the whole response has arrived."""
+        self.is_complete = True
+        self.proves_prompt = status < HTTPStatus.BAD_REQUEST
+        self.may_not_have_run = (
+            status in _DECLINING_STATUSES
+            or status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        )
+
 
 class CrashQuarantine(Protocol):
     """Tracks requests that crash upstreams, across the fleet."""
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -174,7 +174,7 @@
 
     def end(self, run: UpstreamRun, *, has_caller_left: bool) -> None:
         """Record the end of a run."""
-        if run.is_complete:
+        if run.is_complete and not run.may_not_have_run:
             self._record_success(run)
         if has_caller_left and not run.is_complete:
             asyncio.get_running_loop().call_later(
--- a/tests/router/components/test_quarantine.py
+++ b/tests/router/components/test_quarantine.py
@@ -98,6 +98,22 @@
         assert not router.crashes.remaining_quarantine_seconds(identity("a"))
 
 
+@pytest.mark.parametrize(
+    ("status", "is_cleared"),
+    [(200, True), (404, True), (429, False), (500, False), (503, False)],
+)
+async def test_response_without_a_run_does_not_clear_a_request(
+    start, status: int, is_cleared: bool
+) -> None:
+    """Guards against excusing a crashing request that an upstream declined."""
+    router = await start("r1")
+    await crash(router, "u1", "x")
+    run = await router.crashes.async_begin(identity("x"), "u2")
+    run.record_response(status)
+    router.crashes.end(run, has_caller_left=False)
+    assert router.crashes.is_suspect(identity("x")) is not is_cleared
+
+
 async def test_breaks_without_a_crash_make_no_suspects(start) -> None:
     """Guards against suspects without a crash.
 
