--- a/packages/core/src/lacewingspar_core/crash_evidence.py
+++ b/packages/core/src/lacewingspar_core/crash_evidence.py
@@ -13,6 +13,7 @@
 """
 
 import math
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import TypeAlias
@@ -99,34 +100,29 @@
         min(upstreams_elsewhere, MAXIMUM_EXCUSED_CRASHES) + 1,
     )
     two_may_suffice = not upstreams_elsewhere
+    times = [crash.happened_at for crash in crashes]
     suspected_at = -math.inf
     for position in range(len(crashes) - 1, 0, -1):
         last = crashes[position]
+        start = bisect_left(times, last.happened_at - CRASH_WINDOW_SECONDS)
         sent_at = last.sent_at_by_suspect[fingerprint]
-        near = _near(crashes[:position], last)
-        earlier = [crash for crash in near if crash.happened_at <= sent_at]
-        chain = _one_after_the_other(fingerprint, earlier)
-        if _suffice(
-            chain, earlier if two_may_suffice else (), last, is_excused, needed
-        ):
-            return Convicted(last.happened_at + QUARANTINE_SECONDS)
-        if _suffice(
-            near, near if two_may_suffice else (), last, is_excused, needed
-        ):
-            suspected_at = max(suspected_at, last.happened_at)
+        end = min(position, bisect_right(times, sent_at))
+        if start < end:
+            earlier = crashes[start:end]
+            chain = _one_after_the_other(fingerprint, earlier)
+            pairs = earlier if two_may_suffice else ()
+            if _suffice(chain, pairs, last, is_excused, needed):
+                return Convicted(last.happened_at + QUARANTINE_SECONDS)
+        if suspected_at == -math.inf:
+            near = crashes[start:position]
+            pairs = near if two_may_suffice else ()
+            if _suffice(near, pairs, last, is_excused, needed):
+                suspected_at = last.happened_at
     if now - suspected_at < CRASH_WINDOW_SECONDS:
         return Suspected(suspected_at + SUSPICION_SECONDS)
     return None
 
 
-def _near(earlier: Sequence[Crash], last: Crash) -> list[Crash]:
-    return [
-        crash
-        for crash in earlier
-        if last.happened_at - crash.happened_at <= CRASH_WINDOW_SECONDS
-    ]
-
-
 def _one_after_the_other(
     fingerprint: str, crashes: Sequence[Crash]
 ) -> list[Crash]:
--- a/packages/standins/src/lacewingspar_standins/bench/__main__.py
+++ b/packages/standins/src/lacewingspar_standins/bench/__main__.py
@@ -5,6 +5,7 @@
 from lacewingspar_standins.bench import (
     bodies,
     capacity,
+    convictions,
     faults,
     path,
     propagation,
@@ -19,6 +20,7 @@
 app.command("capacity")(capacity.main)
 app.command("faults")(faults.main)
 app.command("bodies")(bodies.main)
+app.command("convictions")(convictions.main)
 app.command("soak")(soak.main)
 
 
