Read every number in a header with one function and a range

Callers saw an empty 500 for `X-Length-Hint`, `X-Token-Counts` and the two headers between routers of 6,000 digits, and for `²` in `X-Token-Counts`. Cause: each header was read by its own test of `isdigit` followed by `int`. `isdigit` takes `²`, and `int` refuses more than 4,300 digits; counts of 30 digits or below 0 passed and failed later in messages to pool owners.

`platform/header_numbers.py` reads all of them: digits of ASCII, with a largest number for each header. `X-Token-Counts`, `X-Time-Budget-Ms` and `X-Prompt-Prefix` get 400 with the header's name otherwise. `X-Length-Hint`, which may be wrong, and the headers between routers are left aside. A refusal of a request that cannot be read carries its id. The stand-in of an upstream and the test caller take header values that are not UTF-8.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -82,10 +82,10 @@
     async def async_handle(self, exchange: ServerExchange) -> None:
         """Handle one request."""
         request = exchange.request
-        request_id = workspace = ""
+        request_id = self._wire_format.parse_request_id(request)
+        workspace = ""
         try:
             metadata = self._wire_format.parse_metadata(request)
-            request_id = metadata.request_id
             call = self.acceptor.accept(request, metadata)
             workspace = call.workspace
             self.load_shedder.begin(workspace)
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_shedding.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_shedding.py
@@ -59,7 +59,11 @@
         )
         if not may_refuse or configuration is None:
             return None
-        identity = self._wire_format.parse_identity(request)
+        try:
+            identity = self._wire_format.parse_identity(request)
+        except RequestRefusedError:
+            # The normal handling refuses it and logs the reason.
+            return None
         workspace = configuration.workspace_by_key.get(identity.key)
         if workspace is None:
             return None
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -136,8 +136,15 @@
 class WireFormat(Protocol):
     """Headers and messages exchanged with callers, upstreams and routers."""
 
+    def parse_request_id(self, request: HttpRequest) -> str:
+        """Parse only the identifier of a request, or ""."""
+
     def parse_identity(self, request: HttpRequest) -> CallerIdentity:
-        """Parse only the identity, which is faster than all headers."""
+        """Parse only the identity, which is faster than all headers.
+
+        Raises:
+            RequestRefusedError: A header is invalid.
+        """
 
     def parse_metadata(self, request: HttpRequest) -> RequestMetadata:
         """Parse the headers of a request.
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -76,6 +76,11 @@
     )
 
 
+def bad_header(name: str, reason: str) -> RequestRefusedError:
+    """Return the refusal of a request with a header that is invalid."""
+    return RequestRefusedError(400, "bad_header", f"{name}: {reason}")
+
+
 def quarantined(seconds: float) -> RequestRefusedError:
     """Return the refusal of a request that has crashed upstreams."""
     return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -11,6 +11,7 @@
     RetryAfter,
     UpstreamNotice,
 )
+from lacewingspar_router.components.forwarding import refusals
 from lacewingspar_router.components.forwarding.models import (
     Call,
     CallerIdentity,
@@ -26,15 +27,17 @@
 )
 from lacewingspar_router.http_headers import RawHeaders, end_to_end_headers
 from lacewingspar_router.platform import names
+from lacewingspar_router.platform.header_numbers import (
+    HeaderNumberError,
+    NumberRange,
+    read_number,
+)
 
 # Expected fraction of the maximum number of output tokens if the caller sends
 # no estimate.
 _DEFAULT_OUTPUT_FRACTION = 0.5
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
-# Whole or fractional seconds; HTTP also allows a date, which is ignored as the
-# clocks of upstreams may differ. The number of digits keeps the value finite.
-_SECONDS = re.compile(r"\d{1,300}(\.\d*)?|\.\d+", re.ASCII)
 # Head of a response to a request of the platform, up to the id of the request.
 _RESPONSE_HEAD = re.compile(
     rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[^\r\n]+\r\n){0,100}?"
@@ -42,6 +45,15 @@
     + b":",
     re.IGNORECASE,
 )
+# More tokens than any upstream has memory for.
+_TOKENS = NumberRange(maximum=1_000_000_000)
+# 30 years; the limit of the route is far below.
+_MILLISECONDS = NumberRange(maximum=1_000_000_000_000, is_whole=False)
+_VERSION = NumberRange(maximum=2**63 - 1)
+# HTTP also allows a date, which is ignored as the clocks of upstreams may
+# differ. The router bounds the time that it waits.
+_RETRY_SECONDS = NumberRange(maximum=float("inf"), is_whole=False)
+_PART_ID = re.compile(r"[0-9a-fA-F]+")
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -49,8 +61,16 @@
 class PlatformWireFormat:
     """Implements the wire format of the platform."""
 
+    def parse_request_id(self, request: HttpRequest) -> str:
+        """Return the identifier of a request, or ""."""
+        return _header_text(request.value_by_header, names.HEADER_REQUEST_ID)
+
     def parse_identity(self, request: HttpRequest) -> CallerIdentity:
-        """Return the caller's identity; cheaper than `parse_metadata`."""
+        """Return the caller's identity; cheaper than `parse_metadata`.
+
+        Raises:
+            RequestRefusedError: A header that it reads is invalid.
+        """
         values = request.value_by_header
         return CallerIdentity(
             request_id=_header_text(values, names.HEADER_REQUEST_ID),
@@ -66,8 +86,8 @@
             RequestRefusedError: A required header is invalid.
         """
         values = request.value_by_header
-        shared, own = _prompt(values)
-        output = _output_tokens(values)
+        prompt_tokens, max_output_tokens = _token_counts(values)
+        shared, own = _prompt(values, prompt_tokens)
         return RequestMetadata(
             request_id=_header_text(values, names.HEADER_REQUEST_ID),
             host=_host(values),
@@ -75,12 +95,10 @@
             time_budget_seconds=_time_budget(values),
             shared_parts=shared,
             own_tokens=own,
-            output_tokens=output,
+            output_tokens=_output_tokens(values, max_output_tokens),
             last_event_id=values.get(names.HEADER_LAST_EVENT_ID) or None,
             handed_over_after_seconds=_handed_over_after(values),
-            min_configuration_version=_header_integer(
-                values, names.HEADER_CONFIGURATION_VERSION
-            ),
+            min_configuration_version=_min_version(values),
         )
 
     def encode_handed_over_request(
@@ -169,7 +187,9 @@
         """Return the response to a request that was refused or failed."""
         headers: RawHeaders = [(b"content-type", b"text/plain")]
         if request_id:
-            headers.append((names.HEADER_REQUEST_ID, request_id.encode()))
+            headers.append(
+                (names.HEADER_REQUEST_ID, request_id.encode("latin-1"))
+            )
         if error.retry_after_seconds is not None:
             seconds = f"{error.retry_after_seconds:.3f}"
             headers.append((b"retry-after", seconds.encode()))
@@ -199,23 +219,53 @@
     text = _header_text(values, names.HEADER_RETRY_AFTER)
     if status != _STATUS_UNAVAILABLE or not text:
         return None
-    if not _SECONDS.fullmatch(text):
+    try:
+        return RetryAfter(read_number(text, _RETRY_SECONDS))
+    except HeaderNumberError:
         _LOGGER.warning(
             "Retry-After ignored: not a number of seconds",
             upstream=upstream.upstream_id,
             value=text,
         )
         return None
-    return RetryAfter(float(text))
 
 
 def _header_text(values: dict[bytes, bytes], name: bytes) -> str:
     return values.get(name, b"").decode("latin-1").strip()
 
 
-def _header_integer(values: dict[bytes, bytes], name: bytes) -> int | None:
+def _read_header_number(name: bytes, text: str, accepted: NumberRange) -> float:
+    """Return a number in a header of a request.
+
+    Raises:
+        RequestRefusedError: The text is no number in the range.
+    """
+    try:
+        return read_number(text.strip(), accepted)
+    except HeaderNumberError as error:
+        raise refusals.bad_header(name.decode(), str(error)) from error
+
+
+def _optional_number(
+    values: dict[bytes, bytes], name: bytes, accepted: NumberRange
+) -> float | None:
+    """Return the number in a header, or None if it is missing or empty.
+
+    Raises:
+        RequestRefusedError: It holds something else.
+    """
     text = _header_text(values, name)
-    return int(text) if text.isascii() and text.isdigit() else None
+    return _read_header_number(name, text, accepted) if text else None
+
+
+def _hint(
+    values: dict[bytes, bytes], name: bytes, accepted: NumberRange
+) -> float | None:
+    """Return the number in a header that may be wrong, or None."""
+    try:
+        return read_number(_header_text(values, name), accepted)
+    except HeaderNumberError:
+        return None
 
 
 def _host(values: dict[bytes, bytes]) -> str:
@@ -231,51 +281,62 @@
 
 
 def _time_budget(values: dict[bytes, bytes]) -> float | None:
-    text = _header_text(values, names.HEADER_TIME_LEFT_MS)
-    try:
-        seconds = float(text) / 1000
-    except ValueError:
-        return None
-    return seconds if 0 < seconds < float("inf") else None
+    milliseconds = _optional_number(
+        values, names.HEADER_TIME_LEFT_MS, _MILLISECONDS
+    )
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def _handed_over_after(values: dict[bytes, bytes]) -> float | None:
-    waited_ms = _header_integer(values, names.HEADER_HANDED_OVER_MS)
+    waited_ms = _hint(values, names.HEADER_HANDED_OVER_MS, _MILLISECONDS)
     return None if waited_ms is None else waited_ms / 1000
 
 
-def _prompt(values: dict[bytes, bytes]) -> tuple[tuple[PromptPart, ...], int]:
+def _min_version(values: dict[bytes, bytes]) -> int | None:
+    version = _hint(values, names.HEADER_CONFIGURATION_VERSION, _VERSION)
+    return None if version is None else int(version)
+
+
+def _prompt(
+    values: dict[bytes, bytes], total: int
+) -> tuple[tuple[PromptPart, ...], int]:
     """Return the shared parts of a prompt and the number of other tokens."""
-    parts: list[PromptPart] = []
-    for item in _header_text(values, names.HEADER_PROMPT_PARTS).split(","):
-        identity, _, tokens = item.strip().partition(":")
-        try:
-            parts.append(PromptPart(int(identity, 16), int(tokens)))
-        except ValueError:
-            break
-    total, _ = _token_counts(values)
-    if not parts:
+    text = _header_text(values, names.HEADER_PROMPT_PARTS)
+    if not text:
         return (), total
+    parts = [_prompt_part(item.strip()) for item in text.split(",")]
     shared = tuple(parts[:-1])
     rest = total - sum(part.tokens for part in shared)
     return shared, max(parts[-1].tokens, rest, 0)
 
 
+def _prompt_part(item: str) -> PromptPart:
+    name = names.HEADER_PROMPT_PARTS
+    part_id, _, tokens = item.partition(":")
+    if not _PART_ID.fullmatch(part_id):
+        raise refusals.bad_header(name.decode(), "an id is not hexadecimal")
+    return PromptPart(
+        int(part_id, 16), int(_read_header_number(name, tokens, _TOKENS))
+    )
+
+
 def _token_counts(values: dict[bytes, bytes]) -> tuple[int, int]:
-    prompt, _, output = _header_text(
-        values, names.HEADER_TOKEN_COUNTS
-    ).partition(",")
-    counts = [
-        int(text) if text.strip().isdigit() else 0 for text in (prompt, output)
-    ]
-    return counts[0], counts[1]
-
-
-def _output_tokens(values: dict[bytes, bytes]) -> int:
-    estimate = _header_integer(values, names.HEADER_OUTPUT_ESTIMATE)
-    _, max_output_tokens = _token_counts(values)
+    """Return the tokens of the prompt and the maximum of the response."""
+    name = names.HEADER_TOKEN_COUNTS
+    text = _header_text(values, name)
+    if not text:
+        return 0, 0
+    prompt, has_output, output = text.partition(",")
+    prompt_tokens = int(_read_header_number(name, prompt, _TOKENS))
+    if not has_output:
+        return prompt_tokens, 0
+    return prompt_tokens, int(_read_header_number(name, output, _TOKENS))
+
+
+def _output_tokens(values: dict[bytes, bytes], max_output_tokens: int) -> int:
+    estimate = _hint(values, names.HEADER_OUTPUT_ESTIMATE, _TOKENS)
     if estimate is not None:
-        return (
+        return int(
             min(estimate, max_output_tokens) if max_output_tokens else estimate
         )
     return int(max_output_tokens * _DEFAULT_OUTPUT_FRACTION)
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -355,7 +355,8 @@
         self._request.target += url.decode()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._request.value_by_header[name.decode().lower()] = value.decode()
+        text = value.decode("utf-8", "surrogateescape")
+        self._request.value_by_header[name.decode().lower()] = text
 
     def on_body(self, body: bytes) -> None:
         self._request.body += body
@@ -591,7 +592,8 @@
             lines.append("Server-Leaving: 1")
         if faults.retry_after and status == _STATUS_UNAVAILABLE:
             lines.append(f"Retry-After: {faults.retry_after}")
-        self._transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        head = "\r\n".join(lines).encode("utf-8", "surrogateescape")
+        self._transport.write(head + b"\r\n\r\n")
 
 
 def _chunk(data: bytes) -> bytes:
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -126,7 +126,8 @@
                 case ResponseHead(status, pairs):
                     response.status = status
                     response.headers = {
-                        name.decode(): value.decode() for name, value in pairs
+                        name.decode(): value.decode("latin-1")
+                        for name, value in pairs
                     }
                 case ResponseEnd():
                     response.is_complete = True
