Give prompt parts with long ids a key that messages can carry

Requests whose `X-Prompt-Prefix` has an id of more than 64 bits got an empty 500 at the routers that do not own the pool: the id is the key of the part, and the message to the owner carries integers of 64 bits. Ids of more than 16 digits are hashed to 64 bits; shorter ones stay their own key.

test_header_values.py sends every request to both of two routers, of which one owns the pool. Its row with two long ids failed before with 500 (OverflowError in the log) and passes after.

--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -3,6 +3,7 @@
 import re
 
 import structlog
+import xxhash
 
 from lacewingspar_core.directory import UpstreamEntry
 from lacewingspar_core.prefix_cache import PromptPart
@@ -54,6 +55,8 @@
 # differ. The router bounds the time that it waits.
 _RETRY_SECONDS = NumberRange(maximum=float("inf"), is_whole=False)
 _PART_ID = re.compile(r"[0-9a-fA-F]+")
+# Hexadecimal digits of the longest part id that is its own key.
+_PART_KEY_DIGITS = 16
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -316,10 +319,18 @@
     if not _PART_ID.fullmatch(part_id):
         raise refusals.bad_header(name.decode(), "an id is not hexadecimal")
     return PromptPart(
-        int(part_id, 16), int(_read_header_number(name, tokens, _TOKENS))
+        _part_key(part_id), int(_read_header_number(name, tokens, _TOKENS))
     )
 
 
+def _part_key(part_id: str) -> int:
+    """Return the key of a part, which messages carry in 64 bits."""
+    digits = part_id.lstrip("0").lower()
+    if len(digits) <= _PART_KEY_DIGITS:
+        return int(digits or "0", 16)
+    return xxhash.xxh64_intdigest(digits.encode())
+
+
 def _token_counts(values: dict[bytes, bytes]) -> tuple[int, int]:
     """Return the tokens of the prompt and the maximum of the response."""
     name = names.HEADER_TOKEN_COUNTS
--- a/tests/router/deployed/test_header_values.py
+++ b/tests/router/deployed/test_header_values.py
@@ -1,8 +1,12 @@
 """Tests of headers of callers with any value."""
 
 import asyncio
+import os
+import re
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from tests.router.connections import async_open_connection
 from tests.router.deployed.conftest import (
     Caller,
@@ -17,7 +21,24 @@
 from lacewingspar_router.platform import names
 from lacewingspar_standins.deployed.documents import request_bytes
 
+# Headers that the router reads, beside those that frame a request.
+HEADERS = sorted(
+    names.ROUTER_HEADERS - {b"content-length"}
+    | {
+        names.HEADER_REQUEST_ID,
+        names.HEADER_TOKEN_COUNTS,
+        names.HEADER_OUTPUT_ESTIMATE,
+        names.HEADER_PROMPT_PARTS,
+        b"host",
+        b"connection",
+    }
+)
+# A longer run by hand sets the number of examples, which are then random.
+EXAMPLES = os.environ.get("HEADER_EXAMPLES")
+# An upstream that has no event after a caller's last one fails.
+STATUSES_OF_FAILURES = {names.HEADER_LAST_EVENT_ID: (0, 500)}
 DIGITS = b"9" * 6000
+LARGE_IDS = b"f" * 17 + b":10," + b"1" + b"0" * 16 + b":10,2:10"
 
 
 def request_with(header: bytes, value: bytes, path: str = "/stream/x") -> bytes:
@@ -92,6 +113,7 @@
         (names.HEADER_PROMPT_PARTS, b"1:10,-2:10,3:1", 400),
         (names.HEADER_PROMPT_PARTS, b"1:10,part:10", 400),
         (names.HEADER_PROMPT_PARTS, b"1:" + b"9" * 30 + b",2:1", 400),
+        (names.HEADER_PROMPT_PARTS, LARGE_IDS, 200),
         (names.HEADER_PROMPT_PARTS, b"1:10, 2:20", 200),
         (names.HEADER_OUTPUT_ESTIMATE, DIGITS, 200),
         (names.HEADER_OUTPUT_ESTIMATE, b"9" * 30, 200),
@@ -117,3 +139,39 @@
             assert header in first.body
             assert first.headers["x-attempt-id"] == "a-header"
     assert status == 200 or served.received_ids() == {"a-next"}
+
+
+NUMBERS = (
+    st.integers(min_value=-(10**20), max_value=10**20).map(str)
+    | st.floats().map(str)
+    | st.integers(min_value=1, max_value=6000).map("9".__mul__)
+    | st.sampled_from(["²", "1_0", "+1", "0x1", " ", "1e400", "f" * 17])
+)
+LISTS = st.lists(
+    st.lists(NUMBERS, min_size=1, max_size=2).map(":".join), max_size=3
+).map(",".join)
+VALUES = (
+    st.binary(max_size=60)
+    | NUMBERS.map(lambda text: text.encode("latin-1"))
+    | LISTS.map(lambda text: text.encode("latin-1"))
+).map(lambda value: re.sub(rb"[\r\n]", b"", value)[:8000])
+
+
+@settings(
+    max_examples=int(EXAMPLES or 100),
+    derandomize=EXAMPLES is None,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(header=st.sampled_from(HEADERS), value=VALUES)
+async def test_any_header_value_gets_a_response(
+    callers: list[Caller], header: bytes, value: bytes
+) -> None:
+    """Guards against header values that end their request with an error."""
+    data = request_with(header, value)
+    for caller in callers:
+        first, second = await async_call_twice(caller, data)
+        assert first.status not in STATUSES_OF_FAILURES.get(
+            header, (0, 500, 502)
+        )
+        assert second.status == 200
