Answer requests whose handling fails with a code, and name them in the log

An error that nobody expects gave its caller an empty 500 without the request's id, and the line "request handler failed" named no request; "request ended" called it cancelled. The handler of callers' requests now ends such a request with `internal_error`, its id and the run state unknown, and logs id, method and path. The server does the same, without the id, for what is left: other handlers, the early responder, and responses that a handler leaves out.

--- a/packages/router/src/lacewingspar_router/components/forwarding/handler.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/handler.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from lacewingspar_core.admission_events import RunOutcome
 from lacewingspar_core.attempt_rules import (
     RULE_BY_RESULT,
@@ -56,6 +58,8 @@
 from lacewingspar_router.http1.messages import Response
 from lacewingspar_router.http_headers import RawHeaders
 
+_LOGGER = structlog.get_logger(__name__)
+
 
 class CallHandler:
     """Handles the requests of callers.
@@ -80,9 +84,26 @@
         self.hand_over = HandOver(app, self.load_shedder.record_decline)
 
     async def async_handle(self, exchange: ServerExchange) -> None:
-        """Handle one request."""
+        """Handle one request; an unexpected error ends only this one."""
+        request_id = self._wire_format.parse_request_id(exchange.request)
+        try:
+            await self._async_handle(exchange, request_id)
+        except Exception:
+            _LOGGER.exception(
+                "request failed unexpectedly",
+                request_id=request_id,
+                method=exchange.request.method,
+                path=exchange.request.path,
+                is_started=exchange.is_started,
+            )
+            self._refuse(
+                exchange, refusals.internal_error(), request_id, "", None
+            )
+
+    async def _async_handle(
+        self, exchange: ServerExchange, request_id: str
+    ) -> None:
         request = exchange.request
-        request_id = self._wire_format.parse_request_id(request)
         workspace = ""
         try:
             metadata = self._wire_format.parse_metadata(request)
@@ -157,6 +178,9 @@
                 call.workspace,
                 progress,
             )
+        except Exception:
+            outcome = refusals.INTERNAL_ERROR
+            raise
         finally:
             if request.is_cut and outcome == "cancelled":
                 outcome = "cut_by_shutdown"
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -9,6 +9,8 @@
 from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.errors import RequestRefusedError, RunState
 
+# Code of requests that failed because of an error that nobody expects.
+INTERNAL_ERROR = "internal_error"
 # Code of requests that a pool declined because of overload.
 OVERLOADED = REASON_OVERLOADED
 _NOT_READY = "not_ready"
@@ -76,6 +78,16 @@
     )
 
 
+def internal_error() -> RequestRefusedError:
+    """Return the failure of a request because of a fault of this router."""
+    return RequestRefusedError(
+        500,
+        INTERNAL_ERROR,
+        "this router failed to handle the request",
+        run=RunState.UNKNOWN,
+    )
+
+
 def bad_header(name: str, reason: str) -> RequestRefusedError:
     """Return the refusal of a request with a header that is invalid."""
     return RequestRefusedError(400, "bad_header", f"{name}: {reason}")
--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -46,6 +46,12 @@
 # Response to requests that no handler has begun when their connection ends, and
 # to one that is on its way. It has no body, as the method may be unknown.
 _CLOSING_RESPONSE = Response(408, [], b"")
+# Response to a request that its handler has left without one.
+_FAILURE_RESPONSE = Response(
+    500,
+    [(b"content-type", b"text/plain")],
+    b"internal_error: the request was not handled to its end\n",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,7 +285,7 @@
             responses = [refusal]
         refused = len(responses)
         if unanswered.response is ResponseState.PENDING:
-            responses.insert(0, Response(500, [], b""))
+            responses.insert(0, _FAILURE_RESPONSE)
         data = b"".join(
             _encode_response(response, closes=number == len(responses))
             for number, response in enumerate(responses, 1)
@@ -333,7 +339,11 @@
         try:
             return self._server.early_responder(request)
         except Exception:
-            _LOGGER.exception("early responder failed")
+            _LOGGER.exception(
+                "early responder failed",
+                method=request.method,
+                path=request.path,
+            )
             return None
 
     def _start_next_request(self) -> None:
@@ -374,9 +384,16 @@
             self._end_cancelled(exchange)
             raise
         except Exception:
-            _LOGGER.exception("request handler failed")
+            _LOGGER.exception(
+                "request handler failed",
+                method=exchange.request.method,
+                path=exchange.request.path,
+            )
             if not exchange.is_started:
-                exchange.send_response(500, [], b"")
+                failure = _FAILURE_RESPONSE
+                exchange.send_response(
+                    failure.status, failure.headers, failure.body
+                )
         finally:
             self._task = self._exchange = None
         if self._end_reason is not None:
--- a/tests/router/test_caller_connection.py
+++ b/tests/router/test_caller_connection.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import pytest
+import structlog
 import uvloop
 
 from lacewingspar_router.http1.caller_connection import MAX_PIPELINED_REQUESTS
@@ -154,5 +155,28 @@
 
     server = Http1Server(async_handle, asyncio.get_running_loop().time)
     await server.async_start("127.0.0.1:0")
-    assert await responses(server, (request(0),), 0.0) == [(500, "")]
+    ((status, body),) = await responses(server, (request(0),), 0.0)
+    assert status == 500
+    assert body.startswith("internal_error: ")
     server.close()
+
+
+async def test_failed_request_is_answered_and_the_next_is_handled() -> None:
+    """Guards against an empty response and a log line without the request."""
+
+    async def async_handle(exchange: ServerExchange) -> None:
+        if exchange.request.target == "/0":
+            raise RuntimeError("exploded")
+        exchange.send_response(200, [], b"handled")
+
+    server = Http1Server(async_handle, asyncio.get_running_loop().time)
+    await server.async_start("127.0.0.1:0")
+    with structlog.testing.capture_logs() as lines:
+        received = await responses(server, (request(0) + request(1),), 0.0)
+    server.close()
+    (status, body), following = received
+    assert status == 500
+    assert body.startswith("internal_error: ")
+    assert following == (200, "handled")
+    (line,) = [item for item in lines if item["log_level"] == "error"]
+    assert (line["method"], line["path"]) == ("GET", "/0")
