--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -13,6 +13,8 @@
 # First line of another response in a stream that ends with its connection. No
 # field of an event is called so.
 _STATUS_LINE = re.compile(rb"(?:\A|[\r\n])(HTTP/1\.[01] [1-5]\d\d[ \r\n])")
+# Size of what it matches, with the end of the line before.
+_STATUS_LINE_BYTES = len(b"\nHTTP/1.1 200 ")
 # What a header field carries unchanged: no control characters, and no space at
 # either end.
 _HEADER_VALUE = re.compile(
@@ -190,7 +192,7 @@
         searched_from = max(0, len(self._buffer) - _MAX_EVENT_END_BYTES + 1)
         self._buffer += data
         if not self._is_framed:
-            self._drop_other_response()
+            self._drop_other_response(len(data))
         ready = bytearray()
         start = 0
         for end in _EVENT_END.finditer(self._buffer, searched_from):
@@ -241,9 +243,14 @@
             return "stream ended while it repeated events"
         return ""
 
-    def _drop_other_response(self) -> None:
-        """End the run where another response begins in the buffer."""
-        found = _STATUS_LINE.search(self._buffer)
+    def _drop_other_response(self, new_bytes: int) -> None:
+        """End the run where another response begins in the buffer.
+
+        Args:
+            new_bytes: Size of the end of the buffer that was not searched yet.
+        """
+        searched_from = len(self._buffer) - new_bytes - _STATUS_LINE_BYTES
+        found = _STATUS_LINE.search(self._buffer, max(0, searched_from))
         if found is not None:
             self.is_run_over = True
             del self._buffer[found.start(1) :]
--- a/tests/core/test_event_stream.py
+++ b/tests/core/test_event_stream.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lacewingspar_core import event_stream
 from lacewingspar_core.event_stream import (
     MAX_EVENT_BYTES,
     MAX_EVENT_ID_BYTES,
@@ -420,3 +421,22 @@
     sequence = EventSequence()
     sequence.begin_run(StreamStart(), is_framed=is_framed)
     assert sequence.push(data) == data
+
+
+def test_search_for_another_response_reads_each_byte_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a large event that holds up the event loop."""
+    searched_bytes = 0
+
+    class StatusLine:
+        def search(self, buffer: bytearray, start: int = 0) -> None:
+            nonlocal searched_bytes
+            searched_bytes += len(buffer) - start
+
+    monkeypatch.setattr(event_stream, "_STATUS_LINE", StatusLine())
+    sequence = EventSequence()
+    sequence.begin_run(StreamStart(), is_framed=False)
+    for _ in range(1000):
+        sequence.push(b"x" * 100)
+    assert searched_bytes < 2 * 1000 * 100
