--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -40,8 +40,10 @@
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 # Head of a response to a request of the platform, up to the id of the request.
+# The limits keep the search of any body short.
 _RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[^\r\n]+\r\n){0,100}?"
+    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,80}\r\n"
+    rb"(?:(?!HTTP/)[^\r\n]{1,1000}\r\n){0,30}?"
     + names.HEADER_REQUEST_ID
     + b":",
     re.IGNORECASE,
--- /dev/null
+++ b/tests/router/test_wire_format.py
@@ -0,0 +1,45 @@
+"""Bodies of the platform's responses."""
+
+import time
+
+import pytest
+
+from lacewingspar_router.platform.wire_format import PlatformWireFormat
+
+# A search that reads each byte a few times takes a twentieth of this.
+MAX_SEARCH_SECONDS = 2.0
+MIB = 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 200 a\r\n",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 a\r\n" + 100 * (b"X-Filler: " + b"x" * 1000 + b"\r\n"),
+        b"HTTP/1.1 200 a\r\n" + 200 * b"a: b\r\n",
+    ],
+)
+def test_search_for_another_response_is_short(line: bytes) -> None:
+    """Guards against a body that holds up the event loop."""
+    body = line * (4 * MIB // len(line))
+    started_at = time.process_time()
+    assert not PlatformWireFormat().holds_other_response(body)
+    assert time.process_time() - started_at < MAX_SEARCH_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("body", "is_other"),
+    [
+        (b"answerHTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n", True),
+        (b"HTTP/1.0 503 \r\nA: b\r\nC: d\r\nx-attempt-id: 1\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nX-Attempt-Id: 1\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n", False),
+        (b"X-Attempt-Id: 1\r\n", False),
+    ],
+)
+def test_other_response_has_the_id_of_a_request(
+    body: bytes, *, is_other: bool
+) -> None:
+    """Guards against bodies that are rejected because of what they say."""
+    assert PlatformWireFormat().holds_other_response(body) is is_other
