Complete a stream whose upstream repeats some events before its proper end

Where the framing tells the end, the upstream has sent all of it. Without framing the end may be a crash, and the run counts as broken off as before. The rows of the test with framing asked for the reverse; two of them fail before.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -239,7 +239,9 @@
         """Return why the stream is not complete if the run ends here, or ""."""
         if self.has_partial_event:
             return "stream ended inside an event"
-        if self.is_repeating:
+        # An upstream that ends its stream properly has sent all of it.
+        is_proper_end = self._is_framed and self._has_run_delivered
+        if self.is_repeating and not is_proper_end:
             return "stream ended while it repeated events"
         return ""
 
