Tell repetitions by the id and the data of any earlier event of the stream

Remembered events are compared in every run and by id and data. If some are no longer remembered, a run that starts anew is skipped up to the last event. Middle parts that are no longer remembered are still passed on.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -145,8 +145,9 @@
     _ends_with_last_id: bool = True
     _run_state: _RunState = _RunState.AT_LAST_EVENT
     _has_run_delivered: bool = False
-    # Hashes of forwarded events with an id, oldest first.
+    # Digests of forwarded events with an id, oldest first.
     _remembered: dict[int, None] = field(default_factory=dict)
+    _has_forgotten: bool = False
     _has_shared_ids: bool = False
     _is_framed: bool = True
     _buffer: bytearray = field(default_factory=bytearray)
@@ -264,47 +265,46 @@
             return self._run_state is not _RunState.REPEATING
         # The last of several ids counts.
         event_id = ids[-1] if ids else None
-        order = self._order(event_id, block)
+        digest = _digest(event_id, block)
+        order = self._order(event_id, digest)
         self._run_state = _NEXT_STATE[self._run_state, order]
         if self._run_state is not _RunState.NEW:
             self.repeated += 1
             return False
-        self._record(event_id, block)
+        self._record(event_id, digest)
         return True
 
-    def _order(self, event_id: bytes | None, block: bytes) -> _Order:
-        """Return the place of an event."""
-        if self.last_id is None or not event_id:
-            return _Order.UNKNOWN
-        order = _order_of_ids(event_id, self.last_id)
-        if self._has_run_delivered:
-            return self._order_within_run(order, block)
-        if order is _Order.UNKNOWN and event_id == self._first_id:
-            # The upstream has started the stream anew.
-            return _Order.EARLIER
-        return order
-
-    def _order_within_run(self, order: _Order, block: bytes) -> _Order:
-        """Return the place of an event in a run that has delivered a new one.
+    def _order(self, event_id: bytes | None, digest: int) -> _Order:
+        """Return the place of an event.
 
         Args:
-            order: Its place by its id.
-            block: The event.
+            event_id: Its id, or None.
+            digest: Hash of its id and data.
         """
-        is_remembered = hash(block) in self._remembered
-        is_after_new_event = self._run_state is _RunState.NEW
+        if self.last_id is None or not event_id:
+            return _Order.UNKNOWN
+        is_known = digest in self._remembered
+        order = _order_of_ids(event_id, self.last_id)
         match order:
-            case _Order.SAME if is_after_new_event and not is_remembered:
-                self._has_shared_ids = True
-                return _Order.LATER
-            case _Order.SAME | _Order.UNKNOWN if self._has_shared_ids:
-                return _Order.LATER
-            case _Order.UNKNOWN:
-                return _Order.EARLIER if is_remembered else _Order.LATER
+            case _Order.SAME if self._run_state is _RunState.NEW:
+                # Different events may have the same id.
+                self._has_shared_ids = self._has_shared_ids or not is_known
+                return _Order.UNKNOWN if self._has_shared_ids else order
+            case _Order.UNKNOWN if self._has_shared_ids:
+                return order
+            case _Order.UNKNOWN if is_known or self._starts_anew(event_id):
+                return _Order.EARLIER
+            case _Order.UNKNOWN if self._has_run_delivered:
+                return _Order.UNKNOWN if self._has_forgotten else _Order.LATER
             case _:
                 return order
 
-    def _record(self, event_id: bytes | None, block: bytes) -> None:
+    def _starts_anew(self, event_id: bytes) -> bool:
+        """Return whether an event that is not remembered is the first one."""
+        is_comparable = not self._has_run_delivered or self._has_forgotten
+        return is_comparable and event_id == self._first_id
+
+    def _record(self, event_id: bytes | None, digest: int) -> None:
         """Record a forwarded event."""
         self.forwarded += 1
         self._has_run_delivered = True
@@ -315,11 +315,18 @@
         self.last_id = event_id
         if self._first_id is None:
             self._first_id = event_id
-        self._remembered[hash(block)] = None
+        self._remembered[digest] = None
         if len(self._remembered) > MAX_REMEMBERED_EVENTS:
+            self._has_forgotten = True
             del self._remembered[next(iter(self._remembered))]
 
 
+def _digest(event_id: bytes | None, block: bytes) -> int:
+    """Return a hash of the id and the data of an event."""
+    lines = block.splitlines()
+    return hash((event_id, *(line for line in lines if line[:4] == b"data")))
+
+
 def _is_event(block: bytes) -> bool:
     """Return whether a block has more than comments and reconnection times."""
     return not all(
