Tell followers of a draining entry that the reader knew from a notice

Cause: the reader that had got the notice had the upstream as draining already, so the entry was no change for it, the offset of the last change stayed, and followers that compare their own with it asked for nothing.

The directory now keeps what the registry says apart from what was announced. A report that differs from the last one is a change, once.

test_report_of_an_announced_shutdown_is_a_change_once and test_followers_learn_from_the_entry_what_the_reader_knew_before fail before and pass after.

--- a/packages/core/src/lacewingspar_core/directory.py
+++ b/packages/core/src/lacewingspar_core/directory.py
@@ -100,6 +100,8 @@
     def __init__(self) -> None:
         self.notices = UpstreamNotices()
         self._entry_by_id: dict[str, UpstreamEntry] = {}
+        # What the registry says, without the announcements.
+        self._listed_state_by_id: dict[str, UpstreamState] = {}
         self._expires_at_by_id: dict[str, float] = {}
         self._removed_by_id: dict[str, _RemovedUpstream] = {}
 
@@ -121,7 +123,8 @@
 
         Returns:
             The change, or None if the report is outdated or changes nothing
-            relevant.
+            relevant. A report that an upstream is draining is a change also if
+            it has announced that, since other routers may not know.
         """
         upstream_id = entry.upstream_id
         removed = self._removed_by_id.get(upstream_id)
@@ -133,6 +136,9 @@
         self._removed_by_id.pop(upstream_id, None)
         had_expired = self._expires_at_by_id.pop(upstream_id, None) is not None
         self.notices.record_incarnation(upstream_id, entry.born_ms)
+        listed_state = self._listed_state_by_id.get(upstream_id)
+        is_state_new = entry.state is not listed_state
+        self._listed_state_by_id[upstream_id] = entry.state
         if self.notices.is_leaving(upstream_id, entry.born_ms):
             entry = replace(entry, state=UpstreamState.DRAINING)
         self._entry_by_id[upstream_id] = entry
@@ -140,7 +146,8 @@
             return DirectoryChange(ChangeKind.ADDED, entry)
         if entry.born_ms != known.born_ms:
             return DirectoryChange(ChangeKind.RESTARTED, entry)
-        if had_expired or _relevant_fields(entry) != _relevant_fields(known):
+        is_change = _relevant_fields(entry) != _relevant_fields(known)
+        if had_expired or is_state_new or is_change:
             return DirectoryChange(ChangeKind.CHANGED, entry)
         return None
 
@@ -222,6 +229,7 @@
 
     def _drop(self, entry: UpstreamEntry, now: float) -> DirectoryChange:
         del self._entry_by_id[entry.upstream_id]
+        del self._listed_state_by_id[entry.upstream_id]
         self._expires_at_by_id.pop(entry.upstream_id, None)
         self._removed_by_id[entry.upstream_id] = _RemovedUpstream(
             entry.order, now
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -129,3 +129,18 @@
     directory.apply(entry)
     assert ("u1" in directory.ready_upstreams("s")) is is_ready
     assert directory.mark_leaving("u1", leaving_born_ms, 11.0) is None
+
+
+def test_report_of_an_announced_shutdown_is_a_change_once() -> None:
+    """Guards against changes that only the routers with the notice know."""
+    directory = UpstreamDirectory()
+    directory.apply(ENTRY)
+    assert directory.mark_leaving("u1", ENTRY.born_ms, 10.0) is not None
+    reports = [
+        replace(ENTRY, sequence=6),
+        replace(DRAINING, sequence=7),
+        replace(DRAINING, sequence=8),
+    ]
+    kinds = [kind_of(directory.apply(report)) for report in reports]
+    assert kinds == [None, ChangeKind.CHANGED, None]
+    assert directory.ready_upstreams("s") == {}
--- a/tests/router/deployed/test_reader_role.py
+++ b/tests/router/deployed/test_reader_role.py
@@ -302,6 +302,24 @@
     assert pair.follower.directory.entry_by_id["u1"].slots == 9
 
 
+def test_followers_learn_from_the_entry_what_the_reader_knew_before() -> None:
+    """Guards against a router that missed a notice of an upstream.
+
+    The reader has got the notice, so that the entry changes nothing for it.
+    """
+    pair = _ReaderAndFollower()
+    pair.reader.mark_leaving("u1", 1, "response")
+    renewed = KeyedRecord("u1", entry(2), 2)
+    pair.reader.apply_upstream_records([renewed], 3, "log")
+    assert pair.copy_changes() == 0
+    leaving = entry(3).replace(b'"ready"', b'"draining"')
+    record = KeyedRecord("u1", leaving, 3)
+    pair.reader.apply_upstream_records([record], 4, "log")
+    assert pair.reader.changed_offset == 4
+    assert pair.copy_changes() == 1
+    assert set(pair.follower.directory.ready_upstreams("plain")) == {"u2"}
+
+
 def test_expiry_seen_only_by_the_reader_is_not_a_removal() -> None:
     """Guards against followers that drop upstreams after a log outage."""
     pair = _ReaderAndFollower()
