Give routers that start more time to get their first state

When a whole fleet starts, all routers ask one reader at the same time, and the listings of all of them are priced. A router without any state now waits 2 s; it serves nothing until then. How long the replies take in a large fleet was not measured.

--- a/packages/core/src/lacewingspar_core/confirmed_state.py
+++ b/packages/core/src/lacewingspar_core/confirmed_state.py
@@ -20,6 +20,11 @@
     configuration_version: int
     directory_offset: int
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether there is a configuration and an upstream list."""
+        return self.configuration_version >= 0 and self.directory_offset >= 0
+
     def covers(self, other: "StatePosition") -> bool:
         """Return whether nothing lacks here that the other position has."""
         return (
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -29,6 +29,9 @@
 # the log itself. Together with the pause between reads and a call to the log it
 # must stay below the 2 s within which changes must be active.
 LACKED_STATE_TIMEOUT_SECONDS = 0.8
+# The same for a router that has no state yet, which serves nothing. When a
+# fleet starts, all routers ask the reader at the same time.
+START_LACKED_STATE_TIMEOUT_SECONDS = 2.0
 # Time for which a router that starts waits for the state from others before it
 # lists the topics itself. A reply takes milliseconds.
 START_WAIT_SECONDS = 0.4
--- a/packages/router/src/lacewingspar_router/components/routing/reader_role.py
+++ b/packages/router/src/lacewingspar_router/components/routing/reader_role.py
@@ -215,9 +215,12 @@
         """Return the time until this router must not rely on another."""
         timeout = _CONFIRMATION_TIMEOUT_SECONDS_BY_RANK[self.rank]
         silence_left = timeout - (self._app.now() - self._confirmed_at)
-        lacked_left = const.LACKED_STATE_TIMEOUT_SECONDS - (
-            self._lacked_seconds() or 0.0
+        lacked_timeout = (
+            const.LACKED_STATE_TIMEOUT_SECONDS
+            if self._read_position().is_complete
+            else const.START_LACKED_STATE_TIMEOUT_SECONDS
         )
+        lacked_left = lacked_timeout - (self._lacked_seconds() or 0.0)
         return max(0.0, min(silence_left, lacked_left))
 
     def _lacked_seconds(self) -> float | None:
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -134,7 +134,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether configuration and upstreams have been loaded."""
-        return self._stored is not None and self._directory_offset >= 0
+        return self.position.is_complete
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Register a function that is called after every change."""
