Let whole requests crash upstreams in the soak, beside a popular sound one

The fault 'crashing part' is now 'crashing request': half of its draws crash upstreams by a prompt part as before, half by a body that a tenth of the plain requests have. Two in five of the others share one sound body. Checks: after the third crash under a body at most three requests with it reach upstreams later than 3 s, and the shared sound body is never refused for longer than 10 s.

--- a/packages/standins/src/lacewingspar_standins/bench/soak.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak.py
@@ -160,7 +160,7 @@
             plan.router_id: plan.caller_address
             for plan in fleet.plan_by_id.values()
         }
-        callers = SoakCallers(addresses, seed, lambda: fleet.crashing_part)
+        callers = SoakCallers(addresses, seed, fleet)
         is_planned_only = generator.random() < PLANNED_ONLY_FRACTION
         profile = _PLANNED if is_planned_only else _MIXED
         loop_delay = LoopDelay()
@@ -184,7 +184,7 @@
             events=EVENTS,
             grace_seconds=STOP_GRACE_SECONDS,
             leaving=soak.leaving,
-            crashing_parts=soak.crashing_parts,
+            crashing_causes=soak.crashing_causes,
             sender_by_id=read_senders(processes.folder),
             late_periods=loop_delay.periods,
         )
--- a/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_callers.py
@@ -3,8 +3,9 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from lacewingspar_router.http1.errors import (
     ConnectionBrokenError,
@@ -40,8 +41,12 @@
 SINGLE_RUN_PATHS = frozenset({"/stream-once/", "/write/"})
 # Number of shared first and second parts in the prompts of streams.
 SHARED_PARTS = 3
-# Fraction of the streams with the part that crashes engines, if there is one.
+# Fraction of the streams with the part that crashes engines, if there is one,
+# and of the others with the body that crashes upstreams.
 CRASHING_FRACTION = 0.1
+# Body that many requests on other paths share, and the fraction of these.
+POPULAR_TEXT = "popular"
+POPULAR_FRACTION = 0.4
 # Fraction of the requests whose caller disconnects before the response.
 DISCONNECT_FRACTION = 0.06
 # Upper limits of the time between two requests of a caller. Callers with a long
@@ -67,6 +72,7 @@
         key: API key of the request.
         router_id: Router that it was sent to.
         parts: Parts of its prompt, if it has one.
+        text: Body that other requests share, or "" for one of its own.
         sent_at: Time at which it had been written, in seconds of the event
             loop.
         deadline_seconds: Deadline of the request, relative to `sent_at`.
@@ -97,10 +103,16 @@
     is_complete: bool = False
     previous: "ObservedCall | None" = None
     parts: tuple[str, ...] = ()
+    text: str = ""
     settled_at: float = 0.0
     closed_at: float = float("inf")
     end_reason: str = ""
 
+    @property
+    def causes(self) -> set[str]:
+        """Return what it shares with others and may crash upstreams."""
+        return {*self.parts, self.text}
+
     @property
     def is_crossing(self) -> bool:
         """Return whether the connection had ended as the request was sent."""
@@ -122,6 +134,13 @@
         )
 
 
+class CrashingRequests(Protocol):
+    """What crashes upstreams now: a prompt part and a request body, or ""."""
+
+    crashing_part: str
+    crashing_text: str
+
+
 class SoakCallers:
     """Callers that keep their connections until these are closed.
 
@@ -131,18 +150,19 @@
     Args:
         address_by_router_id: Caller addresses of the routers.
         seed: Seed of the load.
-        crashing_part: Returns the prompt part that crashes engines, or "".
+        crashing: What crashes upstreams.
     """
 
     def __init__(
         self,
         address_by_router_id: dict[str, str],
         seed: int,
-        crashing_part: Callable[[], str],
+        crashing: CrashingRequests,
     ) -> None:
         self._address_by_router_id = address_by_router_id
         self._seed = seed
-        self._crashing_part = crashing_part
+        self._crashing = crashing
+        self._text_generator = random.Random(seed)
         self._prompt_generator = random.Random(seed)
         self._numbers = itertools.count(1)
         self.calls: list[ObservedCall] = []
@@ -230,6 +250,8 @@
         )
         if "stream" in call.path:
             call.parts = self._new_prompt(len(self.calls))
+        else:
+            call.text = self._new_text()
         self.calls.append(call)
         return call
 
@@ -239,10 +261,17 @@
         first, second = (
             f"{kind}{generator.randrange(SHARED_PARTS)}" for kind in "ab"
         )
-        if generator.random() < CRASHING_FRACTION and self._crashing_part():
-            second = self._crashing_part()
+        if generator.random() < CRASHING_FRACTION:
+            second = self._crashing.crashing_part or second
         return (first, second, f"{number:08x}")
 
+    def _new_text(self) -> str:
+        """Return a body that others share, or "" for one of its own."""
+        draw = self._text_generator.random()
+        if draw < CRASHING_FRACTION and self._crashing.crashing_text:
+            return self._crashing.crashing_text
+        return POPULAR_TEXT if draw < POPULAR_FRACTION else ""
+
 
 async def async_read_responses(
     connection: ObservedConnection,
@@ -302,7 +331,7 @@
         call.path,
         call.request_id,
         round(call.deadline_seconds * 1000),
-        call.request_id.encode(),
+        (call.text or call.request_id).encode(),
         key=call.key,
         **headers,
     )
--- a/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_checks.py
@@ -15,7 +15,8 @@
 from lacewingspar_standins.bench.soak_upstream_checks import (
     sent_after_leave,
     sent_before_wait_end,
-    sent_with_crashing_part,
+    sent_with_crashing_cause,
+    sound_request_quarantined,
 )
 from lacewingspar_standins.deployed.documents import KEY
 from lacewingspar_standins.deployed.upstream import SEAL
@@ -58,7 +59,8 @@
         "lost behind an announced close": _lost_behind_close(observations),
         "failed without a fault": _failed_requests(observations),
         "recovery": _recovery(observations),
-        "sent with a crashing part": sent_with_crashing_part(observations),
+        "sent with a crashing cause": sent_with_crashing_cause(observations),
+        "sound request quarantined": sound_request_quarantined(observations),
         "sent after an announced leave": sent_after_leave(observations),
         "sent before the time to wait": sent_before_wait_end(observations),
     }
@@ -344,7 +346,7 @@
         and call.key == KEY
         and call.disconnected_at == math.inf
         and call.ended_at < math.inf
-        and not set(call.parts) & set(observations.crashing_parts)
+        and not call.causes & set(observations.crashing_causes)
     ]
     served = sum(call.status == 200 and call.is_complete for call in calls)
     if calls and served >= MIN_SERVED_FRACTION * len(calls):
--- a/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_faults.py
@@ -127,23 +127,28 @@
     return ("prompts",)
 
 
-async def _async_crash_by_part(
+async def _async_crash_by_request(
     soak: Soak, _name: str, _fault: Fault, generator: random.Random
 ) -> None:
-    """Let a prompt part crash engines, which are back after some time."""
+    """Let a prompt part or a whole request crash upstreams for some time."""
     fleet = soak.fleet
-    fleet.crash_on(f"{generator.getrandbits(32):08x}")
-    soak.crashing_parts.append(fleet.crashing_part)
+    number = generator.getrandbits(32)
+    cause = f"{number:08x}"
+    if number % 2:
+        fleet.crash_on(part=cause)
+    else:
+        fleet.crash_on(text=cause)
+    soak.crashing_causes.append(cause)
     ends_at = soak.now + generator.uniform(*_PART_CRASH_SECONDS)
     async with asyncio.TaskGroup() as group:
         while soak.now < ends_at:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(ends_at - soak.now):
-                    name = await fleet.crashed_by_part.get()
+                    name = await fleet.crashed_by_request.get()
                     group.create_task(
                         _async_restart(soak, name, generator.uniform(0.2, 2.0))
                     )
-        fleet.crash_on("")
+        fleet.crash_on()
 
 
 async def _async_restart(soak: Soak, name: str, seconds: float) -> None:
@@ -197,7 +202,7 @@
     FaultScenario("crash", _upstreams, _async_crash): 2,
     FaultScenario("", _upstreams, _async_upstream, _UPSTREAM_FAULTS): 3,
     FaultScenario(
-        "crashing part", _prompts, _async_crash_by_part, min_free=1
+        "crashing request", _prompts, _async_crash_by_request, min_free=1
     ): 2,
 }
 
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -83,7 +83,8 @@
         starting: Routers that start and are not ready yet.
         draining: Upstreams that announce the state `draining`.
         crashing_part: Prompt part that crashes engines, or "".
-        crashed_by_part: Upstreams that the part has crashed.
+        crashing_text: Request body that crashes upstreams, or "".
+        crashed_by_request: Upstreams that one of them has crashed.
         loaded: Number of reasons to send heavy bursts to a router, by its id.
         changes: Signals, configurations and settings that reach routers.
 
@@ -110,7 +111,8 @@
         self.draining: set[str] = set()
         self.starting: set[str] = set()
         self.crashing_part = ""
-        self.crashed_by_part: asyncio.Queue[str] = asyncio.Queue()
+        self.crashing_text = ""
+        self.crashed_by_request: asyncio.Queue[str] = asyncio.Queue()
         self.loaded: Counter[str] = Counter()
         self.changes = Changes()
         self._address_by_link: dict[str, str] = {}
@@ -144,6 +146,7 @@
             name, EVENTS, EVENT_SECONDS
         )
         upstream.faults.crash_part = self.crashing_part
+        upstream.faults.crash_marker = self.crashing_text
         upstream.on_crash = partial(self._record_crash, name)
         self.service_by_upstream[name] = service
         self.present.add(name)
@@ -277,21 +280,22 @@
         self._down.discard(name)
         self.write_entry(name)
 
-    def crash_on(self, part: str) -> None:
-        """Let a prompt part crash all upstreams, or none."""
-        self.crashing_part = part
+    def crash_on(self, part: str = "", text: str = "") -> None:
+        """Let a prompt part or a request body crash all upstreams, or none."""
+        self.crashing_part, self.crashing_text = part, text
         for upstream in self.upstream_by_id.values():
             upstream.faults.crash_part = part
+            upstream.faults.crash_marker = text
 
-    def _record_crash(self, name: str, by_part: bool) -> None:
+    def _record_crash(self, name: str, by_request: bool) -> None:
         """Refuse connections, as a crashed upstream does not listen."""
         was_down = name in self._down
         self._down.add(name)
         link = self.link_by_name.get(f"upstream/{name}")
         if link is not None:
             link.stop_listening()
-        if by_part and not was_down:
-            self.crashed_by_part.put_nowait(name)
+        if by_request and not was_down:
+            self.crashed_by_request.put_nowait(name)
 
     def publish(self, configuration: SoakConfiguration) -> None:
         """Publish a configuration."""
--- a/packages/standins/src/lacewingspar_standins/bench/soak_state.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_state.py
@@ -25,7 +25,7 @@
         drains: Drained upstreams with the start and end of each drain.
         leaving: Upstreams that announce in their responses that they leave,
             and since when.
-        crashing_parts: Prompt parts that have crashed engines.
+        crashing_causes: Prompt parts and bodies that have crashed upstreams.
     """
 
     def __init__(self, fleet: SoakFleet) -> None:
@@ -34,7 +34,7 @@
         self.publications = [Publication(self.now, fleet.configuration)]
         self.drains: list[tuple[str, float, float]] = []
         self.leaving: list[tuple[str, float]] = []
-        self.crashing_parts: list[str] = []
+        self.crashing_causes: list[str] = []
         self._affected: set[str] = set()
 
     @property
--- a/packages/standins/src/lacewingspar_standins/bench/soak_upstream_checks.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_upstream_checks.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from lacewingspar_standins.bench.soak_callers import ObservedCall
+from lacewingspar_standins.bench.soak_callers import POPULAR_TEXT, ObservedCall
 from lacewingspar_standins.bench.soak_observations import SoakObservations
 from lacewingspar_standins.deployed.upstream import ReceivedRequest
 
@@ -14,11 +14,14 @@
 # the router may send the upstream this many requests.
 MAX_WAIT_DELAY_SECONDS = 0.5
 MAX_REQUESTS_WHILE_WAITING = 2
-# From this long after this many crashes under a prompt part, upstreams may get
-# this many requests with it.
-CRASHES_UNTIL_KNOWN = 5
+# From this long after this many crashes under a whole request or a prompt part,
+# upstreams may get this many requests with it.
+REQUEST_CRASHES_UNTIL_KNOWN = 3
+PART_CRASHES_UNTIL_KNOWN = 5
 MAX_CRASH_DELAY_SECONDS = 3.0
 MAX_REQUESTS_AFTER_CRASHES = 3
+# A sound request that is beside crashes is told to come again within this time.
+MAX_SUSPICION_SECONDS = 10.0
 
 
 def sent_after_leave(observations: SoakObservations) -> list[str]:
@@ -74,23 +77,27 @@
     ]
 
 
-def sent_with_crashing_part(observations: SoakObservations) -> list[str]:
-    """Describe requests with a part that is known to crash upstreams."""
+def sent_with_crashing_cause(observations: SoakObservations) -> list[str]:
+    """Describe requests of which it is known that they crash upstreams."""
+    texts = {call.text for call in observations.calls}
     crash_times = defaultdict(list)
     for upstream in observations.upstream_by_id.values():
-        for part, at in upstream.part_crashes:
-            crash_times[part].append(at)
+        for cause, at in upstream.request_crashes:
+            crash_times[cause].append(at)
     found = []
-    for part, times in crash_times.items():
-        if len(times) < CRASHES_UNTIL_KNOWN:
+    for cause, times in crash_times.items():
+        needed = PART_CRASHES_UNTIL_KNOWN
+        if cause in texts:
+            needed = REQUEST_CRASHES_UNTIL_KNOWN
+        if len(times) < needed:
             continue
-        known_at = sorted(times)[CRASHES_UNTIL_KNOWN - 1]
+        known_at = sorted(times)[needed - 1]
         late = [
             f"{call.request_id}: at {upstream_id} from {sender}, "
             f"{received.at - known_at:.2f} s after"
             for upstream_id in observations.upstream_by_id
             for call, received, sender in _arrivals(observations, upstream_id)
-            if part in call.parts
+            if cause in call.causes
             and received.at > known_at + MAX_CRASH_DELAY_SECONDS
             and not _is_disturbed(
                 observations,
@@ -105,6 +112,17 @@
     return found
 
 
+def sound_request_quarantined(observations: SoakObservations) -> list[str]:
+    """Describe refusals of a sound request as one that crashes upstreams."""
+    return [
+        f"{call.request_id}: at {call.router_id}, {call.headers}"
+        for call in observations.calls
+        if call.text == POPULAR_TEXT
+        and call.body.startswith(b"quarantined")
+        and float(call.headers.get("retry-after", 0)) > MAX_SUSPICION_SECONDS
+    ]
+
+
 def _arrivals(
     observations: SoakObservations, upstream_id: str
 ) -> Iterator[tuple[ObservedCall, ReceivedRequest, str]]:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -216,9 +216,10 @@
         unnamed_refusals: Number of these refusals.
         cancelled: Number of requests whose connection closed before they
             ended.
-        part_crashes: Prompt parts that have crashed it, and when.
+        request_crashes: Prompt parts and bodies that have crashed it,
+            and when.
         may_go_on: Ends all pauses, instead of `pause_seconds`, or None.
-        on_crash: Called at each crash with whether a prompt part caused it, or
+        on_crash: Called at each crash with whether a request caused it, or
             None.
         id_of_event: Returns the id of the event with a number, from 1, or None
             for an event without an id.
@@ -246,7 +247,7 @@
         self.cancelled = 0
         self.connections = 0
         self.crashes = 0
-        self.part_crashes: list[tuple[str, float]] = []
+        self.request_crashes: list[tuple[str, float]] = []
         self.may_go_on: asyncio.Event | None = None
         self.on_crash: Callable[[bool], None] | None = None
         self.id_of_event: Callable[[int], str | None] = str
@@ -292,24 +293,28 @@
         self.faults.mute = False
         self.unmuted.set()
 
-    def crash(self, *, by_part: bool = False) -> None:
+    def crash(self, *, by_part: bool = False, by_body: bool = False) -> None:
         """Stop listening and end all connections.
 
         Args:
             by_part: Whether a prompt part is the cause. Another request with it
                 has no effect on an upstream that has crashed.
+            by_body: Whether a request body is the cause.
         """
         if by_part and self._server is None:
             return
         self.crashes += 1
-        if by_part:
+        by_request = by_part or (by_body and self._server is not None)
+        if by_request:
             now = asyncio.get_running_loop().time()
-            self.part_crashes.append((self.faults.crash_part, now))
+            faults = self.faults
+            cause = faults.crash_part if by_part else faults.crash_marker
+            self.request_crashes.append((cause, now))
         if self._server is not None:
             self._server.close()
             self._server = None
         if self.on_crash is not None:
-            self.on_crash(by_part)
+            self.on_crash(by_request)
         for connection in list(self.open_connections):
             if self.faults.crash_cleanly:
                 connection.close()
@@ -395,7 +400,7 @@
             await asyncio.sleep(self._upstream.response_delay_seconds)
             marker = faults.crash_marker.encode()
             if marker and marker in request.body:
-                self._upstream.crash()
+                self._upstream.crash(by_body=True)
                 return
             if faults.mute:
                 await self._upstream.unmuted.wait()
--- a/tests/standins/test_soak_upstream_checks.py
+++ b/tests/standins/test_soak_upstream_checks.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from lacewingspar_standins.bench.soak_callers import ObservedCall
+from lacewingspar_standins.bench.soak_callers import (
+    POPULAR_TEXT,
+    ObservedCall,
+)
 from lacewingspar_standins.bench.soak_configuration import first_configuration
 from lacewingspar_standins.bench.soak_observations import (
     Publication,
@@ -14,7 +17,8 @@
 from lacewingspar_standins.bench.soak_upstream_checks import (
     sent_after_leave,
     sent_before_wait_end,
-    sent_with_crashing_part,
+    sent_with_crashing_cause,
+    sound_request_quarantined,
 )
 from lacewingspar_standins.deployed.documents import KEY
 from lacewingspar_standins.deployed.upstream import ReceivedRequest, Upstream
@@ -127,10 +131,47 @@
     seen = replace(observations(case, ""), spans=list(spans))
     for call in seen.calls:
         call.parts = ("a", "crashing", "own")
-    seen.upstream_by_id["u1"].part_crashes = [
+    seen.upstream_by_id["u1"].request_crashes = [
+        ("crashing", float(number)) for number in range(crashes)
+    ]
+    assert bool(sent_with_crashing_cause(seen)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("crashes", "late", "is_found"),
+    [(3, 4, True), (3, 3, False), (2, 4, False)],
+)
+def test_whole_requests_that_crash_upstreams_are_reported(
+    crashes: int, late: int, is_found: bool
+) -> None:
+    """Guards against a soak that does not see requests it must not see."""
+    case = Case(tuple(8.5 + 0.01 * number for number in range(late)), False)
+    seen = observations(case, "")
+    for call in seen.calls:
+        call.text = "crashing"
+    seen.upstream_by_id["u1"].request_crashes = [
         ("crashing", float(number)) for number in range(crashes)
     ]
-    assert bool(sent_with_crashing_part(seen)) is is_found
+    assert bool(sent_with_crashing_cause(seen)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("text", "retry_after", "is_found"),
+    [
+        (POPULAR_TEXT, "599.2", True),
+        (POPULAR_TEXT, "1.8", False),
+        ("crashing", "599.2", False),
+    ],
+)
+def test_sound_request_that_is_convicted_is_reported(
+    text: str, retry_after: str, is_found: bool
+) -> None:
+    """Guards against a soak that lets a popular request be refused."""
+    seen = observations(Case((8.5,), False), "")
+    (call,) = seen.calls
+    call.text, call.headers = text, {"retry-after": retry_after}
+    call.body = b"quarantined: the request has crashed upstreams"
+    assert bool(sound_request_quarantined(seen)) is is_found
 
 
 async def test_upstream_crashes_once_under_several_requests() -> None:
@@ -139,4 +180,4 @@
     await upstream.async_start()
     upstream.crash(by_part=True)
     upstream.crash(by_part=True)
-    assert (upstream.crashes, len(upstream.part_crashes)) == (1, 1)
+    assert (upstream.crashes, len(upstream.request_crashes)) == (1, 1)
