Convict no companion of a crashing request by three crashes in a row

Three crashes with other common suspects now make a request suspected (2 s, then a probe); the only common suspect of three is convicted, as is any of four.

Evidence: a row of test_companion_of_a_crashing_request_is_only_suspected failed before and passes after; the containment tests pass unchanged, the property test too. is_refused, which only tests use, counts a suspected request as refused, as only its probes are sent.

--- a/packages/core/src/lacewingspar_core/crash_evidence.py
+++ b/packages/core/src/lacewingspar_core/crash_evidence.py
@@ -6,10 +6,11 @@
 one: upstreams that end together say no more than one of them.
 
 Crashes that count convict a request if it is the only suspect that two of them
-have in common, or an uncleared suspect of three. If it has long been in flight
-at other upstreams, two do not suffice, and neither do as many as there are such
-upstreams, up to `MAXIMUM_EXCUSED_CRASHES`. Crashes that suffice only because
-some happened together make it suspected.
+have in common, or the only one of three. One crash more convicts it in any
+case. If it has long been in flight at other upstreams, two do not suffice, and
+neither do as many as there are such upstreams, up to `MAXIMUM_EXCUSED_CRASHES`.
+It is suspected if crashes suffice only because some happened together, or if
+three have other suspects in common.
 """
 
 import math
@@ -111,7 +112,9 @@
             earlier = crashes[start:end]
             chain = _one_after_the_other(fingerprint, earlier)
             pairs = earlier if two_may_suffice else ()
-            if _suffice(chain, pairs, last, is_excused, needed):
+            if _suffice(chain, pairs, last, is_excused, needed) and _is_proved(
+                [*chain, last], pairs, needed
+            ):
                 return Convicted(last.happened_at + QUARANTINE_SECONDS)
         if suspected_at == -math.inf:
             near = crashes[start:position]
@@ -123,6 +126,22 @@
     return None
 
 
+def _is_proved(
+    counted: Sequence[Crash], pairs: Sequence[Crash], needed: int
+) -> bool:
+    """Return whether crashes that suffice have no other common suspect.
+
+    One crash more than needed proves the request all the same.
+    """
+    if len(counted) > needed:
+        return True
+    causes = counted[-1].possible_causes()
+    if any(len(crash.possible_causes() & causes) == 1 for crash in pairs):
+        return True
+    common = set.intersection(*(crash.possible_causes() for crash in counted))
+    return len(common) == 1
+
+
 def _one_after_the_other(
     fingerprint: str, crashes: Sequence[Crash]
 ) -> list[Crash]:
--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -14,7 +14,7 @@
 crashes before it sends a fingerprint again, and at most k runs of the
 fingerprint are in flight at once, then without a completed run between them the
 fingerprint takes part in at most 2 + k crashes within `CRASH_WINDOW_SECONDS`
-until it is refused, and in two more as a probe if crashes happened together.
+until it is refused, and in at most three more as a probe.
 That is 3 for consecutive runs, and 2 if suspects also run on separate
 upstreams. Runs that have long been in flight at n other upstreams raise it to
 n + k, for n of at least 2 and at most `MAXIMUM_EXCUSED_CRASHES`.
@@ -100,8 +100,12 @@
         return self._epoch_by_upstream.get(upstream_id, 0)
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request is in quarantine."""
-        return now < self.refused_until(fingerprint, now)
+        """Return whether a request is refused, unless it is a probe."""
+        match self.verdict(fingerprint, now):
+            case Convicted(until):
+                return now < until
+            case verdict:
+                return verdict is not None
 
     def refused_until(
         self, fingerprint: str, now: float, parts: Collection[str] = ()
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -90,6 +90,43 @@
     ] == verdicts
 
 
+@pytest.mark.parametrize(
+    ("crashes", "cleared", "convicted", "suspected"),
+    [
+        (["xa", "xa", "xa"], "", "", "ax"),
+        (["xa", "xa", "xa"], "a", "x", ""),
+        (["xa", "xa", "xb"], "", "x", ""),
+        (["xa", "xa", "xa", "xa"], "", "ax", ""),
+    ],
+)
+def test_companion_of_a_crashing_request_is_only_suspected(
+    crashes: list[str], cleared: str, convicted: str, suspected: str
+) -> None:
+    """Guards against convicting a popular request with one beside it.
+
+    Three crashes can follow each other in less time than one run takes (soak,
+    seed 418).
+    """
+    state = QuarantineState("s")
+    for number, suspects in enumerate(crashes):
+        state.record_crash(
+            f"u{number}",
+            0,
+            suspects,
+            number / 10,
+            sent_at_by_fingerprint=dict.fromkeys(suspects, number / 10 - 0.05),
+        )
+    for name in cleared:
+        state.record_success(name, 0.5)
+    verdicts = {name: state.verdict(name, 0.5) for name in "abx"}
+    assert [
+        name for name in "abx" if isinstance(verdicts[name], Convicted)
+    ] == list(convicted)
+    assert [
+        name for name in "abx" if isinstance(verdicts[name], Suspected)
+    ] == list(suspected)
+
+
 def exchange(states: list[QuarantineState], now: float) -> None:
     for message in [state.publish(now) for state in states]:
         for receiver in states if message else ():
