Bound the bytes held for bodies, and refuse what goes beyond at once

Routers run in 150 and 300 MB.

Cause: each body was limited (maxBodyBytes), all of them together were not.

BodyMemory counts the bytes of all bodies of callers, from the head that announces them, or else their arrival, until the request ends, however it ends. A neighbour that refuses a request that was handed over says so, and the router serves it itself. A body larger than the bound is taken while no other is held: no wait would make room for it.

Not bounded: responses of upstreams that are buffered whole (8 MiB each).

--- a/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/__init__.py
@@ -42,6 +42,8 @@
     callers.max_connections = round(
         const.CALLER_DESCRIPTOR_FRACTION * settings.platform.descriptor_limit
     )
+    callers.body_memory.max_bytes = settings.platform.max_held_body_bytes
+    callers.refuse_body = handler.load_shedder.refuse_body
     monitoring_handler = MonitoringHandler(app)
     readiness = Http1Server(monitoring_handler.async_handle, app.now)
     metrics = Http1Server(monitoring_handler.async_handle, app.now)
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_shedding.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_shedding.py
@@ -76,6 +76,15 @@
         )
         return self._wire_format.refusal_response(error, identity.request_id)
 
+    def refuse_body(self) -> Response:
+        """Return the refusal of a request whose body finds no room."""
+        self._telemetry.count("bodies_refused_total")
+        jitter = self._app.random.uniform(1.0, 2.0)
+        error = refusals.no_body_memory(
+            const.OVERLOADED_RETRY_AFTER_SECONDS * jitter
+        )
+        return self._wire_format.refusal_response(error, "")
+
     def begin(self, workspace: str) -> None:
         """Count a request as in flight until its end is reported to `limit`.
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/refusals.py
@@ -17,12 +17,14 @@
 _ROUTER_OVERLOADED = "router_overloaded"
 _STOPPING = "stopping"
 _OUTDATED = "outdated"
+_NO_BODY_MEMORY = "no_body_memory"
 # Codes of refusals after which another router can serve the request.
 _ROUTER_REFUSAL_CODES = (
     _NOT_READY,
     _ROUTER_OVERLOADED,
     _STOPPING,
     _OUTDATED,
+    _NO_BODY_MEMORY,
 )
 
 
@@ -123,6 +125,16 @@
     )
 
 
+def no_body_memory(seconds: float) -> RequestRefusedError:
+    """Return the refusal of a request whose body finds no room."""
+    return RequestRefusedError(
+        503,
+        _NO_BODY_MEMORY,
+        "this router holds as many bytes of other bodies as it may",
+        retry_after_seconds=seconds,
+    )
+
+
 def recently_declined(seconds: float) -> RequestRefusedError:
     """Return the refusal of a request like those a pool just declined."""
     return RequestRefusedError(
--- a/packages/router/src/lacewingspar_router/http1/caller_connection.py
+++ b/packages/router/src/lacewingspar_router/http1/caller_connection.py
@@ -26,6 +26,7 @@
     status_line,
 )
 from lacewingspar_router.http1.request_reader import (
+    STATUS_NO_BODY_MEMORY,
     InputRejectedError,
     RequestReader,
 )
@@ -80,7 +81,9 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: CallerTransport | None = None
-        self._reader = RequestReader(self, lambda: server.limits)
+        self._reader = RequestReader(
+            self, lambda: server.limits, server.body_memory
+        )
         self._queued_requests: deque[_QueuedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
@@ -169,6 +172,8 @@
         """Cancel the request in flight."""
         self._record_caller_left(exc)
         self._server.connections.discard(self)
+        for queued in self._queued_requests:
+            self._release_body(queued.request)
         self._queued_requests.clear()
         self._can_write.set()
         if self._timer is not None:
@@ -201,6 +206,7 @@
         request = HttpRequest(method, target, headers, body, self._received_at)
         self._received_at = self._server.now()
         if self._end_reason is not None:
+            self._release_body(request)
             self._server.observer.record_crossing(request, self._end_reason)
             return
         is_next = self._task is None and (
@@ -358,12 +364,17 @@
             if early is None:
                 self._start_handler(exchange)
                 return
+            self._release_body(queued.request)
             exchange.send_response(early.status, early.headers, early.body)
             if self._closes_after_response:
                 self.end(EndReason.ANNOUNCED)
                 return
         if self._error_status_at_end is not None:
-            self._refuse_input(Response(self._error_status_at_end, [], b""))
+            self._refuse_input(
+                self._server.refuse_body()
+                if self._error_status_at_end == STATUS_NO_BODY_MEMORY
+                else Response(self._error_status_at_end, [], b"")
+            )
         self.send_continue()
 
     def _start_handler(self, exchange: ServerExchange) -> None:
@@ -376,6 +387,14 @@
         self._task = self._loop.create_task(
             self._async_handle_request(exchange)
         )
+        # A task that is cancelled before its first step runs nothing else.
+        self._task.add_done_callback(
+            lambda _: self._release_body(exchange.request)
+        )
+
+    def _release_body(self, request: HttpRequest) -> None:
+        """Release the memory of a request that has ended."""
+        self._server.body_memory.release(len(request.body))
 
     async def _async_handle_request(self, exchange: ServerExchange) -> None:
         try:
--- a/packages/router/src/lacewingspar_router/http1/request_reader.py
+++ b/packages/router/src/lacewingspar_router/http1/request_reader.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from lacewingspar_router.http1.body_memory import BodyMemory
 from lacewingspar_router.http1.exchange import ConnectionLimits
 from lacewingspar_router.http1.ignored_upgrade import (
     has_body,
@@ -12,6 +13,9 @@
 )
 from lacewingspar_router.http_headers import RawHeaders
 
+# Status of a request whose body finds no room.
+STATUS_NO_BODY_MEMORY = 503
+
 
 class InputRejectedError(Exception):
     """The received bytes are not a request, or it exceeds a limit.
@@ -31,7 +35,7 @@
     def receive_request(
         self, method: str, target: str, headers: RawHeaders, body: bytes
     ) -> None:
-        """Handle a request."""
+        """Handle a request, and release the memory of its body at its end."""
 
     def send_continue(self) -> None:
         """Tell the caller to send the body of its request when possible."""
@@ -50,12 +54,14 @@
     Args:
         receiver: Receives each request.
         limits: Returns the limits that apply now.
+        body_memory: Bounds the bodies of all connections.
     """
 
     def __init__(
         self,
         receiver: RequestReceiver,
         limits: Callable[[], ConnectionLimits],
+        body_memory: BodyMemory,
     ) -> None:
         self.is_reading = False
         self.is_head_complete = False
@@ -63,6 +69,9 @@
         self.is_ended = False
         self._receiver = receiver
         self._limits = limits
+        self._body_memory = body_memory
+        self._held_bytes = 0
+        self._body: list[bytes] = []
         self._is_behind_another = False
         self._parser = httptools.HttpRequestParser(self)
 
@@ -92,6 +101,7 @@
         """Ignore the bytes that follow."""
         self.is_ended = True
         self.is_reading = self.is_continue_due = False
+        self._release_body()
 
     def close(self) -> None:
         """Release the parser.
@@ -99,17 +109,18 @@
         It forms a reference cycle with this reader. Breaking it frees both now
         instead of at the next garbage collection.
         """
+        self._release_body()
         del self._parser, self._receiver, self._limits
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._release_body()
         self.is_reading = True
         self.is_head_complete = False
         self._url = b""
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
         self._body_bytes = 0
         self._parsed_head_bytes = 0
 
@@ -130,6 +141,7 @@
         length = values.get(b"content-length", b"0")
         if int(length) > self._limits().body_bytes:
             raise InputRejectedError(413)
+        self._hold_body(int(length))
         self.is_continue_due = (
             values.get(b"expect", b"").lower() == b"100-continue"
             and self._parser.get_http_version() != "1.0"
@@ -143,6 +155,7 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().body_bytes:
             raise InputRejectedError(413)
+        self._hold_body(self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Hand over the request."""
@@ -159,6 +172,8 @@
         # An idle connection must not keep its last request in memory.
         self._headers = []
         self._body = []
+        # The request holds its bytes from now on.
+        self._held_bytes = 0
         self._receiver.receive_request(
             self._parser.get_method().decode("latin-1"),
             self._url.decode("latin-1"),
@@ -193,6 +208,21 @@
             if self._received_head_bytes > self._limits().header_bytes:
                 self._reject(431)
 
+    def _hold_body(self, size: int) -> None:
+        """Hold memory for a body of this size, at least."""
+        missing = size - self._held_bytes
+        if missing <= 0:
+            return
+        if not self._body_memory.try_hold(missing, self._held_bytes):
+            raise InputRejectedError(STATUS_NO_BODY_MEMORY)
+        self._held_bytes += missing
+
+    def _release_body(self) -> None:
+        """Release the memory of a body that is not received completely."""
+        self._body_memory.release(self._held_bytes)
+        self._held_bytes = 0
+        self._body = []
+
     def _count_head_bytes(self, size: int) -> None:
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits().header_bytes:
--- a/packages/router/src/lacewingspar_router/http1/server.py
+++ b/packages/router/src/lacewingspar_router/http1/server.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from lacewingspar_router.http1.body_memory import BodyMemory
 from lacewingspar_router.http1.caller_connection import CallerConnection
 from lacewingspar_router.http1.connection_end import (
     EndLog,
@@ -15,6 +16,7 @@
 from lacewingspar_router.http1.exchange import ConnectionLimits, ServerExchange
 from lacewingspar_router.http1.listener import Listener, bind_address
 from lacewingspar_router.http1.messages import HttpRequest, Response
+from lacewingspar_router.http1.request_reader import STATUS_NO_BODY_MEMORY
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -48,6 +50,11 @@
     return None
 
 
+def _refuse_body() -> Response:
+    """Return a refusal that does not say when to come back."""
+    return Response(STATUS_NO_BODY_MEMORY, [], b"")
+
+
 class Http1Server:
     """HTTP/1.1 server on one address.
 
@@ -56,6 +63,8 @@
         early_responder: Returns a response to send without calling the handler,
             or None.
         limits: Limits of each connection; may be replaced at any time.
+        body_memory: Bounds the bodies of requests, of all connections together.
+        refuse_body: Returns the response to a request whose body finds no room.
         connections: Open connections.
         observer: Records the ends of connections.
         is_closing_connections: Whether connections close after a response.
@@ -81,6 +90,8 @@
         self.early_responder = early_responder
         self.now = now
         self.limits = ConnectionLimits()
+        self.body_memory = BodyMemory()
+        self.refuse_body: Callable[[], Response] = _refuse_body
         self.connections: set[CallerConnection] = set()
         self.observer = observer or EndLog()
         self._is_closed = False
--- a/packages/router/src/lacewingspar_router/settings.py
+++ b/packages/router/src/lacewingspar_router/settings.py
@@ -11,6 +11,7 @@
 
 from lacewingspar_core.names import Name
 from lacewingspar_router.errors import SettingsError
+from lacewingspar_router.http1.body_memory import DEFAULT_MAX_BYTES
 
 _STRICT = ConfigDict(extra="forbid")
 
@@ -52,6 +53,8 @@
         max_upstream_wait_seconds: Longest time for which an upstream is left
             alone because of the `Retry-After` of its response.
         descriptor_limit: Maximum number of open file descriptors.
+        max_held_body_bytes: Most bytes that are held for the bodies of requests
+            together.
         processor_share: Share of a processor that the router may use.
         processor_speed: Speed of that processor, relative to a common one.
     """
@@ -64,6 +67,9 @@
     retry_allowance: Annotated[float, Field(ge=0, le=100_000)] = 20.0
     max_upstream_wait_seconds: Annotated[float, Field(gt=0, le=86_400)] = 300.0
     descriptor_limit: Annotated[int, Field(ge=256, le=10_000_000)] = 1024
+    max_held_body_bytes: Annotated[int, Field(ge=1024 * 1024, le=1024**4)] = (
+        DEFAULT_MAX_BYTES
+    )
     processor_share: Annotated[float, Field(gt=0, le=1024)] = 1.0
     processor_speed: Annotated[float, Field(gt=0, le=1024)] = 1.0
 
