--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -318,17 +318,22 @@
 
 
 async def async_add_overloaded_router(
-    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch, **changes: Any
 ) -> Caller:
     """Start an overloaded router and an idle neighbour.
 
+    Args:
+        deployment: Their deployment.
+        monkeypatch: Replaces the controller of the overloaded one.
+        **changes: Settings of both.
+
     Returns:
         A caller of the overloaded router.
     """
     with monkeypatch.context() as patch:
         patch.setattr(hand_over, "HandOverController", _FullHandOverController)
-        caller = await deployment.add_router("r1")
-    await deployment.add_router("r2")
+        caller = await deployment.add_router("r1", **changes)
+    await deployment.add_router("r2", **changes)
     await until(lambda: knows_as_serving(deployment.apps[0], "r2"))
     return caller
 
