Take the headers of a hand-over only with the token of this process

A caller's `X-Lacewingspar-Version:` got 503 `outdated`, and `X-Lacewingspar-Waited-Ms` made a router take the request for one that was handed over and had waited as long: it was refused at its deadline, or never handed over by a loaded router. Nothing told a caller's headers from those of a router.

Each process makes a random token at its start and writes it with its registration into the log service, which callers do not reach. A router that hands over sends the token of the process that receives; only with it the two other headers are read. Tokens are in no message between routers, as that channel is open to whatever reaches its port. A loaded router reads the registrations again, once a second at most, if the token of a neighbour is missing; until then it serves the requests itself.

The fixture of an overloaded router waits until the neighbour's token is known.

--- a/packages/core/src/lacewingspar_core/hand_over.py
+++ b/packages/core/src/lacewingspar_core/hand_over.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import MemberRecord, RouterState
 from lacewingspar_core.ownership import eligible_owners
 
@@ -72,13 +73,18 @@
     """A router that requests may be handed over to.
 
     Attributes:
-        router_id: ID of the router.
+        instance: The router and its start.
         address: Address for callers as `host:port`.
     """
 
-    router_id: str
+    instance: RouterInstance
     address: str
 
+    @property
+    def router_id(self) -> str:
+        """Return the ID of the router."""
+        return self.instance.router_id
+
 
 def eligible_neighbours(
     own_id: str, data_centre: str, records: Mapping[str, MemberRecord]
@@ -108,8 +114,8 @@
     ]
     others = [item for item in candidates if item[0] not in owners]
     return [
-        Neighbour(router_id, record.caller_address)
-        for router_id, record in others or candidates
+        Neighbour(record.life, record.caller_address)
+        for _, record in others or candidates
     ]
 
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -19,6 +19,7 @@
 from lacewingspar_router.components.forwarding.stopping import InFlightRequest
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.telemetry.models import TELEMETRY
+from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
 from lacewingspar_router.http1.client import async_read_body, async_read_head
 from lacewingspar_router.http1.client_connection import (
     BodySink,
@@ -86,6 +87,7 @@
         self._app = app
         self._wire_format = app.get(WIRE_FORMAT)
         self._peers = app.get(PEERS)
+        self._tokens = app.get(HAND_OVER_TOKENS)
         self._telemetry = app.get(TELEMETRY)
         assert app.settings.platform is not None
         self._neighbour_loads = NeighbourLoads(
@@ -118,10 +120,22 @@
             return None
         if not self.controller.should_hand_over_next():
             return None
+        self.prepare()
         return self._neighbour_loads.choose(
-            self._known_neighbours(), self._app.now()
+            [item for item in self._known_neighbours() if self._token_of(item)],
+            self._app.now(),
         )
 
+    def prepare(self) -> None:
+        """Read the tokens of neighbours, if some are missing and needed."""
+        if self.controller.share > 0 and not all(
+            self._token_of(item) for item in self._known_neighbours()
+        ):
+            self._tokens.request_refresh()
+
+    def _token_of(self, neighbour: Neighbour) -> str | None:
+        return self._tokens.token_of(neighbour.instance)
+
     async def async_run(
         self, request: InFlightRequest, neighbour: Neighbour
     ) -> bool:
@@ -195,6 +209,9 @@
         events: EventSequence,
     ) -> HandOverOutcome:
         """Send a request and relay the response."""
+        token = self._token_of(neighbour)
+        if token is None:
+            return HandOverOutcome.NOT_TAKEN
         pool = self._pool_by_address.get(neighbour.address)
         if pool is None:
             pool = ConnectionPool(
@@ -213,7 +230,7 @@
             waited = self._app.now() - call.arrived_at
             connection.send(
                 self._wire_format.encode_handed_over_request(
-                    call.request, waited, call.configuration_version
+                    call.request, token, waited, call.configuration_version
                 )
             )
             head = await async_read_head(connection)
--- a/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/load_monitor.py
@@ -60,6 +60,7 @@
 
     def _measure(self, loop_delay_seconds: float) -> None:
         self._record_delay(loop_delay_seconds)
+        self._hand_over.prepare()
         if self._now() >= self._reported_at + const.LOAD_LOG_INTERVAL_SECONDS:
             self._log_load()
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/models.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/models.py
@@ -156,6 +156,7 @@
     def encode_handed_over_request(
         self,
         request: HttpRequest,
+        token: str,
         waited_seconds: float,
         configuration_version: int,
     ) -> bytes:
@@ -163,6 +164,7 @@
 
         Args:
             request: The request.
+            token: Token of the process that it is handed over to.
             waited_seconds: Time since the request arrived.
             configuration_version: Version of the configuration with which the
                 request was accepted.
--- a/packages/router/src/lacewingspar_router/components/routing/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/routing/__init__.py
@@ -66,6 +66,7 @@
     app.create_task(configuration.async_run(), "follow configuration")
     app.create_task(upstreams.async_run(), "follow upstreams")
     app.create_task(registration.async_register(), "register router")
+    app.create_task(registration.async_read_tokens(), "read tokens")
     app.create_task(
         synchronizer.async_fetch_while_unavailable(), "fetch shared state"
     )
--- a/packages/router/src/lacewingspar_router/components/routing/const.py
+++ b/packages/router/src/lacewingspar_router/components/routing/const.py
@@ -58,6 +58,8 @@
 NOTICE_LOCAL_FANOUT = 4
 NOTICE_REMOTE_FANOUT = 1
 
+# Shortest interval between reads of the registered tokens.
+TOKEN_READ_INTERVAL_SECONDS = 1.0
 # Delay before a failed registration is retried.
 REGISTRATION_RETRY_DELAY_SECONDS = 0.5
 # Registered routers that started longer ago than this are not contacted. The
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -15,6 +15,8 @@
 from lacewingspar_router.components.routing.errors import TopicUnavailableError
 from lacewingspar_router.components.routing.models import KeyedTopic
 from lacewingspar_router.components.routing.reader_role import LogReaderRole
+from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
+from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -23,11 +25,20 @@
 
 
 class _RegisteredRouter(msgspec.Struct, frozen=True):
-    """Registration of a router; each restart replaces it."""
+    """Registration of a router; each restart replaces it.
+
+    Attributes:
+        instance: The router and its start.
+        data_centre: Data centre of the router.
+        address: ZeroMQ endpoint of the router.
+        token: Token of requests that are handed over to it, or "" if it takes
+            none.
+    """
 
     instance: RouterInstance = msgspec.field(name="life")
     data_centre: str
     address: str
+    token: str = ""
 
 
 class Registration:
@@ -56,6 +67,9 @@
         self._role = role
         self._topic = topic
         self._peers = app.get(PEERS)
+        self._tokens = app.get(HAND_OVER_TOKENS)
+        self._tokens_wanted = asyncio.Event()
+        self._tokens.set_refresh(self._tokens_wanted.set)
 
     def contact_seeds(self, hosts: Iterable[str]) -> None:
         """Contact the routers that may be running on some hosts.
@@ -88,15 +102,33 @@
             self._app.instance,
             self._app.settings.data_centre,
             f"tcp://{self._app.settings.peer_address}",
+            self._tokens.own,
         )
         await self._topic.async_append(
             self._app.instance.router_id, msgspec.msgpack.encode(record)
         )
 
-    async def _async_contact_routers(self) -> None:
+    async def async_read_tokens(self) -> None:
+        """Read the registered tokens whenever some are missing."""
+        guard = LoopGuard(self._app, "tokens of routers")
+        while True:
+            await self._tokens_wanted.wait()
+            with guard:
+                try:
+                    await self._async_list_routers()
+                except TopicUnavailableError as error:
+                    _LOGGER.warning(
+                        "tokens of routers not read; will retry",
+                        reason=str(error),
+                    )
+            await asyncio.sleep(const.TOKEN_READ_INTERVAL_SECONDS)
+            self._tokens_wanted.clear()
+
+    async def _async_list_routers(self) -> dict[str, _RegisteredRouter]:
+        """Return the registered routers by key, and keep their tokens."""
         listing = await self._topic.async_read_newest()
         decoder = msgspec.msgpack.Decoder(_RegisteredRouter)
-        seeds: list[Seed] = []
+        router_by_key: dict[str, _RegisteredRouter] = {}
         for key, stored in listing.record_by_key.items():
             try:
                 record = decoder.decode(stored.value)
@@ -107,8 +139,19 @@
                     problem=str(error),
                 )
                 continue
-            if not self._is_stale(record.instance):
-                seeds.append(Seed(key, record.data_centre, record.address))
+            router_by_key[key] = record
+        self._tokens.replace(
+            (record.instance, record.token) for record in router_by_key.values()
+        )
+        return router_by_key
+
+    async def _async_contact_routers(self) -> None:
+        routers = await self._async_list_routers()
+        seeds = [
+            Seed(key, record.data_centre, record.address)
+            for key, record in routers.items()
+            if not self._is_stale(record.instance)
+        ]
         self._peers.add_seeds(seeds)
         self._role.set_registered_routers(
             {seed.router_id: seed.data_centre for seed in seeds}
--- a/packages/router/src/lacewingspar_router/platform/__init__.py
+++ b/packages/router/src/lacewingspar_router/platform/__init__.py
@@ -6,6 +6,10 @@
     ROUTING_SOURCE,
     RoutingSource,
 )
+from lacewingspar_router.hand_over_tokens import (
+    HAND_OVER_TOKENS,
+    HandOverTokens,
+)
 from lacewingspar_router.platform import names
 from lacewingspar_router.platform.manifest import decode_configuration
 from lacewingspar_router.platform.store import PlatformStore, StoreTopic
@@ -18,7 +22,9 @@
     store = PlatformStore(
         app.settings.log_service_url.removeprefix("http://").rstrip("/")
     )
-    app.register(WIRE_FORMAT, PlatformWireFormat())
+    tokens = HandOverTokens()
+    app.register(HAND_OVER_TOKENS, tokens)
+    app.register(WIRE_FORMAT, PlatformWireFormat(tokens))
     app.register(
         ROUTING_SOURCE,
         RoutingSource(
--- a/packages/router/src/lacewingspar_router/platform/names.py
+++ b/packages/router/src/lacewingspar_router/platform/names.py
@@ -12,6 +12,9 @@
 HEADER_PROMPT_PARTS = b"x-prompt-prefix"
 HEADER_LAST_EVENT_ID = b"last-event-id"
 
+# Token of the process that a request is handed over to. Without it the two
+# headers below mean nothing.
+HEADER_HAND_OVER_TOKEN = b"x-lacewingspar-token"
 # Milliseconds since the request arrived; set by a router that hands the request
 # over to another router.
 HEADER_HANDED_OVER_MS = b"x-lacewingspar-waited-ms"
@@ -30,6 +33,7 @@
         HEADER_TIME_LEFT_MS,
         HEADER_AUTHORIZATION,
         HEADER_LAST_EVENT_ID,
+        HEADER_HAND_OVER_TOKEN,
         HEADER_HANDED_OVER_MS,
         HEADER_CONFIGURATION_VERSION,
         b"x-expect-version",
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -20,6 +20,7 @@
     ResponseInfo,
 )
 from lacewingspar_router.errors import RequestRefusedError
+from lacewingspar_router.hand_over_tokens import HandOverTokens
 from lacewingspar_router.http1.messages import (
     HttpRequest,
     Response,
@@ -64,7 +65,14 @@
 
 
 class PlatformWireFormat:
-    """Implements the wire format of the platform."""
+    """Implements the wire format of the platform.
+
+    Args:
+        tokens: Tokens of routers, of which the own one proves a hand-over.
+    """
+
+    def __init__(self, tokens: HandOverTokens) -> None:
+        self._tokens = tokens
 
     def parse_request_id(self, request: HttpRequest) -> str:
         """Return the identifier of a request, or ""."""
@@ -91,6 +99,7 @@
             RequestRefusedError: A required header is invalid.
         """
         values = request.value_by_header
+        is_handed_over = self._is_handed_over(values)
         prompt_tokens, max_output_tokens = _token_counts(values)
         shared, own = _prompt(values, prompt_tokens)
         return RequestMetadata(
@@ -102,13 +111,31 @@
             own_tokens=own,
             output_tokens=_output_tokens(values, max_output_tokens),
             last_event_id=values.get(names.HEADER_LAST_EVENT_ID) or None,
-            handed_over_after_seconds=_handed_over_after(values),
-            min_configuration_version=_min_version(values),
+            handed_over_after_seconds=(
+                _handed_over_after(values) if is_handed_over else None
+            ),
+            min_configuration_version=(
+                _min_version(values) if is_handed_over else None
+            ),
+        )
+
+    def _is_handed_over(self, values: dict[bytes, bytes]) -> bool:
+        """Return whether a router of the fleet has sent the request."""
+        token = values.get(names.HEADER_HAND_OVER_TOKEN)
+        if token is None:
+            return False
+        if self._tokens.is_own(token):
+            return True
+        _LOGGER.warning(
+            "token of a hand-over is wrong; taken for a caller's request",
+            request_id=_header_text(values, names.HEADER_REQUEST_ID),
         )
+        return False
 
     def encode_handed_over_request(
         self,
         request: HttpRequest,
+        token: str,
         waited_seconds: float,
         configuration_version: int,
     ) -> bytes:
@@ -116,6 +143,7 @@
         headers = end_to_end_headers(request.headers, _REWRITTEN_HEADERS)
         waited_ms = max(0, int(waited_seconds * 1000))
         headers += [
+            (names.HEADER_HAND_OVER_TOKEN, token.encode()),
             (names.HEADER_HANDED_OVER_MS, b"%d" % waited_ms),
             (names.HEADER_CONFIGURATION_VERSION, b"%d" % configuration_version),
             (b"content-length", b"%d" % len(request.body)),
@@ -204,6 +232,7 @@
 
 _REWRITTEN_HEADERS = frozenset(
     {
+        names.HEADER_HAND_OVER_TOKEN,
         names.HEADER_HANDED_OVER_MS,
         names.HEADER_CONFIGURATION_VERSION,
         b"content-length",
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -18,6 +18,7 @@
 from lacewingspar_router.components.forwarding import hand_over
 from lacewingspar_router.components.forwarding.load_monitor import LoadMonitor
 from lacewingspar_router.components.peers.models import PEERS
+from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
 from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.messages import (
     Response,
@@ -334,7 +335,10 @@
         patch.setattr(hand_over, "HandOverController", _FullHandOverController)
         caller = await deployment.add_router("r1", **changes)
     await deployment.add_router("r2", **changes)
-    await until(lambda: knows_as_serving(deployment.apps[0], "r2"))
+    overloaded, neighbour = deployment.apps
+    await until(lambda: knows_as_serving(overloaded, "r2"))
+    tokens = overloaded.get(HAND_OVER_TOKENS)
+    await until(lambda: tokens.token_of(neighbour.instance) is not None)
     return caller
 
 
--- a/tests/router/deployed/test_hand_over.py
+++ b/tests/router/deployed/test_hand_over.py
@@ -17,6 +17,7 @@
 from lacewingspar_router.components.forwarding.retry_budgets import RetryBudgets
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.routing.models import ROUTING
+from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
 from lacewingspar_router.http1.client_connection import ClientConnection
 from lacewingspar_router.http1.errors import ConnectionBrokenError
 from lacewingspar_router.http1.messages import ResponseHead
@@ -231,8 +232,12 @@
     The upstream would continue to run a request whose caller has timed out.
     """
     caller = await served.add_router()
+    (router,) = served.apps
     response = await caller.call(
-        "/write/x", budget_ms=3000, x_lacewingspar_waited_ms="1000"
+        "/write/x",
+        budget_ms=3000,
+        x_lacewingspar_token=router.get(HAND_OVER_TOKENS).own,
+        x_lacewingspar_waited_ms="1000",
     )
     assert response.status == 200
     (request,) = [
