Hand requests over only at addresses from the log service

The address that a request is handed over to came from the heartbeat of the neighbour. Messages between routers have no proof of their sender, so a process that reaches their port could name itself in the heartbeat of a router and be handed requests, with the keys of their callers and the token of that router. The address now stands beside the token in the registration; `Neighbour` has none any more.

test_forged_heartbeat_moves_no_request failed before (504, as the requests waited at the other process) and passes after. The hint of output tokens is no longer read if it is missing.

--- a/packages/core/src/lacewingspar_core/hand_over.py
+++ b/packages/core/src/lacewingspar_core/hand_over.py
@@ -74,11 +74,9 @@
 
     Attributes:
         instance: The router and its start.
-        address: Address for callers as `host:port`.
     """
 
     instance: RouterInstance
-    address: str
 
     @property
     def router_id(self) -> str:
@@ -113,10 +111,7 @@
         and record.caller_address
     ]
     others = [item for item in candidates if item[0] not in owners]
-    return [
-        Neighbour(record.life, record.caller_address)
-        for _, record in others or candidates
-    ]
+    return [Neighbour(record.life) for _, record in others or candidates]
 
 
 class NeighbourLoads:
--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -19,7 +19,10 @@
 from lacewingspar_router.components.forwarding.stopping import InFlightRequest
 from lacewingspar_router.components.peers.models import PEERS
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
+from lacewingspar_router.hand_over_tokens import (
+    HAND_OVER_TOKENS,
+    HandOverTarget,
+)
 from lacewingspar_router.http1.client import async_read_body, async_read_head
 from lacewingspar_router.http1.client_connection import (
     BodySink,
@@ -122,19 +125,23 @@
             return None
         self.prepare()
         return self._neighbour_loads.choose(
-            [item for item in self._known_neighbours() if self._token_of(item)],
+            [
+                item
+                for item in self._known_neighbours()
+                if self._target_of(item)
+            ],
             self._app.now(),
         )
 
     def prepare(self) -> None:
         """Read the tokens of neighbours, if some are missing and needed."""
         if self.controller.share > 0 and not all(
-            self._token_of(item) for item in self._known_neighbours()
+            self._target_of(item) for item in self._known_neighbours()
         ):
             self._tokens.request_refresh()
 
-    def _token_of(self, neighbour: Neighbour) -> str | None:
-        return self._tokens.token_of(neighbour.instance)
+    def _target_of(self, neighbour: Neighbour) -> HandOverTarget | None:
+        return self._tokens.target_of(neighbour.instance)
 
     async def async_run(
         self, request: InFlightRequest, neighbour: Neighbour
@@ -189,7 +196,9 @@
     def close_stale_connections(self) -> None:
         """Close idle connections to neighbours that are no longer used."""
         addresses = {
-            neighbour.address for neighbour in self._known_neighbours()
+            target.address
+            for neighbour in self._known_neighbours()
+            if (target := self._target_of(neighbour))
         }
         for address, pool in list(self._pool_by_address.items()):
             pool.close_expired()
@@ -209,15 +218,15 @@
         events: EventSequence,
     ) -> HandOverOutcome:
         """Send a request and relay the response."""
-        token = self._token_of(neighbour)
-        if token is None:
+        target = self._target_of(neighbour)
+        if target is None:
             return HandOverOutcome.NOT_TAKEN
-        pool = self._pool_by_address.get(neighbour.address)
+        pool = self._pool_by_address.get(target.address)
         if pool is None:
             pool = ConnectionPool(
-                neighbour.address, const.HAND_OVER_MAX_IDLE_CONNECTIONS
+                target.address, const.HAND_OVER_MAX_IDLE_CONNECTIONS
             )
-            self._pool_by_address[neighbour.address] = pool
+            self._pool_by_address[target.address] = pool
         try:
             connection = await pool.async_acquire(
                 const.NON_REPEATABLE_MAX_IDLE_SECONDS
@@ -230,7 +239,10 @@
             waited = self._app.now() - call.arrived_at
             connection.send(
                 self._wire_format.encode_handed_over_request(
-                    call.request, token, waited, call.configuration_version
+                    call.request,
+                    target.token,
+                    waited,
+                    call.configuration_version,
                 )
             )
             head = await async_read_head(connection)
--- a/packages/router/src/lacewingspar_router/components/routing/registration.py
+++ b/packages/router/src/lacewingspar_router/components/routing/registration.py
@@ -15,7 +15,10 @@
 from lacewingspar_router.components.routing.errors import TopicUnavailableError
 from lacewingspar_router.components.routing.models import KeyedTopic
 from lacewingspar_router.components.routing.reader_role import LogReaderRole
-from lacewingspar_router.hand_over_tokens import HAND_OVER_TOKENS
+from lacewingspar_router.hand_over_tokens import (
+    HAND_OVER_TOKENS,
+    HandOverTarget,
+)
 from lacewingspar_router.loop_guard import LoopGuard
 
 _LOGGER = structlog.get_logger(__name__)
@@ -33,12 +36,14 @@
         address: ZeroMQ endpoint of the router.
         token: Token of requests that are handed over to it, or "" if it takes
             none.
+        caller_address: Address for callers, or "" if it takes none.
     """
 
     instance: RouterInstance = msgspec.field(name="life")
     data_centre: str
     address: str
     token: str = ""
+    caller_address: str = ""
 
 
 class Registration:
@@ -103,6 +108,7 @@
             self._app.settings.data_centre,
             f"tcp://{self._app.settings.peer_address}",
             self._tokens.own,
+            self._app.settings.caller_address,
         )
         await self._topic.async_append(
             self._app.instance.router_id, msgspec.msgpack.encode(record)
@@ -141,7 +147,11 @@
                 continue
             router_by_key[key] = record
         self._tokens.replace(
-            (record.instance, record.token) for record in router_by_key.values()
+            (
+                record.instance,
+                HandOverTarget(record.caller_address, record.token),
+            )
+            for record in router_by_key.values()
         )
         return router_by_key
 
--- a/packages/router/src/lacewingspar_router/platform/wire_format.py
+++ b/packages/router/src/lacewingspar_router/platform/wire_format.py
@@ -296,8 +296,11 @@
     values: dict[bytes, bytes], name: bytes, accepted: NumberRange
 ) -> float | None:
     """Return the number in a header that may be wrong, or None."""
+    text = _header_text(values, name)
+    if not text:
+        return None
     try:
-        return read_number(_header_text(values, name), accepted)
+        return read_number(text, accepted)
     except HeaderNumberError:
         return None
 
--- a/tests/core/test_hand_over.py
+++ b/tests/core/test_hand_over.py
@@ -100,7 +100,7 @@
 
 def test_least_loaded_neighbour_is_chosen() -> None:
     loads = NeighbourLoads()
-    neighbours = [Neighbour(RouterInstance(name, 1), "") for name in "abc"]
+    neighbours = [Neighbour(RouterInstance(name, 1)) for name in "abc"]
     chosen = []
     for _ in range(6):
         neighbour = loads.choose(neighbours, 0.0)
@@ -115,7 +115,7 @@
 
 def test_failed_neighbour_is_excluded_for_a_while() -> None:
     loads = NeighbourLoads()
-    neighbours = [Neighbour(RouterInstance("a", 1), "")]
+    neighbours = [Neighbour(RouterInstance("a", 1))]
     loads.exclude("a", 10.0)
     assert loads.choose(neighbours, 10.0 + EXCLUSION_SECONDS / 2) is None
     assert loads.choose(neighbours, 10.0 + EXCLUSION_SECONDS) == neighbours[0]
@@ -124,7 +124,7 @@
 def test_requests_at_neighbours_are_bounded() -> None:
     """Guards against a router that runs out of file descriptors."""
     loads = NeighbourLoads(max_in_flight=2)
-    neighbours = [Neighbour(RouterInstance(name, 1), "") for name in "ab"]
+    neighbours = [Neighbour(RouterInstance(name, 1)) for name in "ab"]
     loads.begin("a")
     loads.begin("b")
     assert loads.choose(neighbours, 0.0) is None
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -338,7 +338,7 @@
     overloaded, neighbour = deployment.apps
     await until(lambda: knows_as_serving(overloaded, "r2"))
     tokens = overloaded.get(HAND_OVER_TOKENS)
-    await until(lambda: tokens.token_of(neighbour.instance) is not None)
+    await until(lambda: tokens.target_of(neighbour.instance) is not None)
     return caller
 
 
--- a/tests/router/deployed/test_forged_hand_overs.py
+++ b/tests/router/deployed/test_forged_hand_overs.py
@@ -1,10 +1,16 @@
 """Tests of callers that send the headers of a hand-over between routers."""
 
 import asyncio
+from typing import Any
 
+import msgspec
 import pytest
 import structlog
-from tests.router.deployed.conftest import Caller, Deployment
+import zmq
+from tests.router.deployed.conftest import Caller, Deployment, until
+
+from lacewingspar_core.messages import Heartbeat, RouterState, encode_message
+from lacewingspar_router.components.peers.models import PEERS
 
 FORGED = {
     "version": {"x_lacewingspar_version": "999999999"},
@@ -80,3 +86,39 @@
         assert (await overloaded_caller.call("/write/x")).status == 200
     await asyncio.sleep(0.3)
     assert served.store.calls["/log-newest"] == reads
+
+
+async def test_forged_heartbeat_moves_no_request(
+    served: Deployment, overloaded_caller: Caller
+) -> None:
+    """Guards against requests, keys included, that go to any process.
+
+    The process sends heartbeats in the name of the neighbour, with an address
+    of its own for callers.
+    """
+    connections = []
+
+    async def async_accept(_: Any, writer: asyncio.StreamWriter) -> None:
+        connections.append(writer)
+
+    server = await asyncio.start_server(async_accept, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    overloaded = served.apps[0]
+    peers = overloaded.get(PEERS)
+    known = peers.alive_by_router_id["r2"]
+    forged = msgspec.structs.replace(known, caller_address=f"{host}:{port}")
+    with zmq.Context() as context, context.socket(zmq.PUSH) as liar:
+        liar.connect(f"tcp://{overloaded.settings.peer_address}")
+        envelope = [[forged.life.router_id, forged.life.incarnation], "dc-a"]
+        # Another state makes routers look at the whole record again.
+        for state in (RouterState.BUSY, RouterState.SERVING):
+            forged = msgspec.structs.replace(
+                forged, state=state, heartbeat=forged.heartbeat + 1000
+            )
+            message = encode_message(Heartbeat((forged,)))
+            liar.send_multipart([msgspec.msgpack.encode(envelope), message])
+            await until(lambda: peers.alive_by_router_id["r2"] == forged)  # noqa: B023
+        responses = [await overloaded_caller.call("/write/x") for _ in range(5)]
+    server.close()
+    assert {response.status for response in responses} == {200}
+    assert not connections
