--- a/tests/core/entry_model.py
+++ b/tests/core/entry_model.py
@@ -21,6 +21,7 @@
     Neighbour,
     NeighbourLoads,
 )
+from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.router_concurrency_limit import RouterConcurrencyLimit
 
 TICK_SECONDS = 0.01
@@ -101,7 +102,8 @@
                 vm.name: vm for vm in others if not vm.controller.is_busy
             }
             neighbour = self.neighbours.choose(
-                [Neighbour(name, "") for name in vm_by_name], now
+                [Neighbour(RouterInstance(name, 1)) for name in vm_by_name],
+                now,
             )
             if neighbour is not None:
                 neighbour_vm = vm_by_name[neighbour.router_id]
