Test that one silent connection costs no read of the log

The test of changes over silent connections now also checks which way the change came: from another router if only the connection to the reader is silent, from the log if all are.

--- a/tests/router/deployed/test_silent_peer_connections.py
+++ b/tests/router/deployed/test_silent_peer_connections.py
@@ -129,3 +129,6 @@
         served.publish(manifest(7))
         served.register("p1", "plain", "draining")
         await until(lambda: cut_off.has(7, "p1"), APPLY_SECONDS)
+        # Another router has what the reader cannot be asked for.
+        has_read = const.METRIC_READS_OF_LACKED_STATE in cut_off.metrics()
+        assert has_read is not is_only_reader_silent
