Count a call as not run if its new connection to an upstream ended first

What callers saw: 500 `internal_error` on the own interface, for a call of which nothing was sent, if its engine reset the new connection at once, as one that crashes. On an end without a reset, 502 with `run` unknown. The check whether an engine has crashed failed in the same way, so the crash was not recorded.

Cause: a connection can end between the connect and the moment at which a late loop hands it over. A transport of uvloop then has no socket; anyio asks for the name of the peer whenever any attribute of the stream is read, so httpcore's question for the TLS object raises AttributeError, which is no httpx error. On asyncio, and after an end without a reset, httpcore sends into the connection.

Fix: `CheckedTransport` looks at a connection in the trace callback of the HTTP library, right after the connect and after the TLS handshake, and before any send. One that has ended, or whose peer has sent first, is closed, logged and reported as `httpx.ConnectError`, which means "not run" already: the call is tried elsewhere or refused as `upstream_unreachable`. Only the AttributeError of this one question is caught; any other error goes on as before. Calls and the client for health checks use it.

A TLS connection that ends was not tested.

--- a/packages/router/src/lacewingspar_router/components/upstreams/connections.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/connections.py
@@ -32,6 +32,7 @@
     REQUEST_ID_HEADER,
     end_to_end_headers,
 )
+from lacewingspar_router.http_transport import CheckedTransport
 
 _REPLACED_HEADERS = frozenset({b"host", b"content-length", REQUEST_ID_HEADER})
 _ONE_CONNECTION = httpx.Limits(
@@ -50,7 +51,7 @@
         since: Start of the idle time on the monotonic clock, in seconds.
     """
 
-    transport: httpx.AsyncHTTPTransport
+    transport: CheckedTransport
     since: float
 
 
@@ -84,7 +85,7 @@
             url = url.copy_with(host=host, port=int(mapped_port))
         self._url = url
         self._ssl_context = ssl_context
-        self._transports: set[httpx.AsyncHTTPTransport] = set()
+        self._transports: set[CheckedTransport] = set()
         self._idle: deque[_IdleTransport] = deque()
 
     async def async_call(
@@ -119,11 +120,11 @@
         while self._transports:
             await self._transports.pop().aclose()
 
-    def _acquire_transport(self) -> httpx.AsyncHTTPTransport:
+    def _acquire_transport(self) -> CheckedTransport:
         """Return the most recently used idle transport, or a new one."""
         if self._idle:
             return self._idle.pop().transport
-        transport = httpx.AsyncHTTPTransport(
+        transport = CheckedTransport(
             verify=self._ssl_context,
             trust_env=False,
             limits=_ONE_CONNECTION,
@@ -132,7 +133,7 @@
         return transport
 
     async def _async_release_transport(
-        self, transport: httpx.AsyncHTTPTransport
+        self, transport: CheckedTransport
     ) -> None:
         """Keep a transport for reuse and close expired or surplus ones."""
         if transport not in self._transports:
@@ -148,7 +149,7 @@
             await expired.aclose()
 
     async def _async_send(
-        self, transport: httpx.AsyncHTTPTransport, call: UpstreamCall
+        self, transport: CheckedTransport, call: UpstreamCall
     ) -> httpx.Response:
         try:
             return await transport.handle_async_request(self._request(call))
--- a/packages/router/src/lacewingspar_router/components/upstreams/pool.py
+++ b/packages/router/src/lacewingspar_router/components/upstreams/pool.py
@@ -39,6 +39,7 @@
 )
 from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.errors import RunState
+from lacewingspar_router.http_transport import CheckedTransport
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -60,7 +61,10 @@
         self._data_centre_by_upstream: dict[UpstreamKey, str] = {}
         self._connections_by_address: dict[str, UpstreamConnections] = {}
         self._health_client = httpx.AsyncClient(
-            verify=self._ssl_context, trust_env=False
+            transport=CheckedTransport(
+                verify=self._ssl_context, trust_env=False
+            ),
+            trust_env=False,
         )
         self._monitor = UpstreamHealthMonitor(
             self._health_client,
--- a/tests/e2e/test_crashing_request.py
+++ b/tests/e2e/test_crashing_request.py
@@ -21,9 +21,6 @@
 CALLERS = [f"caller-{number}" for number in range(8)]
 REQUESTS_PER_CALLER = 6
 CRASHING_REQUESTS = 12
-ENGINE_RESETS_NEW_CONNECTION = pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt, entry 9; issue 16"
-)
 READY_SECONDS = 30.0
 
 
@@ -86,20 +83,8 @@
 @pytest.mark.parametrize(
     ("instruction", "text", "code", "min_retry_after"),
     [
-        pytest.param(
-            "be brief",
-            "go boom",
-            "quarantined",
-            500,
-            marks=ENGINE_RESETS_NEW_CONNECTION,
-        ),
-        pytest.param(
-            "boom",
-            "question {n}",
-            "prompt_quarantined",
-            10,
-            marks=ENGINE_RESETS_NEW_CONNECTION,
-        ),
+        ("be brief", "go boom", "quarantined", 500),
+        ("boom", "question {n}", "prompt_quarantined", 10),
     ],
 )
 async def test_crashing_request_costs_at_most_three_engines(
--- a/tests/router/components/upstreams/test_connections.py
+++ b/tests/router/components/upstreams/test_connections.py
@@ -1,17 +1,25 @@
 """HTTP connections to upstreams."""
 
 import asyncio
+import socket
 import ssl
 from collections.abc import AsyncIterator
 from typing import Any
+from unittest import mock
 
 import pytest
+from tests.router.ending_connections import ENDING_LOOPS, End, ending_loop
 
 from lacewingspar_router.components.upstreams import connections as module
 from lacewingspar_router.components.upstreams.connections import (
     UpstreamConnections,
 )
+from lacewingspar_router.components.upstreams.errors import (
+    UpstreamConnectError,
+)
 from lacewingspar_router.components.upstreams.models import UpstreamCall
+from lacewingspar_router.components.upstreams.pool import HttpUpstreamPool
+from lacewingspar_router.errors import RunState
 from lacewingspar_standins.server import running
 
 
@@ -123,3 +131,51 @@
     upstream.may_respond.set()
     assert await call(connections, "bb") == b"bb"
     assert len(connections._transports) == 1
+
+
+@ENDING_LOOPS
+def test_a_new_connection_that_ends_before_the_send_has_run_nothing(
+    base: type[asyncio.BaseEventLoop], end: End
+) -> None:
+    """Guards against 500, or a call that counts as run, if nothing was sent."""
+
+    async def async_run(port: int) -> None:
+        pool = UpstreamConnections(
+            f"http://127.0.0.1:{port}", {}, ssl.create_default_context()
+        )
+        with pytest.raises(UpstreamConnectError) as failed:
+            await call(pool, "aa")
+        assert failed.value.run is RunState.NOT_RUN
+        assert len(pool._transports) == 1
+        await pool.async_close()
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        asyncio.Runner(
+            loop_factory=lambda: ending_loop(base, listener, end)
+        ) as runner,
+    ):
+        runner.run(async_run(listener.getsockname()[1]))
+
+
+@ENDING_LOOPS
+def test_an_upstream_that_ends_a_new_connection_is_not_up(
+    base: type[asyncio.BaseEventLoop], end: End
+) -> None:
+    """Guards against a check for a crash that itself fails at the crash."""
+
+    async def async_run(port: int) -> None:
+        application = mock.Mock()
+        application.settings.address_map = {}
+        pool = HttpUpstreamPool(application)
+        pool._address_by_upstream["s", "u"] = f"http://127.0.0.1:{port}"
+        assert not await pool.async_is_up("s", "u")
+        await pool.async_close()
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        asyncio.Runner(
+            loop_factory=lambda: ending_loop(base, listener, end)
+        ) as runner,
+    ):
+        runner.run(async_run(listener.getsockname()[1]))
