Go on polling the VM list after a new connection that the platform resets

What callers saw: none of it yet. A router whose poll of the VM list got a new connection that was reset before a late loop handed it over stopped polling for good (line "task failed", task "vm_list poller"), and sent new work to leaving upstreams from then on. An append to the log on such a connection ended as one that may have been written, though nothing was sent.

Fix: both clients use `CheckedTransport`, so that they get `httpx.ConnectError`.

Not seen in a fleet: found by looking for other clients of the same library.

--- a/packages/router/src/lacewingspar_router/components/log_service/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/log_service/__init__.py
@@ -7,6 +7,7 @@
 from lacewingspar_router.components.log_service.client import HttpLogService
 from lacewingspar_router.components.log_service.const import KEEPALIVE_SECONDS
 from lacewingspar_router.components.log_service.models import LOG_SERVICE
+from lacewingspar_router.http_transport import CheckedTransport
 
 
 async def async_setup(app: Application) -> None:
@@ -14,7 +15,10 @@
     settings = app.settings
     client = httpx.AsyncClient(
         base_url=map_url(settings.log_service_url, settings.address_map),
-        limits=httpx.Limits(keepalive_expiry=KEEPALIVE_SECONDS),
+        transport=CheckedTransport(
+            limits=httpx.Limits(keepalive_expiry=KEEPALIVE_SECONDS),
+            trust_env=False,
+        ),
         trust_env=False,
     )
     app.register(LOG_SERVICE, HttpLogService(app, client))
--- a/packages/router/src/lacewingspar_router/components/vm_list/__init__.py
+++ b/packages/router/src/lacewingspar_router/components/vm_list/__init__.py
@@ -13,6 +13,7 @@
 )
 from lacewingspar_router.components.vm_list.models import VM_LIST
 from lacewingspar_router.components.vm_list.poller import VmListPoller
+from lacewingspar_router.http_transport import CheckedTransport
 
 
 async def async_setup(app: Application) -> None:
@@ -22,7 +23,11 @@
     data centre that is partitioned from the platform.
     """
     base_url = map_url(app.settings.vm_list_url, app.settings.address_map)
-    client = httpx.AsyncClient(timeout=POLL_TIMEOUT_SECONDS, trust_env=False)
+    client = httpx.AsyncClient(
+        transport=CheckedTransport(trust_env=False),
+        timeout=POLL_TIMEOUT_SECONDS,
+        trust_env=False,
+    )
     poller = VmListPoller(client, base_url.rstrip("/") + VMS_PATH)
     task = app.create_task(poller.async_run(), f"{COMPONENT_NAME} poller")
 
