--- a/tests/router/test_wire_format.py
+++ b/tests/router/test_wire_format.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lacewingspar_router.hand_over_tokens import HandOverTokens
 from lacewingspar_router.platform.wire_format import PlatformWireFormat
 
 # A search that reads each byte a few times takes a twentieth of this.
@@ -24,7 +25,7 @@
     """Guards against a body that holds up the event loop."""
     body = line * (4 * MIB // len(line))
     started_at = time.process_time()
-    assert not PlatformWireFormat().holds_other_response(body)
+    assert not PlatformWireFormat(HandOverTokens()).holds_other_response(body)
     assert time.process_time() - started_at < MAX_SEARCH_SECONDS
 
 
@@ -42,4 +43,7 @@
     body: bytes, *, is_other: bool
 ) -> None:
     """Guards against bodies that are rejected because of what they say."""
-    assert PlatformWireFormat().holds_other_response(body) is is_other
+    assert (
+        PlatformWireFormat(HandOverTokens()).holds_other_response(body)
+        is is_other
+    )
