Lose no event behind two that are alike or behind an old one

Shared ids are now recognised also behind a repetition. An event that is not remembered is new once the run has delivered one. Numbers are compared with the last event alone, and 128 events with other ids are remembered in place of 1,024 with any, as 1,000 open streams of 1,200 numbers took 84 MB. A stream of more such events whose upstream starts anew within one run is repeated; that was skipped before, and its test demanded it, at the price of the events above.

--- a/packages/core/src/lacewingspar_core/event_stream.py
+++ b/packages/core/src/lacewingspar_core/event_stream.py
@@ -22,8 +22,9 @@
 )
 # Longer ids are not sent to upstreams, which limit the size of headers.
 MAX_EVENT_ID_BYTES = 8 * 1024
-# Events that are compared with later ones of the same stream.
-MAX_REMEMBERED_EVENTS = 1024
+# Events whose ids have no order that are compared with later ones of the same
+# stream; each takes some 100 bytes.
+MAX_REMEMBERED_EVENTS = 128
 # Starts of lines that belong to no event: comments and times to reconnect.
 _LINES_OUTSIDE_EVENTS = (b":", b"retry:")
 # Limits the buffered part of an event, and also the data that a stream delivers
@@ -145,9 +146,9 @@
     _ends_with_last_id: bool = True
     _run_state: _RunState = _RunState.AT_LAST_EVENT
     _has_run_delivered: bool = False
-    # Digests of forwarded events with an id, oldest first.
+    _last_block: bytes = b""
+    # Digests of forwarded events whose ids have no order, oldest first.
     _remembered: dict[int, None] = field(default_factory=dict)
-    _has_forgotten: bool = False
     _has_shared_ids: bool = False
     _is_framed: bool = True
     _buffer: bytearray = field(default_factory=bytearray)
@@ -265,46 +266,54 @@
             return self._run_state is not _RunState.REPEATING
         # The last of several ids counts.
         event_id = ids[-1] if ids else None
-        digest = _digest(event_id, block)
-        order = self._order(event_id, digest)
+        order = self._order(event_id, block)
         self._run_state = _NEXT_STATE[self._run_state, order]
         if self._run_state is not _RunState.NEW:
             self.repeated += 1
             return False
-        self._record(event_id, digest)
+        self._record(event_id, block)
         return True
 
-    def _order(self, event_id: bytes | None, digest: int) -> _Order:
+    def _order(self, event_id: bytes | None, block: bytes) -> _Order:
         """Return the place of an event.
 
         Args:
             event_id: Its id, or None.
-            digest: Hash of its id and data.
+            block: The event.
         """
         if self.last_id is None or not event_id:
             return _Order.UNKNOWN
-        is_known = digest in self._remembered
         order = _order_of_ids(event_id, self.last_id)
         match order:
-            case _Order.SAME if self._run_state is _RunState.NEW:
+            case _Order.SAME if self._may_share_id:
                 # Different events may have the same id.
-                self._has_shared_ids = self._has_shared_ids or not is_known
+                is_alike = _data(block) == _data(self._last_block)
+                self._has_shared_ids = self._has_shared_ids or not is_alike
                 return _Order.UNKNOWN if self._has_shared_ids else order
-            case _Order.UNKNOWN if self._has_shared_ids:
-                return order
-            case _Order.UNKNOWN if is_known or self._starts_anew(event_id):
-                return _Order.EARLIER
-            case _Order.UNKNOWN if self._has_run_delivered:
-                return _Order.UNKNOWN if self._has_forgotten else _Order.LATER
+            case _Order.UNKNOWN if not self._has_shared_ids:
+                return self._order_by_data(event_id, block)
             case _:
                 return order
 
-    def _starts_anew(self, event_id: bytes) -> bool:
-        """Return whether an event that is not remembered is the first one."""
-        is_comparable = not self._has_run_delivered or self._has_forgotten
-        return is_comparable and event_id == self._first_id
+    @property
+    def _may_share_id(self) -> bool:
+        """Return whether the last event came just before in this run."""
+        return (
+            self._has_run_delivered
+            and self._run_state is not _RunState.REPEATING
+        )
 
-    def _record(self, event_id: bytes | None, digest: int) -> None:
+    def _order_by_data(self, event_id: bytes, block: bytes) -> _Order:
+        """Return the place of an event whose id has no order."""
+        if _digest(event_id, block) in self._remembered:
+            return _Order.EARLIER
+        if self._has_run_delivered:
+            return _Order.LATER
+        # The upstream may have started the stream anew.
+        is_first = event_id == self._first_id
+        return _Order.EARLIER if is_first else _Order.UNKNOWN
+
+    def _record(self, event_id: bytes | None, block: bytes) -> None:
         """Record a forwarded event."""
         self.forwarded += 1
         self._has_run_delivered = True
@@ -313,18 +322,24 @@
             return
         self._ends_with_last_id = event_id != self.last_id
         self.last_id = event_id
+        self._last_block = block
         if self._first_id is None:
             self._first_id = event_id
-        self._remembered[digest] = None
+        if event_id.isdigit():
+            return
+        self._remembered[_digest(event_id, block)] = None
         if len(self._remembered) > MAX_REMEMBERED_EVENTS:
-            self._has_forgotten = True
             del self._remembered[next(iter(self._remembered))]
 
 
-def _digest(event_id: bytes | None, block: bytes) -> int:
+def _digest(event_id: bytes, block: bytes) -> int:
     """Return a hash of the id and the data of an event."""
-    lines = block.splitlines()
-    return hash((event_id, *(line for line in lines if line[:4] == b"data")))
+    return hash((event_id, *_data(block)))
+
+
+def _data(block: bytes) -> list[bytes]:
+    """Return the lines of an event that hold its data."""
+    return [line for line in block.splitlines() if line[:4] == b"data"]
 
 
 def _is_event(block: bytes) -> bool:
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -118,6 +118,8 @@
         stray_id: Send a response with the id of another request first.
         unframed: Send responses that end with the connection, without a
             length or chunks, also streams.
+        unframed_stays_open: Leave the connection of an unframed stream open
+            behind what follows its end.
         reset_unframed: Reset the connection of an unframed response instead
             of closing it.
         encoding: Value of `Content-Encoding`, or "" for none.
@@ -159,6 +161,7 @@
     repeated_events: int = 1
     stray_id: bool = False
     unframed: bool = False
+    unframed_stays_open: bool = False
     reset_unframed: bool = False
     encoding: str = ""
     no_seal: bool = False
@@ -519,7 +522,8 @@
         surplus = self._surplus(request)
         if faults.unframed:
             self._transport.write(surplus)
-            self._transport.close()
+            if not faults.unframed_stays_open:
+                self._transport.close()
         else:
             self._transport.write(b"0\r\n\r\n" + surplus)
 
--- a/tests/router/deployed/test_surplus_responses.py
+++ b/tests/router/deployed/test_surplus_responses.py
@@ -7,6 +7,7 @@
     Deployment,
     async_add_overloaded_router,
     stream_bytes,
+    until,
 )
 
 from lacewingspar_router.components.telemetry.models import TELEMETRY
@@ -98,6 +99,19 @@
     await async_assert_streams_are_whole(await served.add_router(), path)
 
 
+@pytest.mark.parametrize("path", ["/stream/", "/stream-once/"])
+async def test_unframed_stream_ends_before_its_connection(
+    served: Deployment, path: str
+) -> None:
+    """Guards against a caller that waits for a faulty upstream to close."""
+    prepare(served, "stream that does not end", unframed=True)
+    for upstream in served.upstream_by_id.values():
+        upstream.faults.unframed_stays_open = True
+    await async_assert_streams_are_whole(await served.add_router(), path)
+    engines = [served.upstream_by_id[name] for name in ("e1", "e2")]
+    await until(lambda: not any(item.open_connections for item in engines))
+
+
 @pytest.mark.parametrize(
     "surplus", ["stream to the same request", "whole response"]
 )
