Share the run on a loop whose connections end among the tests of them

Four tests of two files each set up the listener and the runner for such a loop. Only test code changed.

--- a/tests/router/components/upstreams/test_connections.py
+++ b/tests/router/components/upstreams/test_connections.py
@@ -1,14 +1,17 @@
 """HTTP connections to upstreams."""
 
 import asyncio
-import socket
 import ssl
 from collections.abc import AsyncIterator
 from typing import Any
 from unittest import mock
 
 import pytest
-from tests.router.ending_connections import ENDING_LOOPS, End, ending_loop
+from tests.router.ending_connections import (
+    ENDING_LOOPS,
+    End,
+    run_on_ending_loop,
+)
 
 from lacewingspar_router.components.upstreams import connections as module
 from lacewingspar_router.components.upstreams.connections import (
@@ -149,13 +152,7 @@
         assert len(pool._transports) == 1
         await pool.async_close()
 
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        asyncio.Runner(
-            loop_factory=lambda: ending_loop(base, listener, end)
-        ) as runner,
-    ):
-        runner.run(async_run(listener.getsockname()[1]))
+    run_on_ending_loop(base, end, async_run)
 
 
 @ENDING_LOOPS
@@ -172,10 +169,4 @@
         assert not await pool.async_is_up("s", "u")
         await pool.async_close()
 
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        asyncio.Runner(
-            loop_factory=lambda: ending_loop(base, listener, end)
-        ) as runner,
-    ):
-        runner.run(async_run(listener.getsockname()[1]))
+    run_on_ending_loop(base, end, async_run)
--- a/tests/router/ending_connections.py
+++ b/tests/router/ending_connections.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import pytest
@@ -48,6 +48,27 @@
     return loop
 
 
+def run_on_ending_loop(
+    base: type[asyncio.BaseEventLoop],
+    end: End,
+    async_run: Callable[[int], Coroutine[Any, Any, None]],
+) -> None:
+    """Run a coroutine whose new connections to a port end at once.
+
+    Args:
+        base: Class of the event loop.
+        end: Ends a connection.
+        async_run: Receives the port.
+    """
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        asyncio.Runner(
+            loop_factory=lambda: ending_loop(base, listener, end)
+        ) as runner,
+    ):
+        runner.run(async_run(listener.getsockname()[1]))
+
+
 ENDING_LOOPS = pytest.mark.parametrize(
     ("base", "end"),
     [
--- a/tests/router/test_platform_connections.py
+++ b/tests/router/test_platform_connections.py
@@ -5,7 +5,11 @@
 from unittest import mock
 
 import pytest
-from tests.router.ending_connections import ENDING_LOOPS, End, ending_loop
+from tests.router.ending_connections import (
+    ENDING_LOOPS,
+    End,
+    run_on_ending_loop,
+)
 
 from lacewingspar_router.application import Application
 from lacewingspar_router.components import log_service, vm_list
@@ -60,13 +64,7 @@
         finally:
             await app.async_stop()
 
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        asyncio.Runner(
-            loop_factory=lambda: ending_loop(base, listener, count)
-        ) as runner,
-    ):
-        runner.run(async_run(listener.getsockname()[1]))
+    run_on_ending_loop(base, count, async_run)
 
 
 @ENDING_LOOPS
@@ -87,10 +85,4 @@
         finally:
             await app.async_stop()
 
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        asyncio.Runner(
-            loop_factory=lambda: ending_loop(base, listener, end)
-        ) as runner,
-    ):
-        runner.run(async_run(listener.getsockname()[1]))
+    run_on_ending_loop(base, end, async_run)
