Look up the connections to a neighbour in a function of their own

HandOver._async_exchange had 55 lines, of which six found or made the pool of one address. Behaviour is the same; the 163 tests of hand-overs, forged hand-overs, surplus responses and event ids pass.

--- a/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/hand_over.py
@@ -221,12 +221,7 @@
         target = self._target_of(neighbour)
         if target is None:
             return HandOverOutcome.NOT_TAKEN
-        pool = self._pool_by_address.get(target.address)
-        if pool is None:
-            pool = ConnectionPool(
-                target.address, const.HAND_OVER_MAX_IDLE_CONNECTIONS
-            )
-            self._pool_by_address[target.address] = pool
+        pool = self._connection_pool(target.address)
         try:
             connection = await pool.async_acquire(
                 const.NON_REPEATABLE_MAX_IDLE_SECONDS
@@ -267,6 +262,15 @@
             return HandOverOutcome.NOT_TAKEN
         return HandOverOutcome.RESPONDED
 
+    def _connection_pool(self, address: str) -> ConnectionPool:
+        """Return the pool of connections to an address."""
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = self._pool_by_address[address] = ConnectionPool(
+                address, const.HAND_OVER_MAX_IDLE_CONNECTIONS
+            )
+        return pool
+
     def _record_broken(
         self,
         call: Call,
