--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -170,9 +170,13 @@
             self.newest[key] = (offset, value)
         else:
             self.newest.pop(key, None)
+        self.wake()
+        return offset
+
+    def wake(self) -> None:
+        """Wake the calls that wait for records."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return offset
 
 
 class Store:
@@ -180,6 +184,8 @@
 
     def __init__(self) -> None:
         self.topic_by_name: dict[str, Topic] = {}
+        self.era = 0
+        self.is_away = False
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -193,6 +199,27 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{IP}:{port}"
 
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy from which the store can come back."""
+        return {
+            name: Topic(list(topic.records), dict(topic.newest))
+            for name, topic in self.topic_by_name.items()
+        }
+
+    def go_away(self) -> None:
+        """Turn all calls away, also those that wait."""
+        self.is_away = True
+        for topic in self.topic_by_name.values():
+            topic.wake()
+
+    def come_back(self, copy: dict[str, Topic]) -> None:
+        """Come back from an older copy; the header `Store-Era` rises."""
+        replaced, self.topic_by_name = self.topic_by_name, copy
+        self.era += 1
+        self.is_away = False
+        for topic in replaced.values():
+            topic.wake()
+
     def publish(self, manifest: dict[str, Any]) -> None:
         """Write a manifest."""
         self.topic("keyed.op").append("config", json.dumps(manifest).encode())
@@ -210,6 +237,8 @@
         writer.close()
 
     async def _async_answer(self, request: Message) -> bytes:
+        if self.is_away:
+            return self._response(503, b"{}")
         target = request.first_line.split()[1]
         path, _, text = target.partition("?")
         query = {name: values[-1] for name, values in parse_qs(text).items()}
@@ -225,7 +254,7 @@
                 end = 1 + content[0]
                 topic.append(content[1:end].decode(), content[end:])
             value = {"offset": first, "end": len(topic.records)}
-            return response(200, (), json.dumps(value).encode())
+            return self._response(200, json.dumps(value).encode())
         if path == "/log-read":
             offset = int(query["from"])
             if offset >= len(topic.records):
@@ -234,10 +263,16 @@
                         int(query.get("waitMs", "0")) / 1000
                     ):
                         await topic.changed.wait()
+            if self.is_away:
+                return self._response(503, b"{}")
+            # The store may have come back from a copy during the wait.
+            topic = self.topic(query.get("topic", ""))
+            if offset > len(topic.records):
+                return self._response(410, b'{"first": 0}')
             data = _HEADER.pack(len(topic.records), 0)
             for record in topic.records[offset:]:
                 data += _LENGTH.pack(len(record)) + record
-            return response(200, (), data)
+            return self._response(200, data)
         if path == "/log-newest":
             items = [
                 {
@@ -252,8 +287,11 @@
                 "truncated": False,
                 "end": len(topic.records),
             }
-            return response(200, (), json.dumps(value).encode())
-        return response(404, (), b"{}")
+            return self._response(200, json.dumps(value).encode())
+        return self._response(404, b"{}")
+
+    def _response(self, status: int, body: bytes) -> bytes:
+        return response(status, (f"Store-Era: {self.era}",), body)
 
 
 # Manifest
@@ -360,16 +398,16 @@
         self._server = await asyncio.start_server(self._serve, IP, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def register(self, store: Store, state: str = "ready") -> None:
-        """Write its entry."""
-        self.sequence += 1
+    def register(self, store: Store, *, is_new: bool = True) -> None:
+        """Write its entry, or the last one again."""
+        self.sequence += is_new
         entry = {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
-            "state": state,
+            "state": "ready",
             "sequence": self.sequence,
             "born": self.born,
             "coldRemainingMs": 0,
@@ -387,7 +425,9 @@
 
         async def run() -> None:
             while True:
-                self.register(store)
+                # A call to a store that is away does nothing.
+                if not store.is_away:
+                    self.register(store)
                 await asyncio.sleep(HEARTBEAT_S)
 
         self._heartbeat = asyncio.create_task(run())
