--- a/review/9/case.py
+++ b/review/9/case.py
@@ -18,18 +18,24 @@
 FIRST_RUNNERS = 3
 WORK_S = 0.09
 # The copy is this much older than the state that it replaces.
-COPY_AGE_S = 4.0
-AWAY_S = 0.6
-WRITTEN_AGAIN_S = 1.0
-# Heartbeats of the new runner go on this much later.
-HEARTBEAT_AFTER_S = 0.2
+COPY_AGE_S = 3.1
+# The new runner has registered this long before, so that its second heartbeat,
+# after 1.2 s, meets the store while it is away.
+REGISTERED_S = 1.1
+AWAY_S = 0.25
+# After the return, just before the runner's third heartbeat.
+WRITTEN_AGAIN_S = 0.95
 STABLE_WINDOW_S = 3.0
 APPLY_S = 2.0
 JUDGED_S = 15.0
 PER_S = 2.0
 LEAST_REQUESTS = 20
 FIRST_PATH = "/first/x"
-LATER_PATH = "/later/x"
+# Whether the routers that follow the reader learn of the runner again depends
+# on who reads the log at that moment, so there are up to this many drills, each
+# with another runner. They end with the first one after which a route is not
+# served.
+DRILLS = 4
 
 
 async def async_behave(
@@ -46,16 +52,21 @@
     return True
 
 
-def manifests() -> tuple[dict[str, Any], dict[str, Any]]:
-    """Return the first manifest, and one with a further route and service."""
-    first = rig.route("/first/", "idempotent", "ledger")
-    later = rig.route("/later/", "idempotent", "archive")
-    ledger = rig.plain_service("ledger")
-    archive = rig.plain_service("archive")
-    return (
-        rig.manifest(1, [first], [ledger]),
-        rig.manifest(4, [first, later], [ledger, archive]),
-    )
+def manifest(drill: int) -> dict[str, Any]:
+    """Return the manifest with the routes and services of some drills."""
+    numbers = range(1, drill + 1)
+    routes = [
+        rig.route("/first/", "idempotent", "ledger"),
+        *(
+            rig.route(f"/later-{number}/", "idempotent", f"archive-{number}")
+            for number in numbers
+        ),
+    ]
+    services = [
+        rig.plain_service("ledger"),
+        *(rig.plain_service(f"archive-{number}") for number in numbers),
+    ]
+    return rig.manifest(1 + 3 * drill, routes, services)
 
 
 class Traffic:
@@ -64,11 +75,15 @@
     def __init__(self, routers: list[rig.Router], record: rig.Record) -> None:
         self._callers = [load.Callers(item.front, record) for item in routers]
         self._number = 0
+        self.first: Counter[str] = Counter()
+        self.later: Counter[str] = Counter()
 
-    async def async_play(self, seconds: float) -> dict[str, Counter[str]]:
-        """Send requests; return the statuses by path."""
-        for caller in self._callers:
-            caller.outcomes.clear()
+    async def async_play(self, later: str, seconds: float) -> Counter[str]:
+        """Send requests on the first and a later route to each machine.
+
+        Returns:
+            The statuses on the later route.
+        """
         paths: dict[str, str] = {}
 
         def make(path: str) -> tuple[str, bytes]:
@@ -83,27 +98,32 @@
                     PER_S, seconds, lambda _, path=path: make(path), 5.0
                 )
                 for caller in self._callers
-                for path in (FIRST_PATH, LATER_PATH)
+                for path in (FIRST_PATH, later)
             )
         )
-        statuses: dict[str, Counter[str]] = {
-            FIRST_PATH: Counter(),
-            LATER_PATH: Counter(),
-        }
+        seen: Counter[str] = Counter()
         for caller in self._callers:
             await caller.async_finish()
             for item in caller.outcomes:
-                seen = str(item.status or item.error)
-                statuses[paths[item.attempt]][seen] += 1
-        return statuses
+                status = str(item.status or item.error)
+                if paths[item.attempt] == FIRST_PATH:
+                    self.first[status] += 1
+                else:
+                    seen[status] += 1
+            caller.outcomes.clear()
+        self.later += seen
+        return seen
+
+    async def async_play_once(self, later: str) -> Counter[str]:
+        """Send one request on each of both routes to each machine."""
+        return await self.async_play(later, 1 / PER_S)
 
 
 async def async_run(record: rig.Record, temporary: Path) -> int:
     """Play the case; return 1 if the rule was broken."""
     store = rig.Store()
     await store.async_start()
-    first, second = manifests()
-    store.publish(first)
+    store.publish(manifest(0))
     for number in range(FIRST_RUNNERS):
         runner = rig.Runner(f"l-{number}", "ledger", async_behave, record)
         runner.zone = ZONES[number % len(ZONES)]
@@ -127,67 +147,76 @@
         for router in routers:
             await router.async_wait_ready()
         await asyncio.sleep(STABLE_WINDOW_S)
-        return await _async_play(record, store, second, routers)
+        return await _async_play(record, store, routers)
     finally:
         for router in routers:
             await router.async_stop()
 
 
 async def _async_play(
-    record: rig.Record,
-    store: rig.Store,
-    second: dict[str, Any],
-    routers: list[rig.Router],
+    record: rig.Record, store: rig.Store, routers: list[rig.Router]
 ) -> int:
-    copy = store.copy()
-    runner = rig.Runner("a-0", "archive", async_behave, record)
-    runner.zone = ZONES[0]
-    runner.slots = 6
-    await runner.async_listen()
-    runner.register(store)
-    store.publish(second)
-    record("a runner, a service and a route are added")
     traffic = Traffic(routers, record)
-    await asyncio.sleep(APPLY_S)
-    before = await traffic.async_play(COPY_AGE_S - APPLY_S - 0.5)
-    record.say(f"before: {describe(before)}")
-    if rig.with_trouble():
-        record("the store is away")
-        store.go_away()
-        await asyncio.sleep(AWAY_S)
-        store.come_back(copy)
-        record("the store is back from a copy")
-        await asyncio.sleep(WRITTEN_AGAIN_S)
-        # What the operator and the runners wrote is written again.
-        store.publish(second)
-        runner.register(store, is_new=False)
-        record("what was lost is written again")
-    await asyncio.sleep(HEARTBEAT_AFTER_S)
-    runner.keep_registered(store)
-    await asyncio.sleep(STABLE_WINDOW_S + APPLY_S)
-    after = await traffic.async_play(JUDGED_S)
-    record.say(f"in steady state: {describe(after)}")
-    first_share = share_served(after[FIRST_PATH])
-    later_share = share_served(after[LATER_PATH])
+    for drill in range(1, DRILLS + 1):
+        later = f"/later-{drill}/x"
+        await _async_drill(record, store, drill, traffic)
+        await asyncio.sleep(STABLE_WINDOW_S + APPLY_S)
+        seen = await traffic.async_play_once(later)
+        record.say(f"drill {drill}: {later} {dict(seen)}")
+        if drill == DRILLS or not seen["200"]:
+            break
+    seen = await traffic.async_play(later, JUDGED_S)
+    record.say(f"in steady state: {later} {dict(seen)}")
+    record.say(
+        f"in all: first route {dict(traffic.first)}, later ones "
+        f"{dict(traffic.later)}"
+    )
     broken = (
-        after[LATER_PATH].total() >= LEAST_REQUESTS
-        and later_share < first_share / 4
+        traffic.later.total() >= LEAST_REQUESTS
+        and share_served(traffic.later) < share_served(traffic.first) / 4
     )
     record.say("rule CONFIG broken" if broken else "rule CONFIG held")
     return int(broken)
 
 
+async def _async_drill(
+    record: rig.Record, store: rig.Store, drill: int, traffic: Traffic
+) -> None:
+    """Add a route, a service and its runner; then comes the drill."""
+    loop = asyncio.get_running_loop()
+    copy = store.copy()
+    copied_at = loop.time()
+    added = manifest(drill)
+    store.publish(added)
+    record("a service and a route are added")
+    await asyncio.sleep(COPY_AGE_S - REGISTERED_S)
+    runner = rig.Runner(f"a-{drill}", f"archive-{drill}", async_behave, record)
+    runner.zone = ZONES[0]
+    runner.slots = 6
+    await runner.async_listen()
+    runner.keep_registered(store)
+    record("the service has a runner")
+    await asyncio.sleep(copied_at + COPY_AGE_S - WORK_S - 0.1 - loop.time())
+    before = await traffic.async_play_once(f"/later-{drill}/x")
+    record.say(f"before drill {drill}: {dict(before)}")
+    if not rig.with_trouble():
+        return
+    record("the store is away")
+    store.go_away()
+    await asyncio.sleep(AWAY_S)
+    store.come_back(copy)
+    record("the store is back from a copy")
+    await asyncio.sleep(WRITTEN_AGAIN_S)
+    # What the operator and the runners wrote is written again.
+    store.publish(added)
+    runner.register(store, is_new=False)
+    record(f"what was lost is written again, sequence {runner.sequence}")
+
+
 def share_served(statuses: Counter[str]) -> float:
     """Return the share of requests with a success."""
     return statuses["200"] / max(1, statuses.total())
 
 
-def describe(statuses: dict[str, Counter[str]]) -> str:
-    """Return the statuses by path."""
-    return ", ".join(
-        f"{path} {dict(counter)}" for path, counter in statuses.items()
-    )
-
-
 if __name__ == "__main__":
     rig.main(async_run, FOLDER)
