Log why a whole request is quarantined

Change: "request quarantined" and "request suspected of crashes" name the service, the fingerprint, the crashed upstreams and the time left, once for each verdict.

--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -202,6 +202,18 @@
         self._probe_by_fingerprint[fingerprint] = (prompt, probe_until)
         return 0.0
 
+    def crashed_upstreams(
+        self, fingerprint: str, now: float
+    ) -> tuple[str, ...]:
+        """Return the upstreams whose crashes a request may have caused.
+
+        The oldest crash comes first.
+        """
+        crashes = self._crashes_possibly_caused_by(
+            fingerprint, now - RETENTION_SECONDS
+        )
+        return tuple(crash.crash_id[0] for crash in crashes)
+
     def must_run_alone(self, fingerprint: str, now: float) -> bool:
         """Return whether a request must not share an upstream with suspects."""
         return bool(
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -1,10 +1,12 @@
 """Exchange of crash records with the other routers."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import structlog
 
+from lacewingspar_core.crash_evidence import Convicted, Verdict
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.messages import Quarantine
 from lacewingspar_core.ownership import shard_owner
@@ -26,6 +28,8 @@
 LONG_RUN_SECONDS = 1.0
 # Proofs of prompt parts are few, and a router without them may refuse a part.
 PROOF_DELAY_SECONDS = 0.05
+# Requests whose last verdict is kept, so that it is logged once.
+MAXIMUM_LOGGED_VERDICTS = 256
 
 METRIC_RECORDS = "quarantine_records_received_total"
 METRIC_PARTS = "quarantined_prompt_parts_total"
@@ -49,6 +53,9 @@
         self._state_by_service: dict[str, QuarantineState] = {}
         self._known_instances: set[RouterInstance] = set()
         self._timer_by_service: dict[str, asyncio.TimerHandle] = {}
+        self._logged_verdict_by_fingerprint: OrderedDict[str, Verdict] = (
+            OrderedDict()
+        )
         self._listeners: list[Callable[[], None]] = []
         self._peers.subscribe(Quarantine, self._receive)
         self._peers.add_listener(self._send_to_new_routers)
@@ -97,18 +104,29 @@
         if any(run.begun_at(now) is not None for _, run in in_flight):
             state.record_success(fingerprint, now)
             self.publish_soon(state)
+        upstreams_elsewhere = len(
+            {
+                upstream_id
+                for upstream_id, run in in_flight
+                if now - run.sent_at >= LONG_RUN_SECONDS
+            }
+        )
+        self._log_verdict(
+            state,
+            fingerprint,
+            state.verdict(
+                fingerprint,
+                now,
+                prompt.parts,
+                upstreams_elsewhere=upstreams_elsewhere,
+            ),
+        )
         return state.refusal_seconds(
             fingerprint,
             prompt,
             now,
             lambda: self._may_probe(service),
-            upstreams_elsewhere=len(
-                {
-                    upstream_id
-                    for upstream_id, run in in_flight
-                    if now - run.sent_at >= LONG_RUN_SECONDS
-                }
-            ),
+            upstreams_elsewhere=upstreams_elsewhere,
         )
 
     def find_refusal(
@@ -226,6 +244,31 @@
         for listener in self._listeners:
             listener()
 
+    def _log_verdict(
+        self,
+        state: QuarantineState,
+        fingerprint: str,
+        verdict: Verdict | None,
+    ) -> None:
+        """Log a new verdict on a request with the crashes that led to it."""
+        logged = self._logged_verdict_by_fingerprint
+        if verdict is None or logged.get(fingerprint) == verdict:
+            return
+        logged[fingerprint] = verdict
+        logged.move_to_end(fingerprint)
+        if len(logged) > MAXIMUM_LOGGED_VERDICTS:
+            logged.popitem(last=False)
+        now = self._app.now()
+        _LOGGER.warning(
+            "request quarantined"
+            if isinstance(verdict, Convicted)
+            else "request suspected of crashes",
+            service=state.service,
+            fingerprint=fingerprint,
+            crashed=state.crashed_upstreams(fingerprint, now),
+            retry_after_seconds=round(max(0.0, verdict.until - now), 3),
+        )
+
     def _refusal(
         self, state: QuarantineState, prompt: Prompt
     ) -> PartRefusal | None:
