Let runs that ended before a crash speak for a request (LOST)

Cause: the end of a run cleared a request of crashes that were known then; what had ended before a crash was forgotten. Two crashes with no end in between left the request their only common suspect, which convicts, and a convicted request is not probed.

Change: routers remember the last 4,096 requests that ended well, from before the first crash on. A crash record says which of its suspects had ended well in the 600 s before; a router that receives the record adds what it knows. Two crashes make such a request suspected, not convicted: refused for 2 s, then probed. It works because a request that crashes upstreams crashes each one that begins to run it, so an end before says the same as an end after; requests without an end are held as before.

One row of test_verdict is replaced: it demanded the conviction of a request that had run to its end one second before two crashes, which is this fault. It now demands suspicion, and a new row the conviction by a third crash. The containment test keeps its bound and now also draws ends before the crashes.

--- a/packages/core/src/lacewingspar_core/crash_evidence.py
+++ b/packages/core/src/lacewingspar_core/crash_evidence.py
@@ -7,10 +7,13 @@
 
 Crashes that count convict a request if it is the only suspect that two of them
 have in common, or the only one of three. One crash more convicts it in any
-case. If it has long been in flight at other upstreams, two do not suffice, and
+case. Two do not suffice if the request had run to its end before them: a
+popular request is in flight wherever upstreams crash, so it is probed first. If
+it has long been in flight at other upstreams, two do not suffice, and
 neither do as many as there are such upstreams, up to `MAXIMUM_EXCUSED_CRASHES`.
-It is suspected if crashes suffice only because some happened together, or if
-three have other suspects in common.
+It is suspected if crashes suffice only because some happened together, because
+nothing is said of its runs before them, or if three have other suspects in
+common.
 """
 
 import math
@@ -61,12 +64,15 @@
         sent_at_by_suspect: Latest time at which each suspect was sent to the
             upstream, or infinity if it is not known.
         cleared: Suspects that have completed since.
+        proven_before: Suspects that had completed in the
+            `CRASH_WINDOW_SECONDS` before.
     """
 
     crash_id: CrashId
     happened_at: float
     sent_at_by_suspect: dict[str, float] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    proven_before: set[str] = field(default_factory=set)
 
     @property
     def suspects(self) -> set[str]:
@@ -111,7 +117,10 @@
         if start < end:
             earlier = crashes[start:end]
             chain = _one_after_the_other(fingerprint, earlier)
-            pairs = earlier if two_may_suffice else ()
+            was_proven = any(
+                fingerprint in crash.proven_before for crash in (*earlier, last)
+            )
+            pairs = earlier if two_may_suffice and not was_proven else ()
             if _suffice(chain, pairs, last, is_excused, needed) and _is_proved(
                 [*chain, last], pairs, needed
             ):
--- a/packages/core/src/lacewingspar_core/messages.py
+++ b/packages/core/src/lacewingspar_core/messages.py
@@ -343,6 +343,7 @@
         cleared: Suspects that have completed elsewhere since.
         sent_ages: Time in seconds since each suspect was last sent there, or
             minus infinity where that is not known; empty if none is known.
+        proven_before: Suspects that had completed shortly before the crash.
     """
 
     upstream_id: str
@@ -351,6 +352,7 @@
     suspects: tuple[str, ...]
     cleared: tuple[str, ...]
     sent_ages: tuple[float, ...] = ()
+    proven_before: tuple[str, ...] = ()
 
 
 class PartCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -119,6 +119,11 @@
         """Return whether there is something to publish."""
         return bool(self._changed)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether a part is suspected of a crash."""
+        return bool(self._suspect_by_part)
+
     def refusal(
         self, prompt: Prompt, now: float, may_probe: Callable[[], bool]
     ) -> PartRefusal | None:
--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -1,10 +1,11 @@
 """Quarantine of requests that crash upstreams.
 
-The state is a set of crash records. Each record has two sets that only grow:
+The state is a set of crash records. Each record has three sets that only grow:
 its suspects, which are the fingerprints in flight at the crash, and the
-suspects that have completed since. Routers merge records by union, so the order
-and repetition of messages do not matter (up to `MAXIMUM_CRASHES` records), and
-every decision is a function of the records and the time.
+suspects that have completed since, or shortly before. Routers merge records by
+union, so the order and repetition of messages do not matter (up to
+`MAXIMUM_CRASHES` records), and every decision is a function of the records and
+the time.
 
 `crash_evidence` states which crashes convict a fingerprint or make it
 suspected. A convicted one is refused for `QUARANTINE_SECONDS`. A suspected one
@@ -16,8 +17,9 @@
 fingerprint takes part in at most 2 + k crashes within `CRASH_WINDOW_SECONDS`
 until it is refused, and in at most three more as a probe.
 That is 3 for consecutive runs, and 2 if suspects also run on separate
-upstreams. Runs that have long been in flight at n other upstreams raise it to
-n + k, for n of at least 2 and at most `MAXIMUM_EXCUSED_CRASHES`.
+upstreams and had not completed before. Runs that have long been in flight at n
+other upstreams raise it to n + k, for n of at least 2 and at most
+`MAXIMUM_EXCUSED_CRASHES`.
 
 Requests that have nothing but a part of their prompts in common are counted by
 `prompt_quarantine`.
@@ -25,6 +27,7 @@
 
 import itertools
 import math
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from types import MappingProxyType
 
@@ -56,6 +59,7 @@
 MAXIMUM_CRASHES = 64
 MAXIMUM_SUSPECTS = 256
 MAXIMUM_EPOCHS = 4096
+MAXIMUM_COMPLETED_REQUESTS = 4096
 
 
 _UNKNOWN_TIMES: Mapping[str, float] = MappingProxyType({})
@@ -89,6 +93,19 @@
         # Request that probes a fingerprint, and the time until which it may.
         self._probe_by_fingerprint: dict[str, tuple[Prompt, float]] = {}
         self._changed: set[CrashId] = set()
+        self._completed_at_by_fingerprint: OrderedDict[str, float] = (
+            OrderedDict()
+        )
+
+    @property
+    def has_crashes(self) -> bool:
+        """Return whether a crash has ever been recorded."""
+        return bool(self._epoch_by_upstream) or self.prompts.has_suspects
+
+    @property
+    def has_changed(self) -> bool:
+        """Return whether there is something to publish."""
+        return bool(self._changed) or self.prompts.has_changed
 
     def epoch(self, upstream_id: str) -> int:
         """Return the number of known crashes of an upstream.
@@ -260,7 +277,15 @@
     def record_success(
         self, fingerprint: str, now: float, prompt: Prompt | None = None
     ) -> None:
-        """Record a completed request, which clears it of the known crashes."""
+        """Record a completed request, which clears it of the known crashes.
+
+        It also counts in its favour at later crashes.
+        """
+        completed = self._completed_at_by_fingerprint
+        completed[fingerprint] = now
+        completed.move_to_end(fingerprint)
+        if len(completed) > MAXIMUM_COMPLETED_REQUESTS:
+            completed.popitem(last=False)
         if prompt is not None:
             self.prompts.record_proof(prompt, now)
         crash_ids = self._crash_ids_by_fingerprint.get(fingerprint)
@@ -340,6 +365,24 @@
             crash.sent_at_by_suspect, record, now, suspects
         )
         crash.cleared = cleared
+        proven = crash.proven_before.union(record.proven_before)
+        own = self._completed_before(happened_at, suspects - proven)
+        if own:
+            self._changed.add(crash_id)
+        crash.proven_before = suspects.intersection(proven | own)
+
+    def _completed_before(
+        self, happened_at: float, fingerprints: Iterable[str]
+    ) -> set[str]:
+        """Return the requests that this router saw complete before a crash."""
+        completed = self._completed_at_by_fingerprint
+        return {
+            name
+            for name in fingerprints
+            if 0
+            <= happened_at - completed.get(name, -math.inf)
+            <= CRASH_WINDOW_SECONDS
+        }
 
     def _update_epoch(self, record: CrashRecord) -> None:
         epochs = self._epoch_by_upstream
@@ -387,6 +430,7 @@
             tuple(name for name, _ in suspects),
             tuple(sorted(crash.cleared)),
             tuple(now - sent_at for _, sent_at in suspects),
+            tuple(sorted(crash.proven_before)),
         )
 
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/crash_guard.py
@@ -225,10 +225,11 @@
                 as the upstream may not have run it.
         """
         request = run.request
-        state = self._exchange.find_state(request.service)
-        if state is not None:
-            prompt = request.prompt if status < HTTPStatus.BAD_REQUEST else None
-            state.record_success(request.fingerprint, self._app.now(), prompt)
+        prompt = request.prompt if status < HTTPStatus.BAD_REQUEST else None
+        state = self._exchange.record_success(
+            request.service, request.fingerprint, prompt
+        )
+        if state.has_changed:
             self._exchange.publish_soon(state)
 
     def _prompt_runs(self, service: str) -> Iterator[PromptRun]:
--- a/packages/router/src/lacewingspar_router/components/quarantine/registry.py
+++ b/packages/router/src/lacewingspar_router/components/quarantine/registry.py
@@ -204,10 +204,11 @@
 
     def _record_success(self, run: UpstreamRun) -> None:
         identity = run.identity
-        state = self._exchange.find_state(identity.service)
-        if state is not None:
-            prompt = identity.prompt if run.proves_prompt else None
-            state.record_success(identity.fingerprint, self._app.now(), prompt)
+        prompt = identity.prompt if run.proves_prompt else None
+        state = self._exchange.record_success(
+            identity.service, identity.fingerprint, prompt
+        )
+        if state.has_changed:
             self._exchange.publish(state)
 
     def _runs_of(
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -48,8 +48,6 @@
         self._app = app
         self._peers = app.get(PEERS)
         self._telemetry = app.get(TELEMETRY)
-        # Services without a known crash have no entry, so that their requests
-        # skip the checks.
         self._state_by_service: dict[str, QuarantineState] = {}
         self._known_instances: set[RouterInstance] = set()
         self._timer_by_service: dict[str, asyncio.TimerHandle] = {}
@@ -65,8 +63,12 @@
         self._listeners.append(listener)
 
     def find_state(self, service: str) -> QuarantineState | None:
-        """Return the records of a service, or None before its first crash."""
-        return self._state_by_service.get(service)
+        """Return the records of a service, or None before its first crash.
+
+        Requests of services without a crash skip the checks.
+        """
+        state = self._state_by_service.get(service)
+        return state if state is not None and state.has_crashes else None
 
     def state(self, service: str) -> QuarantineState:
         """Return the records of a service, which are created if missing."""
@@ -75,6 +77,23 @@
             state = self._state_by_service[service] = QuarantineState(service)
         return state
 
+    def record_success(
+        self, service: str, fingerprint: str, prompt: Prompt | None
+    ) -> QuarantineState:
+        """Record a completed request, which counts in its favour.
+
+        Args:
+            service: Name of the service.
+            fingerprint: Fingerprint of the request.
+            prompt: Its prompt, if the response proves that as well.
+
+        Returns:
+            The records of the service.
+        """
+        state = self.state(service)
+        state.record_success(fingerprint, self._app.now(), prompt)
+        return state
+
     def refusal_seconds(
         self,
         service: str,
@@ -93,7 +112,7 @@
             runs: Returns this router's runs of the fingerprint that are in
                 flight, with the IDs of their upstreams.
         """
-        state = self._state_by_service.get(service)
+        state = self.find_state(service)
         now = self._app.now()
         if (
             state is None
@@ -144,7 +163,7 @@
             prompt: The prompt.
             runs: Returns the requests that this router has sent to the service.
         """
-        state = self._state_by_service.get(service)
+        state = self.find_state(service)
         if state is None or not self._refusal(state, prompt):
             return None
         state.prompts.record_begun(runs(), self._app.now())
@@ -236,7 +255,7 @@
         state = self.state(message.service)
         state.merge(message, self._app.now())
         self.report(state)
-        if state.prompts.has_changed:
+        if state.has_changed:
             self.publish_soon(state)
         self._telemetry.count(
             METRIC_RECORDS, len(message.crashes) + len(message.parts)
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -57,6 +57,18 @@
         ([(CRASH, 0, 1), (CRASH, 2, 3), (SUCCESS, 2, 4)], [None]),
         (
             [(CRASH, 0, 1), (SUCCESS, 1, 2), (CRASH, 2, 3), (CRASH, 4, 5)],
+            [Suspected(7), None],
+        ),
+        (
+            [(SUCCESS, 0, 1), (CRASH, 2, 3), (CRASH, 4, 5)],
+            [Suspected(7), None],
+        ),
+        (
+            [(SUCCESS, 0, 1), (CRASH, 2, 3), (CRASH, 4, 5), (CRASH, 5, 6)],
+            [Convicted(606), Convicted(606), Convicted(606), None],
+        ),
+        (
+            [(SUCCESS, -601, -600), (CRASH, 2, 3), (CRASH, 4, 5)],
             [Convicted(605), None],
         ),
         ([(CRASH, 0, 1), (CRASH, 0, 1.1)], [Suspected(3.1), None]),
@@ -79,9 +91,9 @@
 ) -> None:
     """Guards against convicting a request that has run to its end.
 
-    Nor is it convicted of crashes that happened together. The verdicts are
-    those for no other upstream at which it has long been in flight, for one,
-    and so on.
+    Nor is it convicted of crashes that happened together, or of two crashes
+    after it has run to its end (review case 10). The verdicts are those for no
+    other upstream at which it has long been in flight, for one, and so on.
     """
     state = after(*events)
     assert [
@@ -134,6 +146,27 @@
             receiver.merge(messages.decode_message(data), now)
 
 
+def test_routers_share_what_speaks_for_a_request() -> None:
+    """Guards against a verdict of a router that has not run the request.
+
+    The router at which it has run to its end learns of the crashes from others.
+    """
+    observer, other = QuarantineState("s"), QuarantineState("s")
+    other.record_success("x", 0.0)
+    for number in (1, 2):
+        observer.record_crash(
+            f"u{number}",
+            0,
+            ("x",),
+            float(number),
+            sent_at_by_fingerprint={"x": number - 0.5},
+        )
+        exchange([observer, other], float(number))
+        exchange([observer, other], float(number))
+    for state in (observer, other):
+        assert isinstance(state.verdict("x", 2.0), Suspected)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_popular_request_is_never_refused_beside_crashes(seed: int) -> None:
     """Guards against blaming a request that every engine runs all the time.
@@ -209,17 +242,25 @@
 
 
 @settings(derandomize=True, max_examples=300)
-@given(st.lists(STEP, min_size=25, max_size=25), st.floats(0.3, 7.0))
+@given(
+    st.lists(STEP, min_size=25, max_size=25),
+    st.floats(0.3, 7.0),
+    st.sets(st.integers(0, 3)),
+)
 def test_crashing_request_is_contained_among_other_crashes(
-    steps: list[tuple[list[int], str, str, bool]], pause_seconds: float
+    steps: list[tuple[list[int], str, str, bool]],
+    pause_seconds: float,
+    completed_at: set[int],
 ) -> None:
     """Guards against excusing a request for crashes that it did not cause.
 
     In each step routers send the crashing request at once, perhaps beside sound
     ones, and other upstreams end under others. A run at a silent upstream is in
-    flight at times.
+    flight at times. The request may have run to its end before.
     """
     states = [QuarantineState("s") for _ in range(4)]
+    for router in completed_at:
+        states[router].record_success("x", 99.0)
     crashes = late = 0
     for step, (routers, unrelated, beside, hangs) in enumerate(steps):
         now = 100.0 + step * pause_seconds
--- a/tests/router/deployed/test_popular_request.py
+++ b/tests/router/deployed/test_popular_request.py
@@ -173,6 +173,36 @@
     assert refusals["200"] > LOAD_SECONDS * per_second / 2
 
 
+async def test_request_that_has_run_well_is_probed_after_two_crashes(
+    deployment: Deployment,
+) -> None:
+    """Guards against ten minutes' refusal of a sound popular request.
+
+    Review case 10: it has run to its end, then meets two crashes in a row.
+    """
+    callers = await start(deployment, "plain", 0.3)
+    for caller in callers:
+        assert (await caller.call("/write/")).status == 200
+    for caller in callers:
+        call = asyncio.create_task(caller.call("/write/"))
+        upstreams = list(deployment.upstream_by_id.values())
+        await until(lambda items=upstreams: any(i.running for i in items))
+        next(item for item in upstreams if item.running).crash()
+        assert (await call).status >= 500
+        await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
+    assert sum(u.crashes for u in deployment.upstream_by_id.values()) == 2
+    for caller in callers:
+        refused = await caller.call("/write/")
+        assert refused.status == 503
+        assert 0 < float(refused.headers["retry-after"]) <= PROBE_SECONDS
+    await asyncio.sleep(SUSPICION_SECONDS)
+    returned = [await caller.call("/write/") for caller in callers]
+    assert 200 in {response.status for response in returned}
+    await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
+    for caller in callers:
+        assert (await caller.call("/write/")).status == 200
+
+
 async def test_request_at_upstreams_that_end_together_may_soon_return(
     deployment: Deployment,
 ) -> None:
