--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -13,7 +13,9 @@
 
 After `CRASHES_UNTIL_REFUSED` such crashes the part is refused for
 `FIRST_REFUSAL_SECONDS`, then one request probes it. A crash under a probe
-multiplies the time by `REFUSAL_FACTOR`, and a proof ends the quarantine. Parts
+multiplies the time by `REFUSAL_FACTOR`, and a proof ends the quarantine. A part
+that was proven before the crashes is first refused for
+`PROVEN_REFUSAL_SECONDS`, and for the longer times after further crashes. Parts
 that have taken part in the same crashes are refused only together until a
 request with one of them has crashed or proven it.
 
@@ -316,6 +318,7 @@
         if crash.happened_at <= self._proven_at(part):
             return
         suspect = self._suspect_by_part.setdefault(part, Suspect())
+        suspect.proven_at = self._proven_at(part)
         counted_before = len(suspect.counted)
         known = suspect.crash_by_id.get(crash_id)
         suspect.crash_by_id[crash_id] = known.union(crash) if known else crash
@@ -336,6 +339,7 @@
         suspect = self._suspect_by_part.get(part)
         if suspect is None:
             return
+        suspect.proven_at = proven_at
         later = {
             crash_id
             for crash_id, crash in suspect.crash_by_id.items()
--- a/packages/core/src/lacewingspar_core/prompt_suspects.py
+++ b/packages/core/src/lacewingspar_core/prompt_suspects.py
@@ -3,6 +3,7 @@
 `prompt_quarantine` states how they are counted and what follows.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import islice
@@ -14,6 +15,9 @@
 # three probes in the first 22 minutes, five in 13 hours.
 FIRST_REFUSAL_SECONDS = 30.0
 REFUSAL_FACTOR = 6.0
+# Time until the first probe of a part that was proven before its crashes. A
+# popular part is in flight wherever upstreams crash.
+PROVEN_REFUSAL_SECONDS = 2.0
 # A response has begun once its output has gone on for this long. Upstreams that
 # crash on a prompt do so with the first tokens, in less than 0.1 s.
 BEGUN_SECONDS = 0.25
@@ -96,10 +100,12 @@
     Attributes:
         crash_by_id: The crashes.
         counted: Those that count, oldest first.
+        proven_at: Time at which it was last proven, or minus infinity.
     """
 
     crash_by_id: dict[CrashId, SuspectedCrash] = field(default_factory=dict)
     counted: list[SuspectedCrash] = field(default_factory=list)
+    proven_at: float = -math.inf
 
     @property
     def is_quarantined(self) -> bool:
@@ -110,6 +116,10 @@
     def refusal_seconds(self) -> float:
         """Return the time from the last crash to the first probe."""
         probes = len(self.counted) - CRASHES_UNTIL_REFUSED
+        if self._was_proven:
+            probes -= 1
+        if probes < 0:
+            return PROVEN_REFUSAL_SECONDS
         return FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**probes
 
     @property
@@ -127,6 +137,12 @@
         """Return the time of the latest crash."""
         return max(crash.happened_at for crash in self.crash_by_id.values())
 
+    @property
+    def _was_proven(self) -> bool:
+        """Return whether it was proven shortly before its crashes."""
+        first_crash_at = self.counted[0].happened_at
+        return first_crash_at - self.proven_at <= CRASH_WINDOW_SECONDS
+
     def count(self) -> None:
         """Choose the crashes that count, as many as possible."""
         counted: list[SuspectedCrash] = []
--- a/tests/core/test_prompt_quarantine.py
+++ b/tests/core/test_prompt_quarantine.py
@@ -15,7 +15,9 @@
     PromptQuarantine,
 )
 from lacewingspar_core.prompt_suspects import (
+    CRASH_WINDOW_SECONDS,
     FIRST_REFUSAL_SECONDS,
+    PROVEN_REFUSAL_SECONDS,
     REFUSAL_FACTOR,
     Prompt,
     PromptRun,
@@ -156,15 +158,40 @@
     assert state.has_suspect(prompt("p"))
 
 
-def test_probes_come_one_at_a_time_and_with_growing_distance() -> None:
+# Times from each crash of a probe to the next probe, in seconds.
+DISTANCES = [
+    FIRST_REFUSAL_SECONDS,
+    FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR,
+    FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**2,
+]
+
+
+@pytest.mark.parametrize(
+    ("proven_at", "distances"),
+    [
+        (None, DISTANCES),
+        (-CRASH_WINDOW_SECONDS - 1.0, DISTANCES),
+        (-CRASH_WINDOW_SECONDS, [PROVEN_REFUSAL_SECONDS, *DISTANCES]),
+        (-2.0, [PROVEN_REFUSAL_SECONDS, *DISTANCES]),
+    ],
+)
+def test_probes_come_one_at_a_time_and_with_growing_distance(
+    proven_at: float | None, distances: list[float]
+) -> None:
     """Guards against a wrong verdict without an end, and against many probes.
 
-    Each probe crashes an upstream.
+    Each probe crashes an upstream. A part that was proven before its crashes is
+    probed soon, as a popular part is in flight wherever upstreams crash (review
+    case 10).
     """
-    state = after_crashes("p", "p", "p")
-    now = 2 * CRASH_INTERVAL_SECONDS
-    distance = FIRST_REFUSAL_SECONDS
+    state = PromptQuarantine()
+    if proven_at is not None:
+        state.record_proof(prompt("p"), proven_at)
     for number in range(3):
+        at = number * CRASH_INTERVAL_SECONDS
+        record(state, f"u{number}", [prompt("p")], at)
+    now = 2 * CRASH_INTERVAL_SECONDS
+    for number, distance in enumerate(distances):
         early, probe, other = (prompt("p") for _ in range(3))
         just_before = now + distance - 0.1
         assert state.refusal(early, just_before, lambda: True) is not None
@@ -177,11 +204,24 @@
         assert refusal.seconds == pytest.approx(PROBE_SECONDS - 1.0)
         now += 1.0
         record(state, f"probe{number}", [probe], now)
-        distance *= REFUSAL_FACTOR
     state.record_proof(prompt("p"), now + 1.0)
     assert not is_refused(state, "p", now + 1.0)
 
 
+def test_routers_share_what_speaks_for_a_part() -> None:
+    """Guards against a long refusal at a router that has not run the part."""
+    observer, other = PromptQuarantine(), PromptQuarantine()
+    observer.record_proof(prompt("p"), -2.0)
+    for number in range(3):
+        at = number * CRASH_INTERVAL_SECONDS
+        record(observer, f"u{number}", [prompt("p")], at)
+        other.merge(observer.publish(at), at)
+    now = 2 * CRASH_INTERVAL_SECONDS
+    refusal = other.refusal(prompt("p"), now, lambda: True)
+    assert refusal is not None
+    assert refusal.seconds == PROVEN_REFUSAL_SECONDS
+
+
 def test_unfinished_probe_is_followed_by_another() -> None:
     state = after_crashes("p", "p", "p")
     due_at = 2 * CRASH_INTERVAL_SECONDS + FIRST_REFUSAL_SECONDS
