Pass on records that a restored log lists again unchanged (CONFIG)

Cause: a router passes on the records that change its own directory. The record that was lost and is written again unchanged only took back the expiry at the router that reads the log, so the routers that follow it were not told, and dropped the upstream at the end of their grace period. Later heartbeats are no change either. Ruled out: a record that followers ignore, and a shorter grace period there.

Change: a report that is listed again during the grace period is a change ("upstream listed again"), and so is the next one, for a follower whose grace period was over just before. Besides, a reader passes on each record that differs from what the log said before, as it may be news for a router that has started since the restoration. It works because what is passed on now follows the log, not the reader's own knowledge.

--- a/packages/core/src/lacewingspar_core/directory.py
+++ b/packages/core/src/lacewingspar_core/directory.py
@@ -60,6 +60,7 @@
     ADDED = "added"
     RESTARTED = "restarted"
     CHANGED = "changed"
+    RELISTED = "listed again"
     EXPIRED = "lapsed"
     REMOVED = "removed"
 
@@ -106,6 +107,8 @@
         # What the registry says, without the announcements.
         self._listed_state_by_id: dict[str, UpstreamState] = {}
         self._expires_at_by_id: dict[str, float] = {}
+        # Upstreams whose expired report was listed again, until the next one.
+        self._relisted_ids: set[str] = set()
         self._removed_by_id: dict[str, _RemovedUpstream] = {}
 
     @property
@@ -155,7 +158,10 @@
         Returns:
             The change, or None if the report is outdated or changes nothing
             relevant. A report that an upstream is draining is a change also if
-            it has announced that, since other routers may not know.
+            it has announced that, since other routers may not know. So is an
+            expired report that is listed again, and the next one after it: a
+            router whose grace period was over before has dropped the upstream
+            and accepts newer reports only.
         """
         upstream_id = entry.upstream_id
         removed = self._removed_by_id.get(upstream_id)
@@ -163,12 +169,18 @@
             return None
         known = self._entry_by_id.get(upstream_id)
         if known is not None and entry.order <= known.order:
-            if entry.order == known.order:
-                # The same report is listed again, after it was lost.
-                self._expires_at_by_id.pop(upstream_id, None)
-            return None
+            is_expiring = upstream_id in self._expires_at_by_id
+            if not is_expiring or entry.order < known.order:
+                return None
+            del self._expires_at_by_id[upstream_id]
+            self._relisted_ids.add(upstream_id)
+            return DirectoryChange(ChangeKind.RELISTED, known)
         self._removed_by_id.pop(upstream_id, None)
-        had_expired = self._expires_at_by_id.pop(upstream_id, None) is not None
+        had_expired = (
+            self._expires_at_by_id.pop(upstream_id, None) is not None
+            or upstream_id in self._relisted_ids
+        )
+        self._relisted_ids.discard(upstream_id)
         self.notices.record_incarnation(upstream_id, entry.born_ms)
         listed_state = self._listed_state_by_id.get(upstream_id)
         is_state_new = entry.state is not listed_state
@@ -265,12 +277,29 @@
         del self._entry_by_id[entry.upstream_id]
         del self._listed_state_by_id[entry.upstream_id]
         self._expires_at_by_id.pop(entry.upstream_id, None)
+        self._relisted_ids.discard(entry.upstream_id)
         self._removed_by_id[entry.upstream_id] = _RemovedUpstream(
             entry.order, now
         )
         return DirectoryChange(ChangeKind.REMOVED, entry)
 
 
+def is_same_listing(
+    entry: UpstreamEntry | None, other: UpstreamEntry | None
+) -> bool:
+    """Return whether two entries of an upstream say the same about its use.
+
+    Args:
+        entry: An entry, or None if the upstream is not listed.
+        other: Another one of the same upstream.
+    """
+    if entry is None or other is None:
+        return entry is other
+    return entry.born_ms == other.born_ms and _relevant_fields(
+        entry
+    ) == _relevant_fields(other)
+
+
 def _relevant_fields(entry: UpstreamEntry) -> tuple[object, ...]:
     """Return the fields whose change affects the use of an upstream."""
     return (
--- a/packages/router/src/lacewingspar_router/components/routing/state.py
+++ b/packages/router/src/lacewingspar_router/components/routing/state.py
@@ -12,6 +12,8 @@
     ChangeKind,
     DirectoryChange,
     UpstreamDirectory,
+    UpstreamEntry,
+    is_same_listing,
 )
 from lacewingspar_core.log_positions import (
     era_of,
@@ -71,6 +73,8 @@
         self._table = RouteTable()
         self._directory = UpstreamDirectory()
         self._record_by_upstream: dict[str, KeyedRecord] = {}
+        # What the log says, whatever the directory makes of it.
+        self._listed_entry_by_id: dict[str, UpstreamEntry] = {}
         self._directory_offset = -1
         self._changed_offset = -1
         self._listing_offset = -1
@@ -208,6 +212,7 @@
         self._check_restored(listing.end_offset, origin, expiry_grace_seconds)
         entries = self._decoder.entries(listing.record_by_key.values())
         self._record_by_upstream = dict(listing.record_by_key)
+        self._listed_entry_by_id = entries
         self._change_offset_by_upstream = {
             key: record.offset for key, record in listing.record_by_key.items()
         }
@@ -248,6 +253,7 @@
             self._disruptions.record_available()
         grace_seconds = self._grace_seconds(expiry_grace_seconds)
         changes: list[DirectoryChange] = []
+        is_listing_changed = False
         for record in records:
             known = self._record_by_upstream.get(record.key)
             newest = -1 if known is None else known.offset
@@ -255,16 +261,23 @@
                 continue
             self._record_by_upstream[record.key] = record
             change = None
+            is_news = False
             with self._record_guard:
-                change = self._apply_record(record, grace_seconds)
+                entry = self._decode(record)
+                is_news = self._update_listed(record, entry)
+                change = self._apply_record(record, entry, grace_seconds)
             if change is not None:
                 changes.append(change)
+            if change is not None or is_news:
+                is_listing_changed = True
                 self._change_offset_by_upstream[record.key] = record.offset
                 self._changed_offset = max(
                     self._changed_offset, record.offset + 1
                 )
         self._mark_confirmed(next_offset)
-        self._publish_changes(changes, origin)
+        self._log_changes(changes, origin)
+        if is_listing_changed:
+            self._notify_listeners()
 
     def mark_leaving(self, upstream_id: str, born_ms: int, origin: str) -> bool:
         """Record that an upstream announced its shutdown.
@@ -348,14 +361,41 @@
         """
         return self.expiry_grace_seconds if reported is None else reported
 
+    def _decode(self, record: KeyedRecord) -> UpstreamEntry | None:
+        """Return the entry of a record, or None if it has none."""
+        if not record.value:
+            return None
+        return self._decoder.entries([record]).get(record.key)
+
+    def _update_listed(
+        self, record: KeyedRecord, entry: UpstreamEntry | None
+    ) -> bool:
+        """Update what the log says; return whether other routers need to know.
+
+        A record that changes nothing here may be news to a router that knows an
+        older state of the log only, such as one that has started since the log
+        was restored.
+        """
+        listed = self._listed_entry_by_id
+        if record.value and entry is None:
+            return False
+        is_news = not is_same_listing(listed.get(record.key), entry)
+        if entry is None:
+            listed.pop(record.key, None)
+        else:
+            listed[record.key] = entry
+        return is_news
+
     def _apply_record(
-        self, record: KeyedRecord, grace_seconds: float
+        self,
+        record: KeyedRecord,
+        entry: UpstreamEntry | None,
+        grace_seconds: float,
     ) -> DirectoryChange | None:
         if not record.value:
             return self._directory.remove(
                 record.key, self._app.now(), grace_seconds=grace_seconds
             )
-        entry = self._decoder.entries([record]).get(record.key)
         return None if entry is None else self._directory.apply(entry)
 
     def _log_outdated(self, position: int, origin: str) -> None:
@@ -394,6 +434,11 @@
     def _publish_changes(
         self, changes: list[DirectoryChange], origin: str
     ) -> None:
+        self._log_changes(changes, origin)
+        if changes:
+            self._notify_listeners()
+
+    def _log_changes(self, changes: list[DirectoryChange], origin: str) -> None:
         for change in changes:
             entry = change.entry
             _LOGGER.info(
@@ -408,8 +453,6 @@
                 directory_offset=self._directory_offset,
                 origin=origin,
             )
-        if changes:
-            self._notify_listeners()
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
@@ -421,6 +464,7 @@
     ChangeKind.ADDED: "added",
     ChangeKind.RESTARTED: "restarted",
     ChangeKind.CHANGED: "changed",
+    ChangeKind.RELISTED: "listed again",
     ChangeKind.EXPIRED: "expired during an outage of the log service",
     ChangeKind.REMOVED: "removed",
 }
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -84,6 +84,37 @@
     assert set(directory.ready_upstreams("s")) == {"u1"}
 
 
+@pytest.mark.parametrize(
+    ("is_expiring", "sequences", "kinds"),
+    [
+        (False, [5, 6, 7], [None, None, None]),
+        (True, [4, 5], [None, ChangeKind.RELISTED]),
+        (
+            True,
+            [5, 5, 6, 7],
+            [ChangeKind.RELISTED, None, ChangeKind.CHANGED, None],
+        ),
+        (True, [6, 7], [ChangeKind.CHANGED, None]),
+    ],
+)
+def test_expired_report_that_is_listed_again_is_a_change(
+    is_expiring: bool, sequences: list[int], kinds: list[ChangeKind | None]
+) -> None:
+    """Guards against other routers that still drop the upstream (case 9).
+
+    One that has dropped it already accepts the next report only.
+    """
+    directory = UpstreamDirectory()
+    directory.apply(ENTRY)
+    if is_expiring:
+        directory.remove("u1", 10.0, grace_seconds=EXPIRY_GRACE_SECONDS)
+    changes = [
+        directory.apply(replace(ENTRY, sequence=number)) for number in sequences
+    ]
+    assert [kind_of(change) for change in changes] == kinds
+    assert directory.expire(20.0) == []
+
+
 def test_draining_upstream_is_removed_at_once() -> None:
     """Guards against new work for an upstream that has shut down."""
     directory = UpstreamDirectory()
--- a/tests/router/deployed/test_routing_state.py
+++ b/tests/router/deployed/test_routing_state.py
@@ -18,7 +18,7 @@
 DRAIN_SECONDS = 2.0
 
 
-def entry(sequence: int = 1) -> bytes:
+def entry(sequence: int = 1, state: str = "ready") -> bytes:
     return msgspec.json.encode(
         {
             "service": "plain",
@@ -26,7 +26,7 @@
             "zone": "dc-a",
             "version": "v1",
             "slots": 4,
-            "state": "ready",
+            "state": state,
             "sequence": sequence,
             "born": 1,
             "coldRemainingMs": 0,
@@ -139,3 +139,88 @@
     late = KeyedRecord("u2", entry(), log_position(era, 7))
     harness.state.apply_upstream_records([late], log_position(era, 8), "log")
     assert ("u2" in harness.state.directory.entry_by_id) is is_used
+
+
+def pass_on(
+    reader: RoutingState, follower: RoutingState, *, is_started: bool = False
+) -> None:
+    """Give a router what it lacks of the state of another one.
+
+    Args:
+        reader: The other router.
+        follower: The router.
+        is_started: Whether it has just started and knows nothing.
+    """
+    offset = -1 if is_started else follower.directory_offset
+    if reader.changed_offset <= offset:
+        return
+    if reader.needs_listing(offset):
+        records = reader.listed_records()
+        follower.apply_upstream_listing(
+            TopicListing(
+                {record.key: record for record in records},
+                reader.directory_offset,
+            ),
+            "router r1",
+            reader.expiry_grace_seconds,
+        )
+        return
+    follower.apply_upstream_records(
+        reader.records_since(offset),
+        reader.directory_offset,
+        "router r1",
+        reader.expiry_grace_seconds,
+    )
+
+
+@pytest.mark.parametrize(
+    ("lost", "copied", "is_started"),
+    [
+        (entry(), b"", False),
+        (entry(), b"", True),
+        (entry(2, "draining"), entry(), True),
+        (b"", entry(), True),
+        (b"", entry(2, "draining"), True),
+    ],
+    ids=["lapsed", "unknown", "draining", "gone", "draining, then gone"],
+)
+def test_lost_record_that_is_written_again_reaches_all_routers(
+    lost: bytes, copied: bytes, is_started: bool
+) -> None:
+    """Guards against routers that miss what is no change for the reader.
+
+    The log comes back from a copy without the newest record of an upstream,
+    which is then written again unchanged (review case 9). The other router
+    follows the reader, or has started in between.
+    """
+    reader, follower = StateHarness(), StateHarness()
+    for harness in (reader, follower):
+        harness.read(lost)
+    is_used = "u1" in reader.state.directory.ready_upstreams("plain")
+    start = log_position(1, 0)
+    records = [KeyedRecord("u1", copied, start)] if copied else []
+    reader.state.apply_upstream_listing(
+        TopicListing({item.key: item for item in records}, start + 1)
+    )
+    if is_started:
+        follower = StateHarness()
+        follower.now = reader.now
+    pass_on(reader.state, follower.state, is_started=is_started)
+    for harness in (reader, follower):
+        harness.now += DRAIN_SECONDS / 2
+    reader.state.apply_upstream_records(
+        [KeyedRecord("u1", lost, start + 1)], start + 2, "log"
+    )
+    pass_on(reader.state, follower.state)
+    for harness in (reader, follower):
+        harness.now += 2 * DRAIN_SECONDS
+        assert harness.is_usable is is_used
+
+
+def test_heartbeats_are_not_passed_on() -> None:
+    """Guards against messages to all routers for each heartbeat."""
+    harness = StateHarness()
+    harness.read(entry(2))
+    known = harness.state.changed_offset
+    harness.read(entry(3))
+    assert harness.state.changed_offset == known
--- a/tests/router/deployed/test_store_era.py
+++ b/tests/router/deployed/test_store_era.py
@@ -1,5 +1,7 @@
 """A store that is restored to an older state."""
 
+import asyncio
+
 import msgspec
 import pytest
 from tests.router.deployed.conftest import (
@@ -10,6 +12,7 @@
     until,
 )
 
+from lacewingspar_core.directory import EXPIRY_GRACE_SECONDS
 from lacewingspar_router.components.routing.models import ROUTING
 from lacewingspar_router.components.routing.state import RoutingState
 from lacewingspar_standins.deployed.store import Topic
@@ -138,6 +141,32 @@
     )
 
 
+async def test_record_that_is_written_again_unchanged_reaches_followers(
+    served: Deployment, copied: dict[str, Topic]
+) -> None:
+    """Guards against a live upstream that routers drop for good (case 9).
+
+    Its record is no change for the router that reads the log.
+    """
+    await served.add_upstream("p3", "plain")
+    for name in ("p1", "p2"):
+        served.store.topic("keyed.servers").append(name, b"")
+
+    def is_served(state: RoutingState) -> bool:
+        return state.directory.ready_upstreams("plain").keys() == {"p3"}
+
+    await until_all(served, is_served)
+    _, value = served.store.topic("keyed.servers").newest_by_key["p3"]
+    served.store.restore(copied)
+    await until_all(served, lambda state: state.era == 1)
+    topic = served.store.topic("keyed.servers")
+    for name in ("p1", "p2"):
+        topic.append(name, b"")
+    topic.append("p3", value)
+    await asyncio.sleep(1.5 * EXPIRY_GRACE_SECONDS)
+    assert all(is_served(state) for state in states(served))
+
+
 async def test_routers_register_again_in_a_restored_store(
     served: Deployment, copied: dict[str, Topic]
 ) -> None:
