Reserve the ports of upstreams that a test starts again

Cause: tests and the soak start an upstream on a free port, crash it and start its successor on the same port.

Change: these ports, and those of the soak's links, come from PortReservations, as the routers' own do. A bound socket keeps the port from others; the stand-in listens beside it.

--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -159,7 +159,8 @@
         upstream.on_crash = partial(self._record_crash, name)
         self.service_by_upstream[name] = service
         self.present.add(name)
-        await upstream.async_start()
+        # It may be started again at this address after a crash.
+        await upstream.async_start(port=_port(self._fleet.reserve_address()))
         self._stack.push_async_callback(upstream.async_stop)
         await self._async_link(f"upstream/{name}", upstream.address)
         self._started_ms_by_upstream[name] = int(time.time() * 1000)
@@ -333,7 +334,7 @@
         link = Link(target, LinkFaults())
         self.link_by_name[name] = link
         self._address_by_link[name] = await self._stack.enter_async_context(
-            link.listening("127.0.0.1", 0)
+            link.listening("127.0.0.1", _port(self._fleet.reserve_address()))
         )
 
 
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -171,7 +171,9 @@
     ) -> Upstream:
         """Start and register an upstream."""
         upstream = Upstream(upstream_id, **options)
-        await upstream.async_start()
+        # It may be started again at this address after a crash.
+        _, _, port = self._ports.reserve().rpartition(":")
+        await upstream.async_start(port=int(port))
         self._stack.push_async_callback(upstream.async_stop)
         self.upstream_by_id[upstream_id] = upstream
         self.register(upstream_id, service, data_centre=data_centre)
