--- a/packages/core/src/lacewingspar_core/prompt_quarantine.py
+++ b/packages/core/src/lacewingspar_core/prompt_quarantine.py
@@ -14,8 +14,10 @@
 After `CRASHES_UNTIL_REFUSED` such crashes the part is refused for
 `FIRST_REFUSAL_SECONDS`, then one request probes it. A crash under a probe
 multiplies the time by `REFUSAL_FACTOR`, and a proof ends the quarantine. A part
-that was proven before the crashes is first refused for
-`PROVEN_REFUSAL_SECONDS`, and for the longer times after further crashes. Parts
+that was proven before the crashes is first refused for `SUSPICION_SECONDS`, and
+for the longer times after further crashes. So is a part that was not, after
+`CRASHES_UNTIL_REFUSED` crashes that happened together: they count as one, but
+requests with a part that crashes upstreams may come at once. Parts
 that have taken part in the same crashes are refused only together until a
 request with one of them has crashed or proven it.
 
@@ -304,7 +306,7 @@
     def _describe(self, part: str, suspect: Suspect) -> PartQuarantined:
         return PartQuarantined(
             part,
-            tuple(crash.upstream_id for crash in suspect.counted),
+            tuple(crash.upstream_id for crash in suspect.evidence),
             tuple(sorted(suspect.workspaces)),
             suspect.refusal_seconds,
             tuple(sorted(self._companions(part, suspect))),
@@ -319,14 +321,14 @@
             return
         suspect = self._suspect_by_part.setdefault(part, Suspect())
         suspect.proven_at = self._proven_at(part)
-        counted_before = len(suspect.counted)
+        refusals_before = suspect.refusals
         known = suspect.crash_by_id.get(crash_id)
         suspect.crash_by_id[crash_id] = known.union(crash) if known else crash
         self._parts_by_crash_id.setdefault(crash_id, set()).add(part)
         suspect.count()
         if len(suspect.crash_by_id) > MAXIMUM_CRASHES_PER_PART:
             self._keep_crashes(part, suspect, suspect.most_telling_crashes())
-        if suspect.is_quarantined and len(suspect.counted) > counted_before:
+        if suspect.refusals > refusals_before:
             self._probe_by_part.pop(part, None)
             self._newly_quarantined.add(part)
 
--- a/packages/core/src/lacewingspar_core/prompt_suspects.py
+++ b/packages/core/src/lacewingspar_core/prompt_suspects.py
@@ -15,9 +15,10 @@
 # three probes in the first 22 minutes, five in 13 hours.
 FIRST_REFUSAL_SECONDS = 30.0
 REFUSAL_FACTOR = 6.0
-# Time until the first probe of a part that was proven before its crashes. A
-# popular part is in flight wherever upstreams crash.
-PROVEN_REFUSAL_SECONDS = 2.0
+# Time until the first probe of a part that is only suspected: it was proven
+# before its crashes, or they happened together. A popular part is in flight
+# wherever upstreams crash.
+SUSPICION_SECONDS = 2.0
 # A response has begun once its output has gone on for this long. Upstreams that
 # crash on a prompt do so with the first tokens, in less than 0.1 s.
 BEGUN_SECONDS = 0.25
@@ -106,20 +107,30 @@
     crash_by_id: dict[CrashId, SuspectedCrash] = field(default_factory=dict)
     counted: list[SuspectedCrash] = field(default_factory=list)
     proven_at: float = -math.inf
+    _happened_together: bool = False
 
     @property
     def is_quarantined(self) -> bool:
         """Return whether the crashes suffice to refuse the part."""
-        return len(self.counted) >= CRASHES_UNTIL_REFUSED
+        return self.refusals > 0
+
+    @property
+    def refusals(self) -> int:
+        """Return how often it was refused, or refused for longer."""
+        if not self.counted:
+            return 0
+        is_suspect_at_once = self._happened_together and not self._was_proven
+        first = 1 if is_suspect_at_once else CRASHES_UNTIL_REFUSED
+        return max(0, len(self.counted) + 1 - first)
 
     @property
     def refusal_seconds(self) -> float:
         """Return the time from the last crash to the first probe."""
-        probes = len(self.counted) - CRASHES_UNTIL_REFUSED
-        if self._was_proven:
+        probes = self.refusals - 1
+        if self._was_proven or self._happened_together:
             probes -= 1
         if probes < 0:
-            return PROVEN_REFUSAL_SECONDS
+            return SUSPICION_SECONDS
         return FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**probes
 
     @property
@@ -127,10 +138,15 @@
         """Return the time from which the part may be probed."""
         return self.counted[-1].happened_at + self.refusal_seconds
 
+    @property
+    def evidence(self) -> list[SuspectedCrash]:
+        """Return the crashes that justify a refusal, oldest first."""
+        return self._by_time() if self._happened_together else self.counted
+
     @property
     def workspaces(self) -> frozenset[str]:
         """Return the workspaces whose requests took part in the crashes."""
-        return frozenset().union(*(crash.workspaces for crash in self.counted))
+        return frozenset().union(*(crash.workspaces for crash in self.evidence))
 
     @property
     def last_crash_at(self) -> float:
@@ -146,9 +162,12 @@
     def count(self) -> None:
         """Choose the crashes that count, as many as possible."""
         counted: list[SuspectedCrash] = []
+        together = 0
+        self._happened_together = False
         for crash in self._by_time():
             if not counted:
                 counted = [crash]
+                together = 1
                 continue
             last = counted[-1]
             gap = crash.happened_at - last.happened_at
@@ -157,8 +176,15 @@
                 and len(counted) < CRASHES_UNTIL_REFUSED
             ):
                 counted = [crash]
+                together = 1
+                self._happened_together = False
             elif crash.sent_at >= last.happened_at:
                 counted.append(crash)
+                together = 1
+            else:
+                together += 1
+            if together >= CRASHES_UNTIL_REFUSED:
+                self._happened_together = True
         self.counted = counted
 
     def most_telling_crashes(self) -> set[CrashId]:
--- a/tests/core/test_prompt_quarantine.py
+++ b/tests/core/test_prompt_quarantine.py
@@ -17,8 +17,8 @@
 from lacewingspar_core.prompt_suspects import (
     CRASH_WINDOW_SECONDS,
     FIRST_REFUSAL_SECONDS,
-    PROVEN_REFUSAL_SECONDS,
     REFUSAL_FACTOR,
+    SUSPICION_SECONDS,
     Prompt,
     PromptRun,
     prompt_of,
@@ -27,6 +27,10 @@
 # Time between the crashes of a test, and from the sending to the crash.
 CRASH_INTERVAL_SECONDS = 2.0
 RUN_SECONDS = 0.1
+# Of the requests with a crashing part that are sent after so many crashes, as
+# many may reach upstreams.
+CRASHES_UNTIL_COUNTED = 5
+MAX_LATE_REQUESTS = 3
 
 
 def prompt(parts: Iterable[str], workspace: str = "alpha") -> Prompt:
@@ -99,20 +103,66 @@
 
 
 @pytest.mark.parametrize(
-    ("run_seconds", "is_refused_then"), [(1.0, False), (0.01, True)]
+    ("proven_at", "run_seconds", "probe_at"),
+    [
+        (-5.0, 1.0, None),
+        (None, 1.0, SUSPICION_SECONDS),
+        (None, 0.01, 0.14 + FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**5),
+    ],
+    ids=["popular", "new", "one after the other"],
 )
 def test_crashes_at_the_same_moment_count_once(
-    run_seconds: float, is_refused_then: bool
+    proven_at: float | None, run_seconds: float, probe_at: float | None
 ) -> None:
     """Guards against refusing a popular part after the loss of many upstreams.
 
-    A crash counts if its request was sent after the one counted before.
+    A crash counts if its request was sent after the one counted before. A part
+    that no response has proven is suspected (review case 8).
     """
     state = PromptQuarantine()
+    if proven_at is not None:
+        state.record_proof(prompt("a"), proven_at)
     for number in range(8):
         at = 0.02 * number
         record(state, f"u{number}", [prompt("a")], at, at - run_seconds)
-    assert is_refused(state, "a", 1.0) is is_refused_then
+    refusal = state.refusal(prompt("a"), 1.0, lambda: True)
+    seconds = None if refusal is None else refusal.seconds
+    expected = None if probe_at is None else pytest.approx(probe_at - 1.0)
+    assert seconds == expected
+
+
+@pytest.mark.parametrize("batch", [3, 5, 8, 16])
+@pytest.mark.parametrize("gap_seconds", [3.5, 7.0, 40.0])
+def test_requests_with_a_crashing_part_that_come_at_once_are_contained(
+    batch: int, gap_seconds: float
+) -> None:
+    """Guards against a part that crashes many upstreams at once, repeatedly.
+
+    Requests come at four routers, no two alike (review case 8).
+    """
+    states = [PromptQuarantine() for _ in range(4)]
+    crashes = late = 0
+    for number in range(8):
+        now = number * gap_seconds
+        sent = []
+        for request in range(batch):
+            sender = request % len(states)
+            item = prompt(["p"])
+            refusal = states[sender].refusal(
+                item, now, lambda sender=sender: sender == 0
+            )
+            if refusal is None:
+                sent.append((sender, item))
+        if crashes >= CRASHES_UNTIL_COUNTED:
+            late += len(sent)
+        for request, (sender, item) in enumerate(sent):
+            at = now + RUN_SECONDS + request / 1000
+            record(states[sender], f"u{number}-{request}", [item], at, now)
+        crashes += len(sent)
+        for message in [state.publish(now + 1.0) for state in states]:
+            for receiver in states:
+                receiver.merge(message, now + 1.0)
+    assert late <= MAX_LATE_REQUESTS
 
 
 @pytest.mark.parametrize(
@@ -171,8 +221,8 @@
     [
         (None, DISTANCES),
         (-CRASH_WINDOW_SECONDS - 1.0, DISTANCES),
-        (-CRASH_WINDOW_SECONDS, [PROVEN_REFUSAL_SECONDS, *DISTANCES]),
-        (-2.0, [PROVEN_REFUSAL_SECONDS, *DISTANCES]),
+        (-CRASH_WINDOW_SECONDS, [SUSPICION_SECONDS, *DISTANCES]),
+        (-2.0, [SUSPICION_SECONDS, *DISTANCES]),
     ],
 )
 def test_probes_come_one_at_a_time_and_with_growing_distance(
@@ -219,7 +269,7 @@
     now = 2 * CRASH_INTERVAL_SECONDS
     refusal = other.refusal(prompt("p"), now, lambda: True)
     assert refusal is not None
-    assert refusal.seconds == PROVEN_REFUSAL_SECONDS
+    assert refusal.seconds == SUSPICION_SECONDS
 
 
 def test_unfinished_probe_is_followed_by_another() -> None:
