--- a/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/attempt.py
@@ -14,6 +14,7 @@
     ResumePoint,
     StreamStart,
 )
+from lacewingspar_core.memory_budget import MemoryBudget
 from lacewingspar_core.reported_load import LoadReport
 from lacewingspar_core.routing import RouteKind
 from lacewingspar_core.upstream_notices import UpstreamNotice
@@ -131,6 +132,7 @@
         caller_response: Response to the caller.
         now: Clock in seconds.
         hooks: Functions to call on the way.
+        response_memory: Bounds the bodies that all attempts read.
     """
 
     def __init__(
@@ -142,6 +144,7 @@
         caller_response: CallerResponse,
         now: Callable[[], float],
         hooks: AttemptHooks,
+        response_memory: MemoryBudget,
     ) -> None:
         self._call = call
         self._upstream = upstream
@@ -150,6 +153,7 @@
         self._caller_response = caller_response
         self._now = now
         self._hooks = hooks
+        self._response_memory = response_memory
         self._resume_point: ResumePoint = StreamStart()
 
     async def async_run(self, fetch_from: str) -> AttemptEnd:
@@ -215,9 +219,8 @@
             if self._is_stream(head, info):
                 await self._hooks.async_before_relay()
                 return await self._async_relay_stream(connection, head)
-            response = await async_read_body(
-                connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
-            )
+            _check_is_usable(info)
+            response = await self._async_read_body(connection, head)
             if head.ends_with_connection and await self._async_has_crashed(
                 response
             ):
@@ -258,11 +261,20 @@
                 if not info.names_request:
                     connection.end_reuse()
                 return head, info
-            await async_read_body(
-                connection, head, const.MAX_BUFFERED_RESPONSE_BYTES
-            )
+            await self._async_read_body(connection, head)
         raise InvalidResponseError("received only responses to other requests")
 
+    async def _async_read_body(
+        self, connection: ClientConnection, head: ResponseHead
+    ) -> Response:
+        return await async_read_body(
+            connection,
+            head,
+            const.MAX_BUFFERED_RESPONSE_BYTES,
+            self._response_memory,
+            self._upstream.address,
+        )
+
     async def _async_relay_stream(
         self, connection: ClientConnection, head: ResponseHead
     ) -> AttemptEnd:
@@ -342,10 +354,6 @@
             )
         if info.is_declared_not_run:
             return AttemptEnd(AttemptResult.NOT_RUN, f"status {status}")
-        if info.is_encoded or not info.is_sealed:
-            return AttemptEnd(
-                AttemptResult.INVALID, "response is encoded or not sealed"
-            )
         if self._holds_other_response(response):
             return AttemptEnd(
                 AttemptResult.INVALID, "another response follows in the body"
@@ -414,6 +422,20 @@
         await self._attempt.async_drain()
 
 
+def _check_is_usable(info: ResponseInfo) -> None:
+    """Check that the body of a response may be of use.
+
+    The body of a response of a faulty upstream may have no end.
+
+    Raises:
+        InvalidResponseError: It is not.
+    """
+    if info.is_wrong_upstream or info.is_declared_not_run:
+        return
+    if info.is_encoded or not info.is_sealed:
+        raise InvalidResponseError("response is encoded or not sealed")
+
+
 def _last_event_id(resume_point: ResumePoint) -> bytes | None:
     """Return the id after which an upstream begins, or None at the start.
 
--- a/packages/router/src/lacewingspar_router/components/forwarding/const.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/const.py
@@ -3,6 +3,9 @@
 # Largest response body that is buffered before it is relayed; larger ones would
 # exhaust the memory of a small VM.
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024
+# Memory for the bodies of all responses that are being read, as a fraction of
+# the budget for callers. It comes on top of that.
+RESPONSE_MEMORY_FRACTION = 1 / 2
 # Late responses to earlier requests that are skipped before the response to the
 # current request. A connection has one request in flight.
 MAX_STALE_RESPONSES = 4
--- a/packages/router/src/lacewingspar_router/components/forwarding/sending.py
+++ b/packages/router/src/lacewingspar_router/components/forwarding/sending.py
@@ -6,8 +6,10 @@
 
 from lacewingspar_core.attempt_rules import AttemptResult
 from lacewingspar_core.directory import UpstreamEntry, UpstreamState
+from lacewingspar_core.memory_budget import MemoryBudget
 from lacewingspar_router.application import Application
 from lacewingspar_router.components.admission.models import ADMISSION, Grant
+from lacewingspar_router.components.forwarding import const
 from lacewingspar_router.components.forwarding.attempt import (
     Attempt,
     AttemptEnd,
@@ -40,12 +42,16 @@
 class UpstreamSender:
     """Sends requests to upstreams and keeps the connections to them.
 
+    Attributes:
+        response_memory: Bounds the bodies of responses that are being read.
+
     Args:
         app: The application.
         crash_guard: Learns which requests run where.
     """
 
     def __init__(self, app: Application, crash_guard: CrashGuard) -> None:
+        assert app.settings.platform is not None
         self._app = app
         self._routing = app.get(ROUTING)
         self._admission = app.get(ADMISSION)
@@ -54,6 +60,12 @@
         self._wire_format = app.get(WIRE_FORMAT)
         self._crash_guard = crash_guard
         self._pool_by_address: dict[str, ConnectionPool] = {}
+        self.response_memory = MemoryBudget(
+            round(
+                const.RESPONSE_MEMORY_FRACTION
+                * app.settings.platform.memory_budget_bytes
+            )
+        )
 
     def connection_pool(self, address: str) -> ConnectionPool:
         """Return the pool of connections to an address."""
@@ -119,6 +131,7 @@
             progress.caller_response,
             self._app.now,
             self._attempt_hooks(progress, grant, upstream, run, observer),
+            self.response_memory,
         )
         source = self._copy_source(grant)
         is_broken = False
--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -44,6 +44,10 @@
         b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
         b"Content-Length: 0\r\n\r\n" * 10,
     ),
+    "sealed body": (
+        b"X-Server-Seal: " + SEAL.encode() + b"\r\n" + _CHUNKED_HEAD,
+        b"3e8\r\n" + b"x" * 1000 + b"\r\n",
+    ),
     "event": (_CHUNKED_HEAD, b"3e8\r\n" + b"x" * 1000 + b"\r\n"),
     "repeated events": (
         _CHUNKED_HEAD + b"f\r\nid: 9\ndata: x\n\n\r\n",
