--- a/packages/core/src/lacewingspar_core/crash_evidence.py
+++ b/packages/core/src/lacewingspar_core/crash_evidence.py
@@ -7,13 +7,12 @@
 
 Crashes that count convict a request if it is the only suspect that two of them
 have in common, or the only one of three. One crash more convicts it in any
-case. Two do not suffice if the request had run to its end before them: a
-popular request is in flight wherever upstreams crash, so it is probed first. If
-it has long been in flight at other upstreams, two do not suffice, and
-neither do as many as there are such upstreams, up to `MAXIMUM_EXCUSED_CRASHES`.
-It is suspected if crashes suffice only because some happened together, because
-nothing is said of its runs before them, or if three have other suspects in
-common.
+case. Two do not suffice if the request had run to its end before them, as a
+popular request is in flight wherever upstreams crash. If it has long been in
+flight at other upstreams, two do not suffice either, and neither do as many as
+there are such upstreams, up to `MAXIMUM_EXCUSED_CRASHES`. It is suspected if
+crashes suffice only because some happened together, if two do not suffice as it
+had run to its end before, or if three have other suspects in common.
 """
 
 import math
--- a/tests/router/deployed/test_popular_request.py
+++ b/tests/router/deployed/test_popular_request.py
@@ -173,6 +173,21 @@
     assert refusals["200"] > LOAD_SECONDS * per_second / 2
 
 
+async def async_check_return(callers: list[Caller]) -> None:
+    """Check that a suspected request is soon probed, and then served."""
+    refused = [await caller.call("/write/") for caller in callers]
+    for response in refused:
+        assert response.status == 503
+        assert 0 < float(response.headers["retry-after"]) <= PROBE_SECONDS
+    await asyncio.sleep(SUSPICION_SECONDS)
+    # One of the routers sends the probe.
+    returned = [await caller.call("/write/") for caller in callers]
+    assert 200 in {response.status for response in returned}
+    await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
+    for caller in callers:
+        assert (await caller.call("/write/")).status == 200
+
+
 async def test_request_that_has_run_well_is_probed_after_two_crashes(
     deployment: Deployment,
 ) -> None:
@@ -191,16 +206,7 @@
         assert (await call).status >= 500
         await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
     assert sum(u.crashes for u in deployment.upstream_by_id.values()) == 2
-    for caller in callers:
-        refused = await caller.call("/write/")
-        assert refused.status == 503
-        assert 0 < float(refused.headers["retry-after"]) <= PROBE_SECONDS
-    await asyncio.sleep(SUSPICION_SECONDS)
-    returned = [await caller.call("/write/") for caller in callers]
-    assert 200 in {response.status for response in returned}
-    await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
-    for caller in callers:
-        assert (await caller.call("/write/")).status == 200
+    await async_check_return(callers)
 
 
 async def test_request_at_upstreams_that_end_together_may_soon_return(
@@ -219,14 +225,4 @@
     await asyncio.gather(*calls)
     assert sum(u.crashes for u in deployment.upstream_by_id.values()) == 2
     await asyncio.sleep(0.2)
-    refused = [await caller.call("/write/") for caller in callers]
-    for response in refused:
-        assert response.status == 503
-        assert 0 < float(response.headers["retry-after"]) <= PROBE_SECONDS
-    await asyncio.sleep(SUSPICION_SECONDS)
-    # One of the routers sends the probe.
-    returned = [await caller.call("/write/") for caller in callers]
-    assert 200 in {response.status for response in returned}
-    await asyncio.sleep(2 * CLEARING_DELAY_SECONDS)
-    for caller in callers:
-        assert (await caller.call("/write/")).status == 200
+    await async_check_return(callers)
