Treat a closed socket as a failed connection when sending

Cause: CheckedStream.write duplicates the descriptor of the socket. A socket that was closed since has none (-1), so os.dup raises OSError (EBADF), which is no error of the HTTP library and so no failed attempt.

Change: without a descriptor the data goes to the library's stream, which raises its WriteError; the attempt fails as for any broken connection.

Test: test_write_to_a_closed_socket_is_an_error_of_the_connection failed before (OSError: Bad file descriptor).

--- a/packages/router/src/lacewingspar_router/http_streams.py
+++ b/packages/router/src/lacewingspar_router/http_streams.py
@@ -73,7 +73,7 @@
             httpcore.WriteTimeout: The data was not accepted in time.
         """
         sock = None if self._is_tls else self._socket()
-        if not buffer or sock is None:
+        if not buffer or sock is None or sock.fileno() < 0:
             await self._stream.write(buffer, timeout)
             return
         descriptor = os.dup(sock.fileno())
