Judge a suspected request once for its log line and its refusal

Cause: the log line of a verdict judged the crashes of a request that the refusal right after it judged again, on each refused request.

Change: QuarantineState.seconds_until_sent takes the verdict; refusal_seconds is the judgement and this. No change of behaviour.

--- a/packages/core/src/lacewingspar_core/quarantine.py
+++ b/packages/core/src/lacewingspar_core/quarantine.py
@@ -198,6 +198,22 @@
             prompt.parts,
             upstreams_elsewhere=upstreams_elsewhere,
         )
+        return self.seconds_until_sent(
+            verdict, fingerprint, prompt, now, may_probe
+        )
+
+    def seconds_until_sent(
+        self,
+        verdict: Verdict | None,
+        fingerprint: str,
+        prompt: Prompt,
+        now: float,
+        may_probe: Callable[[], bool],
+    ) -> float:
+        """Return the time for which a verdict keeps a request back, or 0.
+
+        A request that may be sent after a suspicion becomes its probe.
+        """
         match verdict:
             case None:
                 self._probe_by_fingerprint.pop(fingerprint, None)
--- a/packages/router/src/lacewingspar_router/crash_exchange.py
+++ b/packages/router/src/lacewingspar_router/crash_exchange.py
@@ -130,23 +130,16 @@
                 if now - run.sent_at >= LONG_RUN_SECONDS
             }
         )
-        self._log_verdict(
-            state,
+        verdict = state.verdict(
             fingerprint,
-            state.verdict(
-                fingerprint,
-                now,
-                prompt.parts,
-                upstreams_elsewhere=upstreams_elsewhere,
-            ),
-        )
-        return state.refusal_seconds(
-            fingerprint,
-            prompt,
             now,
-            lambda: self._may_probe(service),
+            prompt.parts,
             upstreams_elsewhere=upstreams_elsewhere,
         )
+        self._log_verdict(state, fingerprint, verdict)
+        return state.seconds_until_sent(
+            verdict, fingerprint, prompt, now, lambda: self._may_probe(service)
+        )
 
     def find_refusal(
         self,
