review: give cases 1 to 5 what the template of the deploy file needs

No process of the product had been started by then, so the product is not at fault.

Adds the memory of a VM of the site that the cases name (300 MB, as its other limits are), and the sections of the template language: one whose value is missing is left out. Claims, trouble, checks and bounds are unchanged.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -42,6 +42,7 @@
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 _PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+_SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 
 
 class CaseError(Exception):
@@ -625,14 +626,25 @@
 def _settings(fields: dict[str, Any]) -> str:
     """Fill in the template of the deploy file."""
 
-    def fill(found: re.Match[str]) -> str:
+    def lookup(name: str) -> Any:
         value: Any = fields
-        for part in found.group(1).split("."):
+        for part in name.split("."):
             value = value[int(part)] if isinstance(value, list) else value[part]
+        return value
+
+    def section(found: re.Match[str]) -> str:
+        try:
+            value = lookup(found.group(1))
+        except (LookupError, TypeError):
+            value = None
+        return found.group(2) if value else ""
+
+    def fill(found: re.Match[str]) -> str:
+        value = lookup(found.group(1))
         return json.dumps(value) if found.group(2) else str(value)
 
     template = (ROOT / "deploy" / "settings.json").read_text()
-    return _PLACEHOLDER.sub(fill, template)
+    return _PLACEHOLDER.sub(fill, _SECTION.sub(section, template))
 
 
 class Router:
@@ -685,7 +697,12 @@
                     "budgetWindowS": 10,
                     "budgetSlack": 54,
                 },
-                "limits": {"maxFds": 4100, "cpuShare": 0.537, "cores": 2},
+                "limits": {
+                    "maxFds": 4100,
+                    "memoryMb": 300,
+                    "cpuShare": 0.537,
+                    "cores": 2,
+                },
             }
         )
         more = "".join(
