Test that the rigs of the review fill in the settings template

A change of the template of the deploy file reached the project's own test of it, but not the rigs, which fill it in too.

The test lets each rig write the settings of a router and loads them as the router does.

--- a/tests/router/test_deployed_settings.py
+++ b/tests/router/test_deployed_settings.py
@@ -1,7 +1,11 @@
 """The settings template of the users' platform, and the configuration."""
 
+import importlib.util
 import re
+import sys
+from collections.abc import Iterator
 from pathlib import Path
+from types import ModuleType, SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -11,7 +15,8 @@
 from lacewingspar_router.platform.manifest import decode_configuration
 from lacewingspar_router.settings import PlatformSettings, load_settings
 
-TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json"
+ROOT = Path(__file__).parents[2]
+TEMPLATE = ROOT / "deploy" / "settings.json"
 VALUES: dict[str, Any] = {
     "node": "r1",
     "zone": "dc-a",
@@ -75,6 +80,68 @@
     assert platform.processor_speed == 1.5
 
 
+@pytest.fixture
+def rig(request: pytest.FixtureRequest) -> Iterator[ModuleType]:
+    """Return the rig of the review's cases in the folder of the test."""
+    path = ROOT / "review" / request.param / "rig.py"
+    name = f"review_{request.param}_rig"
+    spec = importlib.util.spec_from_file_location(name, path)
+    assert spec is not None
+    assert spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    # Data classes look up their module by name.
+    sys.modules[name] = module
+    spec.loader.exec_module(module)
+    yield module
+    del sys.modules[name]
+
+
+@pytest.mark.parametrize(
+    ("rig", "arguments", "file", "memory_megabytes"),
+    [
+        ("lib", {"port": 7400}, "front-1.json", 300),
+        (
+            "lib",
+            {"port": 7400, "settings": {"log_level": "debug"}},
+            "front-1.json",
+            300,
+        ),
+        ("lib2", {"ip": "127.0.0.1"}, "front-1.yaml", 150),
+        (
+            "lib2",
+            {"ip": "127.0.0.1", "bounds": {"coldOver": 1.5}},
+            "front-1.yaml",
+            150,
+        ),
+    ],
+    ids=["lib", "lib with settings", "lib2", "lib2 with bounds"],
+    indirect=["rig"],
+)
+def test_rigs_of_the_review_fill_in_the_template(
+    tmp_path: Path,
+    rig: ModuleType,
+    arguments: dict[str, Any],
+    file: str,
+    memory_megabytes: int,
+) -> None:
+    """Guards against cases that end with code 2 after a change of the template.
+
+    The rigs lacked `limits.memoryMb` and sections once they were added to it.
+    """
+    store = SimpleNamespace(address="127.0.0.1:8781")
+    rig.Router("front-1", "dc-a", store=store, folder=tmp_path, **arguments)
+    settings = load_settings(tmp_path / file)
+    assert settings.router_id == "front-1"
+    assert settings.log_service_url == "http://127.0.0.1:8781"
+    assert settings.log_level == arguments.get("settings", {}).get(
+        "log_level", "info"
+    )
+    assert settings.platform is not None
+    assert settings.platform.memory_limit_megabytes == memory_megabytes
+    bounds = arguments.get("bounds", {})
+    assert settings.platform.cold_rate_factor == bounds.get("coldOver")
+
+
 @pytest.mark.parametrize(
     ("fields", "expected"),
     [
