Give each deployment under test a loopback address of its own

Cause: all deployments under test listened on 127.0.0.1.

Change: reservations of ports claim a random loopback address for their process and use it for all their ports. The store, upstreams, links, stand-ins and routers of a deployment in tests, soak and benchmarks listen there. A socket that is bound to a fixed port of the address keeps others from choosing it.

Product code is unchanged.

--- a/packages/standins/src/lacewingspar_standins/bench/bodies.py
+++ b/packages/standins/src/lacewingspar_standins/bench/bodies.py
@@ -45,7 +45,9 @@
     """Return the memory of a router and the responses of the requests."""
     async with AsyncExitStack() as stack, Fleet() as fleet:
         store = PlatformStore(StoreFaults())
-        store_address = await stack.enter_async_context(running(store))
+        store_address = await stack.enter_async_context(
+            running(store, fleet.host)
+        )
         limits = LIMITS | {"maxBodyBytes": body_bytes}
         routes = [
             route(PATH, "non_idempotent", "plain", timeoutMs=TIMEOUT_MS),
@@ -56,7 +58,7 @@
             upstream = Upstream(
                 f"p{number}", response_delay_seconds=RUN_SECONDS
             )
-            await upstream.async_start()
+            await upstream.async_start(fleet.host)
             stack.push_async_callback(upstream.async_stop)
             entry = upstream_entry("plain", upstream.address, number + 1)
             store.topic("keyed.servers").append(
--- a/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_fleet.py
@@ -26,7 +26,7 @@
 from lacewingspar_standins.fleet_settings import RouterPlan
 from lacewingspar_standins.link import Link, LinkFaults
 from lacewingspar_standins.process import RouterProcess
-from lacewingspar_standins.server import running
+from lacewingspar_standins.server import running, split_address
 
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 SERVICE_BY_UPSTREAM = {
@@ -133,7 +133,7 @@
     async def async_start(self) -> None:
         """Start everything and wait until all routers are ready."""
         store_address = await self._stack.enter_async_context(
-            running(self.store)
+            running(self.store, self._fleet.host)
         )
         self.publish(self.configuration)
         for name, service in SERVICE_BY_UPSTREAM.items():
@@ -160,7 +160,9 @@
         self.service_by_upstream[name] = service
         self.present.add(name)
         # It may be started again at this address after a crash.
-        await upstream.async_start(port=_port(self._fleet.reserve_address()))
+        await upstream.async_start(
+            *split_address(self._fleet.reserve_address())
+        )
         self._stack.push_async_callback(upstream.async_stop)
         await self._async_link(f"upstream/{name}", upstream.address)
         self._started_ms_by_upstream[name] = int(time.time() * 1000)
@@ -281,10 +283,10 @@
             seconds -= EXPIRY_SECONDS
         await asyncio.sleep(seconds)
         upstream = self.upstream_by_id[name]
-        await upstream.async_start(port=_port(upstream.address))
+        await upstream.async_start(*split_address(upstream.address))
         link_name = f"upstream/{name}"
         await self.link_by_name[link_name].async_listen(
-            "127.0.0.1", _port(self._address_by_link[link_name])
+            *split_address(self._address_by_link[link_name])
         )
         self._started_ms_by_upstream[name] = int(time.time() * 1000)
         self._down.discard(name)
@@ -334,14 +336,10 @@
         link = Link(target, LinkFaults())
         self.link_by_name[name] = link
         self._address_by_link[name] = await self._stack.enter_async_context(
-            link.listening("127.0.0.1", _port(self._fleet.reserve_address()))
+            link.listening(*split_address(self._fleet.reserve_address()))
         )
 
 
 def data_centre_of(upstream_id: str) -> str:
     """Return the data centre of an upstream."""
     return DATA_CENTRES[int(upstream_id[1:]) % len(DATA_CENTRES) - 1]
-
-
-def _port(address: str) -> int:
-    return int(address.rpartition(":")[2])
--- a/packages/standins/src/lacewingspar_standins/fleet.py
+++ b/packages/standins/src/lacewingspar_standins/fleet.py
@@ -39,6 +39,9 @@
 class Fleet:
     """Runs processes and ends all of them when its context exits.
 
+    Attributes:
+        host: Loopback address of its processes, which no other fleet uses.
+
     Args:
         folder: Folder for settings and logs; None creates a temporary one,
             which is removed on exit.
@@ -51,6 +54,7 @@
         )
         self._ports = PortReservations()
         self._stack.callback(self._ports.close)
+        self.host = self._ports.host
         self._processes: list[ManagedProcess] = []
 
     async def __aenter__(self) -> Self:
@@ -98,7 +102,7 @@
                 tuple repeats the option.
         """
         arguments = ["-m", module, kind]
-        for key, value in options.items():
+        for key, value in ({"host": self.host} | options).items():
             values = value if isinstance(value, list | tuple) else [value]
             for item in values:
                 arguments += [f"--{key.replace('_', '-')}", str(item)]
--- a/packages/standins/src/lacewingspar_standins/main.py
+++ b/packages/standins/src/lacewingspar_standins/main.py
@@ -24,6 +24,7 @@
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 
+DEFAULT_HOST = "127.0.0.1"
 Host = Annotated[str, typer.Option(help="Address to listen on.")]
 Port = Annotated[int, typer.Option(help="Port; 0 selects a free port.")]
 FaultJson = Annotated[
@@ -58,7 +59,7 @@
 
 @app.command()
 def log(
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     port: Port = 0,
     appends_per_second: float = 300,
     retention_seconds: float = 3600,
@@ -75,7 +76,7 @@
 
 @app.command()
 def vms(
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     port: Port = 0,
     lag_ms: float = 500,
     faults: FaultJson = "{}",
@@ -89,7 +90,7 @@
 
 @app.command()
 def engine(
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     port: Port = 0,
     model: Annotated[list[str], typer.Option()] = ["model"],  # noqa: B006
     slots: int = 16,
@@ -125,7 +126,7 @@
 
 @app.command()
 def plain(
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     port: Port = 0,
     slots: int = 8,
     work_ms: float = 20,
@@ -145,7 +146,7 @@
 @app.command()
 def link(
     target: Annotated[str, typer.Option(help="HOST:PORT to relay to.")],
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     port: Port = 0,
     control_port: Annotated[
         int, typer.Option(help="Port that serves /faults.")
@@ -171,7 +172,7 @@
 @app.command("link-group")
 def link_group(
     target: Annotated[list[str], typer.Option(help="HOST:PORT, repeated.")],
-    host: Host = "127.0.0.1",
+    host: Host = DEFAULT_HOST,
     delay_ms: float = 0,
 ) -> None:
     """Run TCP relays to several targets that share one fault set."""
--- a/packages/standins/src/lacewingspar_standins/server.py
+++ b/packages/standins/src/lacewingspar_standins/server.py
@@ -86,6 +86,12 @@
     return f"{host}:{port}"
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def announce(**addresses: str) -> None:
     """Print the addresses of this process as one JSON line."""
     print(msgspec.json.encode(addresses).decode(), flush=True)
--- a/tests/e2e/hostile_crowd.py
+++ b/tests/e2e/hostile_crowd.py
@@ -25,7 +25,7 @@
 from lacewingspar_standins.fleet import Fleet
 from lacewingspar_standins.fleet_settings import workspace_entry
 from lacewingspar_standins.process import RouterProcess
-from lacewingspar_standins.server import running
+from lacewingspar_standins.server import address_of, running
 
 MEBIBYTE = 1024 * 1024
 # Lowered from 32 MiB, so that a small crowd reaches it.
@@ -193,14 +193,17 @@
     """Run a router with the interface of the users' platform."""
     async with AsyncExitStack() as stack:
         store = PlatformStore(StoreFaults())
-        store_address = await stack.enter_async_context(running(store))
+        fleet = Fleet(folder)
+        store_address = await stack.enter_async_context(
+            running(store, fleet.host)
+        )
         store.topic("keyed.op").append("config", _configuration())
         upstream = Upstream("p1")
-        await upstream.async_start()
+        await upstream.async_start(fleet.host)
         stack.push_async_callback(upstream.async_stop)
-        large = await asyncio.start_server(_async_respond_large, "127.0.0.1")
+        large = await asyncio.start_server(_async_respond_large, fleet.host)
         stack.callback(large.close)
-        large_address = f"127.0.0.1:{large.sockets[0].getsockname()[1]}"
+        large_address = address_of(large.sockets[0])
         for name, service, address in (
             ("p1", "plain", upstream.address),
             ("l1", "large", large_address),
@@ -209,7 +212,7 @@
             store.topic("keyed.servers").append(
                 name, msgspec.json.encode(entry)
             )
-        fleet = await stack.enter_async_context(Fleet(folder))
+        await stack.enter_async_context(fleet)
         plan = fleet.plan_router("r1", "dc-a")
         process = await fleet.start_router(
             plan,
--- a/tests/router/deployed/conftest.py
+++ b/tests/router/deployed/conftest.py
@@ -39,7 +39,7 @@
 from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
 from lacewingspar_standins.deployed.upstream import Upstream
 from lacewingspar_standins.ports import PortReservations
-from lacewingspar_standins.server import running
+from lacewingspar_standins.server import running, split_address
 
 
 def stream_bytes(events: int) -> bytes:
@@ -140,7 +140,11 @@
 
 
 class Deployment:
-    """Starts and stops the store, upstreams and routers of a test."""
+    """Starts and stops the store, upstreams and routers of a test.
+
+    Attributes:
+        host: Loopback address of the deployment, which no other one uses.
+    """
 
     def __init__(self, stack: AsyncExitStack) -> None:
         self._stack = stack
@@ -151,10 +155,11 @@
         self._sequences = itertools.count(1)
         self._ports = PortReservations()
         stack.callback(self._ports.close)
+        self.host = self._ports.host
 
     async def async_start(self) -> None:
         self.store_address = await self._stack.enter_async_context(
-            running(self.store)
+            running(self.store, self.host)
         )
 
     def publish(self, value: dict[str, Any]) -> None:
@@ -172,8 +177,7 @@
         """Start and register an upstream."""
         upstream = Upstream(upstream_id, **options)
         # It may be started again at this address after a crash.
-        _, _, port = self._ports.reserve().rpartition(":")
-        await upstream.async_start(port=int(port))
+        await upstream.async_start(*split_address(self._ports.reserve()))
         self._stack.push_async_callback(upstream.async_stop)
         self.upstream_by_id[upstream_id] = upstream
         self.register(upstream_id, service, data_centre=data_centre)
@@ -188,8 +192,7 @@
             self.store.topic("keyed.servers").append(upstream_id, b"")
             successor = Upstream(successor_id, crashed.events)
             successor.faults = crashed.faults
-            _, _, port = crashed.address.rpartition(":")
-            await successor.async_start(port=int(port))
+            await successor.async_start(*split_address(crashed.address))
             self._stack.push_async_callback(successor.async_stop)
             self.upstream_by_id[successor_id] = successor
             self.register(successor_id, service)
--- a/tests/router/deployed/test_cold_upstreams.py
+++ b/tests/router/deployed/test_cold_upstreams.py
@@ -23,6 +23,7 @@
 )
 from lacewingspar_router.settings import PlatformSettings
 from lacewingspar_standins.deployed.upstream import Upstream
+from lacewingspar_standins.server import split_address
 
 COLD_SECONDS = 2.0
 COLD_PER_SECOND = 4.0
@@ -112,8 +113,7 @@
     await upstream.async_stop()
     await async_load(callers, PATH, 0.3)
     restarted = Upstream("p1")
-    _, _, port = upstream.address.rpartition(":")
-    await restarted.async_start(port=int(port))
+    await restarted.async_start(*split_address(upstream.address))
     try:
         await async_load(callers, PATH, COLD_SECONDS)
         assert len(restarted.received) >= COLD_PER_SECOND
--- a/tests/router/deployed/test_forged_hand_overs.py
+++ b/tests/router/deployed/test_forged_hand_overs.py
@@ -101,7 +101,7 @@
     async def async_accept(_: Any, writer: asyncio.StreamWriter) -> None:
         connections.append(writer)
 
-    server = await asyncio.start_server(async_accept, "127.0.0.1", 0)
+    server = await asyncio.start_server(async_accept, served.host, 0)
     host, port = server.sockets[0].getsockname()
     overloaded = served.apps[0]
     peers = overloaded.get(PEERS)
--- a/tests/router/deployed/test_silent_log_connections.py
+++ b/tests/router/deployed/test_silent_log_connections.py
@@ -28,7 +28,7 @@
     it does not have.
     """
     link = Link(served.store_address, LinkFaults())
-    async with link.listening("127.0.0.1", 0) as served.store_address:
+    async with link.listening(served.host, 0) as served.store_address:
         await served.add_router()
         [app] = served.apps
         served.publish(manifest(2))
--- a/tests/router/deployed/test_silent_peer_connections.py
+++ b/tests/router/deployed/test_silent_peer_connections.py
@@ -76,7 +76,7 @@
         address = served.apps[-1].settings.peer_address
         link_by_name[name] = Link(address, LinkFaults())
         address_map[address] = await stack.enter_async_context(
-            link_by_name[name].listening("127.0.0.1", 0)
+            link_by_name[name].listening(served.host, 0)
         )
     await served.add_router(own_name, address_map=address_map)
     await until(
--- a/tests/router/deployed/test_store_era.py
+++ b/tests/router/deployed/test_store_era.py
@@ -79,7 +79,7 @@
     served.publish(manifest(2))
     await until_all(served, lambda state: state.configuration_version == 2)
     upstream = Upstream("p3")
-    await upstream.async_start()
+    await upstream.async_start(served.host)
     served.upstream_by_id["p3"] = upstream
     served.store.restore(copied)
     # Its offset is lower than those that the routers have read.
--- a/tests/router/deployed/test_upstream_connections.py
+++ b/tests/router/deployed/test_upstream_connections.py
@@ -119,7 +119,9 @@
     """Provide an upstream that ends its connections, the only plain one."""
     deployment.publish(manifest())
     upstream = EndingUpstream()
-    server = await asyncio.start_server(upstream.async_serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(
+        upstream.async_serve, deployment.host, 0
+    )
     host, port = server.sockets[0].getsockname()
     register(deployment, f"{host}:{port}")
     yield upstream
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -13,6 +13,7 @@
 import pytest
 
 from lacewingspar_router.settings import load_settings
+from lacewingspar_standins.bench.deployment import PROCESS_MODULE
 from lacewingspar_standins.fleet import Fleet
 from lacewingspar_standins.fleet_settings import RouterPlan, router_settings
 from lacewingspar_standins.process import FleetError, RouterProcess, spawn
@@ -45,6 +46,20 @@
             os.kill(pid, 0)
 
 
+async def test_processes_of_a_fleet_listen_on_its_own_address(
+    tmp_path: Path,
+) -> None:
+    """Guards against a fleet that uses the stand-ins of another one."""
+    async with Fleet(tmp_path) as fleet, Fleet(tmp_path) as other:
+        log = await fleet.start_standin("log")
+        engine = await fleet.start_standin("engine", module=PROCESS_MODULE)
+        plan = fleet.plan_router("r0", "dc")
+        addresses = {log.address, engine.address, plan.peer_address}
+        hosts = {address.rpartition(":")[0] for address in addresses}
+        assert hosts == {fleet.host}
+        assert fleet.host not in {other.host, "127.0.0.1"}
+
+
 async def test_crash_marker_ends_the_engine(tmp_path: Path) -> None:
     async with Fleet(tmp_path) as fleet:
         engine = await fleet.start_standin(
