Fail a simulation in which a router is missing or logs an error

A router that did not start again was left out of the comparison, and errors in loops were not seen. Times have their unit in their names.

--- a/tests/router/components/routing/test_upstream_list_agreement.py
+++ b/tests/router/components/routing/test_upstream_list_agreement.py
@@ -27,14 +27,13 @@
 DATA_CENTRE_BY_ROUTER_ID = {"r0": "a", "r1": "a", "r2": "b", "r3": "b"}
 READER = ReaderAssignment.of(DATA_CENTRE_BY_ROUTER_ID).reader
 SERVICE = "plain"
-# Times in seconds. The store returns from a copy of this age, and the upstream
-# that it lacks writes its record again within 2 s, as the pages of the platform
-# say.
-RETURN_AT = 8.0
-COPY_AGE = 3.1
-HEARTBEAT = 1.2
+# The store returns from a copy of this age. An upstream that the copy lacks
+# writes its record again within 2 s of the return.
+RETURN_AT_SECONDS = 8.0
+COPY_AGE_SECONDS = 3.1
+HEARTBEAT_SECONDS = 1.2
 # The routers must agree this long after the last event.
-SETTLED_AFTER = 6.0
+SETTLE_SECONDS = 6.0
 
 
 class Disturbance(Enum):
@@ -120,23 +119,23 @@
         tasks = [
             asyncio.create_task(self._async_renew("p1", 0.0)),
             asyncio.create_task(
-                self._async_renew("p2", RETURN_AT + schedule.rewritten)
+                self._async_renew("p2", RETURN_AT_SECONDS + schedule.rewritten)
             ),
             asyncio.create_task(self._async_disturb()),
         ]
-        await self._async_until(RETURN_AT - COPY_AGE)
+        await self._async_until(RETURN_AT_SECONDS - COPY_AGE_SECONDS)
         copied = fleet.store.copied_topics()
         fleet.write_upstream("p2", record("p2", 1))
         fleet.write_upstream("p3", b"")
-        await self._async_until(RETURN_AT - schedule.outage)
+        await self._async_until(RETURN_AT_SECONDS - schedule.outage)
         fleet.begin_outage()
-        await self._async_until(RETURN_AT)
+        await self._async_until(RETURN_AT_SECONDS)
         fleet.end_outage(copied)
-        await self._async_until(RETURN_AT + schedule.rewritten)
+        await self._async_until(RETURN_AT_SECONDS + schedule.rewritten)
         fleet.write_upstream("p2", record("p2", 1))
         fleet.write_upstream("p3", b"")
         last = max(schedule.rewritten, schedule.begins + schedule.lasts)
-        await self._async_until(RETURN_AT + last + SETTLED_AFTER)
+        await self._async_until(RETURN_AT_SECONDS + last + SETTLE_SECONDS)
         found = fleet.ready_by_router_id(SERVICE)
         for task in tasks:
             task.cancel()
@@ -146,7 +145,7 @@
     async def _async_renew(self, upstream_id: str, after: float) -> None:
         await self._async_until(after)
         for sequence in itertools.count(2):
-            await asyncio.sleep(HEARTBEAT)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
             self._fleet.write_upstream(
                 upstream_id, record(upstream_id, sequence)
             )
@@ -154,7 +153,7 @@
     async def _async_disturb(self) -> None:
         fleet, router_id = self._fleet, self._schedule.router_id
         lasts = self._schedule.lasts
-        await self._async_until(RETURN_AT + self._schedule.begins)
+        await self._async_until(RETURN_AT_SECONDS + self._schedule.begins)
         match self._schedule.disturbance:
             case Disturbance.RESTART:
                 await fleet.async_stop_router(router_id)
@@ -180,14 +179,17 @@
         return await Drill(schedule).async_play()
 
     with (
-        structlog.testing.capture_logs(),
+        structlog.testing.capture_logs() as lines,
         asyncio.Runner(loop_factory=VirtualTimeLoop) as runner,
     ):
-        return runner.run(async_play())
+        found = runner.run(async_play())
+    assert not [line for line in lines if line["log_level"] == "error"]
+    return found
 
 
 def is_agreed(found: dict[str, set[str]]) -> bool:
-    return all(ready == {"p1", "p2"} for ready in found.values())
+    """Return whether all routers list the upstreams that live."""
+    return found == {name: {"p1", "p2"} for name in DATA_CENTRE_BY_ROUTER_ID}
 
 
 def broken_schedules(
