Pass on resets through the links of the stand-ins

Cause: the plan resets connections of upstream p2 in the middle of bodies that end with their connection. Only the reset tells those from whole ones. The link in front of the upstream closed the other side with abort(), which ends a connection in order where nothing is unread. The routers could not tell.

Change: a link resets the other side where one side was reset. The reset of a socket stands in one place.

Product code is unchanged.

--- a/packages/standins/src/lacewingspar_standins/deployed/upstream.py
+++ b/packages/standins/src/lacewingspar_standins/deployed/upstream.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import socket
-import struct
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,6 +15,7 @@
     ResponseForm,
 )
 from lacewingspar_standins.faults import Faults
+from lacewingspar_standins.server import reset
 
 SEAL = "seal"
 _CHUNKED_HEAD = (
@@ -90,8 +89,6 @@
 MAX_ENDLESS_BYTES = 48 * 1024 * 1024
 # Time from the head of a response until a prompt part crashes the upstream.
 PART_CRASH_DELAY_SECONDS = 0.03
-# SO_LINGER with a timeout of 0 makes close() send a reset.
-_ZERO_LINGER = struct.pack("ii", 1, 0)
 _METHOD_HEAD = "HEAD"
 _STATUS_UNAVAILABLE = 503
 # Time from a refusal that does not name its request to its repetition.
@@ -646,9 +643,7 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
-        self._transport.abort()
+        reset(self._transport)
 
     def _write_chunk(self, data: bytes) -> None:
         if self._upstream.faults.unframed:
--- a/packages/standins/src/lacewingspar_standins/link.py
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -7,7 +7,7 @@
 
 from lacewingspar_standins.asgi import Request
 from lacewingspar_standins.faults import Faults, StandIn
-from lacewingspar_standins.server import address_of, bind
+from lacewingspar_standins.server import address_of, bind, reset
 
 READ_BYTES = 64 * 1024
 # Bounds the memory of a link with a long delay.
@@ -42,10 +42,16 @@
         self._writers = (caller, target)
 
     def abort(self) -> None:
-        """Reset both sides."""
+        """Close both sides at once."""
         for writer in self._writers:
             writer.transport.abort()
 
+    def reset(self) -> None:
+        """Reset both sides, unless they are closed."""
+        for writer in self._writers:
+            if not writer.transport.is_closing():
+                reset(writer.transport)
+
 
 class LinkGroup(StandIn[LinkFaults]):
     """Relays to several targets that share one fault set.
@@ -205,7 +211,8 @@
         except OSError:
             if connection.is_silent:
                 await delivery
-            connection.abort()
+            # A body that ends with its connection is broken off by a reset.
+            connection.reset()
         finally:
             delivery.cancel()
 
--- a/packages/standins/src/lacewingspar_standins/server.py
+++ b/packages/standins/src/lacewingspar_standins/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any, cast
 
@@ -17,6 +18,8 @@
 KEEP_ALIVE_SECONDS = 75
 GRACEFUL_SHUTDOWN_SECONDS = 1
 BACKLOG = 2048
+# SO_LINGER with a timeout of 0 makes close() send a reset.
+_ZERO_LINGER = struct.pack("ii", 1, 0)
 
 
 class TransportProtocol(HttpToolsProtocol):
@@ -92,6 +95,13 @@
     return host, int(port)
 
 
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Close a connection with a TCP reset."""
+    connected: socket.socket = transport.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
+    transport.abort()
+
+
 def announce(**addresses: str) -> None:
     """Print the addresses of this process as one JSON line."""
     print(msgspec.json.encode(addresses).decode(), flush=True)
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lacewingspar_standins.link import Link, LinkFaults, LinkGroup
+from lacewingspar_standins.server import address_of, reset
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 BYTES = b"".join(b"%d," % number for number in range(1000))
@@ -81,6 +82,36 @@
     assert await send_and_receive(await connect(address), b"y") == b"y"
 
 
+@pytest.mark.parametrize("is_reset", [True, False], ids=["reset", "closed"])
+async def test_end_of_the_target_is_passed_on(is_reset: bool) -> None:
+    """Guards against a body that looks whole after its upstream was reset.
+
+    Found by soak seed 65103: the link closed the connection in order.
+    """
+
+    async def end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b"half")
+        await reader.readexactly(1)
+        if is_reset:
+            reset(writer.transport)
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(end, "127.0.0.1", 0)
+    link = Link(address_of(server.sockets[0]), LinkFaults())
+    async with link.listening("127.0.0.1", 0) as address:
+        reader, writer = await connect(address)
+        assert await reader.readexactly(4) == b"half"
+        writer.write(b"x")
+        expected = pytest.raises(ConnectionResetError)
+        with expected if is_reset else contextlib.nullcontext():
+            assert await reader.read() == b""
+        writer.close()
+    server.close()
+
+
 async def test_group_shares_its_faults(echo_link: Any, serve: Any) -> None:
     """Guards against a simulated partition that leaves a connection open."""
     targets = [echo_link[0], echo_link[1].address]
