--- a/packages/standins/src/lacewingspar_standins/bench/bodies.py
+++ b/packages/standins/src/lacewingspar_standins/bench/bodies.py
@@ -22,7 +22,7 @@
 from lacewingspar_standins.deployed.store import PlatformStore, StoreFaults
 from lacewingspar_standins.deployed.upstream import Upstream
 from lacewingspar_standins.fleet import Fleet
-from lacewingspar_standins.server import running
+from lacewingspar_standins.server import running, split_address
 
 MEGABYTE = 1_000_000
 READY_SECONDS = 30.0
@@ -90,8 +90,7 @@
 
 async def _async_call(address: str, request_id: str, body_bytes: int) -> int:
     """Send a request; return its status, or 0 without a response."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await asyncio.open_connection(*split_address(address))
     try:
         writer.write(
             request_bytes(PATH, request_id, TIMEOUT_MS, bytes(body_bytes))
--- a/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
+++ b/packages/standins/src/lacewingspar_standins/bench/soak_connections.py
@@ -5,6 +5,7 @@
 
 from lacewingspar_router.http1.caller_transport import count_unread_bytes
 from lacewingspar_router.http1.client_connection import ClientConnection
+from lacewingspar_standins.server import split_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Time for which the end of a connection may travel over loopback.
@@ -117,12 +118,11 @@
 
 async def async_connect_observed(address: str) -> ObservedConnection | None:
     """Open a connection to `host:port`, or return None if it fails."""
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             _, connection = await loop.create_connection(
-                ObservedConnection, host, int(port)
+                ObservedConnection, *split_address(address)
             )
     except (OSError, TimeoutError):
         return None
--- a/packages/standins/src/lacewingspar_standins/link.py
+++ b/packages/standins/src/lacewingspar_standins/link.py
@@ -7,7 +7,7 @@
 
 from lacewingspar_standins.asgi import Request
 from lacewingspar_standins.faults import Faults, StandIn
-from lacewingspar_standins.server import address_of, bind, reset
+from lacewingspar_standins.server import address_of, bind, reset, split_address
 
 READ_BYTES = 64 * 1024
 # Bounds the memory of a link with a long delay.
@@ -104,8 +104,7 @@
 
     def __init__(self, target: str, faults: LinkFaults) -> None:
         super().__init__(faults)
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
+        self._target = split_address(target)
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
 
