Make settings and running routers of the simulation once

The running routers were kept twice, by the fleet and by its network. Without a disturbance each schedule was played twice.

--- a/tests/router/components/conftest.py
+++ b/tests/router/components/conftest.py
@@ -10,6 +10,7 @@
 import httpx
 import msgspec
 import pytest
+from tests.router.conftest import settings
 
 from lacewingspar_core.messages import MemberRecord, RouterState
 from lacewingspar_core.platform import (
@@ -23,7 +24,6 @@
 from lacewingspar_router.components.log_service.models import LOG_SERVICE
 from lacewingspar_router.components.peers.models import PEERS, ReceivedMessage
 from lacewingspar_router.components.telemetry.models import TELEMETRY
-from lacewingspar_router.settings import Settings
 
 
 class FakeLog:
@@ -155,17 +155,14 @@
     network: dict[str, Any] = {}
 
     def make(router_id: str = "r1", log: FakeLog = fake_log) -> Application:
-        settings = Settings(
-            router_id=router_id,
-            data_centre="dc1",
-            caller_address="127.0.0.1:1",
-            admin_address="127.0.0.1:1",
-            peer_address="127.0.0.1:1",
-            admin_token_sha256="0" * 64,
-            log_service_url="http://log:1",
-            vm_list_url="http://vms:1",
+        app = Application(
+            settings(
+                router_id=router_id,
+                data_centre="dc1",
+                log_service_url="http://log:1",
+                vm_list_url="http://vms:1",
+            )
         )
-        app = Application(settings)
         client = httpx.AsyncClient(
             base_url="http://log:1", transport=httpx.MockTransport(log)
         )
--- a/tests/router/components/routing/fleet_simulation.py
+++ b/tests/router/components/routing/fleet_simulation.py
@@ -15,6 +15,7 @@
 from unittest import mock
 
 import msgspec
+from tests.router.conftest import NO_PORT, settings
 
 from lacewingspar_core.identity import RouterInstance
 from lacewingspar_core.log_positions import (
@@ -290,36 +291,30 @@
 
     Attributes:
         store: The store.
-        app_by_router_id: The running routers.
         without_store: Routers that do not reach the store.
     """
 
     def __init__(self) -> None:
         self.store = PlatformStore(StoreFaults())
-        self.app_by_router_id: dict[str, Application] = {}
         self.without_store: set[str] = set()
         self._network = SimulatedNetwork()
         self._start_numbers = itertools.count(1)
-        self._tasks = [
-            asyncio.create_task(self._network.async_spread_membership())
-        ]
+        self._membership = asyncio.create_task(
+            self._network.async_spread_membership()
+        )
 
     async def async_start_router(
         self, router_id: str, data_centre: str
     ) -> None:
         """Start a router that reads the store and talks to the others."""
-        settings = Settings(
-            router_id=router_id,
-            data_centre=data_centre,
-            caller_address="127.0.0.1:1",
-            admin_address="127.0.0.1:1",
-            peer_address="127.0.0.1:1",
-            admin_token_sha256="0" * 64,
-            log_service_url="http://127.0.0.1:1",
-            vm_list_url="http://127.0.0.1:1",
-            platform=PlatformSettings(metrics_address="127.0.0.1:1"),
+        app = SimulatedApplication(
+            settings(
+                router_id=router_id,
+                data_centre=data_centre,
+                platform=PlatformSettings(metrics_address=NO_PORT),
+            ),
+            next(self._start_numbers),
         )
-        app = SimulatedApplication(settings, next(self._start_numbers))
         peers: Any = SimulatedPeers(app, self._network)
         app.register(PEERS, peers)
         app.register(TELEMETRY, mock.Mock())
@@ -337,13 +332,11 @@
             ),
         )
         await routing.async_setup(app)
-        self.app_by_router_id[router_id] = app
         self._network.peers_by_router_id[router_id] = peers
 
     async def async_stop_router(self, router_id: str) -> None:
         """Stop a router."""
-        del self._network.peers_by_router_id[router_id]
-        await self.app_by_router_id.pop(router_id).async_stop()
+        await self._network.peers_by_router_id.pop(router_id).app.async_stop()
 
     async def async_cut_off(self, router_id: str, seconds: float) -> None:
         """Lose all messages from and to a router for a time."""
@@ -362,10 +355,9 @@
 
     async def async_stop(self) -> None:
         """Stop all routers."""
-        for router_id in list(self.app_by_router_id):
+        for router_id in list(self._network.peers_by_router_id):
             await self.async_stop_router(router_id)
-        for task in self._tasks:
-            task.cancel()
+        self._membership.cancel()
 
     def write_configuration(self, document: dict[str, Any]) -> None:
         """Write the operators' configuration."""
@@ -391,8 +383,10 @@
     def ready_by_router_id(self, service: str) -> dict[str, set[str]]:
         """Return the ready upstreams that each router lists."""
         return {
-            router_id: set(app.get(ROUTING).directory.ready_upstreams(service))
-            for router_id, app in self.app_by_router_id.items()
+            router_id: set(
+                peers.app.get(ROUTING).directory.ready_upstreams(service)
+            )
+            for router_id, peers in self._network.peers_by_router_id.items()
         }
 
     def _topic(self, name: str, router_id: str) -> SimulatedTopic:
--- a/tests/router/components/routing/test_upstream_list_agreement.py
+++ b/tests/router/components/routing/test_upstream_list_agreement.py
@@ -84,13 +84,15 @@
     disturbance: Disturbance, router_id: str = ""
 ) -> Iterator[Schedule]:
     """Return schedules with the events in all orders."""
-    begins = [step / 5 for step in range(-10, 6)]
+    begins, lasts = [step / 5 for step in range(-10, 6)], [0.4, 0.9]
     if disturbance is Disturbance.NONE:
-        begins = [0.0]
-    for outage, rewritten, begin, lasts in itertools.product(
-        (0.4, 1.0), (0.3, 0.95, 1.7), begins, (0.4, 0.9)
+        begins, lasts = [0.0], [0.0]
+    for outage, rewritten, begin, duration in itertools.product(
+        (0.4, 1.0), (0.3, 0.95, 1.7), begins, lasts
     ):
-        yield Schedule(outage, rewritten, disturbance, router_id, begin, lasts)
+        yield Schedule(
+            outage, rewritten, disturbance, router_id, begin, duration
+        )
 
 
 def record(upstream_id: str, sequence: int) -> bytes:
--- a/tests/router/components/test_ingress_queue.py
+++ b/tests/router/components/test_ingress_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.router.conftest import settings
 
 from lacewingspar_core.documents import ServiceDocument, validate_document
 from lacewingspar_core.identity import RouterInstance
@@ -23,7 +24,6 @@
     SlotGrant,
     SlotRequest,
 )
-from lacewingspar_router.settings import Settings
 
 OWNER = RouterInstance("owner", 1)
 FORMER = RouterInstance("former", 1)
@@ -42,18 +42,7 @@
     """An ingress queue whose sent messages are recorded."""
 
     def __init__(self, quantum: float) -> None:
-        self.clock = Clock(
-            Settings(
-                router_id="ingress",
-                data_centre="north",
-                caller_address="127.0.0.1:0",
-                admin_address="127.0.0.1:0",
-                peer_address="127.0.0.1:0",
-                admin_token_sha256="0" * 64,
-                log_service_url="http://127.0.0.1:9",
-                vm_list_url="http://127.0.0.1:9",
-            )
-        )
+        self.clock = Clock(settings(router_id="ingress", data_centre="north"))
         self.sent: list[tuple[str, AnyPeerMessage]] = []
         self.message_bytes = 0
         self.demand_sent = asyncio.Event()
